Serve a request and a training step end to end in separate processes

Cause: nothing existed. Ownership by renewed leases was ruled out on paper: 340 daemons would write the table some 70 times a second; a fencing token from a conditional write needs no renewal. Change: core, shell, HTTP interface, stand-in platform, load tool, operator's command line, demo.

--- /dev/null
+++ b/apps/linenpier_platform.cpp
@@ -0,0 +1,60 @@
+/// @file
+/// linenpier-platform: the stand-in for the platform, for demonstrations and tests.
+
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include "common/log.h"
+#include "settings/settings.h"
+#include "standin/platform_server.h"
+
+namespace {
+
+using namespace linenpier;
+
+constexpr char kUsage[] = R"(linenpier-platform: a small stand-in for engines, stores and machine list.
+
+Usage:
+  linenpier-platform --settings FILE [--seed N] [--log LEVEL]
+  linenpier-platform --help
+
+Options:
+  --settings FILE  What to play (TOML).
+  --seed N         Seed of all randomness [default: 1].
+  --log LEVEL      trace, debug, info, warning or error [default: info].
+
+Exit codes: 0 stopped as planned, 2 settings are wrong, 3 an address could not be bound.
+)";
+
+volatile std::sig_atomic_t stop_signal = 0;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc});
+  setUpLogging(arguments["--log"].asString());
+  const std::string file = arguments["--settings"].asString();
+  const auto text = settings::readFile(file);
+  const auto topology = text ? standin::parseTopology(file, *text)
+                             : tl::expected<standin::Topology, Findings>(
+                                   tl::make_unexpected(text.error()));
+  if (!topology) {
+    std::cerr << describe(topology.error());
+    return 2;
+  }
+  std::signal(SIGTERM, [](int) { stop_signal = 1; });
+  std::signal(SIGINT, [](int) { stop_signal = 1; });
+  std::signal(SIGPIPE, SIG_IGN);
+  standin::PlatformServer server(*topology,
+                                 static_cast<std::uint64_t>(arguments["--seed"].asLong()));
+  if (const auto started = server.start(); !started) {
+    std::cerr << describe(started.error());
+    return 3;
+  }
+  while (stop_signal == 0) std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  server.stop();
+  return 0;
+}
--- /dev/null
+++ b/apps/linenpierctl.cpp
@@ -0,0 +1,202 @@
+/// @file
+/// linenpierctl: the operator's command line.
+
+#include <docopt/docopt.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "config/documents.h"
+#include "platform/http_call.h"
+#include "settings/settings.h"
+
+namespace {
+
+using namespace linenpier;
+using nlohmann::json;
+
+constexpr char kUsage[] = R"(linenpierctl: edits templates and tenant parameters, and looks at daemons.
+
+Usage:
+  linenpierctl [options] (template|tenant) list
+  linenpierctl [options] (template|tenant) get NAME
+  linenpierctl [options] (template|tenant) put NAME FILE [--from REVISION]
+  linenpierctl [options] status
+  linenpierctl [options] explain REQUEST
+  linenpierctl [options] check FILE
+  linenpierctl --help
+
+Options:
+  --daemon ADDRESS  Any daemon's HTTP address [default: 127.0.0.1:7100].
+  --key KEY         Operator key; otherwise the environment's LINENPIER_OPERATOR_KEY.
+  --from REVISION   The item's revision that the edit was made from; 0 for a new one [default: 0].
+  --json            Print JSON.
+
+Exit codes: 0 done, 1 refused (the daemon says why), 2 the file or arguments are wrong, 3 the daemon
+does not answer, 4 the edit conflicts with another one, 5 the outcome is unknown.
+)";
+
+constexpr int kExitRefused = 1;
+constexpr int kExitWrong = 2;
+constexpr int kExitUnreachable = 3;
+constexpr int kExitConflict = 4;
+constexpr int kExitUnknown = 5;
+
+using Arguments = std::map<std::string, docopt::value>;
+
+struct Reply {
+  int status = 0;  ///< 0: no answer.
+  json body;
+};
+
+class DaemonClient {
+ public:
+  DaemonClient(const Address& address, std::string key)
+      : client_(platform::makeClient(platform::serviceUrl(address),
+                                     {std::chrono::seconds(1), std::chrono::seconds(30)})) {
+    client_.set_bearer_token_auth(key.c_str());
+  }
+  Reply get(const std::string& path) { return read(client_.Get(path.c_str())); }
+  Reply put(const std::string& path, const json& body) {
+    return read(client_.Put(path.c_str(), body.dump(), "application/json"));
+  }
+
+ private:
+  static Reply read(const httplib::Result& result) {
+    if (!result) return {};
+    return {result->status, json::parse(result->body, nullptr, false)};
+  }
+  httplib::Client client_;
+};
+
+int exitCodeOf(const Reply& reply) {
+  if (reply.status == 0) return kExitUnreachable;
+  if (reply.status == 200) return 0;
+  if (reply.status == 409) return kExitConflict;
+  const json error = reply.body.is_object() ? reply.body.value("error", json::object()) : json();
+  const bool unknown = error.is_object() && error.value("ran", "") == "unknown";
+  return unknown ? kExitUnknown : kExitRefused;
+}
+
+void printItem(const json& item) {
+  std::cout << item.value("key", "") << " at revision " << item.value("revision", 0) << "\n"
+            << item.value("document", json()).dump(2) << "\n";
+}
+
+void printStatus(const json& status) {
+  std::cout << "daemon " << status.value("id", "") << " in " << status.value("zone", "")
+            << (status.value("ready", false) ? ", ready" : ", not ready") << ", configuration "
+            << status.value("config_revision", 0) << "\n";
+  for (const json& member : status["members"]) {
+    std::cout << "  member " << member.value("id", "") << " in " << member.value("zone", "") << ": "
+              << member.value("status", "") << "\n";
+  }
+  for (const json& engine : status["engines"]) {
+    std::cout << "  engine " << engine.value("id", "") << ": " << engine.value("model", "")
+              << " version " << engine.value("version", 0) << ", " << engine.value("running", 0)
+              << " running of " << engine.value("slots", 0)
+              << (engine.value("leaving", false) ? ", leaving" : "") << "\n";
+  }
+  std::cout << "  queued " << status.value("queued", 0) << ", in flight "
+            << status.value("in_flight", 0) << ", samples " << status.value("samples_running", 0)
+            << ", steps " << status.value("steps", 0) << "\n";
+}
+
+void printReply(const Arguments& arguments, const Reply& reply) {
+  if (arguments.at("--json").asBool()) {
+    std::cout << reply.body.dump(2) << "\n";
+    return;
+  }
+  if (reply.status == 0) {
+    std::cerr << "The daemon does not answer.\n";
+  } else if (reply.status != 200) {
+    const json error = reply.body.is_object() ? reply.body.value("error", json::object()) : json();
+    std::cerr << (error.is_object() ? error.value("message", "Refused.") : "Refused.") << "\n";
+    if (reply.body.contains("current") && reply.body["current"].is_object()) {
+      printItem(reply.body["current"]);
+    }
+  } else if (reply.body.contains("items")) {
+    for (const json& item : reply.body["items"]) {
+      std::cout << item.value("key", "") << "  revision " << item.value("revision", 0) << "\n";
+    }
+  } else if (reply.body.contains("document")) {
+    printItem(reply.body);
+  } else if (reply.body.contains("members")) {
+    printStatus(reply.body);
+  } else if (reply.body.contains("revision")) {
+    std::cout << "Accepted as revision " << reply.body.value("revision", 0) << ".\n";
+  } else {
+    std::cout << reply.body.dump(2) << "\n";
+  }
+}
+
+/// @return findings of a settings, template or tenant file, whichever it is.
+int checkFile(const std::string& file) {
+  const auto text = settings::readFile(file);
+  if (!text) {
+    std::cerr << describe(text.error());
+    return kExitWrong;
+  }
+  Findings findings;
+  if (file.ends_with(".toml")) {
+    const auto parsed = settings::parseDaemonSettings(file, *text, {});
+    if (!parsed) findings = parsed.error();
+  } else {
+    const json document = json::parse(*text, nullptr, false);
+    const bool is_template = document.is_object() && document.contains("kind");
+    if (is_template) {
+      const auto parsed = config::parseTemplate(file, *text);
+      if (!parsed) findings = parsed.error();
+    } else {
+      const auto parsed = config::parseTenant(file, *text);
+      if (!parsed) findings = parsed.error();
+    }
+  }
+  std::cerr << describe(findings);
+  if (findings.empty()) std::cout << file << " is right.\n";
+  return findings.empty() ? 0 : kExitWrong;
+}
+
+int run(Arguments& arguments) {
+  if (arguments["check"].asBool()) return checkFile(arguments["FILE"].asString());
+  const auto address = parseAddress(arguments["--daemon"].asString());
+  if (!address) {
+    std::cerr << "--daemon must be an IP number and a port.\n";
+    return kExitWrong;
+  }
+  const char* from_environment = std::getenv("LINENPIER_OPERATOR_KEY");
+  const std::string key = arguments["--key"] ? arguments["--key"].asString()
+                                             : std::string(from_environment ? from_environment : "");
+  DaemonClient client(*address, key);
+  const std::string kind = arguments["template"].asBool() ? "template" : "tenant";
+  Reply reply;
+  if (arguments["status"].asBool()) {
+    reply = client.get("/admin/status");
+  } else if (arguments["explain"].asBool()) {
+    reply = client.get("/admin/explain/" + arguments["REQUEST"].asString());
+  } else if (arguments["list"].asBool()) {
+    reply = client.get("/admin/" + kind);
+  } else if (arguments["get"].asBool()) {
+    reply = client.get("/admin/" + kind + "/" + arguments["NAME"].asString());
+  } else {
+    const auto text = settings::readFile(arguments["FILE"].asString());
+    const json document = text ? json::parse(*text, nullptr, false) : json();
+    if (!document.is_object()) {
+      std::cerr << arguments["FILE"].asString() << " is not a JSON object.\n";
+      return kExitWrong;
+    }
+    const auto from = static_cast<Revision>(std::stoull(arguments["--from"].asString()));
+    reply = client.put("/admin/" + kind + "/" + arguments["NAME"].asString(),
+                       {{"made_from", from}, {"document", document}});
+  }
+  printReply(arguments, reply);
+  return exitCodeOf(reply);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Arguments arguments = docopt::docopt(kUsage, {argv + 1, argv + argc});
+  return run(arguments);
+}
--- /dev/null
+++ b/apps/linenpierd.cpp
@@ -0,0 +1,147 @@
+/// @file
+/// linenpierd: the one daemon, the same on every machine.
+
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "api/http_server.h"
+#include "common/log.h"
+#include "daemon/daemon.h"
+#include "platform/http_engine_client.h"
+#include "platform/http_object_store_client.h"
+#include "platform/http_table_client.h"
+
+namespace {
+
+using namespace linenpier;
+
+constexpr char kUsage[] = R"(linenpierd: routes rollout and serving requests to model engines.
+
+Usage:
+  linenpierd --settings FILE [--set KEY=VALUE]... [--check]
+  linenpierd --help
+
+Options:
+  --settings FILE  Settings file (TOML).
+  --set KEY=VALUE  Override one setting, such as daemon.zone=hall-patan.
+  --check          Check the settings and exit.
+
+Exit codes: 0 stopped as planned or settings are right, 2 settings are wrong, 3 an address could
+not be bound.
+)";
+
+constexpr int kExitBadSettings = 2;
+constexpr int kExitCannotBind = 3;
+constexpr auto kPollPeriod = std::chrono::milliseconds(50);
+/// Others are told before the last stream may end.
+constexpr auto kLeaveNotice = std::chrono::milliseconds(500);
+
+volatile std::sig_atomic_t stop_signal = 0;
+
+tl::expected<settings::Overrides, Findings> readOverrides(const std::vector<std::string>& flags) {
+  settings::Overrides overrides;
+  Findings findings;
+  for (const std::string& flag : flags) {
+    const auto equals = flag.find('=');
+    if (equals == std::string::npos) {
+      findings.push_back({"--set " + flag, "must be KEY=VALUE"});
+      continue;
+    }
+    overrides[flag.substr(0, equals)] = flag.substr(equals + 1);
+  }
+  if (!findings.empty()) return tl::make_unexpected(findings);
+  return overrides;
+}
+
+tl::expected<settings::DaemonSettings, Findings> readSettings(
+    std::map<std::string, docopt::value>& arguments) {
+  const auto overrides = readOverrides(arguments["--set"].asStringList());
+  if (!overrides) return tl::make_unexpected(overrides.error());
+  const std::string file = arguments["--settings"].asString();
+  const auto text = settings::readFile(file);
+  if (!text) return tl::make_unexpected(text.error());
+  return settings::parseDaemonSettings(file, *text, *overrides);
+}
+
+daemon::Services connect(const settings::DaemonSettings& settings) {
+  const std::string caller = settings.zone.str() + "/" + settings.id.str();
+  const platform::CallTimeouts timeouts;
+  return {std::make_shared<platform::HttpTableClient>(settings.platform, caller, timeouts),
+          std::make_shared<platform::HttpObjectStoreClient>(settings.platform, caller, timeouts),
+          std::make_shared<platform::HttpEngineClient>(caller, platform::EngineTimeouts{}),
+          std::make_shared<platform::HttpPlatformDirectory>(settings.platform, caller, timeouts)};
+}
+
+/// Waits for a stop signal, then until open requests and samples have ended or the limit passes.
+void serveUntilStopped(daemon::Daemon& daemon, const settings::DaemonSettings& settings,
+                       std::atomic<bool>& ready, std::atomic<bool>& stopping,
+                       const std::atomic<std::uint32_t>& open_requests) {
+  while (stop_signal == 0) {
+    const bool now_ready = daemon.node().status().ready;
+    if (now_ready != ready) {
+      LINENPIER_LOG(info, "daemon") << (now_ready ? "Ready." : "Not ready.");
+    }
+    ready = now_ready;
+    std::this_thread::sleep_for(kPollPeriod);
+  }
+  LINENPIER_LOG(info, "daemon") << "Stopping; open requests are finished first.";
+  stopping = true;
+  daemon.beginStop();
+  std::this_thread::sleep_for(kLeaveNotice);
+  const Instant limit = steadyNow() + settings.drain_limit;
+  while (steadyNow() < limit) {
+    if (open_requests == 0 && daemon.samplesRunning() == 0) break;
+    std::this_thread::sleep_for(kPollPeriod);
+  }
+}
+
+int serve(const settings::DaemonSettings& settings) {
+  std::atomic<bool> ready{false};
+  std::atomic<bool> stopping{false};
+  std::atomic<std::uint32_t> open_requests{0};
+  api::ApiMetrics metrics;
+  const daemon::Services services = connect(settings);
+  daemon::Daemon daemon(settings, services, [&metrics](wire::FrameError error) {
+    metrics.countRefusedFrame(wire::frameErrorName(error));
+    LINENPIER_LOG(warning, "wire") << "Frame refused: " << wire::frameErrorName(error) << ".";
+  });
+  if (const auto started = daemon.start(); !started) {
+    std::cerr << describe(started.error());
+    return kExitCannotBind;
+  }
+  api::ApiContext context{settings,      services, daemon.node(), daemon.effects(),
+                          daemon.config(), daemon.transport(), metrics, ready, stopping,
+                          open_requests};
+  api::HttpServer server(context);
+  if (const auto started = server.start(); !started) {
+    std::cerr << describe(started.error());
+    return kExitCannotBind;
+  }
+  serveUntilStopped(daemon, settings, ready, stopping, open_requests);
+  server.stop();
+  daemon.stop();
+  LINENPIER_LOG(info, "daemon") << "Stopped.";
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc});
+  const auto settings = readSettings(arguments);
+  if (!settings) {
+    std::cerr << describe(settings.error());
+    return kExitBadSettings;
+  }
+  if (arguments["--check"].asBool()) {
+    std::cout << "Settings are right.\n";
+    return 0;
+  }
+  setUpLogging(settings->log_level);
+  std::signal(SIGTERM, [](int) { stop_signal = 1; });
+  std::signal(SIGINT, [](int) { stop_signal = 1; });
+  std::signal(SIGPIPE, SIG_IGN);
+  return serve(*settings);
+}
--- /dev/null
+++ b/src/common/address.h
@@ -0,0 +1,39 @@
+#pragma once
+
+/// @file
+/// Network addresses by IP number. Host names are never resolved.
+
+#include <boost/serialization/level.hpp>
+#include <boost/serialization/tracking.hpp>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace linenpier {
+
+/// An IPv4 address and port, in host byte order.
+struct Address {
+  std::uint32_t ip = 0;
+  std::uint16_t port = 0;
+
+  auto operator<=>(const Address&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive, unsigned /*version*/) {
+    archive& ip& port;
+  }
+};
+
+/// @param text "127.0.0.1:7000".
+/// @return nothing if the text is not an IPv4 number and a port between 1 and 65535.
+std::optional<Address> parseAddress(const std::string& text);
+/// @return the address as "127.0.0.1:7000".
+std::string toString(const Address& address);
+/// @return only the IP number, as "127.0.0.1".
+std::string ipText(const Address& address);
+
+}  // namespace linenpier
+
+BOOST_CLASS_IMPLEMENTATION(linenpier::Address, boost::serialization::object_serializable)
+BOOST_CLASS_TRACKING(linenpier::Address, boost::serialization::track_never)
--- /dev/null
+++ b/src/common/log.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// @file
+/// Logging through Boost.Log. Each part of the program logs under its own fixed prefix.
+
+#include <boost/log/trivial.hpp>
+#include <string>
+
+namespace linenpier {
+
+/// Sets the process-wide sink: standard error, time, severity, text.
+/// @param minimum severity name: trace, debug, info, warning or error.
+void setUpLogging(const std::string& minimum);
+
+}  // namespace linenpier
+
+/// Logs one short sentence, for example `LINENPIER_LOG(info, "membership") << "Zone is cut."`.
+#define LINENPIER_LOG(severity, part) BOOST_LOG_TRIVIAL(severity) << "[" part "] "
--- /dev/null
+++ b/src/node/node_core.cpp
@@ -0,0 +1,405 @@
+#include "node/node_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/rendezvous.h"
+
+namespace linenpier::node {
+
+namespace {
+
+/// A daemon that starts while the table is down waits this long before it trusts its peers.
+constexpr Duration kTableGrace = std::chrono::seconds(3);
+constexpr std::size_t kPendingPulls = 1024;
+
+}  // namespace
+
+NodeCore::NodeCore(NodeOptions options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      membership_(options_.self, options_.membership, options_.seed + 1),
+      directory_(options_.self.zone, options_.directory),
+      admission_(directory_, upstream::makeRoutingPolicy(options_.routing_policy, options_.seed + 2),
+                 options_.admission),
+      ownership_(options_.self.id, options_.ownership),
+      weights_(options_.weights),
+      coordinator_(options_.coordinator),
+      worker_(options_.worker) {
+  renewMembers();
+}
+
+Effects NodeCore::handle(Instant now, const Event& event) {
+  if (started_ == Instant{}) started_ = now;
+  effects_.clear();
+  std::visit([&](const auto& concrete) { on(now, concrete); }, event);
+  if (!membership_.takeChanges().empty()) renewMembers();
+  return std::exchange(effects_, {});
+}
+
+NodeStatus NodeCore::status() const {
+  NodeStatus status;
+  status.self = membership_.self();
+  status.members = membership_.everyone();
+  for (const auto& [id, engine] : directory_.engines()) status.engines.push_back(engine);
+  status.heads = weights_.heads();
+  status.config_revision = config_.revision();
+  status.ready = ready();
+  status.queued = admission_.queued();
+  status.in_flight = admission_.inFlight();
+  status.samples_running = worker_.running();
+  status.engines_assigned = ownership_.assigned();
+  status.claims_made = ownership_.claimsMade();
+  status.coordinator = coordinator_.status();
+  return status;
+}
+
+std::optional<admission::Explanation> NodeCore::explain(const RequestId& request) const {
+  return admission_.explain(request);
+}
+
+// ---- Time ----
+
+void NodeCore::on(Instant now, const Tick& /*event*/) {
+  sendAll(membership_.onTick(now, facts()));
+  readPlatform(now);
+  watchEngines(now);
+  tellZone(now);
+  tellOtherZones(now);
+  applyAdmission(admission_.onTick(now));
+  coordinateSteps(now);
+  reportSamples(now);
+}
+
+void NodeCore::readPlatform(Instant now) {
+  if (now >= next_machine_list_ && !reading_machines_) {
+    reading_machines_ = true;
+    next_machine_list_ = now + options_.machine_list_period;
+    emit(ReadMachineList{});
+  }
+  // One daemon of each zone watches the table for changes that gossip missed.
+  const auto& zone = zoneMembers(options_.self.zone);
+  const wire::MemberRecord* watcher = rendezvousPick(zone, "config-watch");
+  const bool watching = !config_ready_ || (watcher != nullptr && watcher->id == options_.self.id);
+  if (now >= next_config_ && !reading_config_ && watching) {
+    reading_config_ = true;
+    next_config_ = now + (config_ready_ ? options_.config_period : std::chrono::seconds(1));
+    emit(ReadConfig{config_ready_ ? config_.revision() : 0});
+  }
+  if (now < next_model_head_) return;
+  next_model_head_ = now + options_.model_head_period;
+  std::vector<ModelName> models;
+  for (const auto& [id, engine] : directory_.engines()) models.push_back(engine.seed.model);
+  std::sort(models.begin(), models.end());
+  models.erase(std::unique(models.begin(), models.end()), models.end());
+  for (const ModelName& model : models) {
+    const wire::MemberRecord* reader = rendezvousPick(zone, "weights/" + model.str());
+    if (reader != nullptr && reader->id == options_.self.id) emit(ReadModelHead{model});
+  }
+}
+
+void NodeCore::watchEngines(Instant now) {
+  const auto& zone = zoneMembers(options_.self.zone);
+  const auto work = ownership_.onTick(now, zone, directory_.engines());
+  for (const EngineId& engine : work.polls) {
+    emit(ReadLoad{engine, directory_.find(engine)->seed.url});
+  }
+  for (const EngineId& engine : work.claims) emit(ClaimEngine{engine});
+  for (const auto& due : weights_.onTick(now, directory_.engines(), ownership_)) {
+    emit(SendOrder{due.engine, directory_.find(due.engine)->seed.url, due.order});
+  }
+}
+
+void NodeCore::tellZone(Instant now) {
+  if (now < next_zone_load_) return;
+  next_zone_load_ = now + options_.zone_load_period;
+  const bool full = now >= next_full_report_;
+  if (full) next_full_report_ = now + options_.full_report_period;
+  wire::ZoneLoad load;
+  for (const auto& [id, engine] : directory_.engines()) {
+    if (!ownership_.isAssigned(id) || !engine.reported) continue;
+    wire::EngineReport& told = told_[id];
+    const bool changed = told.running != engine.report.running ||
+                         told.waiting != engine.report.waiting ||
+                         told.version != engine.report.version ||
+                         told.leaving != engine.report.leaving || told.slots != engine.report.slots;
+    const bool fresh = now - engine.reported_at < options_.zone_load_period * 2;
+    if (!fresh || (!full && !changed)) continue;
+    told = engine.report;
+    load.engines.push_back(engine.report);
+  }
+  if (load.engines.empty()) return;
+  for (const wire::MemberRecord& member : zoneMembers(options_.self.zone)) {
+    if (member.id != options_.self.id) send(member.address, load);
+  }
+}
+
+void NodeCore::tellOtherZones(Instant now) {
+  if (now < next_zone_digest_) return;
+  next_zone_digest_ = now + options_.zone_digest_period;
+  // One daemon a zone speaks for it, to one daemon of each other zone, which passes it on.
+  const auto& zone = zoneMembers(options_.self.zone);
+  const wire::MemberRecord* speaker = rendezvousPick(zone, "zone-digest");
+  if (speaker == nullptr || speaker->id != options_.self.id) return;
+  const wire::ZoneDigest digest = directory_.makeDigest(now);
+  if (digest.pools.empty()) return;
+  for (const auto& [other, members] : alive_by_zone_) {
+    if (other == options_.self.zone) continue;
+    if (const auto receiver = someMemberOf(other)) send(receiver->address, digest);
+  }
+}
+
+void NodeCore::coordinateSteps(Instant now) {
+  coordinator_.keepOnly([this](const rollout::StepKey& step) {
+    const auto coordinator = coordinatorOf(step.tenant, step.trainer);
+    return coordinator && coordinator->id == options_.self.id;
+  });
+  auto work = coordinator_.onTick(now, capacity(now));
+  for (const auto& order : work.orders) {
+    if (const auto maker = someMemberOf(order.zone)) send(maker->address, order.order);
+  }
+  for (const auto& [maker, sample] : work.cancels) {
+    sendTo(maker, wire::SampleCancel{{sample}});
+  }
+  for (const rollout::StepKey& step : work.reads) emit(ReadStep{step});
+  for (auto& commit : work.commits) emit(CommitStep{std::move(commit)});
+}
+
+void NodeCore::reportSamples(Instant now) {
+  for (auto& report : worker_.onTick(now)) {
+    if (const auto coordinator = coordinatorOf(report.tenant, report.trainer)) {
+      send(coordinator->address, std::move(report.message));
+    }
+  }
+}
+
+// ---- Platform ----
+
+void NodeCore::on(Instant now, const MachineListRead& event) {
+  reading_machines_ = false;
+  if (event.daemons.empty() && event.engines.empty()) return;  // Not read: keep what is known.
+  membership_.onMachineList(now, event.daemons);
+  directory_.onMachineList(event.engines);
+}
+
+void NodeCore::on(Instant now, const LoadRead& event) {
+  ownership_.onPollDone(event.engine);
+  if (!event.report) return;
+  directory_.onReport(now, *event.report);
+  applyAdmission(admission_.onTick(now));
+}
+
+void NodeCore::on(Instant /*now*/, const ModelHeadRead& event) { learnHead(event.head); }
+
+void NodeCore::on(Instant now, const ConfigRead& event) {
+  reading_config_ = false;
+  if (event.answered) {
+    table_answered_ = true;
+    config_ready_ = true;
+    applyConfig(event.items, event.revision);
+    return;
+  }
+  if (config_ready_ || now - started_ < kTableGrace) return;
+  // The table is down: take the newest that any peer knows.
+  for (const wire::MemberRecord& member : alive_) {
+    if (member.id != options_.self.id) send(member.address, wire::ConfigRequest{config_.revision()});
+  }
+}
+
+void NodeCore::on(Instant /*now*/, const ConfigCommitted& event) {
+  // Others learn at once; what was committed in between is fetched from the table or from peers.
+  if (event.item.revision == config_.revision() + 1) {
+    applyConfig({event.item}, event.item.revision);
+  } else {
+    applyConfig({event.item}, config_.revision());
+    next_config_ = Instant{};
+    if (!reading_config_) {
+      reading_config_ = true;
+      emit(ReadConfig{config_.revision()});
+    }
+  }
+  const wire::ConfigItems news{event.item.revision - 1, event.item.revision, {event.item}};
+  for (const wire::MemberRecord& member : alive_) {
+    if (member.id != options_.self.id) send(member.address, news);
+  }
+}
+
+void NodeCore::on(Instant now, const ClaimDone& event) {
+  ownership_.onClaimDone(now, event.engine, event.token);
+}
+
+void NodeCore::on(Instant now, const OrderDone& event) {
+  if (event.outcome == engine::OrderOutcome::kFenced) ownership_.onFenced(now, event.engine);
+  weights_.onOrderDone(now, event.engine, event.order, event.outcome);
+}
+
+// ---- Requests ----
+
+void NodeCore::on(Instant now, const AdmitRequest& event) {
+  applyAdmission(event.retry ? admission_.resubmit(now, event.ticket, event.tenant_queue_bound)
+                             : admission_.submit(now, event.ticket, event.tenant_queue_bound));
+}
+
+void NodeCore::on(Instant /*now*/, const WithdrawRequest& event) {
+  admission_.withdraw(event.request);
+}
+
+void NodeCore::on(Instant now, const StreamEnded& event) {
+  applyAdmission(admission_.onStreamEnded(now, event.tenant, event.engine, event.healthy));
+}
+
+void NodeCore::applyAdmission(const admission::AdmissionOutput& output) {
+  for (const admission::Decision& decision : output.decisions) emit(AnswerAdmission{decision});
+  for (const admission::RemoteWish& wish : output.remote_wishes) {
+    if (const auto member = someMemberOf(wish.zone)) send(member->address, wish.placement);
+  }
+}
+
+// ---- Samples and steps ----
+
+void NodeCore::on(Instant /*now*/, const SampleAdvanced& event) {
+  worker_.onStreamProgress(event.sample, event.tokens, event.oldest);
+}
+
+void NodeCore::on(Instant now, const SampleFinished& event) {
+  worker_.onFinished(now, event.result);
+  reportSamples(now);
+}
+
+void NodeCore::on(Instant now, const StepSubmitted& event) {
+  const auto coordinator = coordinatorOf(event.step.tenant, event.step.trainer);
+  if (!coordinator) return;
+  if (coordinator->id != options_.self.id) {
+    send(coordinator->address, wire::StepNotice{event.step});
+    return;
+  }
+  receive(now, options_.self.id, wire::StepNotice{event.step});
+}
+
+void NodeCore::on(Instant now, const PullArrived& event) {
+  const auto coordinator = coordinatorOf(event.step.tenant, event.step.trainer);
+  if (!coordinator) {
+    emit(AnswerPull{event.ticket, wire::PullStatus::kPending});
+    return;
+  }
+  if (coordinator->id == options_.self.id) {
+    emit(AnswerPull{event.ticket, coordinator_.onPull(now, event.step, event.trainer_version)});
+    coordinateSteps(now);
+    return;
+  }
+  const std::uint64_t sequence = next_pull_++;
+  pulls_[sequence] = event.ticket;
+  if (pulls_.size() > kPendingPulls) pulls_.erase(pulls_.begin());
+  send(coordinator->address, wire::PullRequest{sequence, event.step, event.trainer_version});
+}
+
+void NodeCore::on(Instant now, const StepRead& event) {
+  coordinator_.onStepRead(now, event.step, event.row, event.spec, event.samples,
+                          stalenessBound(event.step));
+}
+
+void NodeCore::on(Instant now, const CommitDone& event) {
+  coordinator_.onCommitDone(now, event.step, event.committed, event.final);
+}
+
+void NodeCore::on(Instant now, const StopRequested& /*event*/) {
+  if (stopping_) return;
+  stopping_ = true;
+  admission_.stop();
+  sendAll(membership_.leave(now, facts()));
+  renewMembers();
+}
+
+// ---- Shared pieces ----
+
+void NodeCore::send(const Address& to, wire::Message message) {
+  emit(SendDatagram{{to, std::move(message)}});
+}
+
+void NodeCore::sendAll(std::vector<wire::Outgoing> messages) {
+  for (wire::Outgoing& message : messages) emit(SendDatagram{std::move(message)});
+}
+
+void NodeCore::renewMembers() {
+  alive_ = membership_.alive();
+  alive_by_zone_.clear();
+  for (const wire::MemberRecord& member : alive_) alive_by_zone_[member.zone].push_back(member);
+}
+
+const std::vector<wire::MemberRecord>& NodeCore::zoneMembers(const ZoneName& zone) const {
+  static const std::vector<wire::MemberRecord> kNone;
+  const auto found = alive_by_zone_.find(zone);
+  return found == alive_by_zone_.end() ? kNone : found->second;
+}
+
+void NodeCore::sendTo(const DaemonId& to, wire::Message message) {
+  if (const auto address = membership_.addressOf(to)) send(*address, std::move(message));
+}
+
+void NodeCore::learnHead(const wire::ModelHead& head) {
+  if (!weights_.onHead(head)) return;
+  coordinator_.onModelHead(head.model, head.version);
+  for (const wire::MemberRecord& member : zoneMembers(options_.self.zone)) {
+    if (member.id == options_.self.id) continue;
+    wire::Digest news;
+    news.model_heads.push_back(head);
+    send(member.address, wire::ProbeAck{0, news});
+  }
+}
+
+void NodeCore::learnFacts(const DaemonId& from, const wire::Digest& digest) {
+  for (const wire::ModelHead& head : digest.model_heads) {
+    if (weights_.onHead(head)) coordinator_.onModelHead(head.model, head.version);
+  }
+  if (digest.config_revision > config_.revision()) sendTo(from, wire::ConfigRequest{config_.revision()});
+}
+
+void NodeCore::applyConfig(const std::vector<wire::ConfigItem>& items, Revision complete_to) {
+  if (config_.apply(items, complete_to)) emit(ConfigInForce{config_.snapshot()});
+}
+
+wire::Digest NodeCore::facts() const { return {config_.revision(), weights_.heads(), {}}; }
+
+std::map<ModelName, std::vector<rollout::ZoneCapacity>> NodeCore::capacity(Instant now) const {
+  std::map<ModelName, std::vector<rollout::ZoneCapacity>> result;
+  const wire::ZoneDigest own = directory_.makeDigest(now);
+  for (const wire::PoolDigest& pool : own.pools) {
+    result[pool.model].push_back({own.zone, pool.slots, pool.highest});
+  }
+  for (const auto& [model, version] : config_.snapshot()->tenants) {
+    for (const config::TenantTrainer& trainer : version.trainers) {
+      auto& zones = result[trainer.model];
+      for (const wire::ZoneDigest& digest : directory_.zonesWith(now, trainer.model, 0)) {
+        const bool known = std::any_of(zones.begin(), zones.end(), [&](const auto& zone) {
+          return zone.zone == digest.zone;
+        });
+        const wire::PoolDigest* pool = upstream::findPool(digest, trainer.model);
+        if (!known) zones.push_back({digest.zone, pool->slots, pool->highest});
+      }
+    }
+  }
+  return result;
+}
+
+std::optional<wire::MemberRecord> NodeCore::coordinatorOf(const TenantId& tenant,
+                                                          const TrainerId& trainer) const {
+  const wire::MemberRecord* picked =
+      rendezvousPick(alive_, "trainer/" + rollout::trainerKey(tenant, trainer));
+  if (picked == nullptr) return std::nullopt;
+  return *picked;
+}
+
+std::optional<wire::MemberRecord> NodeCore::someMemberOf(const ZoneName& zone) {
+  const auto& members = zoneMembers(zone);
+  if (members.empty()) return std::nullopt;
+  return members[random_.below(members.size())];
+}
+
+std::uint32_t NodeCore::stalenessBound(const rollout::StepKey& step) const {
+  const config::Tenant* tenant = config_.snapshot()->findTenant(step.tenant);
+  const config::TenantTrainer* trainer =
+      tenant == nullptr ? nullptr : tenant->findTrainer(step.trainer);
+  return trainer == nullptr ? 0 : trainer->staleness_bound;
+}
+
+}  // namespace linenpier::node
--- /dev/null
+++ b/src/platform/http_call.cpp
@@ -0,0 +1,87 @@
+#include "platform/http_call.h"
+
+#include <cctype>
+
+namespace linenpier::platform {
+
+namespace {
+constexpr int kConflictStatus = 409;
+}  // namespace
+
+ServiceUrl parseServiceUrl(const std::string& url) {
+  ServiceUrl result;
+  const std::string scheme = "http://";
+  std::string rest = url.starts_with(scheme) ? url.substr(scheme.size()) : url;
+  const auto slash = rest.find('/');
+  if (slash != std::string::npos) {
+    result.path = rest.substr(slash);
+    rest.resize(slash);
+  }
+  const auto colon = rest.rfind(':');
+  result.host = rest.substr(0, colon);
+  result.port = colon == std::string::npos ? 80 : std::atoi(rest.c_str() + colon + 1);
+  return result;
+}
+
+ServiceUrl serviceUrl(const Address& address, std::string path) {
+  return {ipText(address), address.port, std::move(path)};
+}
+
+httplib::Client makeClient(const ServiceUrl& url, const CallTimeouts& timeouts) {
+  httplib::Client client(url.host, url.port);
+  const auto set = [](Duration duration, auto setter) {
+    const auto whole = std::chrono::duration_cast<std::chrono::seconds>(duration);
+    setter(whole.count(), (duration - whole).count());
+  };
+  set(timeouts.connect, [&](auto s, auto us) { client.set_connection_timeout(s, us); });
+  set(timeouts.answer, [&](auto s, auto us) { client.set_read_timeout(s, us); });
+  set(timeouts.answer, [&](auto s, auto us) { client.set_write_timeout(s, us); });
+  client.set_tcp_nodelay(true);
+  client.set_keep_alive(false);
+  return client;
+}
+
+CallFailure failureOf(httplib::Error error) {
+  switch (error) {
+    case httplib::Error::Connection:
+    case httplib::Error::ConnectionTimeout:
+    case httplib::Error::BindIPAddress:
+      return CallFailure::kUnreachable;
+    default:
+      return CallFailure::kAnswerLost;
+  }
+}
+
+CallFailure failureOfStatus(int status) {
+  if (status == 429) return CallFailure::kRateLimited;
+  if (status == 503) return CallFailure::kUnavailable;
+  if (status >= 400 && status < 500) return CallFailure::kRejected;
+  return CallFailure::kBadAnswer;
+}
+
+CallResult<httplib::Response> classify(httplib::Result result) {
+  if (!result) {
+    return tl::make_unexpected(
+        CallError{failureOf(result.error()), httplib::to_string(result.error())});
+  }
+  const int status = result->status;
+  if ((status >= 200 && status < 300) || status == kConflictStatus) return *result;
+  return tl::make_unexpected(CallError{failureOfStatus(status), "status " + std::to_string(status)});
+}
+
+std::string urlEncode(const std::string& text) {
+  std::string encoded;
+  for (const unsigned char c : text) {
+    if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == '/') {
+      encoded += static_cast<char>(c);
+    } else {
+      constexpr char kDigits[] = "0123456789ABCDEF";
+      encoded += '%';
+      encoded += kDigits[c >> 4];
+      encoded += kDigits[c & 15];
+    }
+  }
+  return encoded;
+}
+
+}  // namespace linenpier::platform
--- /dev/null
+++ b/src/platform/http_engine_client.cpp
@@ -0,0 +1,156 @@
+#include "platform/http_engine_client.h"
+
+#include <nlohmann/json.hpp>
+
+#include "platform/server_sent_events.h"
+
+namespace linenpier::platform {
+
+using engine::OrderOutcome;
+using engine::Piece;
+using engine::StreamEnd;
+using nlohmann::json;
+
+namespace {
+
+/// Follows one stream and remembers how it stands.
+class StreamFollower {
+ public:
+  StreamFollower(const AttemptId& attempt, const engine::PieceSink& sink)
+      : attempt_(attempt), sink_(sink) {}
+
+  bool onBytes(std::string_view bytes) {
+    return events_.feed(bytes, [this](std::string_view data) { return onData(data); });
+  }
+  bool complete() const { return complete_; }
+  bool cancelled() const { return cancelled_; }
+  bool mismatched() const { return mismatched_; }
+
+ private:
+  bool onData(std::string_view data) {
+    if (data == "[DONE]") {
+      complete_ = finished_;
+      return true;
+    }
+    const json event = json::parse(data, nullptr, false);
+    if (!event.is_object() || event.value("id", "") != attempt_.str()) {
+      mismatched_ = true;
+      return false;
+    }
+    const json& choice = event["choices"][0];
+    finished_ = choice.contains("finish_reason") && choice["finish_reason"].is_string();
+    Piece piece{choice.value("text", ""), event.value("tokens", 0U),
+                event.value("weight_version", WeightVersion{0})};
+    if (piece.tokens > 0 && !sink_(piece)) {
+      cancelled_ = true;
+      return false;
+    }
+    return true;
+  }
+
+  AttemptId attempt_;
+  const engine::PieceSink& sink_;
+  ServerSentEvents events_;
+  bool finished_ = false;    ///< The last piece carried a finish reason.
+  bool complete_ = false;    ///< The end mark followed it.
+  bool cancelled_ = false;
+  bool mismatched_ = false;
+};
+
+const char* orderName(engine::FencedOrder::Kind kind) {
+  switch (kind) {
+    case engine::FencedOrder::Kind::kPrefetch: return "prefetch";
+    case engine::FencedOrder::Kind::kFlip: return "flip";
+    case engine::FencedOrder::Kind::kAssert: return "assert";
+  }
+  return "assert";
+}
+
+}  // namespace
+
+HttpEngineClient::HttpEngineClient(std::string caller, EngineTimeouts timeouts)
+    : caller_(std::move(caller)), timeouts_(timeouts) {}
+
+StreamEnd HttpEngineClient::generate(const std::string& url,
+                                     const engine::GenerateRequest& request,
+                                     const engine::PieceSink& sink) {
+  const ServiceUrl service = parseServiceUrl(url);
+  auto client = makeClient(service, timeouts_.generate);
+  const json body = {{"model", request.model.str()},
+                     {"prompt", request.prompt},
+                     {"resume_text", request.resume_text},
+                     {"resume_tokens", request.resume_tokens},
+                     {"max_tokens", request.max_tokens},
+                     {"priority", request.priority},
+                     {"request_id", request.attempt.str()},
+                     {"stream", true}};
+  StreamFollower follower(request.attempt, sink);
+  int status = 0;
+  httplib::Request call;
+  call.method = "POST";
+  call.path = service.path + "/v1/completions";
+  call.headers = {{"X-Caller", caller_}, {"Content-Type", "application/json"}};
+  call.body = body.dump();
+  call.response_handler = [&status](const httplib::Response& response) {
+    status = response.status;
+    return true;
+  };
+  call.content_receiver = [&](const char* data, std::size_t length, std::uint64_t, std::uint64_t) {
+    return status != 200 || follower.onBytes({data, length});
+  };
+  const httplib::Result result = client.send(call);
+  if (follower.mismatched()) return StreamEnd::kMismatched;
+  if (follower.cancelled()) return StreamEnd::kCancelled;
+  if (follower.complete()) return StreamEnd::kComplete;
+  const bool refused = status == 429 || (status >= 400 && status <= 499) || status == 503;
+  if (refused) return StreamEnd::kNotStarted;
+  if (!result && failureOf(result.error()) == CallFailure::kUnreachable) {
+    return StreamEnd::kNotStarted;
+  }
+  return StreamEnd::kBroken;
+}
+
+void HttpEngineClient::cancel(const std::string& url, const AttemptId& attempt) {
+  const ServiceUrl service = parseServiceUrl(url);
+  auto client = makeClient(service, timeouts_.control);
+  client.Post((service.path + "/abort").c_str(), {{"X-Caller", caller_}},
+              json{{"request_id", attempt.str()}}.dump(), "application/json");
+}
+
+CallResult<wire::EngineReport> HttpEngineClient::load(const std::string& url) {
+  const ServiceUrl service = parseServiceUrl(url);
+  auto client = makeClient(service, timeouts_.control);
+  const auto response = classify(client.Get(service.path + "/load", {{"X-Caller", caller_}}));
+  if (!response) return tl::make_unexpected(response.error());
+  try {
+    const json answer = json::parse(response->body);
+    wire::EngineReport report;
+    report.engine = EngineId(answer.at("engine").get<std::string>());
+    report.running = answer.at("running").get<std::uint32_t>();
+    report.waiting = answer.at("waiting").get<std::uint32_t>();
+    report.slots = answer.at("slots").get<std::uint32_t>();
+    report.version = answer.at("version").get<WeightVersion>();
+    report.prefetched = answer.at("prefetched").get<WeightVersion>();
+    report.leaving = answer.at("leaving").get<bool>();
+    return report;
+  } catch (const json::exception& error) {
+    return tl::make_unexpected(CallError{CallFailure::kBadAnswer, error.what()});
+  }
+}
+
+CallResult<OrderOutcome> HttpEngineClient::order(const std::string& url,
+                                                 const engine::FencedOrder& order) {
+  const ServiceUrl service = parseServiceUrl(url);
+  auto client = makeClient(service, timeouts_.order);
+  const json body = {{"kind", orderName(order.kind)},
+                     {"token", order.token},
+                     {"model", order.model.str()},
+                     {"version", order.version}};
+  const auto response = classify(client.Post((service.path + "/orders").c_str(),
+                                             {{"X-Caller", caller_}}, body.dump(),
+                                             "application/json"));
+  if (!response) return tl::make_unexpected(response.error());
+  return response->status == 409 ? OrderOutcome::kFenced : OrderOutcome::kDone;
+}
+
+}  // namespace linenpier::platform
--- /dev/null
+++ b/src/platform/platform_directory.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/// @file
+/// The platform's machine list and weight store.
+
+#include <memory>
+
+#include "common/error.h"
+#include "membership/membership.h"
+#include "platform/http_call.h"
+#include "upstream/engine_directory.h"
+#include "wire/messages.h"
+
+namespace linenpier::platform {
+
+struct MachineList {
+  std::vector<membership::MemberSeed> daemons;
+  std::vector<upstream::EngineSeed> engines;
+};
+
+/// Blocking, thread-safe reads of what the platform publishes.
+class PlatformDirectory {
+ public:
+  virtual ~PlatformDirectory() = default;
+  /// @return all daemons, and the engines of `zone`. The list lags behind the truth.
+  virtual CallResult<MachineList> machines(const ZoneName& zone) = 0;
+  /// @return the newest version of a model in the weight store; 0 if there is none.
+  virtual CallResult<WeightVersion> newestVersion(const ModelName& model) = 0;
+};
+
+using PlatformDirectorySharedPtr = std::shared_ptr<PlatformDirectory>;
+
+/// `GET /machines?zone=`, `GET /weights?model=`.
+class HttpPlatformDirectory : public PlatformDirectory {
+ public:
+  HttpPlatformDirectory(const Address& address, std::string caller, CallTimeouts timeouts);
+  CallResult<MachineList> machines(const ZoneName& zone) override;
+  CallResult<WeightVersion> newestVersion(const ModelName& model) override;
+
+ private:
+  ServiceUrl url_;
+  std::string caller_;
+  CallTimeouts timeouts_;
+};
+
+}  // namespace linenpier::platform
--- /dev/null
+++ b/src/settings/toml_reader.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/// @file
+/// Reads typed values from TOML by dotted key and collects what is wrong, with file, line and key.
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "common/address.h"
+#include "common/error.h"
+#include "settings/settings.h"
+
+namespace linenpier::settings {
+
+/// One settings file under reading. Keys that are never asked for are reported by `finish`.
+class TomlReader {
+ public:
+  TomlReader(std::string file, const std::string& text, Overrides overrides);
+  ~TomlReader();
+
+  void readString(const std::string& key, std::string& value, bool required);
+  /// A string that must be one of `choices`.
+  void readChoice(const std::string& key, std::string& value,
+                  const std::vector<std::string>& choices);
+  void readAddress(const std::string& key, Address& value, bool required);
+  void readInteger(const std::string& key, std::int64_t& value, std::int64_t lowest,
+                   std::int64_t highest);
+  void readNumber(const std::string& key, double& value, double lowest, double highest);
+  /// Reports unknown keys. @return all findings.
+  Findings finish();
+  void report(const std::string& key, const std::string& problem);
+
+ private:
+  struct Document;
+  std::string file_;
+  Overrides overrides_;
+  std::unique_ptr<Document> document_;  ///< Parsed text; empty if it could not be parsed.
+  std::set<std::string> known_;         ///< Keys asked for.
+  Findings findings_;
+};
+
+}  // namespace linenpier::settings
--- /dev/null
+++ b/src/settings/toml_table_reader.h
@@ -0,0 +1,67 @@
+#pragma once
+
+/// @file
+/// Reads members of TOML tables for the stand-in's and the load tool's files, collecting findings.
+
+#include <toml++/toml.h>
+
+#include <string>
+#include <utility>
+
+#include "common/address.h"
+#include "common/error.h"
+
+namespace linenpier::settings {
+
+/// One table under reading.
+class TableReader {
+ public:
+  TableReader(const toml::table& table, std::string file, Findings& findings)
+      : table_(table), file_(std::move(file)), findings_(findings) {}
+
+  std::string text(const char* key) {
+    const auto value = table_[key].value<std::string>();
+    if (!value) report(key, "must be a string");
+    return value.value_or("");
+  }
+  template <typename Number>
+  Number number(const char* key, Number usual) {
+    if (!table_[key]) return usual;
+    const auto value = table_[key].value<Number>();
+    if (!value) report(key, "must be a number in range");
+    return value.value_or(usual);
+  }
+  bool flag(const char* key, bool usual) { return table_[key].value<bool>().value_or(usual); }
+  Address address(const char* key, bool required) {
+    const auto value = table_[key].value<std::string>();
+    if (!value && !required) return {};
+    const auto parsed = parseAddress(value.value_or(""));
+    if (!parsed) report(key, "must be an IP number and a port");
+    return parsed.value_or(Address{});
+  }
+  void report(const std::string& key, const std::string& problem) {
+    const std::string line = std::to_string(table_.source().begin.line);
+    findings_.push_back({file_ + ":" + line + ": " + key, problem});
+  }
+
+ private:
+  const toml::table& table_;
+  std::string file_;
+  Findings& findings_;
+};
+
+/// Calls `read` for each table of the array `key`, if there is one.
+template <typename Read>
+void readArray(const toml::table& root, const char* key, const std::string& file,
+               Findings& findings, Read read) {
+  const toml::array* array = root[key].as_array();
+  if (array == nullptr) return;
+  for (const toml::node& node : *array) {
+    if (const toml::table* table = node.as_table()) {
+      TableReader reader(*table, file, findings);
+      read(reader);
+    }
+  }
+}
+
+}  // namespace linenpier::settings
