Stop without waiting for samples that other daemons can make; expect each step one version later

Cause: a stopping daemon hung: samples that waited for an engine kept their threads in an admission request with a ten-minute limit, and the node actor ended without answering it (seen in a stack trace). Separately, samples for the step after a committed one were ordered one version too old, because the expected trainer version fell back while the trainer trained (50 samples replaced as stale in 15 s). Ruled out: a CAF fault (the promise was simply dropped with the actor's state). Change: waiting samples are handed over at a stop, the actor answers whoever still asks, the expected version is anchored at the last pulled step.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -52,9 +52,33 @@
   control tenant put vanua-waves settings/demo/tenant-vanua-waves.json
 }
 
+# wait_in_force REVISION: until every daemon has it.
+wait_in_force() {
+  local i tries
+  for i in "${!daemon_names[@]}"; do
+    for ((tries = 0; tries < 200; tries++)); do
+      curl -fsS "http://127.0.0.1:710$((i + 1))/metrics" | grep -q "config_revision\"} $1\$" && break
+      sleep 0.1
+    done
+  done
+}
+
+# stop_fleet: asks all to stop, and after 40 s ends what has not.
 stop_fleet() {
-  local name
+  local name tries
   for name in "${!process_ids[@]}"; do kill -TERM "${process_ids[$name]}" 2>/dev/null || true; done
-  for name in "${!process_ids[@]}"; do wait "${process_ids[$name]}" 2>/dev/null || true; done
+  for ((tries = 0; tries < 400; tries++)); do
+    local alive=0
+    for name in "${!process_ids[@]}"; do kill -0 "${process_ids[$name]}" 2>/dev/null && alive=1; done
+    [ "$alive" = 0 ] && break
+    sleep 0.1
+  done
+  for name in "${!process_ids[@]}"; do
+    if kill -0 "${process_ids[$name]}" 2>/dev/null; then
+      echo "$name did not stop in time" >&2
+      kill -KILL "${process_ids[$name]}" 2>/dev/null || true
+    fi
+    wait "${process_ids[$name]}" 2>/dev/null || true
+  done
   process_ids=()
 }
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -51,6 +51,10 @@
 AdmissionOutput AdmissionController::resubmit(Instant now, Ticket ticket,
                                               std::uint32_t tenant_bound) {
   AdmissionOutput out;
+  if (stopping_ && ticket.hand_over) {
+    refuse(now, ticket, RefusalReason::kShuttingDown, out);
+    return out;
+  }
   if (!retry_budget_.tryRetry()) {
     refuse(now, ticket, RefusalReason::kRetryBudget, out);
     return out;
@@ -124,6 +128,15 @@
   return answer;
 }
 
+AdmissionOutput AdmissionController::stop(Instant now) {
+  AdmissionOutput out;
+  stopping_ = true;
+  for (const Ticket& ticket : queue_.takeHandOvers()) {
+    refuse(now, ticket, RefusalReason::kShuttingDown, out);
+  }
+  return out;
+}
+
 void AdmissionController::withdraw(const RequestId& request) {
   queue_.remove(request);
   last_wish_.erase(request);
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -91,8 +91,9 @@
   wire::PlacementAnswer placeForPeer(Instant now, const wire::PlacementRequest& request);
   /// The caller has gone.
   void withdraw(const RequestId& request);
-  /// From now on every new ticket is refused.
-  void stop() { stopping_ = true; }
+  /// From now on every new ticket is refused. Waiting callers are still served; samples that wait
+  /// are refused, so that their coordinators order them elsewhere.
+  AdmissionOutput stop(Instant now);
 
   std::size_t queued() const { return queue_.size(); }
   std::size_t inFlight() const { return total_in_flight_; }
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -23,12 +23,21 @@
 }
 
 std::vector<Ticket> FairQueue::takeExpired(Instant now) {
-  std::vector<Ticket> expired;
+  return takeIf([now](const Ticket& ticket) { return ticket.deadline <= now; });
+}
+
+std::vector<Ticket> FairQueue::takeHandOvers() {
+  return takeIf([](const Ticket& ticket) { return ticket.hand_over; });
+}
+
+template <typename Predicate>
+std::vector<Ticket> FairQueue::takeIf(Predicate predicate) {
+  std::vector<Ticket> taken;
   for (auto lane = lanes_.begin(); lane != lanes_.end();) {
     std::deque<Ticket> kept;
     for (Ticket& ticket : lane->second.tickets) {
-      if (ticket.deadline <= now) {
-        expired.push_back(std::move(ticket));
+      if (predicate(ticket)) {
+        taken.push_back(std::move(ticket));
       } else {
         kept.push_back(std::move(ticket));
       }
@@ -36,11 +45,11 @@
     lane->second.tickets = std::move(kept);
     lane = lane->second.tickets.empty() ? lanes_.erase(lane) : std::next(lane);
   }
-  size_ -= expired.size();
-  for (const Ticket& ticket : expired) {
+  size_ -= taken.size();
+  for (const Ticket& ticket : taken) {
     if (--waiting_[ticket.tenant] == 0) waiting_.erase(ticket.tenant);
   }
-  return expired;
+  return taken;
 }
 
 bool FairQueue::remove(const RequestId& request) {
--- a/src/admission/fair_queue.h
+++ b/src/admission/fair_queue.h
@@ -30,6 +30,7 @@
   Instant enqueued{};
   Instant deadline{};              ///< Given up at this moment.
   std::vector<EngineId> avoid;     ///< Engines that already failed this request.
+  bool hand_over = false;          ///< Given up at a planned stop, since another daemon takes it over.
 };
 
 /// Pure state; one owner.
@@ -44,6 +45,8 @@
   void drain(TryStart try_start);
   /// Removes and returns the tickets whose deadline has passed.
   std::vector<Ticket> takeExpired(Instant now);
+  /// Removes and returns the tickets that are given up at a planned stop.
+  std::vector<Ticket> takeHandOvers();
   /// Removes a ticket whose caller has gone. @return whether it was waiting.
   bool remove(const RequestId& request);
   std::size_t size() const { return size_; }
@@ -60,6 +63,8 @@
     std::deque<Ticket> tickets;
   };
   std::vector<LaneKey> fairOrder() const;
+  template <typename Predicate>
+  std::vector<Ticket> takeIf(Predicate predicate);
 
   std::map<LaneKey, Lane> lanes_;            ///< Never holds an empty lane.
   std::map<TenantId, double> virtual_time_;  ///< Tenants with waiting tickets.
--- a/src/config/config_state.cpp
+++ b/src/config/config_state.cpp
@@ -99,6 +99,13 @@
       }
     }
   }
+  for (const auto& [id, tenant] : next->tenants) {
+    for (const TenantModel& entry : tenant.models) {
+      const Template* rules = next->templateFor(tenant, entry.model);
+      const bool serving = rules != nullptr && rules->kind == WorkKind::kServing;
+      if (serving) next->serving_models.insert(entry.model);
+    }
+  }
   snapshot_ = std::move(next);
 }
 
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,7 @@
   std::map<std::string, Template> templates;             ///< By name.
   std::map<TenantId, Tenant> tenants;
   std::map<std::string, TenantId> tenant_by_key_hash;    ///< Bearer key's SHA-256 to its tenant.
+  std::set<ModelName> serving_models;                    ///< Models that some serving template uses.
 
   const Tenant* findTenant(const TenantId& id) const;
   /// @return the tenant that the bearer key belongs to, or nullptr.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -25,7 +25,7 @@
     : settings_(std::move(settings)),
       on_refused_frame_(std::move(on_refused_frame)),
       codec_(settings_.secret) {
-  actor_config_.set("caf.scheduler.max-threads", kSchedulerThreads);
+  actor_config_.set("scheduler.max-threads", kSchedulerThreads);
   system_ = std::make_unique<caf::actor_system>(actor_config_);
   effects_ = std::make_unique<EffectRunner>(selfRecord(settings_), std::move(services), codec_,
                                             transport_, config_);
@@ -61,9 +61,13 @@
 void Daemon::stop() {
   if (!system_) return;
   transport_.stop();
+  if (node_) node_->shutDown();
   effects_->stop();
+  // Sample threads still ask the node; it answers each question until they have ended.
+  effects_->waitForSamples();
   caf::anon_send_exit(actor_, caf::exit_reason::user_shutdown);
   actor_ = nullptr;
+  node_.reset();
   system_.reset();
 }
 
--- a/src/daemon/effect_runner.cpp
+++ b/src/daemon/effect_runner.cpp
@@ -45,6 +45,8 @@
 void EffectRunner::stop() {
   {
     const std::lock_guard lock(mutex_);
+    if (stopped_) return;
+    stopped_ = true;
     for (auto& [key, mark] : samples_) *mark = true;
   }
   pool_.shutdown();
@@ -52,6 +54,11 @@
   background_pool_.shutdown();
 }
 
+void EffectRunner::waitForSamples() {
+  std::unique_lock lock(mutex_);
+  samples_changed_.wait(lock, [this] { return samples_.empty(); });
+}
+
 void EffectRunner::run(const node::Effect& effect) {
   std::visit([this](const auto& concrete) { on(concrete); }, effect);
 }
@@ -140,6 +147,7 @@
     makeSample(order, stop);
     const std::lock_guard lock(mutex_);
     samples_.erase(order.sample);
+    samples_changed_.notify_all();
   });
 }
 
@@ -153,6 +161,7 @@
   work.prompt = order.prompt;
   work.max_tokens = order.max_tokens;
   work.priority = kSamplePriority;
+  work.hand_over = true;
   work.max_in_flight = UINT32_MAX;
   work.max_queued = kSampleQueue;
   work.minimum_version = order.minimum_version;
--- a/src/daemon/effect_runner.h
+++ b/src/daemon/effect_runner.h
@@ -7,6 +7,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -40,8 +41,10 @@
   /// Must be called once before the first effect is run.
   void attach(const NodeHandle* node) { node_ = node; }
   void run(const node::Effect& effect);
-  /// Stops the pool and tells all samples to end.
+  /// Stops the pools and tells all samples to end; a second call does nothing.
   void stop();
+  /// Returns when the last sample's thread has ended its work.
+  void waitForSamples();
   /// Runs a clean-up task that may take long; it delays nothing but other clean-up.
   void enqueue(std::function<void()> task) { background_pool_.enqueue(std::move(task)); }
 
@@ -77,7 +80,9 @@
   httplib::ThreadPool order_pool_; ///< Orders to engines, which may take seconds.
   httplib::ThreadPool background_pool_;
   std::mutex mutex_;               ///< Guards the members below.
+  bool stopped_ = false;
   Random random_;
+  std::condition_variable samples_changed_;
   std::map<rollout::SampleKey, std::shared_ptr<std::atomic<bool>>> samples_;  ///< Stop marks.
 };
 
--- a/src/daemon/node_actor.cpp
+++ b/src/daemon/node_actor.cpp
@@ -8,6 +8,11 @@
 
 constexpr auto kTickPeriod = std::chrono::milliseconds(50);
 
+admission::Decision shutDownDecision(const RequestId& request) {
+  return {request, admission::Refusal{admission::RefusalReason::kShuttingDown,
+                                      std::chrono::seconds(1)}};
+}
+
 void answer(Self* self, const node::AnswerAdmission& effect) {
   auto& admissions = self->state.admissions;
   const auto waiting = admissions.find(effect.decision.request);
@@ -24,7 +29,18 @@
   pulls.erase(waiting);
 }
 
+void end(Self* self) {
+  self->state.ended = true;
+  for (auto& [request, promise] : self->state.admissions) {
+    promise.deliver(AdmitReply{shutDownDecision(request)});
+  }
+  self->state.admissions.clear();
+  for (auto& [ticket, promise] : self->state.pulls) promise.deliver(PullReply{});
+  self->state.pulls.clear();
+}
+
 void feed(Self* self, const node::Event& event) {
+  if (self->state.ended) return;
   for (const node::Effect& effect : self->state.core->handle(steadyNow(), event)) {
     if (const auto* admission = std::get_if<node::AnswerAdmission>(&effect)) {
       answer(self, *admission);
@@ -46,7 +62,7 @@
   self->delayed_send(self, kTickPeriod, caf::tick_atom_v);
   return {
       [self](caf::tick_atom) {
-        self->delayed_send(self, kTickPeriod, caf::tick_atom_v);
+        if (!self->state.ended) self->delayed_send(self, kTickPeriod, caf::tick_atom_v);
         feed(self, node::Tick{});
       },
       [self](const EventMessage& message) {
@@ -57,17 +73,26 @@
       },
       [self](const AdmitCall& call) -> caf::result<AdmitReply> {
         auto promise = self->make_response_promise();
+        if (self->state.ended) {
+          promise.deliver(AdmitReply{shutDownDecision(call.request.ticket.request)});
+          return promise;
+        }
         self->state.admissions[call.request.ticket.request] = promise;
         feed(self, call.request);
         return promise;
       },
       [self](const PullCall& call) -> caf::result<PullReply> {
         auto promise = self->make_response_promise();
+        if (self->state.ended) {
+          promise.deliver(PullReply{});
+          return promise;
+        }
         const std::uint64_t ticket = self->state.next_pull++;
         self->state.pulls[ticket] = promise;
         feed(self, node::PullArrived{ticket, call.step, call.trainer_version});
         return promise;
       },
+      [self](const ShutdownMessage&) { end(self); },
       [self](const StatusCall&) { return StatusReply{self->state.core->status()}; },
       [self](const ExplainCall& call) {
         return ExplainReply{self->state.core->explain(call.request)};
--- a/src/daemon/node_actor.h
+++ b/src/daemon/node_actor.h
@@ -21,6 +21,7 @@
   std::map<RequestId, caf::response_promise> admissions;  ///< Callers that wait for a decision.
   std::map<std::uint64_t, caf::response_promise> pulls;   ///< Callers that wait for a pull status.
   std::uint64_t next_pull = 1;
+  bool ended = false;  ///< No event is handled any more; every question is answered at once.
 };
 
 /// Behaviour of the node actor.
--- a/src/daemon/node_handle.cpp
+++ b/src/daemon/node_handle.cpp
@@ -33,6 +33,8 @@
   return reply ? reply->status : wire::PullStatus::kPending;
 }
 
+void NodeHandle::shutDown() const { caf::anon_send(actor_, ShutdownMessage{}); }
+
 node::NodeStatus NodeHandle::status() const {
   const auto reply = ask<StatusReply>(StatusCall{}, kQueryLimit);
   return reply ? reply->status : node::NodeStatus{};
--- a/src/daemon/node_handle.h
+++ b/src/daemon/node_handle.h
@@ -30,6 +30,8 @@
 struct PullReply {
   wire::PullStatus status = wire::PullStatus::kPending;
 };
+/// The daemon ends: everybody who still waits is answered.
+struct ShutdownMessage {};
 struct StatusCall {};
 struct StatusReply {
   node::NodeStatus status;
@@ -62,6 +64,7 @@
   node::NodeStatus status() const;
   std::optional<admission::Explanation> explain(const RequestId& request) const;
   ConfigReply config(const std::string& prefix) const;
+  void shutDown() const;
   caf::actor_system& system() const { return system_; }
 
  private:
@@ -80,6 +83,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(linenpier::daemon::AdmitReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(linenpier::daemon::PullCall)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(linenpier::daemon::PullReply)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(linenpier::daemon::ShutdownMessage)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(linenpier::daemon::StatusCall)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(linenpier::daemon::StatusReply)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(linenpier::daemon::ExplainCall)
--- a/src/daemon/request_runner.cpp
+++ b/src/daemon/request_runner.cpp
@@ -79,6 +79,7 @@
   request.ticket.max_in_flight = work.max_in_flight;
   request.ticket.deadline = work.deadline;
   request.ticket.avoid = avoid;
+  request.ticket.hand_over = work.hand_over;
   const Duration left = work.deadline - steadyNow();
   if (left <= Duration::zero()) return std::nullopt;
   return node_.admit(request, left + kAdmitSlack);
--- a/src/daemon/request_runner.h
+++ b/src/daemon/request_runner.h
@@ -29,6 +29,7 @@
   WeightVersion minimum_version = 0;
   Instant deadline{};
   bool repeatable = true;
+  bool hand_over = false;  ///< A sample: at a planned stop another daemon takes it over.
 };
 
 /// How it ended.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -290,6 +290,12 @@
 
 const Membership::Member* Membership::nextTarget() {
   const bool elsewhere = rounds_ % static_cast<std::uint64_t>(options_.cross_zone_every) == 0;
+  if (const Member* target = nextTargetOf(elsewhere)) return target;
+  // A daemon alone in its zone probes elsewhere every time, and the other way round.
+  return nextTargetOf(!elsewhere);
+}
+
+const Membership::Member* Membership::nextTargetOf(bool elsewhere) {
   std::vector<DaemonId>& order = elsewhere ? other_order_ : zone_order_;
   if (order.empty()) {
     for (const auto& [id, member] : members_) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -104,6 +104,8 @@
   void expireSuspicions(Instant now);
   void probeDead(Instant now, const wire::Digest& facts, std::vector<wire::Outgoing>& out);
   const Member* nextTarget();
+  /// @param elsewhere whether the target is to be outside this daemon's zone.
+  const Member* nextTargetOf(bool elsewhere);
 
   wire::MemberRecord self_;               ///< This daemon; status is kAlive or kLeft.
   MembershipOptions options_;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -105,7 +105,8 @@
     emit(ReadLoad{engine, directory_.find(engine)->seed.url});
   }
   for (const EngineId& engine : work.claims) emit(ClaimEngine{engine});
-  for (const auto& due : weights_.onTick(now, directory_.engines(), ownership_)) {
+  const auto& serving = config_.snapshot()->serving_models;
+  for (const auto& due : weights_.onTick(now, directory_.engines(), ownership_, serving)) {
     emit(SendOrder{due.engine, directory_.find(due.engine)->seed.url, due.order});
   }
 }
@@ -277,6 +278,7 @@
 }
 
 void NodeCore::on(Instant now, const PullArrived& event) {
+  learnFromPull(now, event.step, event.trainer_version);
   const auto coordinator = coordinatorOf(event.step.tenant, event.step.trainer);
   if (!coordinator) {
     emit(AnswerPull{event.ticket, wire::PullStatus::kPending});
@@ -305,7 +307,7 @@
 void NodeCore::on(Instant now, const StopRequested& /*event*/) {
   if (stopping_) return;
   stopping_ = true;
-  admission_.stop();
+  applyAdmission(admission_.stop(now));
   sendAll(membership_.leave(now, facts()));
   renewMembers();
 }
@@ -339,18 +341,21 @@
 void NodeCore::learnHead(const wire::ModelHead& head) {
   if (!weights_.onHead(head)) return;
   coordinator_.onModelHead(head.model, head.version);
-  for (const wire::MemberRecord& member : zoneMembers(options_.self.zone)) {
-    if (member.id == options_.self.id) continue;
-    wire::Digest news;
-    news.model_heads.push_back(head);
-    send(member.address, wire::ProbeAck{0, news});
+  wire::Digest news;
+  news.model_heads.push_back(head);
+  // The zone is told at once, and so is one member of each other zone, which tells its own.
+  for (const auto& [zone, members] : alive_by_zone_) {
+    const bool own = zone == options_.self.zone;
+    const std::size_t first = own ? 0 : random_.below(members.size());
+    const std::size_t last = own ? members.size() : first + 1;
+    for (std::size_t i = first; i < last; ++i) {
+      if (members[i].id != options_.self.id) send(members[i].address, wire::ProbeAck{0, news});
+    }
   }
 }
 
 void NodeCore::learnFacts(const DaemonId& from, const wire::Digest& digest) {
-  for (const wire::ModelHead& head : digest.model_heads) {
-    if (weights_.onHead(head)) coordinator_.onModelHead(head.model, head.version);
-  }
+  for (const wire::ModelHead& head : digest.model_heads) learnHead(head);
   if (digest.config_revision > config_.revision()) sendTo(from, wire::ConfigRequest{config_.revision()});
 }
 
@@ -358,6 +363,18 @@
   if (config_.apply(items, complete_to)) emit(ConfigInForce{config_.snapshot()});
 }
 
+void NodeCore::learnFromPull(Instant now, const rollout::StepKey& step,
+                             WeightVersion trainer_version) {
+  const config::Tenant* tenant = config_.snapshot()->findTenant(step.tenant);
+  const config::TenantTrainer* trainer =
+      tenant == nullptr ? nullptr : tenant->findTrainer(step.trainer);
+  if (trainer == nullptr || trainer_version <= weights_.head(trainer->model)) return;
+  // Only a hint: a trainer's word does not move engines that others may use.
+  if (now < next_hinted_read_) return;
+  next_hinted_read_ = now + options_.hinted_read_pause;
+  emit(ReadModelHead{trainer->model});
+}
+
 wire::Digest NodeCore::facts() const { return {config_.revision(), weights_.heads(), {}}; }
 
 std::map<ModelName, std::vector<rollout::ZoneCapacity>> NodeCore::capacity(Instant now) const {
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -30,6 +30,7 @@
   rollout::WorkerOptions worker;
   Duration machine_list_period = std::chrono::seconds(2);
   Duration model_head_period = std::chrono::seconds(1);
+  Duration hinted_read_pause = std::chrono::milliseconds(50);  ///< Between reads that pulls hint at.
   Duration config_period = std::chrono::seconds(4);
   Duration zone_load_period = std::chrono::seconds(1);
   Duration zone_digest_period = std::chrono::seconds(1);
@@ -111,6 +112,8 @@
   void sendTo(const DaemonId& to, wire::Message message);
   void applyAdmission(const admission::AdmissionOutput& output);
   void learnHead(const wire::ModelHead& head);
+  /// A trainer publishes its version before it pulls, so a pull is a hint to look for new weights.
+  void learnFromPull(Instant now, const rollout::StepKey& step, WeightVersion trainer_version);
   void learnFacts(const DaemonId& from, const wire::Digest& digest);
   void applyConfig(const std::vector<wire::ConfigItem>& items, Revision complete_to);
   void readPlatform(Instant now);
@@ -148,6 +151,7 @@
   Instant started_{};
   Instant next_machine_list_{};
   Instant next_model_head_{};
+  Instant next_hinted_read_{};
   Instant next_config_{};
   Instant next_zone_load_{};
   Instant next_zone_digest_{};
--- a/src/rollout/step_coordinator.cpp
+++ b/src/rollout/step_coordinator.cpp
@@ -21,8 +21,7 @@
   if (row && row->state != StepRow::State::kOpen) {
     step.phase = Phase::kCommitted;
     step.slots.clear();
-    std::uint64_t& next = next_pull_[{key.tenant, key.trainer}];
-    next = std::max(next, key.step + 1);
+    anchor(key, row->trainer_version);
     return;
   }
   if (!row || !spec) {
@@ -103,8 +102,7 @@
   if (step.refused) return wire::PullStatus::kRefused;
   step.pulled = true;
   step.pulled_at = std::max(step.pulled_at, trainer_version);
-  std::uint64_t& next = next_pull_[{key.tenant, key.trainer}];
-  next = std::max(next, key.step);
+  anchor(key, trainer_version);
   return wire::PullStatus::kPending;
 }
 
@@ -116,7 +114,6 @@
     step.phase = Phase::kCommitted;
     step.slots.clear();
     step.spec.groups.clear();
-    next_pull_[{key.tenant, key.trainer}] = key.step + 1;
     // Steps long taken are answered from their rows.
     std::erase_if(steps_, [&key](const auto& entry) {
       return entry.first.tenant == key.tenant && entry.first.trainer == key.trainer &&
@@ -167,11 +164,15 @@
   if (step.pulled) return step.pulled_at;
   const auto head = heads_.find(step.spec.model);
   const WeightVersion newest = head == heads_.end() ? 0 : head->second;
-  const auto next = next_pull_.find({key.tenant, key.trainer});
-  // Each step taken before this one will have published one more version.
-  const std::uint64_t before =
-      next != next_pull_.end() && key.step > next->second ? key.step - next->second : 0;
-  return newest + before;
+  const auto anchor = anchors_.find({key.tenant, key.trainer});
+  if (anchor == anchors_.end() || key.step < anchor->second.step) return newest;
+  // Each step taken before this one publishes one more version.
+  return std::max(newest, anchor->second.version + (key.step - anchor->second.step));
+}
+
+void StepCoordinator::anchor(const StepKey& key, WeightVersion trainer_version) {
+  Anchor& known = anchors_[{key.tenant, key.trainer}];
+  if (key.step >= known.step) known = {key.step, std::max(known.version, trainer_version)};
 }
 
 void StepCoordinator::replaceStale(Instant now, const StepKey& key, Step& step, Work& work) {
--- a/src/rollout/step_coordinator.h
+++ b/src/rollout/step_coordinator.h
@@ -114,6 +114,11 @@
     bool refused = false;         ///< Cannot be committed any more.
   };
 
+  struct Anchor {
+    std::uint64_t step = 0;
+    WeightVersion version = 0;
+  };
+  void anchor(const StepKey& key, WeightVersion trainer_version);
   /// @return the version the trainer will probably have when it takes the step.
   WeightVersion expectedVersion(const StepKey& key, const Step& step) const;
   void replaceStale(Instant now, const StepKey& key, Step& step, Work& work);
@@ -127,7 +132,9 @@
   CoordinatorOptions options_;
   std::map<StepKey, Step> steps_;                         ///< Steps of this daemon's trainers.
   std::map<ModelName, WeightVersion> heads_;              ///< Newest weights known.
-  std::map<std::pair<TenantId, TrainerId>, std::uint64_t> next_pull_;  ///< Lowest step not yet taken.
+  /// The latest step that each trainer pulled, with the version that it named. Each later step is
+  /// taken one version later.
+  std::map<std::pair<TenantId, TrainerId>, Anchor> anchors_;
   std::uint64_t zone_turn_ = 0;
   std::uint64_t replaced_stale_ = 0;
   std::uint64_t replaced_lost_ = 0;
--- a/src/weights/weight_rollout.cpp
+++ b/src/weights/weight_rollout.cpp
@@ -27,7 +27,7 @@
 
 std::vector<EngineOrder> WeightRollout::onTick(
     Instant now, const std::map<EngineId, upstream::EngineState>& engines,
-    const ownership::EngineOwnership& ownership) {
+    const ownership::EngineOwnership& ownership, const std::set<ModelName>& serving_models) {
   std::vector<EngineOrder> orders;
   std::erase_if(progress_, [&](const auto& entry) {
     return !entry.second.busy && !ownership.isAssigned(entry.first);
@@ -47,9 +47,10 @@
     if (progress.busy || held >= target || now < progress.not_before) continue;
     const WeightVersion loaded = std::max(engine.report.prefetched, progress.prefetched);
     const auto kind = loaded >= target ? FencedOrder::Kind::kFlip : FencedOrder::Kind::kPrefetch;
-    const std::size_t bound = kind == FencedOrder::Kind::kFlip ? options_.flips_at_once
-                                                               : options_.prefetches_at_once;
-    if (busyWith(kind, progress.model) >= bound) continue;
+    const bool flip = kind == FencedOrder::Kind::kFlip;
+    const bool bounded = !flip || serving_models.contains(progress.model);
+    const std::size_t bound = flip ? options_.flips_at_once : options_.prefetches_at_once;
+    if (bounded && busyWith(kind, progress.model) >= bound) continue;
     progress.busy = true;
     progress.kind = kind;
     orders.push_back({id, {kind, *token, engine.seed.model, target}});
--- a/src/weights/weight_rollout.h
+++ b/src/weights/weight_rollout.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "common/time.h"
@@ -16,7 +17,7 @@
 
 struct WeightRolloutOptions {
   std::size_t prefetches_at_once = 4;  ///< Per daemon; the weight store's rate is shared.
-  std::size_t flips_at_once = 1;       ///< Per daemon and model, so that a pool never stops whole.
+  std::size_t flips_at_once = 1;       ///< Per daemon and serving model: its pool never stops whole.
   Duration retry_pause = std::chrono::milliseconds(500);
   Duration report_lag = std::chrono::seconds(3);  ///< Until reports show what an order did.
 };
@@ -37,10 +38,12 @@
   WeightVersion head(const ModelName& model) const;
   std::vector<wire::ModelHead> heads() const;
 
+  /// @param serving_models models that callers wait for; the others' engines flip all at once.
   /// @return the orders that are due, each at most once at a time per engine.
   std::vector<EngineOrder> onTick(Instant now,
                                   const std::map<EngineId, upstream::EngineState>& engines,
-                                  const ownership::EngineOwnership& ownership);
+                                  const ownership::EngineOwnership& ownership,
+                                  const std::set<ModelName>& serving_models);
   void onOrderDone(Instant now, const EngineId& engine, const engine::FencedOrder& order,
                    engine::OrderOutcome outcome);
 
--- /dev/null
+++ b/tests/ownership/engine_ownership_test.cpp
@@ -0,0 +1,80 @@
+#include "ownership/engine_ownership.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using ownership::EngineOwnership;
+
+namespace {
+
+constexpr Instant kStart{std::chrono::seconds(10)};
+
+std::vector<wire::MemberRecord> members(int count) {
+  std::vector<wire::MemberRecord> result;
+  for (int i = 0; i < count; ++i) {
+    wire::MemberRecord member;
+    member.id = DaemonId("d" + std::to_string(i));
+    result.push_back(member);
+  }
+  return result;
+}
+
+std::map<EngineId, upstream::EngineState> engines(int count) {
+  std::map<EngineId, upstream::EngineState> result;
+  for (int i = 0; i < count; ++i) result[EngineId("e" + std::to_string(i))] = {};
+  return result;
+}
+
+}  // namespace
+
+Test(engine_ownership, every_engine_has_exactly_one_owner_and_survivors_keep_theirs) {
+  std::vector<EngineOwnership> owners;
+  for (int i = 0; i < 4; ++i) owners.emplace_back(DaemonId("d" + std::to_string(i)), ownership::OwnershipOptions{});
+  const auto all = engines(40);
+  std::map<EngineId, int> before;
+  for (int i = 0; i < 4; ++i) {
+    for (const EngineId& id : owners[i].onTick(kStart, members(4), all).polls) {
+      cr_assert(before.emplace(id, i).second, "two owners");
+    }
+  }
+  cr_assert_eq(before.size(), 40U);
+  for (int i = 0; i < 3; ++i) owners[i].onTick(kStart, members(3), all);
+  for (const auto& [id, owner] : before) {
+    if (owner < 3) cr_assert(owners[owner].isAssigned(id), "moved without need");
+  }
+}
+
+Test(engine_ownership, engines_are_polled_without_a_claim_but_commanded_only_with_one) {
+  EngineOwnership ownership(DaemonId("d0"), {});
+  const auto work = ownership.onTick(kStart, members(1), engines(1));
+  const EngineId engine("e0");
+  cr_assert_eq(work.polls.size(), 1U);
+  cr_assert_eq(work.claims.size(), 1U);
+  cr_assert_not(ownership.token(engine).has_value());
+  ownership.onClaimDone(kStart, engine, 17);
+  cr_assert_eq(ownership.token(engine).value(), 17U);
+}
+
+Test(engine_ownership, nothing_is_written_again_while_nothing_changes) {
+  EngineOwnership ownership(DaemonId("d0"), {});
+  Instant now = kStart;
+  for (int second = 0; second < 600; ++second) {
+    now += std::chrono::seconds(1);
+    for (const EngineId& id : ownership.onTick(now, members(1), engines(10)).claims) {
+      ownership.onClaimDone(now, id, 5);
+    }
+  }
+  cr_assert_eq(ownership.claimsMade(), 10U);
+}
+
+Test(engine_ownership, a_fenced_owner_claims_anew_after_a_pause) {
+  EngineOwnership ownership(DaemonId("d0"), {});
+  const EngineId engine("e0");
+  ownership.onTick(kStart, members(1), engines(1));
+  ownership.onClaimDone(kStart, engine, 3);
+  ownership.onFenced(kStart, engine);
+  cr_assert_not(ownership.token(engine).has_value());
+  cr_assert(ownership.onTick(kStart, members(1), engines(1)).claims.empty());
+  const auto later = ownership.onTick(kStart + std::chrono::seconds(3), members(1), engines(1));
+  cr_assert_eq(later.claims.size(), 1U);
+}
