Count a confirmed flip at once instead of waiting for the next load report

Cause: after new weights, samples for the next step waited 2.2 s in the queue although the flip took 0.4 s: daemons learned the new version from load reports, read once a second and lagging 0.3 s. Change: an engine's own answer to a flip sets its version in the directory, is told to the zone at once, and outlives older reports for the report lag.

--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -232,6 +232,16 @@
 void NodeCore::on(Instant now, const OrderDone& event) {
   if (event.outcome == engine::OrderOutcome::kFenced) ownership_.onFenced(now, event.engine);
   weights_.onOrderDone(now, event.engine, event.order, event.outcome);
+  const bool flipped = event.outcome == engine::OrderOutcome::kDone &&
+                       event.order.kind == engine::FencedOrder::Kind::kFlip;
+  if (!flipped) return;
+  // Samples may be waiting for just this version: the zone is told at once.
+  directory_.onVersionConfirmed(now, event.engine, event.order.version);
+  next_zone_load_ = now;
+  next_zone_digest_ = now;
+  tellZone(now);
+  tellOtherZones(now);
+  applyAdmission(admission_.onTick(now));
 }
 
 // ---- Requests ----
--- a/src/upstream/engine_directory.cpp
+++ b/src/upstream/engine_directory.cpp
@@ -29,12 +29,24 @@
   if (found == engines_.end()) return;
   EngineState& engine = found->second;
   engine.report = report;
+  if (now - engine.confirmed_at < options_.report_lag) {
+    engine.report.version = std::max(engine.report.version, engine.confirmed_version);
+  }
   engine.reported_at = now;
   engine.reported = true;
   engine.started_since = 0;
   engine.ended_since = 0;
 }
 
+void EngineDirectory::onVersionConfirmed(Instant now, const EngineId& id, WeightVersion version) {
+  const auto found = engines_.find(id);
+  if (found == engines_.end()) return;
+  EngineState& engine = found->second;
+  engine.confirmed_version = version;
+  engine.confirmed_at = now;
+  engine.report.version = std::max(engine.report.version, version);
+}
+
 void EngineDirectory::onZoneDigest(Instant now, const wire::ZoneDigest& digest) {
   if (digest.zone != zone_) digests_[digest.zone] = {digest, now};
 }
--- a/src/upstream/engine_directory.h
+++ b/src/upstream/engine_directory.h
@@ -34,6 +34,8 @@
   std::uint32_t started_since = 0;   ///< Streams that this daemon started since the report.
   std::uint32_t ended_since = 0;     ///< Streams that ended since the report.
   int failures = 0;                  ///< Consecutive failures, for the circuit breaker.
+  WeightVersion confirmed_version = 0;  ///< From the engine's answer to an order.
+  Instant confirmed_at{};            ///< When it was confirmed.
   Instant open_until{};              ///< The circuit breaker admits nothing before this.
 
   /// @return the reported load, corrected by what this daemon did since the report.
@@ -44,6 +46,7 @@
 struct DirectoryOptions {
   Duration report_lifetime = std::chrono::seconds(6);   ///< Older reports make an engine unusable.
   Duration digest_lifetime = std::chrono::seconds(15);
+  Duration report_lag = std::chrono::seconds(2);        ///< Reports may be this much behind.
   int breaker_threshold = 2;         ///< Failures in a row that open the breaker.
   Duration breaker_time = std::chrono::seconds(2);      ///< First opening; doubles with failures.
   Duration breaker_limit = std::chrono::seconds(30);
@@ -57,6 +60,8 @@
   /// Replaces the zone's list of engines. Engines that vanished are treated as leaving.
   void onMachineList(const std::vector<EngineSeed>& engines);
   void onReport(Instant now, const wire::EngineReport& report);
+  /// The engine itself confirmed an order: it holds `version` now, whatever lagging reports say.
+  void onVersionConfirmed(Instant now, const EngineId& id, WeightVersion version);
   void onZoneDigest(Instant now, const wire::ZoneDigest& digest);
 
   void onStreamStarted(const EngineId& id);
--- a/tests/upstream/engine_directory_test.cpp
+++ b/tests/upstream/engine_directory_test.cpp
@@ -76,3 +76,14 @@
   cr_assert_eq(zones.size(), 2U);
   cr_assert(zones[0].zone == ZoneName("free"));
 }
+
+Test(engine_directory, a_confirmed_flip_counts_before_lagging_reports_show_it) {
+  EngineDirectory directory = twoEngines();
+  directory.onVersionConfirmed(kStart, EngineId("a"), 5);
+  cr_assert_eq(directory.candidates(kStart, kModel, 5).size(), 1U);
+  directory.onReport(kStart + std::chrono::seconds(1), report("a", 3));
+  cr_assert_eq(directory.candidates(kStart + std::chrono::seconds(1), kModel, 5).size(), 1U);
+  directory.onReport(kStart + std::chrono::seconds(3), report("a", 3));
+  cr_assert_eq(directory.candidates(kStart + std::chrono::seconds(3), kModel, 5).size(), 0U,
+               "an engine that came back old is believed after the lag");
+}
