--- a/apps/linenpier_load.cpp
+++ b/apps/linenpier_load.cpp
@@ -16,7 +16,8 @@
 
 using namespace linenpier;
 
-constexpr char kUsage[] = R"(linenpier-load: runs callers and trainers against daemons and checks what they saw.
+constexpr char kUsage[] =
+    R"(linenpier-load: runs callers and trainers against daemons and checks what they saw.
 
 Usage:
   linenpier-load run SCENARIO [--json FILE] [--seed N] [--duration S]
--- a/apps/linenpier_platform.cpp
+++ b/apps/linenpier_platform.cpp
@@ -15,7 +15,8 @@
 
 using namespace linenpier;
 
-constexpr char kUsage[] = R"(linenpier-platform: a small stand-in for engines, stores and machine list.
+constexpr char kUsage[] =
+    R"(linenpier-platform: a small stand-in for engines, stores and machine list.
 
 Usage:
   linenpier-platform --settings FILE [--seed N] [--log LEVEL]
@@ -38,9 +39,9 @@
   setUpLogging(arguments["--log"].asString());
   const std::string file = arguments["--settings"].asString();
   const auto text = settings::readFile(file);
-  const auto topology = text ? standin::parseTopology(file, *text)
-                             : tl::expected<standin::Topology, Findings>(
-                                   tl::make_unexpected(text.error()));
+  const auto topology =
+      text ? standin::parseTopology(file, *text)
+           : tl::expected<standin::Topology, Findings>(tl::make_unexpected(text.error()));
   if (!topology) {
     std::cerr << describe(topology.error());
     return 2;
--- a/apps/linenpierctl.cpp
+++ b/apps/linenpierctl.cpp
@@ -16,7 +16,8 @@
 using namespace linenpier;
 using nlohmann::json;
 
-constexpr char kUsage[] = R"(linenpierctl: edits templates and tenant parameters, and looks at daemons.
+constexpr char kUsage[] =
+    R"(linenpierctl: edits templates and tenant parameters, and looks at daemons.
 
 Usage:
   linenpierctl [options] (template|tenant) list
@@ -52,14 +53,14 @@
 
 class DaemonClient {
  public:
-  DaemonClient(const Address& address, std::string key)
+  DaemonClient(const Address& address, const std::string& key)
       : client_(platform::makeClient(platform::serviceUrl(address),
                                      {std::chrono::seconds(1), std::chrono::seconds(30)})) {
-    client_.set_bearer_token_auth(key.c_str());
+    client_.set_bearer_token_auth(key);
   }
-  Reply get(const std::string& path) { return read(client_.Get(path.c_str())); }
+  Reply get(const std::string& path) { return read(client_.Get(path)); }
   Reply put(const std::string& path, const json& body) {
-    return read(client_.Put(path.c_str(), body.dump(), "application/json"));
+    return read(client_.Put(path, body.dump(), "application/json"));
   }
 
  private:
@@ -166,8 +167,9 @@
     return kExitWrong;
   }
   const char* from_environment = std::getenv("LINENPIER_OPERATOR_KEY");
-  const std::string key = arguments["--key"] ? arguments["--key"].asString()
-                                             : std::string(from_environment ? from_environment : "");
+  const std::string key = arguments["--key"]
+                              ? arguments["--key"].asString()
+                              : std::string(from_environment ? from_environment : "");
   DaemonClient client(*address, key);
   const std::string kind = arguments["template"].asBool() ? "template" : "tenant";
   Reply reply;
--- a/apps/linenpierd.cpp
+++ b/apps/linenpierd.cpp
@@ -111,9 +111,9 @@
     std::cerr << describe(started.error());
     return kExitCannotBind;
   }
-  api::ApiContext context{settings,      services, daemon.node(), daemon.effects(),
-                          daemon.config(), daemon.transport(), metrics, ready, stopping,
-                          open_requests};
+  api::ApiContext context{settings,        services,           daemon.node(), daemon.effects(),
+                          daemon.config(), daemon.transport(), metrics,       ready,
+                          stopping,        open_requests};
   api::HttpServer server(context);
   if (const auto started = server.start(); !started) {
     std::cerr << describe(started.error());
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -17,11 +17,16 @@
 
 const char* refusalCode(RefusalReason reason) {
   switch (reason) {
-    case RefusalReason::kQueueFull: return "queue-full";
-    case RefusalReason::kDeadline: return "deadline";
-    case RefusalReason::kNoEngine: return "no-engine";
-    case RefusalReason::kRetryBudget: return "retry-budget";
-    case RefusalReason::kShuttingDown: return "shutting-down";
+    case RefusalReason::kQueueFull:
+      return "queue-full";
+    case RefusalReason::kDeadline:
+      return "deadline";
+    case RefusalReason::kNoEngine:
+      return "no-engine";
+    case RefusalReason::kRetryBudget:
+      return "retry-budget";
+    case RefusalReason::kShuttingDown:
+      return "shutting-down";
   }
   return "unknown";
 }
@@ -109,7 +114,8 @@
     queue_.push(ticket, UINT32_MAX);
     drain(now, out);
   } else {
-    place(now, ticket, {answer.engine, answer.url}, {{answer.engine, 0, "placed by its zone"}}, out);
+    place(now, ticket, {answer.engine, answer.url}, {{answer.engine, 0, "placed by its zone"}},
+          out);
   }
   return out;
 }
@@ -160,8 +166,8 @@
   if (in_flight != tenant_in_flight_.end() && in_flight->second >= ticket.max_in_flight) {
     return false;
   }
-  auto choice = chooseEngine(now, ticket.model, ticket.minimum_version, ticket.prefix_hash,
-                             ticket.avoid);
+  auto choice =
+      chooseEngine(now, ticket.model, ticket.minimum_version, ticket.prefix_hash, ticket.avoid);
   if (choice) {
     const Placement placement{choice->engine, directory_.find(choice->engine)->seed.url};
     place(now, ticket, placement, std::move(choice->scores), out);
@@ -199,9 +205,10 @@
   wish_sent_[sequence] = now;
   // Free zones come first; later tries of the same ticket go on to the next ones.
   const ZoneName zone = zones[sequence % std::min<std::size_t>(zones.size(), 2)].zone;
-  out.remote_wishes.push_back({ticket.request, zone,
-                               {sequence, ticket.tenant, ticket.model, ticket.minimum_version,
-                                ticket.prefix_hash}});
+  out.remote_wishes.push_back(
+      {ticket.request,
+       zone,
+       {sequence, ticket.tenant, ticket.model, ticket.minimum_version, ticket.prefix_hash}});
 }
 
 void AdmissionController::drain(Instant now, AdmissionOutput& out) {
@@ -233,11 +240,14 @@
 
 Duration AdmissionController::retryAfter(RefusalReason reason) const {
   switch (reason) {
-    case RefusalReason::kShuttingDown: return std::chrono::seconds(1);
-    case RefusalReason::kNoEngine: return std::chrono::seconds(5);
+    case RefusalReason::kShuttingDown:
+      return std::chrono::seconds(1);
+    case RefusalReason::kNoEngine:
+      return std::chrono::seconds(5);
     case RefusalReason::kQueueFull:
     case RefusalReason::kDeadline:
-    case RefusalReason::kRetryBudget: return std::chrono::seconds(2);
+    case RefusalReason::kRetryBudget:
+      return std::chrono::seconds(2);
   }
   return std::chrono::seconds(1);
 }
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -18,11 +18,11 @@
 namespace linenpier::admission {
 
 enum class RefusalReason {
-  kQueueFull,      ///< The tenant already has as many requests waiting as it may.
-  kDeadline,       ///< No engine had room before the deadline.
-  kNoEngine,       ///< No live engine serves the model at the version wanted.
-  kRetryBudget,    ///< A retry was due, but retries are used up.
-  kShuttingDown,   ///< The daemon takes no new work.
+  kQueueFull,     ///< The tenant already has as many requests waiting as it may.
+  kDeadline,      ///< No engine had room before the deadline.
+  kNoEngine,      ///< No live engine serves the model at the version wanted.
+  kRetryBudget,   ///< A retry was due, but retries are used up.
+  kShuttingDown,  ///< The daemon takes no new work.
 };
 
 /// @return the stable code of the reason, as callers see it.
@@ -60,7 +60,7 @@
 struct Explanation {
   RequestId request;
   TenantId tenant;
-  std::string outcome;                           ///< Engine id or refusal code.
+  std::string outcome;  ///< Engine id or refusal code.
   std::vector<upstream::ScoredEngine> scores;
   Duration waited{};
 };
@@ -118,13 +118,13 @@
   AdmissionOptions options_;
   FairQueue queue_;
   RetryBudget retry_budget_{0.1, 10.0};
-  std::map<TenantId, std::uint32_t> tenant_in_flight_;   ///< Streams of each tenant here.
+  std::map<TenantId, std::uint32_t> tenant_in_flight_;  ///< Streams of each tenant here.
   std::size_t total_in_flight_ = 0;
-  std::map<RequestId, Instant> last_wish_;               ///< Of tickets that wait.
-  std::map<std::uint64_t, Ticket> wished_;               ///< Tickets with a wish under way.
+  std::map<RequestId, Instant> last_wish_;  ///< Of tickets that wait.
+  std::map<std::uint64_t, Ticket> wished_;  ///< Tickets with a wish under way.
   std::map<std::uint64_t, Instant> wish_sent_;
   std::uint64_t next_sequence_ = 1;
-  std::deque<Explanation> explanations_;                 ///< Newest last.
+  std::deque<Explanation> explanations_;  ///< Newest last.
   bool stopping_ = false;
 };
 
--- a/src/admission/fair_queue.h
+++ b/src/admission/fair_queue.h
@@ -25,12 +25,12 @@
   WeightVersion minimum_version = 0;
   std::uint64_t prefix_hash = 0;
   int priority = 0;
-  double weight = 1.0;             ///< Tenant's share.
-  std::uint32_t max_in_flight = 1; ///< Tenant's bound at this daemon.
+  double weight = 1.0;              ///< Tenant's share.
+  std::uint32_t max_in_flight = 1;  ///< Tenant's bound at this daemon.
   Instant enqueued{};
-  Instant deadline{};              ///< Given up at this moment.
-  std::vector<EngineId> avoid;     ///< Engines that already failed this request.
-  bool hand_over = false;          ///< Given up at a planned stop, since another daemon takes it over.
+  Instant deadline{};           ///< Given up at this moment.
+  std::vector<EngineId> avoid;  ///< Engines that already failed this request.
+  bool hand_over = false;       ///< Given up at a planned stop, since another daemon takes it over.
 };
 
 /// Pure state; one owner.
@@ -69,7 +69,7 @@
   std::map<LaneKey, Lane> lanes_;            ///< Never holds an empty lane.
   std::map<TenantId, double> virtual_time_;  ///< Tenants with waiting tickets.
   std::map<TenantId, std::uint32_t> waiting_;
-  double floor_ = 0;                         ///< Virtual time that a newly active tenant starts at.
+  double floor_ = 0;  ///< Virtual time that a newly active tenant starts at.
   std::size_t size_ = 0;
 };
 
--- a/src/api/answers.cpp
+++ b/src/api/answers.cpp
@@ -16,22 +16,30 @@
 
 int statusOf(RefusalReason reason) {
   switch (reason) {
-    case RefusalReason::kQueueFull: return 429;
-    case RefusalReason::kDeadline: return 504;
+    case RefusalReason::kQueueFull:
+      return 429;
+    case RefusalReason::kDeadline:
+      return 504;
     case RefusalReason::kNoEngine:
     case RefusalReason::kRetryBudget:
-    case RefusalReason::kShuttingDown: return 503;
+    case RefusalReason::kShuttingDown:
+      return 503;
   }
   return 503;
 }
 
 std::string messageOf(RefusalReason reason) {
   switch (reason) {
-    case RefusalReason::kQueueFull: return "Too many of your requests are waiting.";
-    case RefusalReason::kDeadline: return "No engine had room before the deadline.";
-    case RefusalReason::kNoEngine: return "No engine serves the model now.";
-    case RefusalReason::kRetryBudget: return "The engine failed and retries are used up.";
-    case RefusalReason::kShuttingDown: return "This daemon is stopping; ask another.";
+    case RefusalReason::kQueueFull:
+      return "Too many of your requests are waiting.";
+    case RefusalReason::kDeadline:
+      return "No engine had room before the deadline.";
+    case RefusalReason::kNoEngine:
+      return "No engine serves the model now.";
+    case RefusalReason::kRetryBudget:
+      return "The engine failed and retries are used up.";
+    case RefusalReason::kShuttingDown:
+      return "This daemon is stopping; ask another.";
   }
   return "";
 }
@@ -63,9 +71,13 @@
   return {401, "unauthorized", "The bearer key is missing or unknown.", {}, {}};
 }
 
-Problem notFound() { return {404, "not-found", "There is no such thing for you.", {}, {}}; }
+Problem notFound() {
+  return {404, "not-found", "There is no such thing for you.", {}, {}};
+}
 
-Problem badRequest(const std::string& message) { return {400, "bad-request", message, {}, {}}; }
+Problem badRequest(const std::string& message) {
+  return {400, "bad-request", message, {}, {}};
+}
 
 Problem tableUnavailable() {
   return {503, "store-unavailable", "The platform's store does not answer.",
--- a/src/api/answers.h
+++ b/src/api/answers.h
@@ -17,10 +17,10 @@
 /// One refusal.
 struct Problem {
   int status = 500;
-  std::string code;                 ///< Stable, for programs.
-  std::string message;              ///< For people.
+  std::string code;     ///< Stable, for programs.
+  std::string message;  ///< For people.
   upstream::RunState run_state = upstream::RunState::kNotRun;
-  Duration retry_after{};           ///< Zero: asking again does not help.
+  Duration retry_after{};  ///< Zero: asking again does not help.
 };
 
 /// Header names of the callers' interface.
--- a/src/api/api_context.h
+++ b/src/api/api_context.h
@@ -26,7 +26,7 @@
   const daemon::ConfigHolder& config;
   const daemon::UdpTransport& transport;
   ApiMetrics& metrics;
-  std::atomic<bool>& ready;        ///< The core may serve.
+  std::atomic<bool>& ready;  ///< The core may serve.
   std::atomic<bool>& stopping;
   std::atomic<std::uint32_t>& open_requests;  ///< Requests of callers under way.
 };
--- a/src/api/caller_routes.cpp
+++ b/src/api/caller_routes.cpp
@@ -53,9 +53,8 @@
   server.Post("/v1/chat/completions", [this](const auto& request, auto& response) {
     handleCompletion(CompletionKind::kChat, request, response);
   });
-  server.Get("/v1/models", [this](const auto& request, auto& response) {
-    handleModels(request, response);
-  });
+  server.Get("/v1/models",
+             [this](const auto& request, auto& response) { handleModels(request, response); });
 }
 
 void CallerRoutes::handleModels(const httplib::Request& request, httplib::Response& response) {
@@ -161,15 +160,14 @@
   const RequestReport report = runWhole(admitted);
   if (!report.complete) return answerProblem(response, problemOf(report), admitted.work.id);
   const CompletionRequest& completion = admitted.completion;
-  answerJson(response, 200,
-             wholeAnswer(completion.kind, admitted.work.id, completion.model, report.text,
-                         report.pieces));
+  answerJson(
+      response, 200,
+      wholeAnswer(completion.kind, admitted.work.id, completion.model, report.text, report.pieces));
 }
 
 RequestReport CallerRoutes::runWhole(const Admitted& admitted) {
   const auto decision = runner_.admit(admitted.work);
-  const RequestReport report =
-      runner_.run(admitted.work, decision, [](const Piece&) { return true; });
+  RequestReport report = runner_.run(admitted.work, decision, [](const Piece&) { return true; });
   count(admitted, report);
   return report;
 }
@@ -215,28 +213,29 @@
 
 void CallerRoutes::answerNotRepeatable(const Admitted& admitted, httplib::Response& response) {
   const RequestId& id = admitted.work.id;
-  const std::string row_key =
-      intent::intentRowKey(admitted.work.tenant, admitted.idempotency_key);
+  const std::string row_key = intent::intentRowKey(admitted.work.tenant, admitted.idempotency_key);
   const AttemptId attempt(id.str());
   const auto decision = intents_.acquire(row_key, attempt, admitted.body_hash);
   switch (decision.verdict) {
-    case IntentVerdict::kSend: break;
+    case IntentVerdict::kSend:
+      break;
     case IntentVerdict::kReplay:
       response.set_header("X-Replayed", "true");
       return answerJson(response, 200, decision.answer);
     case IntentVerdict::kKeyReused:
-      return answerProblem(response,
-                           {422, "key-reused", "The key belongs to a different request.",
-                            RunState::kNotRun, {}},
-                           id);
+      return answerProblem(
+          response,
+          {422, "key-reused", "The key belongs to a different request.", RunState::kNotRun, {}},
+          id);
     case IntentVerdict::kElsewhere:
     case IntentVerdict::kTakeOver:
-      return answerProblem(response,
-                           {409, "outcome-unknown",
-                            "An earlier try with this key is running or may have run.",
-                            RunState::kUnknown, std::chrono::seconds(2)},
-                           id);
-    case IntentVerdict::kNotRun: return answerProblem(response, tableUnavailable(), id);
+      return answerProblem(
+          response,
+          {409, "outcome-unknown", "An earlier try with this key is running or may have run.",
+           RunState::kUnknown, std::chrono::seconds(2)},
+          id);
+    case IntentVerdict::kNotRun:
+      return answerProblem(response, tableUnavailable(), id);
   }
   const RequestReport report = runWhole(admitted);
   if (!report.complete) {
@@ -248,10 +247,9 @@
   const std::string answer = wholeAnswer(admitted.completion.kind, id, admitted.completion.model,
                                          report.text, report.pieces);
   answerJson(response, 200, answer);
-  context_.effects.enqueue(
-      [this, row_key, revision = decision.revision, attempt, hash = admitted.body_hash, answer] {
-        intents_.finish(row_key, revision, attempt, hash, answer);
-      });
+  context_.effects.enqueue([this, row_key, revision = decision.revision, attempt,
+                            hash = admitted.body_hash,
+                            answer] { intents_.finish(row_key, revision, attempt, hash, answer); });
 }
 
 Problem CallerRoutes::problemOf(const RequestReport& report) const {
--- a/src/api/completion_answer.cpp
+++ b/src/api/completion_answer.cpp
@@ -18,12 +18,14 @@
 
 json envelope(CompletionKind kind, const RequestId& id, const ModelName& model, bool chunk) {
   const bool chat = kind == CompletionKind::kChat;
-  const std::string object = chat ? (chunk ? "chat.completion.chunk" : "chat.completion")
-                                  : "text_completion";
+  const std::string object =
+      chat ? (chunk ? "chat.completion.chunk" : "chat.completion") : "text_completion";
   return {{"id", id.str()}, {"object", object}, {"model", model.str()}};
 }
 
-std::string event(const json& object) { return "data: " + object.dump() + "\n\n"; }
+std::string event(const json& object) {
+  return "data: " + object.dump() + "\n\n";
+}
 
 }  // namespace
 
--- a/src/api/elastic_task_queue.h
+++ b/src/api/elastic_task_queue.h
@@ -27,9 +27,9 @@
   void work();
 
   const std::size_t most_;
-  std::mutex mutex_;                             ///< Guards all members below.
-  std::condition_variable wake_;                 ///< A task came, or shutdown began.
-  std::condition_variable ended_;                ///< A thread ended.
+  std::mutex mutex_;               ///< Guards all members below.
+  std::condition_variable wake_;   ///< A task came, or shutdown began.
+  std::condition_variable ended_;  ///< A thread ended.
   std::deque<std::function<void()>> tasks_;
   std::size_t threads_ = 0;
   std::size_t idle_ = 0;
--- a/src/api/http_server.cpp
+++ b/src/api/http_server.cpp
@@ -38,11 +38,13 @@
   registerErrors();
 }
 
-HttpServer::~HttpServer() { stop(); }
+HttpServer::~HttpServer() {
+  stop();
+}
 
 tl::expected<void, Findings> HttpServer::start() {
   const Address& address = context_.settings.http;
-  if (!server_.bind_to_port(ipText(address).c_str(), address.port)) {
+  if (!server_.bind_to_port(ipText(address), address.port)) {
     return tl::make_unexpected(Findings{{"HTTP address " + toString(address), "cannot be bound"}});
   }
   thread_ = std::thread([this] { server_.listen_after_bind(); });
@@ -86,7 +88,7 @@
     answerProblem(response, problem, RequestId());
   });
   server_.set_exception_handler(
-      [](const httplib::Request& request, httplib::Response& response, std::exception_ptr) {
+      [](const httplib::Request& request, httplib::Response& response, const std::exception_ptr&) {
         LINENPIER_LOG(error, "api") << "Handler of " << request.path << " failed.";
         answerProblem(response,
                       {500, "internal", "The daemon made an error.", upstream::RunState::kUnknown,
--- a/src/api/intent_guard.cpp
+++ b/src/api/intent_guard.cpp
@@ -18,7 +18,9 @@
 constexpr auto kPause = std::chrono::milliseconds(100);
 constexpr auto kAbandonPause = std::chrono::milliseconds(500);
 
-void pauseBetweenTries() { std::this_thread::sleep_for(kPause); }
+void pauseBetweenTries() {
+  std::this_thread::sleep_for(kPause);
+}
 
 /// Turns whatever row carries our attempt into "abandoned"; one try.
 /// @return whether no further try is needed.
@@ -31,8 +33,7 @@
   const bool ours = known && known->attempt == attempt && known->state == IntentState::kDispatched;
   if (!absent && !ours) return true;
   const IntentRow abandoned{IntentState::kAbandoned, attempt, request_hash, {}};
-  const auto answer =
-      table.transact({{{row_key, row->revision}}, {{row_key, toJson(abandoned)}}});
+  const auto answer = table.transact({{{row_key, row->revision}}, {{row_key, toJson(abandoned)}}});
   return answer && answer->committed;
 }
 
--- a/src/api/operator_routes.cpp
+++ b/src/api/operator_routes.cpp
@@ -24,10 +24,14 @@
 
 const char* memberStatusName(wire::MemberStatus status) {
   switch (status) {
-    case wire::MemberStatus::kAlive: return "alive";
-    case wire::MemberStatus::kSuspect: return "suspect";
-    case wire::MemberStatus::kDead: return "dead";
-    case wire::MemberStatus::kLeft: return "left";
+    case wire::MemberStatus::kAlive:
+      return "alive";
+    case wire::MemberStatus::kSuspect:
+      return "suspect";
+    case wire::MemberStatus::kDead:
+      return "dead";
+    case wire::MemberStatus::kLeft:
+      return "left";
   }
   return "dead";
 }
@@ -41,14 +45,10 @@
 }
 
 json engineJson(const upstream::EngineState& engine) {
-  return {{"id", engine.seed.id.str()},
-          {"model", engine.seed.model.str()},
-          {"running", engine.report.running},
-          {"waiting", engine.report.waiting},
-          {"slots", engine.report.slots},
-          {"version", engine.report.version},
-          {"in_flight_here", engine.in_flight},
-          {"leaving", engine.leaving()}};
+  return {{"id", engine.seed.id.str()},         {"model", engine.seed.model.str()},
+          {"running", engine.report.running},   {"waiting", engine.report.waiting},
+          {"slots", engine.report.slots},       {"version", engine.report.version},
+          {"in_flight_here", engine.in_flight}, {"leaving", engine.leaving()}};
 }
 
 }  // namespace
@@ -69,8 +69,8 @@
   return [this, handler](const httplib::Request& request, httplib::Response& response) {
     const std::string key = bearerKey(request);
     // Hashes are compared, so that the time taken tells nothing of the key.
-    const bool allowed = config::sha256Hex(key) ==
-                         config::sha256Hex(context_.settings.operator_key);
+    const bool allowed =
+        config::sha256Hex(key) == config::sha256Hex(context_.settings.operator_key);
     if (!allowed) return answerProblem(response, unauthorized(), kNoRequest);
     (this->*handler)(request, response);
   };
--- a/src/api/trainer_routes.cpp
+++ b/src/api/trainer_routes.cpp
@@ -17,8 +17,11 @@
 const RequestId kNoRequest;
 
 Problem staleBatch() {
-  return {409, "batch-too-old", "The step's batch is over your staleness bound at this version.",
-          {}, {}};
+  return {409,
+          "batch-too-old",
+          "The step's batch is over your staleness bound at this version.",
+          {},
+          {}};
 }
 
 Problem refusedPull() {
@@ -31,12 +34,10 @@
     : context_(context), ids_(ids), steps_(context.services.table, context.services.objects) {}
 
 void TrainerRoutes::registerOn(httplib::Server& server) {
-  server.Post("/v1/rollouts", [this](const auto& request, auto& response) {
-    handleSubmit(request, response);
-  });
-  server.Post("/v1/batches/pull", [this](const auto& request, auto& response) {
-    handlePull(request, response);
-  });
+  server.Post("/v1/rollouts",
+              [this](const auto& request, auto& response) { handleSubmit(request, response); });
+  server.Post("/v1/batches/pull",
+              [this](const auto& request, auto& response) { handlePull(request, response); });
   server.Post("/v1/batches/ack", [this](const auto& request, auto& response) {
     handleAcknowledge(request, response);
   });
@@ -54,15 +55,15 @@
   const bool valid = body.is_object() && body.contains("trainer") && body["trainer"].is_string() &&
                      body.contains("step") && body["step"].is_number_unsigned();
   if (!valid) {
-    return tl::make_unexpected(badRequest("\"trainer\" (string) and \"step\" (number) are needed."));
+    return tl::make_unexpected(
+        badRequest("\"trainer\" (string) and \"step\" (number) are needed."));
   }
   const TrainerId id(body["trainer"].get<std::string>());
   const config::TenantTrainer* trainer = tenant->findTrainer(id);
   if (trainer == nullptr) return tl::make_unexpected(notFound());
   const config::Template* rules = snapshot->templateFor(*tenant, trainer->model);
   if (rules == nullptr) return tl::make_unexpected(notFound());
-  return Caller{{tenant->name, id, body["step"].get<std::uint64_t>()}, *trainer,
-                rules->max_tokens};
+  return Caller{{tenant->name, id, body["step"].get<std::uint64_t>()}, *trainer, rules->max_tokens};
 }
 
 void TrainerRoutes::handleSubmit(const httplib::Request& request, httplib::Response& response) {
@@ -80,7 +81,8 @@
   switch (steps_.submit(*spec, AttemptId(ids_.next()))) {
     case daemon::SubmitOutcome::kAccepted:
       context_.node.post(node::StepSubmitted{spec->key});
-      return answerJson(response, 202, json{{"status", "accepted"}, {"step", spec->key.step}}.dump());
+      return answerJson(response, 202,
+                        json{{"status", "accepted"}, {"step", spec->key.step}}.dump());
     case daemon::SubmitOutcome::kDifferent:
       return answerProblem(
           response, {409, "step-differs", "The step was submitted with other contents.", {}, {}},
--- a/src/common/error.h
+++ b/src/common/error.h
@@ -22,12 +22,12 @@
 
 /// Why an outside system gave no usable answer.
 enum class CallFailure {
-  kUnreachable,   ///< No connection: the request was certainly not processed.
-  kRateLimited,   ///< Refused before processing; asking later helps.
-  kUnavailable,   ///< Refused before processing because the service is down.
-  kAnswerLost,    ///< Sent, but no whole answer came: the effect is unknown.
-  kBadAnswer,     ///< An answer came but could not be understood: the effect is unknown.
-  kRejected,      ///< Understood and refused for good.
+  kUnreachable,  ///< No connection: the request was certainly not processed.
+  kRateLimited,  ///< Refused before processing; asking later helps.
+  kUnavailable,  ///< Refused before processing because the service is down.
+  kAnswerLost,   ///< Sent, but no whole answer came: the effect is unknown.
+  kBadAnswer,    ///< An answer came but could not be understood: the effect is unknown.
+  kRejected,     ///< Understood and refused for good.
 };
 
 /// @return whether the request certainly had no effect.
--- a/src/common/ids.h
+++ b/src/common/ids.h
@@ -47,7 +47,7 @@
 using ModelName = Id<struct ModelNameTag>;    ///< A model or adapter that engines serve.
 using TrainerId = Id<struct TrainerIdTag>;    ///< A trainer, unique within its tenant.
 using RequestId = Id<struct RequestIdTag>;    ///< One caller request; unique everywhere.
-using AttemptId = Id<struct AttemptIdTag>;    ///< One try of a write or dispatch; unique everywhere.
+using AttemptId = Id<struct AttemptIdTag>;  ///< One try of a write or dispatch; unique everywhere.
 
 /// Version of a model's weights. Trainers publish 1, 2, 3, …; 0 means "none known".
 using WeightVersion = std::uint64_t;
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -25,8 +25,7 @@
       logging::keywords::format =
           expressions::stream << expressions::format_date_time<boost::posix_time::ptime>(
                                      "TimeStamp", "%Y-%m-%d %H:%M:%S.%f")
-                              << " " << logging::trivial::severity << " "
-                              << expressions::smessage);
+                              << " " << logging::trivial::severity << " " << expressions::smessage);
   logging::core::get()->set_filter(logging::trivial::severity >= severityFromName(minimum));
 }
 
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -22,10 +22,10 @@
 /// The documents in force, parsed. Immutable: a change makes a new snapshot.
 struct Snapshot {
   Revision revision = 0;
-  std::map<std::string, Template> templates;             ///< By name.
+  std::map<std::string, Template> templates;  ///< By name.
   std::map<TenantId, Tenant> tenants;
-  std::map<std::string, TenantId> tenant_by_key_hash;    ///< Bearer key's SHA-256 to its tenant.
-  std::set<ModelName> serving_models;                    ///< Models that some serving template uses.
+  std::map<std::string, TenantId> tenant_by_key_hash;  ///< Bearer key's SHA-256 to its tenant.
+  std::set<ModelName> serving_models;                  ///< Models that some serving template uses.
 
   const Tenant* findTenant(const TenantId& id) const;
   /// @return the tenant that the bearer key belongs to, or nullptr.
--- a/src/config/documents.h
+++ b/src/config/documents.h
@@ -21,34 +21,34 @@
 struct Template {
   std::string name;
   WorkKind kind = WorkKind::kServing;
-  int priority = 0;                       ///< −10 … 10; higher goes first.
-  double weight = 1.0;                    ///< Share in the fair queue; 0.01 … 1000.
-  std::uint32_t max_in_flight = 64;       ///< Streams of one tenant at a daemon.
-  std::uint32_t max_queued = 256;         ///< Requests of one tenant waiting at a daemon.
-  std::uint32_t max_tokens = 4096;        ///< Longest generation a request may ask for.
+  int priority = 0;                  ///< −10 … 10; higher goes first.
+  double weight = 1.0;               ///< Share in the fair queue; 0.01 … 1000.
+  std::uint32_t max_in_flight = 64;  ///< Streams of one tenant at a daemon.
+  std::uint32_t max_queued = 256;    ///< Requests of one tenant waiting at a daemon.
+  std::uint32_t max_tokens = 4096;   ///< Longest generation a request may ask for.
   std::uint32_t default_deadline_ms = 30000;
 };
 
 /// One model that a tenant may use.
 struct TenantModel {
   ModelName model;
-  std::string template_name;              ///< Template that its requests follow.
+  std::string template_name;  ///< Template that its requests follow.
 };
 
 struct TenantTrainer {
   TrainerId trainer;
   ModelName model;
-  std::uint32_t staleness_bound = 2;      ///< Versions behind the trainer that a sample may be.
-  std::uint32_t steps_ahead = 1;          ///< Steps that may be generated before they are pulled.
+  std::uint32_t staleness_bound = 2;  ///< Versions behind the trainer that a sample may be.
+  std::uint32_t steps_ahead = 1;      ///< Steps that may be generated before they are pulled.
 };
 
 /// One tenant's parameters.
 struct Tenant {
   TenantId name;
-  std::vector<std::string> key_hashes;    ///< SHA-256 of each bearer key, hexadecimal.
+  std::vector<std::string> key_hashes;  ///< SHA-256 of each bearer key, hexadecimal.
   std::vector<TenantModel> models;
   std::vector<TenantTrainer> trainers;
-  std::vector<std::string> scorers;       ///< Scoring services, by name.
+  std::vector<std::string> scorers;  ///< Scoring services, by name.
 
   const TenantModel* findModel(const ModelName& model) const;
   const TenantTrainer* findTrainer(const TrainerId& trainer) const;
--- a/src/daemon/config_store.cpp
+++ b/src/daemon/config_store.cpp
@@ -87,17 +87,20 @@
     after.attempts.push_back(attempt.str());
     if (after.attempts.size() > kAttemptsKept) after.attempts.erase(after.attempts.begin());
     const json new_head = {{"revision", after.item.revision}, {"attempt", attempt.str()}};
-    const table::Transaction transaction{
-        {{kHeadKey, head->revision}, {row_key, row->revision}},
-        {{kHeadKey, new_head.dump()}, {row_key, toJson(after)}}};
+    const table::Transaction transaction{{{kHeadKey, head->revision}, {row_key, row->revision}},
+                                         {{kHeadKey, new_head.dump()}, {row_key, toJson(after)}}};
     const auto written = table::writeSettled(*table_, transaction, attempt, kMaxTries,
                                              [] { std::this_thread::sleep_for(kPause); });
     switch (written.outcome) {
-      case WriteOutcome::kCommitted: return {EditOutcome::kAccepted, after.item};
+      case WriteOutcome::kCommitted:
+        return {EditOutcome::kAccepted, after.item};
       case WriteOutcome::kNotWritten:
         return {possibly_applied ? EditOutcome::kUnknown : EditOutcome::kNotAccepted, {}};
-      case WriteOutcome::kUnknown: possibly_applied = true; break;
-      case WriteOutcome::kConflict: break;  // Somebody changed the head or the item: look again.
+      case WriteOutcome::kUnknown:
+        possibly_applied = true;
+        break;
+      case WriteOutcome::kConflict:
+        break;  // Somebody changed the head or the item: look again.
     }
   }
   return {possibly_applied ? EditOutcome::kUnknown : EditOutcome::kNotAccepted, {}};
--- a/src/daemon/config_store.h
+++ b/src/daemon/config_store.h
@@ -20,9 +20,9 @@
 
 /// An operator's edit.
 struct ConfigEdit {
-  std::string key;        ///< "template/NAME" or "tenant/NAME".
-  Revision made_from = 0; ///< Revision of the item that the operator saw; 0 for a new one.
-  std::string document;   ///< Checked JSON.
+  std::string key;         ///< "template/NAME" or "tenant/NAME".
+  Revision made_from = 0;  ///< Revision of the item that the operator saw; 0 for a new one.
+  std::string document;    ///< Checked JSON.
 };
 
 enum class EditOutcome { kAccepted, kConflict, kNotAccepted, kUnknown };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -31,7 +31,9 @@
                                             transport_, config_);
 }
 
-Daemon::~Daemon() { stop(); }
+Daemon::~Daemon() {
+  stop();
+}
 
 node::NodeOptions Daemon::nodeOptions() const {
   node::NodeOptions options;
@@ -56,7 +58,9 @@
   });
 }
 
-void Daemon::beginStop() { node_->post(node::StopRequested{}); }
+void Daemon::beginStop() {
+  node_->post(node::StopRequested{});
+}
 
 void Daemon::stop() {
   if (!system_) return;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,8 +3,8 @@
 /// @file
 /// One whole daemon, assembled from its parts; the API is added by the main.
 
-#include <caf/all.hpp>
 #include <atomic>
+#include <caf/all.hpp>
 #include <memory>
 
 #include "daemon/effect_runner.h"
--- a/src/daemon/effect_runner.cpp
+++ b/src/daemon/effect_runner.cpp
@@ -21,7 +21,9 @@
 constexpr int kPutTries = 5;
 constexpr auto kPutPause = std::chrono::milliseconds(300);
 
-std::string ownershipRowKey(const EngineId& engine) { return "owner/" + engine.str(); }
+std::string ownershipRowKey(const EngineId& engine) {
+  return "owner/" + engine.str();
+}
 
 }  // namespace
 
@@ -40,7 +42,9 @@
       background_pool_(kBackgroundThreads),
       random_(Random::seedFromSystem()) {}
 
-EffectRunner::~EffectRunner() { stop(); }
+EffectRunner::~EffectRunner() {
+  stop();
+}
 
 void EffectRunner::stop() {
   {
@@ -113,7 +117,9 @@
 }
 
 void EffectRunner::on(const node::ClaimEngine& effect) {
-  pool_.enqueue([this, effect] { node_->post(node::ClaimDone{effect.engine, claim(effect.engine)}); });
+  pool_.enqueue([this, effect] {
+    node_->post(node::ClaimDone{effect.engine, claim(effect.engine)});
+  });
 }
 
 std::optional<FencingToken> EffectRunner::claim(const EngineId& engine) {
@@ -122,9 +128,9 @@
   if (!row) return std::nullopt;
   const AttemptId attempt = newAttempt();
   const nlohmann::json value = {{"owner", self_.id.str()}, {"attempt", attempt.str()}};
-  const auto written = table::writeSettled(
-      *services_.table, {{{key, row->revision}}, {{key, value.dump()}}}, attempt, kClaimTries,
-      [] { std::this_thread::sleep_for(kPutPause); });
+  const auto written =
+      table::writeSettled(*services_.table, {{{key, row->revision}}, {{key, value.dump()}}},
+                          attempt, kClaimTries, [] { std::this_thread::sleep_for(kPutPause); });
   if (written.outcome != table::WriteOutcome::kCommitted) return std::nullopt;
   return written.revision;
 }
@@ -169,12 +175,13 @@
   std::uint32_t tokens = 0;
   WeightVersion oldest = 0;
   const RequestRunner runner(*node_, services_.engines);
-  const RequestReport report = runner.run(work, runner.admit(work), [&](const engine::Piece& piece) {
-    tokens += piece.tokens;
-    oldest = oldest == 0 ? piece.version : std::min(oldest, piece.version);
-    node_->post(node::SampleAdvanced{order.sample, tokens, oldest});
-    return !stop->load();
-  });
+  const RequestReport report =
+      runner.run(work, runner.admit(work), [&](const engine::Piece& piece) {
+        tokens += piece.tokens;
+        oldest = oldest == 0 ? piece.version : std::min(oldest, piece.version);
+        node_->post(node::SampleAdvanced{order.sample, tokens, oldest});
+        return !stop->load();
+      });
   wire::SampleResult result{order.sample, report.complete, report.text, report.pieces};
   if (report.complete) {
     // Stored before it is reported, so that a new coordinator finds it.
--- a/src/daemon/effect_runner.h
+++ b/src/daemon/effect_runner.h
@@ -25,7 +25,9 @@
 class ConfigHolder {
  public:
   config::SnapshotSharedPtr get() const { return std::atomic_load(&snapshot_); }
-  void set(config::SnapshotSharedPtr snapshot) { std::atomic_store(&snapshot_, snapshot); }
+  void set(config::SnapshotSharedPtr snapshot) {
+    std::atomic_store(&snapshot_, std::move(snapshot));
+  }
 
  private:
   config::SnapshotSharedPtr snapshot_ = std::make_shared<config::Snapshot>();
@@ -76,10 +78,10 @@
   ConfigStore config_store_;
   StepStore step_store_;
   const NodeHandle* node_ = nullptr;
-  httplib::ThreadPool pool_;       ///< Short platform calls.
-  httplib::ThreadPool order_pool_; ///< Orders to engines, which may take seconds.
+  httplib::ThreadPool pool_;        ///< Short platform calls.
+  httplib::ThreadPool order_pool_;  ///< Orders to engines, which may take seconds.
   httplib::ThreadPool background_pool_;
-  std::mutex mutex_;               ///< Guards the members below.
+  std::mutex mutex_;  ///< Guards the members below.
   bool stopped_ = false;
   Random random_;
   std::condition_variable samples_changed_;
--- a/src/daemon/node_actor.cpp
+++ b/src/daemon/node_actor.cpp
@@ -9,8 +9,8 @@
 constexpr auto kTickPeriod = std::chrono::milliseconds(50);
 
 admission::Decision shutDownDecision(const RequestId& request) {
-  return {request, admission::Refusal{admission::RefusalReason::kShuttingDown,
-                                      std::chrono::seconds(1)}};
+  return {request,
+          admission::Refusal{admission::RefusalReason::kShuttingDown, std::chrono::seconds(1)}};
 }
 
 void answer(Self* self, const node::AnswerAdmission& effect) {
@@ -52,7 +52,9 @@
   }
 }
 
-void withdraw(Self* self, const RequestId& request) { self->state.admissions.erase(request); }
+void withdraw(Self* self, const RequestId& request) {
+  self->state.admissions.erase(request);
+}
 
 }  // namespace
 
--- a/src/daemon/node_handle.cpp
+++ b/src/daemon/node_handle.cpp
@@ -33,7 +33,9 @@
   return reply ? reply->status : wire::PullStatus::kPending;
 }
 
-void NodeHandle::shutDown() const { caf::anon_send(actor_, ShutdownMessage{}); }
+void NodeHandle::shutDown() const {
+  caf::anon_send(actor_, ShutdownMessage{});
+}
 
 node::NodeStatus NodeHandle::status() const {
   const auto reply = ask<StatusReply>(StatusCall{}, kQueryLimit);
--- a/src/daemon/node_handle.h
+++ b/src/daemon/node_handle.h
@@ -54,7 +54,8 @@
 /// Facade over the node actor.
 class NodeHandle {
  public:
-  NodeHandle(caf::actor_system& system, caf::actor actor) : system_(system), actor_(actor) {}
+  NodeHandle(caf::actor_system& system, caf::actor actor)
+      : system_(system), actor_(std::move(actor)) {}
 
   void post(node::Event event) const;
   /// Waits for the decision. @return nothing if none came by the limit.
--- a/src/daemon/request_runner.h
+++ b/src/daemon/request_runner.h
@@ -42,7 +42,7 @@
   std::string text;
   std::uint32_t tokens = 0;
   std::vector<wire::VersionPiece> pieces;
-  EngineId engine;        ///< The last one tried.
+  EngineId engine;  ///< The last one tried.
   int tries = 0;
 };
 
--- a/src/daemon/step_store.cpp
+++ b/src/daemon/step_store.cpp
@@ -15,7 +15,9 @@
 constexpr int kMaxTries = 6;
 constexpr auto kPause = std::chrono::milliseconds(100);
 
-void pauseBetweenTries() { std::this_thread::sleep_for(kPause); }
+void pauseBetweenTries() {
+  std::this_thread::sleep_for(kPause);
+}
 
 }  // namespace
 
@@ -32,10 +34,14 @@
   const auto written = table::writeSettled(*table_, {{{key, 0}}, {{key, toJson(row)}}}, attempt,
                                            kMaxTries, pauseBetweenTries);
   switch (written.outcome) {
-    case WriteOutcome::kCommitted: return SubmitOutcome::kAccepted;
-    case WriteOutcome::kNotWritten: return SubmitOutcome::kNotAccepted;
-    case WriteOutcome::kUnknown: return SubmitOutcome::kUnknown;
-    case WriteOutcome::kConflict: break;
+    case WriteOutcome::kCommitted:
+      return SubmitOutcome::kAccepted;
+    case WriteOutcome::kNotWritten:
+      return SubmitOutcome::kNotAccepted;
+    case WriteOutcome::kUnknown:
+      return SubmitOutcome::kUnknown;
+    case WriteOutcome::kConflict:
+      break;
   }
   objects_->remove(object);
   if (written.conflicts.empty()) return SubmitOutcome::kUnknown;
@@ -139,9 +145,9 @@
   if (parsed->state == StepRow::State::kAcknowledged) return true;
   parsed->state = StepRow::State::kAcknowledged;
   parsed->attempt = attempt;
-  const auto written = table::writeSettled(
-      *table_, {{{key, row->revision}}, {{key, toJson(*parsed)}}}, attempt, kMaxTries,
-      pauseBetweenTries);
+  const auto written =
+      table::writeSettled(*table_, {{{key, row->revision}}, {{key, toJson(*parsed)}}}, attempt,
+                          kMaxTries, pauseBetweenTries);
   return written.outcome == WriteOutcome::kCommitted;
 }
 
--- a/src/daemon/udp_transport.cpp
+++ b/src/daemon/udp_transport.cpp
@@ -28,7 +28,9 @@
 
 }  // namespace
 
-UdpTransport::~UdpTransport() { stop(); }
+UdpTransport::~UdpTransport() {
+  stop();
+}
 
 tl::expected<void, Findings> UdpTransport::start(const Address& address, Receiver receiver) {
   receiver_ = std::move(receiver);
--- a/src/engine/engine_client.h
+++ b/src/engine/engine_client.h
@@ -17,20 +17,20 @@
 
 /// One generation asked of an engine.
 struct GenerateRequest {
-  AttemptId attempt;            ///< Echoed by the engine in every piece.
+  AttemptId attempt;  ///< Echoed by the engine in every piece.
   ModelName model;
   std::string prompt;
-  std::string resume_text;      ///< Text already generated elsewhere; empty from the start.
+  std::string resume_text;          ///< Text already generated elsewhere; empty from the start.
   std::uint32_t resume_tokens = 0;  ///< Tokens in `resume_text`.
   std::uint32_t max_tokens = 0;
-  int priority = 0;             ///< Higher goes first.
+  int priority = 0;  ///< Higher goes first.
 };
 
 /// One streamed piece.
 struct Piece {
   std::string text;
   std::uint32_t tokens = 0;
-  WeightVersion version = 0;    ///< Weights that produced it.
+  WeightVersion version = 0;  ///< Weights that produced it.
 };
 
 /// How a stream ended.
@@ -48,7 +48,7 @@
 /// An order that the engine obeys only if `token` is not below the highest it has seen.
 struct FencedOrder {
   enum class Kind { kPrefetch, kFlip, kAssert };
-  Kind kind = Kind::kAssert;    ///< kAssert only announces the token.
+  Kind kind = Kind::kAssert;  ///< kAssert only announces the token.
   FencingToken token = 0;
   ModelName model;
   WeightVersion version = 0;
--- a/src/intent/intent_row.cpp
+++ b/src/intent/intent_row.cpp
@@ -13,9 +13,12 @@
 
 const char* stateName(IntentState state) {
   switch (state) {
-    case IntentState::kDispatched: return "dispatched";
-    case IntentState::kAbandoned: return "abandoned";
-    case IntentState::kDone: return "done";
+    case IntentState::kDispatched:
+      return "dispatched";
+    case IntentState::kAbandoned:
+      return "abandoned";
+    case IntentState::kDone:
+      return "done";
   }
   return "dispatched";
 }
@@ -31,9 +34,12 @@
   if (!intent) return {IntentVerdict::kElsewhere, row.revision, {}, false};
   if (intent->request_hash != request_hash) return {IntentVerdict::kKeyReused, 0, {}, false};
   switch (intent->state) {
-    case IntentState::kAbandoned: return {IntentVerdict::kTakeOver, row.revision, {}, false};
-    case IntentState::kDone: return {IntentVerdict::kReplay, row.revision, intent->answer, false};
-    case IntentState::kDispatched: break;
+    case IntentState::kAbandoned:
+      return {IntentVerdict::kTakeOver, row.revision, {}, false};
+    case IntentState::kDone:
+      return {IntentVerdict::kReplay, row.revision, intent->answer, false};
+    case IntentState::kDispatched:
+      break;
   }
   return {IntentVerdict::kElsewhere, row.revision, {}, false};
 }
--- a/src/intent/intent_row.h
+++ b/src/intent/intent_row.h
@@ -34,19 +34,19 @@
 
 /// What a daemon may do with a request, given how its write went.
 enum class IntentVerdict {
-  kSend,         ///< The right to send is ours.
-  kTakeOver,     ///< The row was abandoned: try to take it at `revision`.
-  kReplay,       ///< It already ran: return the stored answer.
-  kElsewhere,    ///< Another attempt may be running or may have run: outcome unknown.
-  kKeyReused,    ///< The key belongs to a different request.
-  kNotRun,       ///< We have no right to send, and never will by this attempt.
+  kSend,       ///< The right to send is ours.
+  kTakeOver,   ///< The row was abandoned: try to take it at `revision`.
+  kReplay,     ///< It already ran: return the stored answer.
+  kElsewhere,  ///< Another attempt may be running or may have run: outcome unknown.
+  kKeyReused,  ///< The key belongs to a different request.
+  kNotRun,     ///< We have no right to send, and never will by this attempt.
 };
 
 struct IntentDecision {
   IntentVerdict verdict = IntentVerdict::kNotRun;
-  Revision revision = 0;       ///< Of our row (kSend) or of the abandoned one (kTakeOver).
-  std::string answer;          ///< For kReplay.
-  bool must_abandon = false;   ///< Our row may exist although we will not send: write it off.
+  Revision revision = 0;      ///< Of our row (kSend) or of the abandoned one (kTakeOver).
+  std::string answer;         ///< For kReplay.
+  bool must_abandon = false;  ///< Our row may exist although we will not send: write it off.
 };
 
 /// Pure decision on the result of trying to write our "dispatched" row.
--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -115,11 +115,12 @@
     call.headers.emplace("X-Not-Repeatable", "true");
     call.headers.emplace("Idempotency-Key", lookup.once_id);
   }
-  call.body = json{{"model", plan_.model.str()},
-                   {"prompt", lookup.prompt},
-                   {"max_tokens", plan_.tokens},
-                   {"stream", stream}}
-                  .dump();
+  call.body = json{
+      {"model", plan_.model.str()},
+      {"prompt", lookup.prompt},
+      {"max_tokens", plan_.tokens},
+      {"stream",
+       stream}}.dump();
   StreamedAnswer streamed;
   std::string body;
   int status = 0;
@@ -174,10 +175,18 @@
       result_.latencies_ms.push_back(latency_ms);
       if (latency_ms > plan_.deadline_ms) ++result_.late;
       break;
-    case LookupEnd::kMixed: ++result_.mixed; break;
-    case LookupEnd::kNotRun: ++result_.not_run; break;
-    case LookupEnd::kUnknown: ++result_.unknown; break;
-    case LookupEnd::kLost: ++result_.lost; break;
+    case LookupEnd::kMixed:
+      ++result_.mixed;
+      break;
+    case LookupEnd::kNotRun:
+      ++result_.not_run;
+      break;
+    case LookupEnd::kUnknown:
+      ++result_.unknown;
+      break;
+    case LookupEnd::kLost:
+      ++result_.lost;
+      break;
   }
 }
 
--- a/src/load/caller.h
+++ b/src/load/caller.h
@@ -17,11 +17,11 @@
 
 /// How one lookup ended, as its caller saw it.
 enum class LookupEnd {
-  kWhole,      ///< The whole answer, and only it.
-  kMixed,      ///< An answer that is not the one expected.
-  kNotRun,     ///< Refused as not run.
-  kUnknown,    ///< Told that the outcome is unknown.
-  kLost,       ///< No final answer at all.
+  kWhole,    ///< The whole answer, and only it.
+  kMixed,    ///< An answer that is not the one expected.
+  kNotRun,   ///< Refused as not run.
+  kUnknown,  ///< Told that the outcome is unknown.
+  kLost,     ///< No final answer at all.
 };
 
 /// What a stream of lookups saw. Filled while it runs.
@@ -29,13 +29,13 @@
   std::string name;
   std::uint64_t sent = 0;
   std::uint64_t whole = 0;
-  std::uint64_t late = 0;             ///< Whole, but after the deadline.
+  std::uint64_t late = 0;  ///< Whole, but after the deadline.
   std::uint64_t mixed = 0;
   std::uint64_t not_run = 0;
   std::uint64_t unknown = 0;
   std::uint64_t lost = 0;
-  std::uint64_t reconnects = 0;       ///< Tries at another daemon.
-  std::vector<double> latencies_ms;   ///< Of whole answers.
+  std::uint64_t reconnects = 0;                   ///< Tries at another daemon.
+  std::vector<double> latencies_ms;               ///< Of whole answers.
   std::map<std::string, std::uint64_t> refusals;  ///< By code.
   std::map<std::string, LookupEnd> once;          ///< Not-repeatable requests by id.
 };
@@ -66,7 +66,7 @@
   CallerPlan plan_;
   Targets& targets_;
   Random random_;
-  std::mutex mutex_;     ///< Guards `result_`.
+  std::mutex mutex_;  ///< Guards `result_`.
   CallerResult result_;
 };
 
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -18,7 +18,9 @@
   return buffer;
 }
 
-unsigned long long number(std::uint64_t value) { return value; }
+unsigned long long number(std::uint64_t value) {
+  return value;
+}
 
 json callerJson(const CallerResult& caller) {
   return {{"name", caller.name},
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -30,14 +30,12 @@
 /// Violations of the promises that a run can show.
 struct Verdict {
   std::uint64_t lost = 0;
-  std::uint64_t doubled = 0;         ///< Not-repeatable requests that engines began twice, samples twice.
+  std::uint64_t doubled = 0;  ///< Not-repeatable requests that engines began twice, samples twice.
   std::uint64_t mixed = 0;
   std::uint64_t stale = 0;
-  std::uint64_t ran_but_refused = 0; ///< Refused as not run, but an engine began it.
+  std::uint64_t ran_but_refused = 0;  ///< Refused as not run, but an engine began it.
   std::uint64_t missing = 0;
-  std::uint64_t sum() const {
-    return lost + doubled + mixed + stale + ran_but_refused + missing;
-  }
+  std::uint64_t sum() const { return lost + doubled + mixed + stale + ran_but_refused + missing; }
 };
 Verdict judge(const RunResult& result);
 
--- a/src/load/scenario.cpp
+++ b/src/load/scenario.cpp
@@ -68,8 +68,8 @@
     readArray(root, "trainer", file, findings,
               [&](TableReader& reader) { scenario.trainers.push_back(readTrainer(reader)); });
   } catch (const toml::parse_error& error) {
-    findings.push_back({file + ":" + std::to_string(error.source().begin.line),
-                        std::string(error.description())});
+    findings.push_back(
+        {file + ":" + std::to_string(error.source().begin.line), std::string(error.description())});
   }
   if (!findings.empty()) return tl::make_unexpected(findings);
   return scenario;
--- a/src/load/scenario.h
+++ b/src/load/scenario.h
@@ -16,12 +16,12 @@
 /// One stream of lookups.
 struct CallerPlan {
   std::string name;
-  std::string key;                 ///< Bearer key.
+  std::string key;  ///< Bearer key.
   ModelName model;
-  double rate = 5;                 ///< Arrivals per second, at random (Poisson).
-  std::uint32_t tokens = 20;       ///< Length of an answer.
+  double rate = 5;            ///< Arrivals per second, at random (Poisson).
+  std::uint32_t tokens = 20;  ///< Length of an answer.
   std::uint32_t deadline_ms = 3000;
-  double once_share = 0;           ///< Share of not-repeatable requests.
+  double once_share = 0;  ///< Share of not-repeatable requests.
   bool stream = true;
 };
 
@@ -34,14 +34,14 @@
   std::uint32_t groups = 8;
   std::uint32_t samples_per_group = 4;
   double train_ms = 1500;
-  double mean_tokens = 40;            ///< Of the usual samples.
-  double tail_share = 0.05;           ///< Share of long samples.
+  double mean_tokens = 40;   ///< Of the usual samples.
+  double tail_share = 0.05;  ///< Share of long samples.
   std::uint32_t tail_tokens = 300;
 };
 
 struct Scenario {
-  std::vector<Address> targets;       ///< Daemons, used in turn.
-  Address platform;                   ///< Where weights are published and the record is read.
+  std::vector<Address> targets;  ///< Daemons, used in turn.
+  Address platform;              ///< Where weights are published and the record is read.
   double duration_s = 20;
   std::uint64_t seed = 1;
   std::vector<CallerPlan> callers;
--- a/src/load/trainer.cpp
+++ b/src/load/trainer.cpp
@@ -107,11 +107,11 @@
 }
 
 std::string Trainer::pull(std::uint64_t step, Instant limit) {
-  const std::string body = json{{"trainer", plan_.trainer.str()},
-                                {"step", step},
-                                {"version", version_},
-                                {"wait_ms", kPullWaitMs}}
-                               .dump();
+  const std::string body = json{
+      {"trainer", plan_.trainer.str()},
+      {"step", step},
+      {"version", version_},
+      {"wait_ms", kPullWaitMs}}.dump();
   while (steadyNow() < limit) {
     int status = 0;
     std::string batch = post("/v1/batches/pull", body, status);
@@ -129,8 +129,8 @@
 std::string Trainer::post(const std::string& path, const std::string& body, int& status) {
   auto client = platform::makeClient(platform::serviceUrl(targets_.next()),
                                      {std::chrono::milliseconds(300), std::chrono::seconds(10)});
-  const auto response = client.Post(path.c_str(), {{"Authorization", "Bearer " + plan_.key}}, body,
-                                    "application/json");
+  const auto response =
+      client.Post(path, {{"Authorization", "Bearer " + plan_.key}}, body, "application/json");
   if (!response) {
     ++result_.failed_calls;
     return "";
@@ -151,8 +151,7 @@
       continue;
     }
     if (!seen.insert(sample->key.index).second) ++result_.doubled;
-    const std::string expected =
-        standin::wholeText(spec.promptOf(sample->key.index), kMaxTokens);
+    const std::string expected = standin::wholeText(spec.promptOf(sample->key.index), kMaxTokens);
     if (sample->text != expected) ++result_.mixed;
     const WeightVersion oldest = sample->oldestVersion();
     const std::uint64_t staleness = version_ > oldest ? version_ - oldest : 0;
--- a/src/load/trainer.h
+++ b/src/load/trainer.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// @file
-/// A stand-in trainer: submits steps ahead, pulls, trains, publishes weights, and checks what it got.
+/// A stand-in trainer: submits steps ahead, pulls, trains, publishes weights, and checks what it
+/// got.
 
 #include <map>
 #include <string>
@@ -20,17 +21,17 @@
   std::string name;
   std::uint64_t steps = 0;
   std::uint64_t samples = 0;
-  double idle_s = 0;                 ///< Time waiting for a batch.
+  double idle_s = 0;  ///< Time waiting for a batch.
   double train_s = 0;
-  std::vector<double> waits_ms;      ///< Wait of each step.
-  double staleness_sum = 0;          ///< Over samples: trainer's version less the oldest piece's.
+  std::vector<double> waits_ms;  ///< Wait of each step.
+  double staleness_sum = 0;      ///< Over samples: trainer's version less the oldest piece's.
   std::uint64_t staleness_max = 0;
-  std::uint64_t over_bound = 0;      ///< Samples delivered over the staleness bound.
-  std::uint64_t mixed = 0;           ///< Samples whose text is not the one expected.
-  std::uint64_t doubled = 0;         ///< Samples delivered more than once.
-  std::uint64_t missing = 0;         ///< Samples that a batch lacked.
+  std::uint64_t over_bound = 0;         ///< Samples delivered over the staleness bound.
+  std::uint64_t mixed = 0;              ///< Samples whose text is not the one expected.
+  std::uint64_t doubled = 0;            ///< Samples delivered more than once.
+  std::uint64_t missing = 0;            ///< Samples that a batch lacked.
   std::uint64_t differing_repeats = 0;  ///< Repeated pulls that were not identical.
-  std::uint64_t mixed_versions = 0;  ///< Samples produced by several versions.
+  std::uint64_t mixed_versions = 0;     ///< Samples produced by several versions.
   std::uint64_t failed_calls = 0;
 
   double idleShare() const;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -92,11 +92,11 @@
   const std::uint64_t sequence = next_sequence_++;
   PendingProbe probe{request.target, now, true, asker->second.record.address, request.sequence};
   pending_.emplace(sequence, probe);
-  return {{request.target_address,
-           wire::Probe{sequence, digestWithUpdates(facts, request.target)}}};
+  return {
+      {request.target_address, wire::Probe{sequence, digestWithUpdates(facts, request.target)}}};
 }
 
-std::vector<Outgoing> Membership::leave(Instant now, const wire::Digest& facts) {
+std::vector<Outgoing> Membership::leave(const wire::Digest& facts) {
   self_.status = MemberStatus::kLeft;
   ++self_.incarnation;
   self_rides_left_ = options_.retransmissions * 4;
@@ -109,7 +109,9 @@
   return out;
 }
 
-std::vector<MembershipChange> Membership::takeChanges() { return std::exchange(changes_, {}); }
+std::vector<MembershipChange> Membership::takeChanges() {
+  return std::exchange(changes_, {});
+}
 
 bool Membership::isAlive(const DaemonId& id) const {
   if (id == self_.id) return self_.status == MemberStatus::kAlive;
@@ -236,8 +238,8 @@
   std::vector<Outgoing> out;
   for (const MemberRecord& helper : helpers) {
     if (static_cast<int>(out.size()) >= options_.indirect_probes) break;
-    out.push_back({helper.address, wire::IndirectProbe{sequence, probe.target,
-                                                       target->second.record.address}});
+    out.push_back({helper.address,
+                   wire::IndirectProbe{sequence, probe.target, target->second.record.address}});
   }
   return out;
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -23,14 +23,14 @@
 
 struct MembershipOptions {
   Duration probe_period = std::chrono::seconds(1);
-  Duration probe_timeout = std::chrono::milliseconds(400);   ///< Until others are asked to probe.
-  Duration suspicion_time = std::chrono::seconds(3);         ///< From suspect to dead.
-  Duration forget_time = std::chrono::seconds(60);           ///< Dead members are kept this long.
-  Duration dead_probe_period = std::chrono::seconds(5);      ///< Retries towards dead members.
-  int indirect_probes = 2;         ///< Members asked to probe on our behalf.
-  int cross_zone_every = 4;        ///< Every n-th probe leaves the zone.
-  int max_updates = 8;             ///< Membership changes that ride on one message.
-  int retransmissions = 6;         ///< Times a change rides along before it rests.
+  Duration probe_timeout = std::chrono::milliseconds(400);  ///< Until others are asked to probe.
+  Duration suspicion_time = std::chrono::seconds(3);        ///< From suspect to dead.
+  Duration forget_time = std::chrono::seconds(60);          ///< Dead members are kept this long.
+  Duration dead_probe_period = std::chrono::seconds(5);     ///< Retries towards dead members.
+  int indirect_probes = 2;   ///< Members asked to probe on our behalf.
+  int cross_zone_every = 4;  ///< Every n-th probe leaves the zone.
+  int max_updates = 8;       ///< Membership changes that ride on one message.
+  int retransmissions = 6;   ///< Times a change rides along before it rests.
 };
 
 /// A member that the machine list names.
@@ -64,7 +64,7 @@
                                               const wire::IndirectProbe& request,
                                               const wire::Digest& facts);
   /// Declares this daemon as leaving; tells a few members at once.
-  std::vector<wire::Outgoing> leave(Instant now, const wire::Digest& facts);
+  std::vector<wire::Outgoing> leave(const wire::Digest& facts);
 
   /// @return the changes since the last call.
   std::vector<MembershipChange> takeChanges();
@@ -81,14 +81,14 @@
  private:
   struct Member {
     wire::MemberRecord record;
-    Instant status_since{};       ///< When `record.status` was last changed.
-    Instant last_probe{};         ///< When it was last probed while dead.
-    int rides_left = 0;           ///< Further messages that carry this record.
+    Instant status_since{};  ///< When `record.status` was last changed.
+    Instant last_probe{};    ///< When it was last probed while dead.
+    int rides_left = 0;      ///< Further messages that carry this record.
   };
   struct PendingProbe {
     DaemonId target;
     Instant sent{};
-    bool indirect_sent = false;   ///< Others have been asked.
+    bool indirect_sent = false;       ///< Others have been asked.
     std::optional<Address> relay_to;  ///< Who asked us to probe, if anybody.
     std::uint64_t relay_sequence = 0;
   };
@@ -107,16 +107,16 @@
   /// @param elsewhere whether the target is to be outside this daemon's zone.
   const Member* nextTargetOf(bool elsewhere);
 
-  wire::MemberRecord self_;               ///< This daemon; status is kAlive or kLeft.
+  wire::MemberRecord self_;  ///< This daemon; status is kAlive or kLeft.
   MembershipOptions options_;
   Random random_;
-  std::map<DaemonId, Member> members_;    ///< All others ever heard of and not yet forgotten.
+  std::map<DaemonId, Member> members_;  ///< All others ever heard of and not yet forgotten.
   std::map<std::uint64_t, PendingProbe> pending_;  ///< By sequence; at most a few.
-  std::vector<DaemonId> zone_order_;      ///< Shuffled round of targets in the zone.
-  std::vector<DaemonId> other_order_;     ///< Shuffled round of targets elsewhere.
+  std::vector<DaemonId> zone_order_;               ///< Shuffled round of targets in the zone.
+  std::vector<DaemonId> other_order_;              ///< Shuffled round of targets elsewhere.
   std::uint64_t next_sequence_ = 1;
-  std::uint64_t rounds_ = 0;              ///< Probe rounds so far.
-  int self_rides_left_ = 0;               ///< Further messages that carry our own record.
+  std::uint64_t rounds_ = 0;  ///< Probe rounds so far.
+  int self_rides_left_ = 0;   ///< Further messages that carry our own record.
   Instant next_probe_{};
   std::vector<MembershipChange> changes_;
 };
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -123,11 +123,10 @@
 /// The daemon was told to stop.
 struct StopRequested {};
 
-using Event =
-    std::variant<Tick, DatagramArrived, MachineListRead, LoadRead, ModelHeadRead, ConfigRead,
-                 ConfigCommitted, ClaimDone, OrderDone, AdmitRequest, WithdrawRequest, StreamEnded,
-                 SampleAdvanced, SampleFinished, StepSubmitted, PullArrived, StepRead, CommitDone,
-                 StopRequested>;
+using Event = std::variant<Tick, DatagramArrived, MachineListRead, LoadRead, ModelHeadRead,
+                           ConfigRead, ConfigCommitted, ClaimDone, OrderDone, AdmitRequest,
+                           WithdrawRequest, StreamEnded, SampleAdvanced, SampleFinished,
+                           StepSubmitted, PullArrived, StepRead, CommitDone, StopRequested>;
 
 // ---- Effects: carried out by the shell. ----
 
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -20,7 +20,8 @@
       random_(options_.seed),
       membership_(options_.self, options_.membership, options_.seed + 1),
       directory_(options_.self.zone, options_.directory),
-      admission_(directory_, upstream::makeRoutingPolicy(options_.routing_policy, options_.seed + 2),
+      admission_(directory_,
+                 upstream::makeRoutingPolicy(options_.routing_policy, options_.seed + 2),
                  options_.admission),
       ownership_(options_.self.id, options_.ownership),
       weights_(options_.weights),
@@ -190,7 +191,9 @@
   applyAdmission(admission_.onTick(now));
 }
 
-void NodeCore::on(Instant /*now*/, const ModelHeadRead& event) { learnHead(event.head); }
+void NodeCore::on(Instant /*now*/, const ModelHeadRead& event) {
+  learnHead(event.head);
+}
 
 void NodeCore::on(Instant now, const ConfigRead& event) {
   reading_config_ = false;
@@ -203,7 +206,8 @@
   if (config_ready_ || now - started_ < kTableGrace) return;
   // The table is down: take the newest that any peer knows.
   for (const wire::MemberRecord& member : alive_) {
-    if (member.id != options_.self.id) send(member.address, wire::ConfigRequest{config_.revision()});
+    if (member.id != options_.self.id)
+      send(member.address, wire::ConfigRequest{config_.revision()});
   }
 }
 
@@ -318,7 +322,7 @@
   if (stopping_) return;
   stopping_ = true;
   applyAdmission(admission_.stop(now));
-  sendAll(membership_.leave(now, facts()));
+  sendAll(membership_.leave(facts()));
   renewMembers();
 }
 
@@ -366,7 +370,8 @@
 
 void NodeCore::learnFacts(const DaemonId& from, const wire::Digest& digest) {
   for (const wire::ModelHead& head : digest.model_heads) learnHead(head);
-  if (digest.config_revision > config_.revision()) sendTo(from, wire::ConfigRequest{config_.revision()});
+  if (digest.config_revision > config_.revision())
+    sendTo(from, wire::ConfigRequest{config_.revision()});
 }
 
 void NodeCore::applyConfig(const std::vector<wire::ConfigItem>& items, Revision complete_to) {
@@ -385,7 +390,9 @@
   emit(ReadModelHead{trainer->model});
 }
 
-wire::Digest NodeCore::facts() const { return {config_.revision(), weights_.heads(), {}}; }
+wire::Digest NodeCore::facts() const {
+  return {config_.revision(), weights_.heads(), {}};
+}
 
 std::map<ModelName, std::vector<rollout::ZoneCapacity>> NodeCore::capacity(Instant now) const {
   std::map<ModelName, std::vector<rollout::ZoneCapacity>> result;
@@ -397,9 +404,8 @@
     for (const config::TenantTrainer& trainer : version.trainers) {
       auto& zones = result[trainer.model];
       for (const wire::ZoneDigest& digest : directory_.zonesWith(now, trainer.model, 0)) {
-        const bool known = std::any_of(zones.begin(), zones.end(), [&](const auto& zone) {
-          return zone.zone == digest.zone;
-        });
+        const bool known = std::any_of(zones.begin(), zones.end(),
+                                       [&](const auto& zone) { return zone.zone == digest.zone; });
         const wire::PoolDigest* pool = upstream::findPool(digest, trainer.model);
         if (!known) zones.push_back({digest.zone, pool->slots, pool->highest});
       }
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -30,11 +30,13 @@
   rollout::WorkerOptions worker;
   Duration machine_list_period = std::chrono::seconds(2);
   Duration model_head_period = std::chrono::seconds(1);
-  Duration hinted_read_pause = std::chrono::milliseconds(50);  ///< Between reads that pulls hint at.
+  Duration hinted_read_pause =
+      std::chrono::milliseconds(50);  ///< Between reads that pulls hint at.
   Duration config_period = std::chrono::seconds(4);
   Duration zone_load_period = std::chrono::seconds(1);
   Duration zone_digest_period = std::chrono::seconds(1);
-  Duration full_report_period = std::chrono::seconds(3);  ///< Unchanged engines are told this often.
+  Duration full_report_period =
+      std::chrono::seconds(3);  ///< Unchanged engines are told this often.
 };
 
 /// Counts and states for metrics and `status`.
@@ -142,12 +144,12 @@
   rollout::StepCoordinator coordinator_;
   rollout::SampleWorker worker_;
 
-  Effects effects_;                      ///< Of the event being handled.
-  bool config_ready_ = false;            ///< Some source confirmed the configuration.
+  Effects effects_;            ///< Of the event being handled.
+  bool config_ready_ = false;  ///< Some source confirmed the configuration.
   bool stopping_ = false;
   bool reading_config_ = false;
   bool reading_machines_ = false;
-  bool table_answered_ = false;          ///< The table answered since the start.
+  bool table_answered_ = false;  ///< The table answered since the start.
   Instant started_{};
   Instant next_machine_list_{};
   Instant next_model_head_{};
@@ -156,8 +158,8 @@
   Instant next_zone_load_{};
   Instant next_zone_digest_{};
   Instant next_full_report_{};
-  std::map<EngineId, wire::EngineReport> told_;        ///< Reports as last told to the zone.
-  std::map<std::uint64_t, std::uint64_t> pulls_;       ///< Our pull sequences to shell tickets.
+  std::map<EngineId, wire::EngineReport> told_;   ///< Reports as last told to the zone.
+  std::map<std::uint64_t, std::uint64_t> pulls_;  ///< Our pull sequences to shell tickets.
   std::uint64_t next_pull_ = 1;
   /// Live members, all and by zone; renewed whenever membership changes.
   std::vector<wire::MemberRecord> alive_;
--- a/src/node/node_core_receive.cpp
+++ b/src/node/node_core_receive.cpp
@@ -45,8 +45,8 @@
   const auto address = membership_.addressOf(from);
   // Whoever heard it from the other zone passes it on within this one.
   const auto& zone = zoneMembers(options_.self.zone);
-  const bool from_own_zone = std::any_of(
-      zone.begin(), zone.end(), [&](const auto& member) { return member.id == from; });
+  const bool from_own_zone =
+      std::any_of(zone.begin(), zone.end(), [&](const auto& member) { return member.id == from; });
   if (from_own_zone || !address) return;
   for (const wire::MemberRecord& member : zone) {
     if (member.id != options_.self.id) send(member.address, message);
@@ -94,8 +94,7 @@
   coordinateSteps(now);
 }
 
-void NodeCore::receive(Instant /*now*/, const DaemonId& /*from*/,
-                       const wire::PullAnswer& message) {
+void NodeCore::receive(Instant /*now*/, const DaemonId& /*from*/, const wire::PullAnswer& message) {
   const auto ticket = pulls_.find(message.sequence);
   if (ticket == pulls_.end()) return;
   emit(AnswerPull{ticket->second, message.status});
--- a/src/ownership/engine_ownership.cpp
+++ b/src/ownership/engine_ownership.cpp
@@ -23,9 +23,8 @@
   engines_ = std::move(next);
 
   Work work;
-  auto claiming = static_cast<std::size_t>(
-      std::count_if(engines_.begin(), engines_.end(),
-                    [](const auto& entry) { return entry.second.claiming; }));
+  auto claiming = static_cast<std::size_t>(std::count_if(
+      engines_.begin(), engines_.end(), [](const auto& entry) { return entry.second.claiming; }));
   for (auto& [id, assigned] : engines_) {
     if (!assigned.polling && now >= assigned.next_poll) {
       assigned.polling = true;
--- a/src/ownership/engine_ownership.h
+++ b/src/ownership/engine_ownership.h
@@ -23,8 +23,8 @@
 
 struct OwnershipOptions {
   Duration poll_period = std::chrono::seconds(1);
-  Duration claim_backoff = std::chrono::seconds(2);   ///< After a claim that did not succeed.
-  std::size_t claims_at_once = 4;                     ///< Claims under way at most.
+  Duration claim_backoff = std::chrono::seconds(2);  ///< After a claim that did not succeed.
+  std::size_t claims_at_once = 4;                    ///< Claims under way at most.
 };
 
 /// Pure state machine; one owner.
--- a/src/platform/http_call.cpp
+++ b/src/platform/http_call.cpp
@@ -66,7 +66,8 @@
   }
   const int status = result->status;
   if ((status >= 200 && status < 300) || status == kConflictStatus) return *result;
-  return tl::make_unexpected(CallError{failureOfStatus(status), "status " + std::to_string(status)});
+  return tl::make_unexpected(
+      CallError{failureOfStatus(status), "status " + std::to_string(status)});
 }
 
 std::string urlEncode(const std::string& text) {
--- a/src/platform/http_engine_client.cpp
+++ b/src/platform/http_engine_client.cpp
@@ -51,17 +51,20 @@
   AttemptId attempt_;
   const engine::PieceSink& sink_;
   ServerSentEvents events_;
-  bool finished_ = false;    ///< The last piece carried a finish reason.
-  bool complete_ = false;    ///< The end mark followed it.
+  bool finished_ = false;  ///< The last piece carried a finish reason.
+  bool complete_ = false;  ///< The end mark followed it.
   bool cancelled_ = false;
   bool mismatched_ = false;
 };
 
 const char* orderName(engine::FencedOrder::Kind kind) {
   switch (kind) {
-    case engine::FencedOrder::Kind::kPrefetch: return "prefetch";
-    case engine::FencedOrder::Kind::kFlip: return "flip";
-    case engine::FencedOrder::Kind::kAssert: return "assert";
+    case engine::FencedOrder::Kind::kPrefetch:
+      return "prefetch";
+    case engine::FencedOrder::Kind::kFlip:
+      return "flip";
+    case engine::FencedOrder::Kind::kAssert:
+      return "assert";
   }
   return "assert";
 }
@@ -71,19 +74,15 @@
 HttpEngineClient::HttpEngineClient(std::string caller, EngineTimeouts timeouts)
     : caller_(std::move(caller)), timeouts_(timeouts) {}
 
-StreamEnd HttpEngineClient::generate(const std::string& url,
-                                     const engine::GenerateRequest& request,
+StreamEnd HttpEngineClient::generate(const std::string& url, const engine::GenerateRequest& request,
                                      const engine::PieceSink& sink) {
   const ServiceUrl service = parseServiceUrl(url);
   auto client = makeClient(service, timeouts_.generate);
-  const json body = {{"model", request.model.str()},
-                     {"prompt", request.prompt},
-                     {"resume_text", request.resume_text},
-                     {"resume_tokens", request.resume_tokens},
-                     {"max_tokens", request.max_tokens},
-                     {"priority", request.priority},
-                     {"request_id", request.attempt.str()},
-                     {"stream", true}};
+  const json body = {
+      {"model", request.model.str()},        {"prompt", request.prompt},
+      {"resume_text", request.resume_text},  {"resume_tokens", request.resume_tokens},
+      {"max_tokens", request.max_tokens},    {"priority", request.priority},
+      {"request_id", request.attempt.str()}, {"stream", true}};
   StreamFollower follower(request.attempt, sink);
   int status = 0;
   httplib::Request call;
@@ -113,7 +112,7 @@
 void HttpEngineClient::cancel(const std::string& url, const AttemptId& attempt) {
   const ServiceUrl service = parseServiceUrl(url);
   auto client = makeClient(service, timeouts_.control);
-  client.Post((service.path + "/abort").c_str(), {{"X-Caller", caller_}},
+  client.Post(service.path + "/abort", {{"X-Caller", caller_}},
               json{{"request_id", attempt.str()}}.dump(), "application/json");
 }
 
@@ -146,9 +145,8 @@
                      {"token", order.token},
                      {"model", order.model.str()},
                      {"version", order.version}};
-  const auto response = classify(client.Post((service.path + "/orders").c_str(),
-                                             {{"X-Caller", caller_}}, body.dump(),
-                                             "application/json"));
+  const auto response = classify(client.Post(service.path + "/orders", {{"X-Caller", caller_}},
+                                             body.dump(), "application/json"));
   if (!response) return tl::make_unexpected(response.error());
   return response->status == 409 ? OrderOutcome::kFenced : OrderOutcome::kDone;
 }
--- a/src/platform/http_object_store_client.cpp
+++ b/src/platform/http_object_store_client.cpp
@@ -10,9 +10,8 @@
 
 CallResult<void> HttpObjectStoreClient::put(const std::string& key, const std::string& body) {
   auto client = makeClient(url_, timeouts_);
-  const auto response = classify(client.Put("/objects?key=" + urlEncode(key),
-                                            {{"X-Caller", caller_}}, body,
-                                            "application/octet-stream"));
+  const auto response = classify(client.Put(
+      "/objects?key=" + urlEncode(key), {{"X-Caller", caller_}}, body, "application/octet-stream"));
   if (!response) return tl::make_unexpected(response.error());
   return {};
 }
@@ -28,7 +27,7 @@
 CallResult<void> HttpObjectStoreClient::remove(const std::string& key) {
   auto client = makeClient(url_, timeouts_);
   const std::string path = "/objects?key=" + urlEncode(key);
-  const auto response = classify(client.Delete(path.c_str(), {{"X-Caller", caller_}}));
+  const auto response = classify(client.Delete(path, {{"X-Caller", caller_}}));
   if (!response) return tl::make_unexpected(response.error());
   return {};
 }
--- a/src/platform/http_table_client.cpp
+++ b/src/platform/http_table_client.cpp
@@ -39,8 +39,8 @@
     body["puts"].push_back({{"key", put.key}, {"value", put.value}});
   }
   auto client = makeClient(url_, timeouts_);
-  const auto response = classify(client.Post("/table/transact", {{"X-Caller", caller_}},
-                                             body.dump(), "application/json"));
+  const auto response = classify(
+      client.Post("/table/transact", {{"X-Caller", caller_}}, body.dump(), "application/json"));
   return parseAnswer<table::TransactionAnswer>(response, [](const json& answer) {
     table::TransactionAnswer result;
     result.committed = answer.at("committed").get<bool>();
--- a/src/rollout/sample_worker.h
+++ b/src/rollout/sample_worker.h
@@ -15,9 +15,9 @@
 
 struct WorkerOptions {
   Duration progress_period = std::chrono::milliseconds(500);
-  Duration result_period = std::chrono::milliseconds(500);    ///< Between repeats of a result.
-  Duration result_lifetime = std::chrono::seconds(60);        ///< Then the result is dropped.
-  std::size_t capacity = 512;                                 ///< Samples under way at most.
+  Duration result_period = std::chrono::milliseconds(500);  ///< Between repeats of a result.
+  Duration result_lifetime = std::chrono::seconds(60);      ///< Then the result is dropped.
+  std::size_t capacity = 512;                               ///< Samples under way at most.
 };
 
 /// Pure state machine; one owner.
--- a/src/rollout/step_coordinator.cpp
+++ b/src/rollout/step_coordinator.cpp
@@ -40,8 +40,8 @@
   for (const Sample& sample : samples) {
     if (sample.key.index >= step.slots.size()) continue;
     Slot& slot = step.slots[sample.key.index];
-    const bool newer = slot.state != Slot::State::kDone ||
-                       sample.oldestVersion() > slot.sample.oldestVersion();
+    const bool newer =
+        slot.state != Slot::State::kDone || sample.oldestVersion() > slot.sample.oldestVersion();
     if (!newer) continue;
     slot.state = Slot::State::kDone;
     slot.attempt = sample.key.attempt;
@@ -78,7 +78,8 @@
     Step& step = found->second;
     if (state.sample.index >= step.slots.size()) continue;
     Slot& slot = step.slots[state.sample.index];
-    const bool adoptable = slot.state == Slot::State::kWanted && state.sample.attempt >= slot.attempt;
+    const bool adoptable =
+        slot.state == Slot::State::kWanted && state.sample.attempt >= slot.attempt;
     const bool known = slot.state == Slot::State::kRunning && state.sample.attempt == slot.attempt;
     if (!adoptable && !known) continue;
     slot.state = Slot::State::kRunning;
--- a/src/rollout/step_coordinator.h
+++ b/src/rollout/step_coordinator.h
@@ -5,9 +5,9 @@
 /// commits a step when its trainer pulls it.
 ///
 /// The coordinator of a trainer is the live daemon that rendezvous hashing picks. Two daemons may
-/// both believe to be it for a while: that wastes work, but a step's row can be committed only once.
-/// A new coordinator reads the finished samples from the object store and adopts those still being
-/// made from their makers' progress messages.
+/// both believe to be it for a while: that wastes work, but a step's row can be committed only
+/// once. A new coordinator reads the finished samples from the object store and adopts those still
+/// being made from their makers' progress messages.
 
 #include <cstdint>
 #include <map>
@@ -21,9 +21,10 @@
 
 struct CoordinatorOptions {
   Duration silence_limit = std::chrono::milliseconds(2500);  ///< Without progress: sample is lost.
-  Duration adoption_time = std::chrono::milliseconds(1200);  ///< New coordinators wait for progress.
-  Duration refused_pause = std::chrono::milliseconds(200);   ///< Before a refused sample is retried.
-  std::size_t orders_per_tick = 64;                          ///< Bounds bursts of datagrams.
+  Duration adoption_time =
+      std::chrono::milliseconds(1200);                      ///< New coordinators wait for progress.
+  Duration refused_pause = std::chrono::milliseconds(200);  ///< Before a refused sample is retried.
+  std::size_t orders_per_tick = 64;                         ///< Bounds bursts of datagrams.
 };
 
 /// Where samples can be made: a zone with its free slots for the model.
@@ -70,7 +71,7 @@
   struct Work {
     std::vector<ZoneOrder> orders;
     std::vector<CommitOrder> commits;
-    std::vector<StepKey> reads;                ///< Steps whose row is to be read (again).
+    std::vector<StepKey> reads;  ///< Steps whose row is to be read (again).
     std::vector<std::pair<DaemonId, SampleKey>> cancels;
   };
   /// @param capacity per model, of all zones.
@@ -96,18 +97,18 @@
     enum class State { kWanted, kRunning, kDone };
     State state = State::kWanted;
     std::uint32_t attempt = 0;
-    DaemonId maker;               ///< Known from progress.
-    Instant last_heard{};         ///< When ordered or last heard of.
-    Instant not_before{};         ///< Pause before the next order.
-    WeightVersion oldest = 0;     ///< Oldest version so far.
-    Sample sample;                ///< Valid when done.
+    DaemonId maker;            ///< Known from progress.
+    Instant last_heard{};      ///< When ordered or last heard of.
+    Instant not_before{};      ///< Pause before the next order.
+    WeightVersion oldest = 0;  ///< Oldest version so far.
+    Sample sample;             ///< Valid when done.
   };
   struct Step {
     Phase phase = Phase::kUnread;
     StepSpec spec;
     std::uint32_t bound = 0;
     std::vector<Slot> slots;
-    Instant make_after{};         ///< End of the adoption time.
+    Instant make_after{};  ///< End of the adoption time.
     Instant next_read{};
     bool pulled = false;          ///< A trainer is waiting.
     WeightVersion pulled_at = 0;  ///< The version that it named.
@@ -130,8 +131,8 @@
   std::size_t running(const ModelName& model) const;
 
   CoordinatorOptions options_;
-  std::map<StepKey, Step> steps_;                         ///< Steps of this daemon's trainers.
-  std::map<ModelName, WeightVersion> heads_;              ///< Newest weights known.
+  std::map<StepKey, Step> steps_;             ///< Steps of this daemon's trainers.
+  std::map<ModelName, WeightVersion> heads_;  ///< Newest weights known.
   /// The latest step that each trainer pulled, with the version that it named. Each later step is
   /// taken one version later.
   std::map<std::pair<TenantId, TrainerId>, Anchor> anchors_;
--- a/src/rollout/step_types.cpp
+++ b/src/rollout/step_types.cpp
@@ -44,9 +44,12 @@
 
 const char* stateName(StepRow::State state) {
   switch (state) {
-    case StepRow::State::kOpen: return "open";
-    case StepRow::State::kCommitted: return "committed";
-    case StepRow::State::kAcknowledged: return "acknowledged";
+    case StepRow::State::kOpen:
+      return "open";
+    case StepRow::State::kCommitted:
+      return "committed";
+    case StepRow::State::kAcknowledged:
+      return "acknowledged";
   }
   return "open";
 }
@@ -102,31 +105,34 @@
 }
 
 tl::expected<StepSpec, Findings> parseStepSpec(const std::string& place, const std::string& text) {
-  return parseWith<StepSpec>(place, text, [&](const json& object) -> tl::expected<StepSpec, Findings> {
-    StepSpec spec;
-    spec.key = stepFromJson(object);
-    spec.model = ModelName(object.at("model").get<std::string>());
-    spec.max_tokens = object.at("max_tokens").get<std::uint32_t>();
-    Findings findings;
-    for (const json& element : object.at("groups")) {
-      PromptGroup group{element.at("prompt").get<std::string>(),
-                        element.at("samples").get<std::uint32_t>()};
-      if (group.prompt.size() > kMaxPromptBytes) {
-        findings.push_back({place + ".groups", "a prompt is over 24 KiB"});
-      }
-      spec.groups.push_back(std::move(group));
-    }
-    const std::size_t count = spec.sampleCount();
-    if (count == 0 || count > kMaxSamplesPerStep) {
-      findings.push_back({place + ".groups", "must ask for 1 to 8192 samples"});
-    }
-    if (!findings.empty()) return tl::make_unexpected(findings);
-    return spec;
-  });
+  return parseWith<StepSpec>(
+      place, text, [&](const json& object) -> tl::expected<StepSpec, Findings> {
+        StepSpec spec;
+        spec.key = stepFromJson(object);
+        spec.model = ModelName(object.at("model").get<std::string>());
+        spec.max_tokens = object.at("max_tokens").get<std::uint32_t>();
+        Findings findings;
+        for (const json& element : object.at("groups")) {
+          PromptGroup group{element.at("prompt").get<std::string>(),
+                            element.at("samples").get<std::uint32_t>()};
+          if (group.prompt.size() > kMaxPromptBytes) {
+            findings.push_back({place + ".groups", "a prompt is over 24 KiB"});
+          }
+          spec.groups.push_back(std::move(group));
+        }
+        const std::size_t count = spec.sampleCount();
+        if (count == 0 || count > kMaxSamplesPerStep) {
+          findings.push_back({place + ".groups", "must ask for 1 to 8192 samples"});
+        }
+        if (!findings.empty()) return tl::make_unexpected(findings);
+        return spec;
+      });
+}
+
+std::string toJson(const Sample& sample) {
+  return sampleJson(sample).dump();
 }
 
-std::string toJson(const Sample& sample) { return sampleJson(sample).dump(); }
-
 tl::expected<Sample, Findings> parseSample(const std::string& place, const std::string& text) {
   return parseWith<Sample>(place, text, [](const json& object) {
     Sample sample;
@@ -135,8 +141,8 @@
     sample.key.attempt = object.at("attempt").get<std::uint32_t>();
     sample.text = object.at("text").get<std::string>();
     for (const json& piece : object.at("versions")) {
-      sample.pieces.push_back({piece.at("version").get<WeightVersion>(),
-                               piece.at("tokens").get<std::uint32_t>()});
+      sample.pieces.push_back(
+          {piece.at("version").get<WeightVersion>(), piece.at("tokens").get<std::uint32_t>()});
     }
     return sample;
   });
@@ -154,7 +160,9 @@
   return tenant.str() + "/" + trainer.str();
 }
 
-std::string stepRowKey(const StepKey& step) { return "step/" + stepPath(step); }
+std::string stepRowKey(const StepKey& step) {
+  return "step/" + stepPath(step);
+}
 
 std::string trainerRowKey(const StepKey& step) {
   return "trainer/" + trainerKey(step.tenant, step.trainer);
@@ -164,7 +172,9 @@
   return "spec/" + stepPath(step) + "/" + attempt.str();
 }
 
-std::string sampleObjectPrefix(const StepKey& step) { return "sample/" + stepPath(step) + "/"; }
+std::string sampleObjectPrefix(const StepKey& step) {
+  return "sample/" + stepPath(step) + "/";
+}
 
 std::string sampleObjectKey(const SampleKey& sample, const AttemptId& attempt) {
   return sampleObjectPrefix(sample.step) + std::to_string(sample.index) + "." +
--- a/src/rollout/step_types.h
+++ b/src/rollout/step_types.h
@@ -72,11 +72,11 @@
   enum class State { kOpen, kCommitted, kAcknowledged };
   State state = State::kOpen;
   std::string spec_object;
-  std::string spec_hash;           ///< To tell a repeated submission from a different one.
-  std::string batch_object;        ///< Set when committed.
+  std::string spec_hash;              ///< To tell a repeated submission from a different one.
+  std::string batch_object;           ///< Set when committed.
   WeightVersion trainer_version = 0;  ///< Version that the trainer named when committed.
   WeightVersion oldest_version = 0;   ///< Oldest version among the batch's samples.
-  AttemptId attempt;               ///< Of the latest write.
+  AttemptId attempt;                  ///< Of the latest write.
 };
 std::string toJson(const StepRow& row);
 tl::expected<StepRow, Findings> parseStepRow(const std::string& place, const std::string& text);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -20,16 +20,16 @@
   DaemonId id;
   ZoneName zone;
   RegionName region;
-  Address http;                 ///< Callers and operators.
-  Address control;              ///< Other daemons, by datagram.
-  Address advertise;            ///< Where other daemons send to; `control` unless a relay is between.
-  Address platform;             ///< The platform's services.
-  std::string secret;           ///< Authenticates frames between daemons.
-  std::string operator_key;     ///< Bearer key of operators.
+  Address http;              ///< Callers and operators.
+  Address control;           ///< Other daemons, by datagram.
+  Address advertise;         ///< Where other daemons send to; `control` unless a relay is between.
+  Address platform;          ///< The platform's services.
+  std::string secret;        ///< Authenticates frames between daemons.
+  std::string operator_key;  ///< Bearer key of operators.
   std::string log_level = "info";
   std::string routing_policy = "corrected-load";
-  std::uint32_t max_streams = 512;          ///< HTTP connections served at once.
-  std::uint32_t max_body_kib = 1024;        ///< Largest request body.
+  std::uint32_t max_streams = 512;                  ///< HTTP connections served at once.
+  std::uint32_t max_body_kib = 1024;                ///< Largest request body.
   Duration drain_limit = std::chrono::seconds(30);  ///< A planned stop waits this long at most.
 };
 
--- a/src/settings/toml_reader.cpp
+++ b/src/settings/toml_reader.cpp
@@ -1,8 +1,9 @@
 #include "settings/toml_reader.h"
 
+#include <toml++/toml.h>
+
 #include <algorithm>
 #include <charconv>
-#include <toml++/toml.h>
 
 namespace linenpier::settings {
 
--- a/src/standin/engine_sim.cpp
+++ b/src/standin/engine_sim.cpp
@@ -13,8 +13,8 @@
 constexpr std::size_t kCachedPrefixes = 64;
 constexpr std::size_t kEventsKept = 512;
 constexpr std::size_t kPrefixBytes = 256;
-constexpr double kEventLoss = 0.1;              ///< Share of cache events that are never published.
-constexpr double kBatchSlowdown = 0.5;          ///< A full batch makes each token this much slower.
+constexpr double kEventLoss = 0.1;      ///< Share of cache events that are never published.
+constexpr double kBatchSlowdown = 0.5;  ///< A full batch makes each token this much slower.
 constexpr double kSlowFactor = 5;
 constexpr auto kLeavingGrace = std::chrono::seconds(3);
 constexpr std::size_t kLoadHistory = 400;
@@ -48,8 +48,7 @@
 std::vector<engine::Piece> EngineSim::take(const SequenceSharedPtr& sequence, Duration limit,
                                            bool& ended, bool& broken) {
   std::unique_lock lock(mutex_);
-  changed_.wait_for(lock, limit,
-                    [&] { return !sequence->pieces.empty() || sequence->ended; });
+  changed_.wait_for(lock, limit, [&] { return !sequence->pieces.empty() || sequence->ended; });
   std::vector<engine::Piece> pieces(sequence->pieces.begin(), sequence->pieces.end());
   sequence->pieces.clear();
   ended = sequence->ended;
--- a/src/standin/engine_sim.h
+++ b/src/standin/engine_sim.h
@@ -27,15 +27,15 @@
 struct Sequence {
   std::string attempt;
   std::string prompt;
-  std::uint32_t position = 0;       ///< Tokens generated so far, resumed ones included.
-  std::uint32_t length = 0;         ///< Tokens of the whole answer.
+  std::uint32_t position = 0;  ///< Tokens generated so far, resumed ones included.
+  std::uint32_t length = 0;    ///< Tokens of the whole answer.
   int priority = 0;
-  std::uint64_t order = 0;          ///< Arrival order.
-  double credit = 0;                ///< Share of the next token already worked off.
+  std::uint64_t order = 0;  ///< Arrival order.
+  double credit = 0;        ///< Share of the next token already worked off.
   bool running = false;
-  bool ended = false;               ///< No further pieces.
-  bool broken = false;              ///< Ended by a crash or a cancellation.
-  std::deque<engine::Piece> pieces; ///< Generated and not yet taken.
+  bool ended = false;                ///< No further pieces.
+  bool broken = false;               ///< Ended by a crash or a cancellation.
+  std::deque<engine::Piece> pieces;  ///< Generated and not yet taken.
 };
 using SequenceSharedPtr = std::shared_ptr<Sequence>;
 
@@ -43,7 +43,7 @@
 struct CacheEvent {
   std::uint64_t number = 0;
   std::uint64_t prefix_hash = 0;
-  bool stored = true;               ///< False: evicted.
+  bool stored = true;  ///< False: evicted.
 };
 
 enum class OrderAnswer { kDone, kFenced, kFailed };
@@ -91,18 +91,18 @@
   const EnginePool pool_;
   const StoreLimits limits_;
   Faults& faults_;
-  mutable std::mutex mutex_;                 ///< Guards all members below.
-  std::condition_variable changed_;          ///< Pieces came or an order may go on.
+  mutable std::mutex mutex_;         ///< Guards all members below.
+  std::condition_variable changed_;  ///< Pieces came or an order may go on.
   Random random_;
   std::map<std::string, SequenceSharedPtr> sequences_;  ///< By attempt; waiting and running.
   std::uint64_t next_order_ = 1;
   WeightVersion version_ = 1;
   WeightVersion prefetched_ = 0;
   FencingToken highest_token_ = 0;
-  double swap_left_ms_ = 0;                  ///< The engine is paused while this is positive.
+  double swap_left_ms_ = 0;  ///< The engine is paused while this is positive.
   bool down_ = false;
   std::optional<Instant> leaving_since_;
-  std::list<std::uint64_t> cached_prefixes_; ///< Most recently used first.
+  std::list<std::uint64_t> cached_prefixes_;  ///< Most recently used first.
   std::uint64_t next_event_ = 1;
   std::deque<CacheEvent> events_;
   std::deque<std::pair<Instant, wire::EngineReport>> load_history_;
--- a/src/standin/faults.h
+++ b/src/standin/faults.h
@@ -50,7 +50,7 @@
   mutable std::mutex mutex_;  ///< Guards all members below.
   Random random_;
   std::string store_mode_ = "up";
-  double store_probability_ = 1.0;   ///< Share of the calls that the mode hits.
+  double store_probability_ = 1.0;  ///< Share of the calls that the mode hits.
   double store_delay_ms_ = 0;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::map<std::string, EngineMode> engine_modes_;
--- a/src/standin/platform_server.cpp
+++ b/src/standin/platform_server.cpp
@@ -77,11 +77,13 @@
   registerControl();
 }
 
-PlatformServer::~PlatformServer() { stop(); }
+PlatformServer::~PlatformServer() {
+  stop();
+}
 
 tl::expected<void, Findings> PlatformServer::start() {
   if (const auto relay = relay_.start(); !relay) return tl::make_unexpected(relay.error());
-  if (!server_.bind_to_port(ipText(topology_.listen).c_str(), topology_.listen.port)) {
+  if (!server_.bind_to_port(ipText(topology_.listen), topology_.listen.port)) {
     return tl::make_unexpected(
         Findings{{"HTTP address " + toString(topology_.listen), "cannot be bound"}});
   }
@@ -144,9 +146,8 @@
     });
   });
   server_.Get("/table/row", [this, usual](const Request& request, Response& response) {
-    storeCall("table", table_rate_, usual, request, response, [&] {
-      answer(response, 200, rowJson(table_.read(request.get_param_value("key"))));
-    });
+    storeCall("table", table_rate_, usual, request, response,
+              [&] { answer(response, 200, rowJson(table_.read(request.get_param_value("key")))); });
   });
   server_.Get("/table/rows", [this, usual](const Request& request, Response& response) {
     storeCall("table", table_rate_, usual, request, response, [&] {
@@ -181,9 +182,8 @@
     });
   });
   server_.Get("/objects/list", [this, usual](const Request& request, Response& response) {
-    storeCall("objects", object_rate_, usual, request, response, [&] {
-      answer(response, 200, objects_.list(request.get_param_value("prefix")));
-    });
+    storeCall("objects", object_rate_, usual, request, response,
+              [&] { answer(response, 200, objects_.list(request.get_param_value("prefix"))); });
   });
 }
 
@@ -368,9 +368,12 @@
   if (!body.is_object()) return answer(response, 400, {{"error", "not an object"}});
   switch (engine.order(body.value("kind", ""), body.value("token", FencingToken{0}),
                        body.value("version", WeightVersion{0}))) {
-    case OrderAnswer::kDone: return answer(response, 200, {{"done", true}});
-    case OrderAnswer::kFenced: return answer(response, 409, {{"error", "fenced"}});
-    case OrderAnswer::kFailed: return answer(response, 500, {{"error", "failed"}});
+    case OrderAnswer::kDone:
+      return answer(response, 200, {{"done", true}});
+    case OrderAnswer::kFenced:
+      return answer(response, 409, {{"error", "fenced"}});
+    case OrderAnswer::kFailed:
+      return answer(response, 500, {{"error", "failed"}});
   }
 }
 
--- a/src/standin/relay.cpp
+++ b/src/standin/relay.cpp
@@ -32,7 +32,9 @@
   }
 }
 
-Relay::~Relay() { stop(); }
+Relay::~Relay() {
+  stop();
+}
 
 tl::expected<void, Findings> Relay::start() {
   for (const ListedDaemon& daemon : daemons_) {
--- a/src/standin/relay.h
+++ b/src/standin/relay.h
@@ -26,7 +26,7 @@
 
   std::vector<ListedDaemon> daemons_;
   Faults& faults_;
-  std::vector<int> sockets_;   ///< By position in `daemons_`.
+  std::vector<int> sockets_;  ///< By position in `daemons_`.
   std::thread thread_;
   std::atomic<bool> stopping_{false};
 };
--- a/src/standin/store.h
+++ b/src/standin/store.h
@@ -21,9 +21,9 @@
   bool allow(Instant now);
 
  private:
-  std::mutex mutex_;   ///< Guards the members below.
+  std::mutex mutex_;  ///< Guards the members below.
   double per_second_;
-  double tokens_;      ///< Calls that may be made now; at most one second's worth.
+  double tokens_;  ///< Calls that may be made now; at most one second's worth.
   Instant last_{};
 };
 
@@ -36,9 +36,9 @@
   std::uint64_t writes() const;
 
  private:
-  mutable std::mutex mutex_;              ///< Guards the members below.
+  mutable std::mutex mutex_;  ///< Guards the members below.
   std::map<std::string, table::Row> rows_;
-  Revision next_revision_ = 1;            ///< Grows with every committed transaction.
+  Revision next_revision_ = 1;  ///< Grows with every committed transaction.
 };
 
 /// Thread-safe.
--- a/src/standin/token_text.cpp
+++ b/src/standin/token_text.cpp
@@ -46,6 +46,8 @@
   return std::clamp(length, 1U, max_tokens);
 }
 
-std::string onceId(const std::string& prompt) { return field(prompt, "once="); }
+std::string onceId(const std::string& prompt) {
+  return field(prompt, "once=");
+}
 
 }  // namespace linenpier::standin
--- a/src/standin/topology.cpp
+++ b/src/standin/topology.cpp
@@ -58,8 +58,8 @@
     readArray(root, "daemon", file, findings,
               [&](TableReader& reader) { topology.daemons.push_back(readDaemon(reader)); });
   } catch (const toml::parse_error& error) {
-    findings.push_back({file + ":" + std::to_string(error.source().begin.line),
-                        std::string(error.description())});
+    findings.push_back(
+        {file + ":" + std::to_string(error.source().begin.line), std::string(error.description())});
   }
   if (!findings.empty()) return tl::make_unexpected(findings);
   return topology;
--- a/src/standin/topology.h
+++ b/src/standin/topology.h
@@ -20,27 +20,27 @@
   ZoneName zone;
   std::uint32_t count = 1;
   std::uint32_t slots = 8;
-  double token_ms = 10;        ///< Time for one token with an empty batch.
-  double prefill_ms = 20;      ///< Time to the first token without a cached prefix.
-  double swap_ms = 150;        ///< Pause of a flip.
+  double token_ms = 10;    ///< Time for one token with an empty batch.
+  double prefill_ms = 20;  ///< Time to the first token without a cached prefix.
+  double swap_ms = 150;    ///< Pause of a flip.
 };
 
 struct ListedDaemon {
   DaemonId id;
   ZoneName zone;
   RegionName region;
-  Address control;             ///< The daemon's own socket.
-  Address relay;               ///< Where the stand-in takes its datagrams, to be able to cut zones.
+  Address control;  ///< The daemon's own socket.
+  Address relay;    ///< Where the stand-in takes its datagrams, to be able to cut zones.
 };
 
 struct StoreLimits {
-  double table_ms = 5;         ///< Time of one table call.
-  double table_rate = 200;     ///< Table calls per second; more are refused.
+  double table_ms = 5;      ///< Time of one table call.
+  double table_rate = 200;  ///< Table calls per second; more are refused.
   double object_ms = 3;
   double object_rate = 1000;
-  double prefetch_ms = 300;    ///< Time to load one version from the weight store.
-  double list_lag_ms = 1500;   ///< How far the machine list lags behind.
-  double load_lag_ms = 300;    ///< How far engines' load reports lag behind.
+  double prefetch_ms = 300;   ///< Time to load one version from the weight store.
+  double list_lag_ms = 1500;  ///< How far the machine list lags behind.
+  double load_lag_ms = 300;   ///< How far engines' load reports lag behind.
 };
 
 struct Topology {
--- a/src/table/conditional_write.cpp
+++ b/src/table/conditional_write.cpp
@@ -14,10 +14,9 @@
     revision_ = answer.revision;
     return WriteAction::kDone;
   }
-  const auto own = std::find_if(answer.conflicts.begin(), answer.conflicts.end(),
-                                [this](const Row& row) {
-                                  return row.value.find(attempt_.str()) != std::string::npos;
-                                });
+  const auto own = std::find_if(
+      answer.conflicts.begin(), answer.conflicts.end(),
+      [this](const Row& row) { return row.value.find(attempt_.str()) != std::string::npos; });
   if (own != answer.conflicts.end()) {
     outcome_ = WriteOutcome::kCommitted;
     revision_ = own->revision;
--- a/src/table/conditional_write.h
+++ b/src/table/conditional_write.h
@@ -47,8 +47,8 @@
   int tries_left_;                 ///< Further tries allowed.
   bool possibly_applied_ = false;  ///< Some try may have taken effect.
   WriteOutcome outcome_ = WriteOutcome::kUnknown;
-  Revision revision_ = 0;          ///< Revision of our row, once committed.
-  std::vector<Row> conflicts_;     ///< From the failed check.
+  Revision revision_ = 0;       ///< Revision of our row, once committed.
+  std::vector<Row> conflicts_;  ///< From the failed check.
 };
 
 /// Result of a whole conditional write.
--- a/src/table/table_client.h
+++ b/src/table/table_client.h
@@ -41,8 +41,8 @@
 /// The service's answer to a transaction it has processed.
 struct TransactionAnswer {
   bool committed = false;
-  Revision revision = 0;      ///< Revision given to every row written, if committed.
-  std::vector<Row> conflicts; ///< The rows whose check failed, as they are, if not committed.
+  Revision revision = 0;       ///< Revision given to every row written, if committed.
+  std::vector<Row> conflicts;  ///< The rows whose check failed, as they are, if not committed.
 };
 
 /// Blocking client; every call may take as long as its timeout. Thread-safe.
--- a/src/upstream/engine_directory.cpp
+++ b/src/upstream/engine_directory.cpp
@@ -76,8 +76,8 @@
   ++engine.failures;
   if (engine.failures < options_.breaker_threshold) return;
   const int doublings = std::min(engine.failures - options_.breaker_threshold, 5);
-  const Duration open_time = std::min(options_.breaker_time * (1 << doublings),
-                                      options_.breaker_limit);
+  const Duration open_time =
+      std::min(options_.breaker_time * (1 << doublings), options_.breaker_limit);
   engine.open_until = now + open_time;
 }
 
--- a/src/upstream/engine_directory.h
+++ b/src/upstream/engine_directory.h
@@ -27,16 +27,16 @@
 /// Everything known of one engine.
 struct EngineState {
   EngineSeed seed;
-  wire::EngineReport report;         ///< As last heard; lags.
-  Instant reported_at{};             ///< When `report` was heard.
-  bool reported = false;             ///< Whether any report was heard.
-  std::uint32_t in_flight = 0;       ///< Streams of this daemon on the engine now.
-  std::uint32_t started_since = 0;   ///< Streams that this daemon started since the report.
-  std::uint32_t ended_since = 0;     ///< Streams that ended since the report.
-  int failures = 0;                  ///< Consecutive failures, for the circuit breaker.
+  wire::EngineReport report;            ///< As last heard; lags.
+  Instant reported_at{};                ///< When `report` was heard.
+  bool reported = false;                ///< Whether any report was heard.
+  std::uint32_t in_flight = 0;          ///< Streams of this daemon on the engine now.
+  std::uint32_t started_since = 0;      ///< Streams that this daemon started since the report.
+  std::uint32_t ended_since = 0;        ///< Streams that ended since the report.
+  int failures = 0;                     ///< Consecutive failures, for the circuit breaker.
   WeightVersion confirmed_version = 0;  ///< From the engine's answer to an order.
-  Instant confirmed_at{};            ///< When it was confirmed.
-  Instant open_until{};              ///< The circuit breaker admits nothing before this.
+  Instant confirmed_at{};               ///< When it was confirmed.
+  Instant open_until{};                 ///< The circuit breaker admits nothing before this.
 
   /// @return the reported load, corrected by what this daemon did since the report.
   double expectedLoad() const;
@@ -44,11 +44,11 @@
 };
 
 struct DirectoryOptions {
-  Duration report_lifetime = std::chrono::seconds(6);   ///< Older reports make an engine unusable.
+  Duration report_lifetime = std::chrono::seconds(6);  ///< Older reports make an engine unusable.
   Duration digest_lifetime = std::chrono::seconds(15);
-  Duration report_lag = std::chrono::seconds(2);        ///< Reports may be this much behind.
-  int breaker_threshold = 2;         ///< Failures in a row that open the breaker.
-  Duration breaker_time = std::chrono::seconds(2);      ///< First opening; doubles with failures.
+  Duration report_lag = std::chrono::seconds(2);    ///< Reports may be this much behind.
+  int breaker_threshold = 2;                        ///< Failures in a row that open the breaker.
+  Duration breaker_time = std::chrono::seconds(2);  ///< First opening; doubles with failures.
   Duration breaker_limit = std::chrono::seconds(30);
 };
 
--- a/src/upstream/request_driver.h
+++ b/src/upstream/request_driver.h
@@ -48,11 +48,11 @@
  private:
   bool repeatable_;
   int tries_left_;
-  bool sent_ = false;        ///< Some engine may have begun the request.
+  bool sent_ = false;  ///< Some engine may have begun the request.
   bool complete_ = false;
   EngineId current_;
   std::vector<EngineId> failed_;
-  std::string text_;         ///< All text so far, over all tries.
+  std::string text_;  ///< All text so far, over all tries.
   std::uint32_t tokens_ = 0;
   std::vector<wire::VersionPiece> pieces_;
 };
--- a/src/upstream/routing_policy.cpp
+++ b/src/upstream/routing_policy.cpp
@@ -67,7 +67,8 @@
     if (candidates.empty()) return std::nullopt;
     std::vector<ScoredEngine> scores;
     for (const EngineState* engine : candidates) {
-      scores.push_back({engine->seed.id, relative(reportedLoad(*engine), *engine), "reported load"});
+      scores.push_back(
+          {engine->seed.id, relative(reportedLoad(*engine), *engine), "reported load"});
     }
     return chooseLowest(std::move(scores));
   }
@@ -84,7 +85,8 @@
     std::vector<ScoredEngine> scores;
     for (int draw = 0; draw < 2; ++draw) {
       const EngineState& engine = *candidates[random_.below(candidates.size())];
-      scores.push_back({engine.seed.id, relative(reportedLoad(engine), engine), "one of two drawn"});
+      scores.push_back(
+          {engine.seed.id, relative(reportedLoad(engine), engine), "one of two drawn"});
     }
     return chooseLowest(std::move(scores));
   }
@@ -122,7 +124,8 @@
   const char* name() const override { return "corrected-load"; }
 
  private:
-  static constexpr double kAffinityBonus = 0.15;  ///< Share of a batch that a cached prefix is worth.
+  static constexpr double kAffinityBonus =
+      0.15;  ///< Share of a batch that a cached prefix is worth.
   static constexpr double kSpread = 0.05;
 
   static const EngineState* preferredFor(const Candidates& candidates,
--- a/src/weights/weight_rollout.h
+++ b/src/weights/weight_rollout.h
@@ -17,7 +17,7 @@
 
 struct WeightRolloutOptions {
   std::size_t prefetches_at_once = 4;  ///< Per daemon; the weight store's rate is shared.
-  std::size_t flips_at_once = 1;       ///< Per daemon and serving model: its pool never stops whole.
+  std::size_t flips_at_once = 1;  ///< Per daemon and serving model: its pool never stops whole.
   Duration retry_pause = std::chrono::milliseconds(500);
   Duration report_lag = std::chrono::seconds(3);  ///< Until reports show what an order did.
 };
@@ -49,13 +49,13 @@
 
  private:
   struct Progress {
-    bool busy = false;               ///< An order is under way.
+    bool busy = false;  ///< An order is under way.
     engine::FencedOrder::Kind kind = engine::FencedOrder::Kind::kAssert;
     ModelName model;
-    WeightVersion prefetched = 0;    ///< Confirmed by our own orders; reports lag behind.
+    WeightVersion prefetched = 0;  ///< Confirmed by our own orders; reports lag behind.
     WeightVersion flipped = 0;
-    Instant confirmed_at{};          ///< When the two above were last set.
-    Instant not_before{};            ///< Pause after a failure.
+    Instant confirmed_at{};  ///< When the two above were last set.
+    Instant not_before{};    ///< Pause after a failure.
   };
   std::size_t busyWith(engine::FencedOrder::Kind kind, const ModelName& model) const;
 
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -62,11 +62,16 @@
 
 const char* frameErrorName(FrameError error) {
   switch (error) {
-    case FrameError::kTooLarge: return "too-large";
-    case FrameError::kTruncated: return "truncated";
-    case FrameError::kBadMagic: return "bad-magic";
-    case FrameError::kForged: return "forged";
-    case FrameError::kMalformed: return "malformed";
+    case FrameError::kTooLarge:
+      return "too-large";
+    case FrameError::kTruncated:
+      return "truncated";
+    case FrameError::kBadMagic:
+      return "bad-magic";
+    case FrameError::kForged:
+      return "forged";
+    case FrameError::kMalformed:
+      return "malformed";
   }
   return "unknown";
 }
@@ -102,8 +107,7 @@
     return tl::make_unexpected(FrameError::kForged);
   }
   try {
-    boost::iostreams::stream<boost::iostreams::array_source> stream(payload.data(),
-                                                                    payload.size());
+    boost::iostreams::stream<boost::iostreams::array_source> stream(payload.data(), payload.size());
     boost::archive::binary_iarchive archive(stream, boost::archive::no_header);
     Envelope envelope;
     std::uint8_t index = 0;
--- a/src/wire/frame_codec.h
+++ b/src/wire/frame_codec.h
@@ -20,11 +20,11 @@
 constexpr std::size_t kFrameHeaderBytes = 24;
 
 enum class FrameError {
-  kTooLarge,    ///< Over kMaxFrameBytes.
-  kTruncated,   ///< Shorter than its header says.
-  kBadMagic,    ///< Not one of our frames.
-  kForged,      ///< The authentication code does not match.
-  kMalformed,   ///< Authentic, but the payload cannot be read.
+  kTooLarge,   ///< Over kMaxFrameBytes.
+  kTruncated,  ///< Shorter than its header says.
+  kBadMagic,   ///< Not one of our frames.
+  kForged,     ///< The authentication code does not match.
+  kMalformed,  ///< Authentic, but the payload cannot be read.
 };
 
 /// @return a short name for logs and metrics.
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -14,13 +14,13 @@
 #include "common/ids.h"
 
 /// Gives a message type the compact wire form: no class header, no object tracking.
-#define LINENPIER_WIRE_TYPE(type)                                            \
+#define LINENPIER_WIRE_TYPE(type)                                             \
   BOOST_CLASS_IMPLEMENTATION(type, boost::serialization::object_serializable) \
   BOOST_CLASS_TRACKING(type, boost::serialization::track_never)
 
 /// Serializes the named members in order.
-#define LINENPIER_WIRE_FIELDS(...)                      \
-  template <typename Archive>                           \
+#define LINENPIER_WIRE_FIELDS(...)                         \
+  template <typename Archive>                              \
   void serialize(Archive& archive, unsigned /*version*/) { \
     ::linenpier::wire::serializeAll(archive, __VA_ARGS__); \
   }
@@ -39,7 +39,7 @@
 /// incarnation a worse status overrides a better one.
 struct MemberRecord {
   DaemonId id;
-  Address address;          ///< Where it takes datagrams.
+  Address address;  ///< Where it takes datagrams.
   ZoneName zone;
   RegionName region;
   std::uint64_t incarnation = 0;  ///< Raised only by the member itself.
@@ -86,12 +86,12 @@
 /// The state of one engine as its owner last read it.
 struct EngineReport {
   EngineId engine;
-  std::uint32_t running = 0;            ///< Sequences in the engine's batch.
-  std::uint32_t waiting = 0;            ///< Sequences queued inside the engine.
-  std::uint32_t slots = 0;              ///< Sequences the engine batches at most.
-  WeightVersion version = 0;            ///< Weights in use.
-  WeightVersion prefetched = 0;         ///< Newest weights loaded beside them.
-  bool leaving = false;                 ///< The engine asked for no new work.
+  std::uint32_t running = 0;     ///< Sequences in the engine's batch.
+  std::uint32_t waiting = 0;     ///< Sequences queued inside the engine.
+  std::uint32_t slots = 0;       ///< Sequences the engine batches at most.
+  WeightVersion version = 0;     ///< Weights in use.
+  WeightVersion prefetched = 0;  ///< Newest weights loaded beside them.
+  bool leaving = false;          ///< The engine asked for no new work.
   LINENPIER_WIRE_FIELDS(engine, running, waiting, slots, version, prefetched, leaving)
 };
 
@@ -105,10 +105,10 @@
 struct PoolDigest {
   ModelName model;
   std::uint32_t engines = 0;
-  std::uint32_t slots = 0;        ///< Sum of slots.
-  std::uint32_t busy = 0;         ///< Sum of running and waiting sequences.
-  WeightVersion lowest = 0;       ///< Oldest version held.
-  WeightVersion highest = 0;      ///< Newest version held.
+  std::uint32_t slots = 0;    ///< Sum of slots.
+  std::uint32_t busy = 0;     ///< Sum of running and waiting sequences.
+  WeightVersion lowest = 0;   ///< Oldest version held.
+  WeightVersion highest = 0;  ///< Newest version held.
   LINENPIER_WIRE_FIELDS(model, engines, slots, busy, lowest, highest)
 };
 
@@ -131,8 +131,8 @@
 
 struct PlacementAnswer {
   std::uint64_t sequence = 0;
-  EngineId engine;       ///< Empty: no capacity.
-  std::string url;       ///< Base URL of the engine.
+  EngineId engine;  ///< Empty: no capacity.
+  std::string url;  ///< Base URL of the engine.
   LINENPIER_WIRE_FIELDS(sequence, engine, url)
 };
 
@@ -144,9 +144,9 @@
 
 /// One template or tenant as stored.
 struct ConfigItem {
-  std::string key;         ///< "template/NAME" or "tenant/NAME".
-  Revision revision = 0;   ///< Configuration revision of its last change.
-  std::string document;    ///< JSON; empty if deleted.
+  std::string key;        ///< "template/NAME" or "tenant/NAME".
+  Revision revision = 0;  ///< Configuration revision of its last change.
+  std::string document;   ///< JSON; empty if deleted.
   LINENPIER_WIRE_FIELDS(key, revision, document)
 };
 
@@ -219,8 +219,8 @@
 
 struct SampleState {
   SampleKey sample;
-  std::uint32_t tokens = 0;      ///< Tokens so far.
-  WeightVersion oldest = 0;      ///< Oldest version among them; 0 before the first token.
+  std::uint32_t tokens = 0;  ///< Tokens so far.
+  WeightVersion oldest = 0;  ///< Oldest version among them; 0 before the first token.
   LINENPIER_WIRE_FIELDS(sample, tokens, oldest)
 };
 
--- a/tests/admission/admission_controller_test.cpp
+++ b/tests/admission/admission_controller_test.cpp
@@ -112,8 +112,8 @@
   for (int i = 0; i < 1000; ++i) {
     const std::string id = std::to_string(i);
     fixture.admission.submit(kStart, Fixture::ticket("first" + id, 1000000), 100000);
-    allowed += placed(
-        fixture.admission.resubmit(kStart, Fixture::ticket("again" + id, 1000000), 100000));
+    allowed +=
+        placed(fixture.admission.resubmit(kStart, Fixture::ticket("again" + id, 1000000), 100000));
   }
   cr_assert_leq(allowed, 111);
   cr_assert_geq(allowed, 100);
--- a/tests/config/config_state_test.cpp
+++ b/tests/config/config_state_test.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 wire::ConfigItem templateItem(const std::string& name, Revision revision, int priority) {
-  return {"template/" + name, revision,
-          R"({"name":")" + name + R"(","kind":"serving","priority":)" + std::to_string(priority) +
-              "}"};
+  return {
+      "template/" + name, revision,
+      R"({"name":")" + name + R"(","kind":"serving","priority":)" + std::to_string(priority) + "}"};
 }
 
 }  // namespace
--- a/tests/config/documents_test.cpp
+++ b/tests/config/documents_test.cpp
@@ -31,8 +31,8 @@
 }
 
 Test(documents, a_tenant_must_list_the_models_of_its_trainers) {
-  const auto parsed = config::parseTenant(
-      "t", R"({"name":"firm","trainers":[{"trainer":"w","model":"missing"}]})");
+  const auto parsed =
+      config::parseTenant("t", R"({"name":"firm","trainers":[{"trainer":"w","model":"missing"}]})");
   cr_assert_not(parsed.has_value());
   cr_assert(mentions(parsed.error(), "t.trainers"));
 }
--- a/tests/intent/intent_row_test.cpp
+++ b/tests/intent/intent_row_test.cpp
@@ -3,9 +3,9 @@
 #include <criterion/criterion.h>
 
 using namespace linenpier;
+using intent::decideIntent;
 using intent::IntentRow;
 using intent::IntentState;
-using intent::decideIntent;
 using intent::IntentVerdict;
 using table::WriteOutcome;
 
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -120,7 +120,7 @@
 Test(membership, a_member_that_leaves_is_gone_at_once) {
   Network network(6);
   network.run(30);
-  for (const auto& message : network.node(2).leave(Instant{}, {})) {
+  for (const auto& message : network.node(2).leave({})) {
     if (message.to.port != 1000) continue;
     const auto& probe = std::get<wire::Probe>(message.message);
     network.node(0).onProbe(Instant{}, DaemonId("d102"), probe, {});
--- a/tests/ownership/engine_ownership_test.cpp
+++ b/tests/ownership/engine_ownership_test.cpp
@@ -29,7 +29,8 @@
 
 Test(engine_ownership, every_engine_has_exactly_one_owner_and_survivors_keep_theirs) {
   std::vector<EngineOwnership> owners;
-  for (int i = 0; i < 4; ++i) owners.emplace_back(DaemonId("d" + std::to_string(i)), ownership::OwnershipOptions{});
+  for (int i = 0; i < 4; ++i)
+    owners.emplace_back(DaemonId("d" + std::to_string(i)), ownership::OwnershipOptions{});
   const auto all = engines(40);
   std::map<EngineId, int> before;
   for (int i = 0; i < 4; ++i) {
--- a/tests/rollout/sample_worker_test.cpp
+++ b/tests/rollout/sample_worker_test.cpp
@@ -10,7 +10,9 @@
 const wire::SampleKey kKey{{TenantId("t"), TrainerId("r"), 1}, 0, 0};
 constexpr Instant kStart{std::chrono::seconds(10)};
 
-wire::SampleOrder order(const wire::SampleKey& key) { return {key, ModelName("m"), 0, 10, "p"}; }
+wire::SampleOrder order(const wire::SampleKey& key) {
+  return {key, ModelName("m"), 0, 10, "p"};
+}
 
 }  // namespace
 
--- a/tests/weights/weight_rollout_test.cpp
+++ b/tests/weights/weight_rollout_test.cpp
@@ -85,7 +85,8 @@
   for (const bool serving : {true, false}) {
     Fixture fixture(4);
     fixture.rollout.onHead({kModel, 2});
-    const std::set<ModelName> models = serving ? std::set<ModelName>{kModel} : std::set<ModelName>{};
+    const std::set<ModelName> models =
+        serving ? std::set<ModelName>{kModel} : std::set<ModelName>{};
     for (const auto& due : fixture.tick(kStart, models)) {
       fixture.rollout.onOrderDone(kStart, due.engine, due.order, OrderOutcome::kDone);
     }
