--- a/src/node/node_core_receive.cpp
+++ b/src/node/node_core_receive.cpp
@@ -40,16 +40,13 @@
   applyAdmission(admission_.onTick(now));
 }
 
-void NodeCore::receive(Instant now, const DaemonId& from, const wire::ZoneDigest& message) {
+void NodeCore::receive(Instant now, const DaemonId& /*from*/, const wire::ZoneDigest& message) {
   directory_.onZoneDigest(now, message);
-  const auto address = membership_.addressOf(from);
-  // Whoever heard it from the other zone passes it on within this one.
-  const auto& zone = zoneMembers(options_.self.zone);
-  const bool from_own_zone =
-      std::any_of(zone.begin(), zone.end(), [&](const auto& member) { return member.id == from; });
-  if (from_own_zone || !address) return;
-  for (const wire::MemberRecord& member : zone) {
-    if (member.id != options_.self.id) send(member.address, message);
+  if (message.relayed || message.zone == options_.self.zone) return;
+  wire::ZoneDigest copy = message;
+  copy.relayed = true;
+  for (const wire::MemberRecord& member : zoneMembers(options_.self.zone)) {
+    if (member.id != options_.self.id) send(member.address, copy);
   }
 }
 
--- a/src/upstream/engine_directory.cpp
+++ b/src/upstream/engine_directory.cpp
@@ -121,7 +121,7 @@
     pool.slots += engine.report.slots;
     pool.busy += static_cast<std::uint32_t>(std::max(0.0, engine.expectedLoad()));
   }
-  wire::ZoneDigest digest{zone_, {}};
+  wire::ZoneDigest digest{zone_, false, {}};
   for (auto& [model, pool] : pools) digest.pools.push_back(pool);
   return digest;
 }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -115,8 +115,9 @@
 /// Digest between zones: one message however many engines the zone has.
 struct ZoneDigest {
   ZoneName zone;
+  bool relayed = false;  ///< Passed on inside the receiving zone; not to be passed on again.
   std::vector<PoolDigest> pools;
-  LINENPIER_WIRE_FIELDS(zone, pools)
+  LINENPIER_WIRE_FIELDS(zone, relayed, pools)
 };
 
 /// Asks a daemon of another zone to choose an engine there.
--- a/tests/upstream/engine_directory_test.cpp
+++ b/tests/upstream/engine_directory_test.cpp
@@ -69,9 +69,9 @@
   cr_assert_eq(own.pools[0].slots, 16U);
   cr_assert_eq(own.pools[0].lowest, 3U);
   cr_assert_eq(own.pools[0].highest, 4U);
-  directory.onZoneDigest(kStart, {ZoneName("busy"), {{kModel, 1, 8, 8, 4, 4}}});
-  directory.onZoneDigest(kStart, {ZoneName("free"), {{kModel, 1, 8, 0, 4, 4}}});
-  directory.onZoneDigest(kStart, {ZoneName("old"), {{kModel, 1, 8, 0, 2, 2}}});
+  directory.onZoneDigest(kStart, {ZoneName("busy"), false, {{kModel, 1, 8, 8, 4, 4}}});
+  directory.onZoneDigest(kStart, {ZoneName("free"), false, {{kModel, 1, 8, 0, 4, 4}}});
+  directory.onZoneDigest(kStart, {ZoneName("old"), false, {{kModel, 1, 8, 0, 2, 2}}});
   const auto zones = directory.zonesWith(kStart, kModel, 4);
   cr_assert_eq(zones.size(), 2U);
   cr_assert(zones[0].zone == ZoneName("free"));
