Tell loads in 15 bytes an engine and assign engines only when members or engines change

Every tick hashed every engine with every member of the zone, and walked all tenants for zones that no open step needed; a load report took some 60 bytes, the engine's name among them, and digests went out every second. Ruled out: encryption of frames and the archive (28 datagrams a second cannot cost that much). A key collision within a zone (about 5 in a million at 212 engines) would mix two load hints, which no promise rests on.

--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -100,8 +100,13 @@
 }
 
 void NodeCore::watchEngines(Instant now) {
-  const auto& zone = zoneMembers(options_.self.zone);
-  const auto work = ownership_.onTick(now, zone, directory_.engines());
+  const std::uint64_t list_revision = directory_.listRevision();
+  if (assigned_list_revision_ != list_revision || assigned_view_ != view_revision_) {
+    assigned_list_revision_ = list_revision;
+    assigned_view_ = view_revision_;
+    ownership_.assign(zoneMembers(options_.self.zone), directory_.engines());
+  }
+  const auto work = ownership_.onTick(now);
   for (const EngineId& engine : work.polls) {
     emit(ReadLoad{engine, directory_.find(engine)->seed.url});
   }
@@ -128,7 +133,7 @@
     const bool fresh = now - engine.reported_at < options_.zone_load_period * 2;
     if (!fresh || (!full && !changed)) continue;
     told = engine.report;
-    load.engines.push_back(engine.report);
+    load.engines.push_back(upstream::compact(engine.report));
   }
   if (load.engines.empty()) return;
   for (const wire::MemberRecord& member : zoneMembers(options_.self.zone)) {
@@ -156,7 +161,8 @@
     const auto coordinator = coordinatorOf(step.tenant, step.trainer);
     return coordinator && coordinator->id == options_.self.id;
   });
-  auto work = coordinator_.onTick(now, capacity(now));
+  const std::set<ModelName> models = coordinator_.modelsOfOpenSteps();
+  auto work = coordinator_.onTick(now, capacity(now, models));
   for (const auto& order : work.orders) {
     if (const auto maker = someMemberOf(order.zone)) send(maker->address, order.order);
   }
@@ -337,6 +343,7 @@
 }
 
 void NodeCore::renewMembers() {
+  ++view_revision_;
   alive_ = membership_.alive();
   alive_by_zone_.clear();
   for (const wire::MemberRecord& member : alive_) alive_by_zone_[member.zone].push_back(member);
@@ -394,22 +401,19 @@
   return {config_.revision(), weights_.heads(), 0, {}};
 }
 
-std::map<ModelName, std::vector<rollout::ZoneCapacity>> NodeCore::capacity(Instant now) const {
+std::map<ModelName, std::vector<rollout::ZoneCapacity>> NodeCore::capacity(
+    Instant now, const std::set<ModelName>& models) const {
   std::map<ModelName, std::vector<rollout::ZoneCapacity>> result;
+  if (models.empty()) return result;
   const wire::ZoneDigest own = directory_.makeDigest(now);
-  for (const wire::PoolDigest& pool : own.pools) {
-    result[pool.model].push_back({own.zone, pool.slots, pool.highest});
-  }
-  for (const auto& [model, version] : config_.snapshot()->tenants) {
-    for (const config::TenantTrainer& trainer : version.trainers) {
-      auto& zones = result[trainer.model];
-      for (const wire::ZoneDigest& digest : directory_.zonesWith(now, trainer.model, 0)) {
-        const bool known = std::any_of(zones.begin(), zones.end(),
-                                       [&](const auto& zone) { return zone.zone == digest.zone; });
-        const wire::PoolDigest* pool = upstream::findPool(digest, trainer.model);
-        if (!known) zones.push_back({digest.zone, pool->slots, pool->highest});
-      }
-    }
+  for (const ModelName& model : models) {
+    auto& zones = result[model];
+    const auto add = [&](const wire::ZoneDigest& digest) {
+      const wire::PoolDigest* pool = upstream::findPool(digest, model);
+      if (pool != nullptr) zones.push_back({digest.zone, pool->slots, pool->highest});
+    };
+    add(own);
+    for (const wire::ZoneDigest& digest : directory_.zonesWith(now, model, 0)) add(digest);
   }
   return result;
 }
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,7 +35,7 @@
       std::chrono::milliseconds(50);  ///< Between reads that pulls hint at.
   Duration config_period = std::chrono::seconds(4);
   Duration zone_load_period = std::chrono::seconds(1);
-  Duration zone_digest_period = std::chrono::seconds(1);
+  Duration zone_digest_period = std::chrono::seconds(3);
   Duration full_report_period =
       std::chrono::seconds(3);  ///< Unchanged engines are told this often.
 };
@@ -127,7 +128,8 @@
   void renewMembers();
   const std::vector<wire::MemberRecord>& zoneMembers(const ZoneName& zone) const;
   wire::Digest facts() const;
-  std::map<ModelName, std::vector<rollout::ZoneCapacity>> capacity(Instant now) const;
+  std::map<ModelName, std::vector<rollout::ZoneCapacity>> capacity(
+      Instant now, const std::set<ModelName>& models) const;
   std::optional<wire::MemberRecord> coordinatorOf(const TenantId& tenant,
                                                   const TrainerId& trainer) const;
   std::optional<wire::MemberRecord> someMemberOf(const ZoneName& zone);
@@ -164,6 +166,9 @@
   /// Live members, all and by zone; renewed whenever membership changes.
   std::vector<wire::MemberRecord> alive_;
   std::map<ZoneName, std::vector<wire::MemberRecord>> alive_by_zone_;
+  std::uint64_t view_revision_ = 0;           ///< Grows whenever the two above are renewed.
+  std::uint64_t assigned_view_ = 0;           ///< View and list that engines were assigned under.
+  std::uint64_t assigned_list_revision_ = 0;
 };
 
 }  // namespace linenpier::node
--- a/src/node/node_core_receive.cpp
+++ b/src/node/node_core_receive.cpp
@@ -33,9 +33,12 @@
 }
 
 void NodeCore::receive(Instant now, const DaemonId& /*from*/, const wire::ZoneLoad& message) {
-  for (const wire::EngineReport& report : message.engines) {
+  for (const wire::CompactReport& report : message.engines) {
+    const EngineId* engine = directory_.idOf(report.engine_key);
     // What this daemon reads itself is fresher than what it is told.
-    if (!ownership_.isAssigned(report.engine)) directory_.onReport(now, report);
+    if (engine != nullptr && !ownership_.isAssigned(*engine)) {
+      directory_.onCompactReport(now, report);
+    }
   }
   applyAdmission(admission_.onTick(now));
 }
--- a/src/ownership/engine_ownership.cpp
+++ b/src/ownership/engine_ownership.cpp
@@ -10,9 +10,8 @@
 EngineOwnership::EngineOwnership(DaemonId self, OwnershipOptions options)
     : self_(std::move(self)), options_(options) {}
 
-EngineOwnership::Work EngineOwnership::onTick(
-    Instant now, const std::vector<wire::MemberRecord>& zone_members,
-    const std::map<EngineId, upstream::EngineState>& engines) {
+void EngineOwnership::assign(const std::vector<wire::MemberRecord>& zone_members,
+                             const std::map<EngineId, upstream::EngineState>& engines) {
   std::map<EngineId, Assigned> next;
   for (const auto& [id, engine] : engines) {
     const wire::MemberRecord* owner = rendezvousPick(zone_members, id.str());
@@ -21,7 +20,9 @@
     next[id] = known == engines_.end() ? Assigned{} : known->second;
   }
   engines_ = std::move(next);
+}
 
+EngineOwnership::Work EngineOwnership::onTick(Instant now) {
   // While a new daemon sees few others, too many engines seem to be its own.
   if (!first_tick_) first_tick_ = now;
   const bool settled = now - *first_tick_ >= options_.settling_time;
--- a/src/ownership/engine_ownership.h
+++ b/src/ownership/engine_ownership.h
@@ -37,9 +37,11 @@
     std::vector<EngineId> polls;   ///< Engines whose load is to be read now.
     std::vector<EngineId> claims;  ///< Engines whose ownership row is to be taken now.
   };
+  /// Computes anew which engines hash to this daemon; call when members or engines change.
   /// @param zone_members live daemons of the zone.
-  Work onTick(Instant now, const std::vector<wire::MemberRecord>& zone_members,
+  void assign(const std::vector<wire::MemberRecord>& zone_members,
               const std::map<EngineId, upstream::EngineState>& engines);
+  Work onTick(Instant now);
   /// A poll has ended, with or without an answer.
   void onPollDone(const EngineId& engine);
   /// @param token the row's revision, or nothing if the claim failed.
--- a/src/rollout/step_coordinator.cpp
+++ b/src/rollout/step_coordinator.cpp
@@ -149,6 +149,14 @@
   return work;
 }
 
+std::set<ModelName> StepCoordinator::modelsOfOpenSteps() const {
+  std::set<ModelName> models;
+  for (const auto& [key, step] : steps_) {
+    if (step.phase == Phase::kMaking) models.insert(step.spec.model);
+  }
+  return models;
+}
+
 StepCoordinator::Status StepCoordinator::status() const {
   Status status;
   status.steps = steps_.size();
--- a/src/rollout/step_coordinator.h
+++ b/src/rollout/step_coordinator.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "common/time.h"
@@ -82,6 +83,9 @@
     std::erase_if(steps_, [&](const auto& entry) { return !is_mine(entry.first); });
   }
 
+  /// @return models of the steps whose samples are being made.
+  std::set<ModelName> modelsOfOpenSteps() const;
+
   struct Status {
     std::size_t steps = 0;
     std::size_t samples_wanted = 0;
--- a/src/sim/slope_run.cpp
+++ b/src/sim/slope_run.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration kStep = std::chrono::milliseconds(100);
+/// News of the start has rested after this.
+constexpr Duration kSettled = std::chrono::seconds(60);
 constexpr Duration kMeasured = std::chrono::seconds(30);
 constexpr double kLimit = 180;
 
@@ -61,7 +63,7 @@
     return fleet.daemonsWithWrongView() == 0 && fleet.enginesWithoutOwner() == 0 &&
            fleet.daemonsBehind(options.tenants + 1) == 0;
   });
-  fleet.run(std::chrono::seconds(10));
+  fleet.run(kSettled);
   measureCost(fleet, result);
   result.memory_mb = (residentMegabytes() - before_mb) / options.daemons;
 
--- a/src/upstream/engine_directory.cpp
+++ b/src/upstream/engine_directory.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/hash.h"
+
 namespace linenpier::upstream {
 
 double EngineState::expectedLoad() const {
@@ -14,7 +16,19 @@
 EngineDirectory::EngineDirectory(ZoneName zone, DirectoryOptions options)
     : zone_(std::move(zone)), options_(options) {}
 
+std::uint32_t engineKey(const EngineId& id) { return static_cast<std::uint32_t>(hash64(id.str())); }
+
+wire::CompactReport compact(const wire::EngineReport& report) {
+  const auto capped = [](std::uint32_t value) {
+    return static_cast<std::uint16_t>(std::min<std::uint32_t>(value, UINT16_MAX));
+  };
+  return {engineKey(report.engine),  static_cast<std::uint32_t>(report.version),
+          capped(report.running), capped(report.waiting),
+          capped(report.slots),   report.leaving};
+}
+
 void EngineDirectory::onMachineList(const std::vector<EngineSeed>& engines) {
+  const std::size_t before = engines_.size();
   for (auto& [id, engine] : engines_) engine.seed.leaving = true;
   for (const EngineSeed& seed : engines) {
     if (seed.zone == zone_) engines_[seed.id].seed = seed;
@@ -22,6 +36,22 @@
   std::erase_if(engines_, [](const auto& entry) {
     return entry.second.seed.leaving && entry.second.in_flight == 0 && !entry.second.reported;
   });
+  if (engines_.size() == before && ids_by_key_.size() == before) return;
+  ++list_revision_;
+  ids_by_key_.clear();
+  for (const auto& [id, engine] : engines_) ids_by_key_[engineKey(id)] = id;
+}
+
+void EngineDirectory::onCompactReport(Instant now, const wire::CompactReport& report) {
+  const auto id = ids_by_key_.find(report.engine_key);
+  if (id == ids_by_key_.end()) return;
+  onReport(now, {id->second, report.running, report.waiting, report.slots, report.version, 0,
+                 report.leaving});
+}
+
+const EngineId* EngineDirectory::idOf(std::uint32_t engine_key) const {
+  const auto id = ids_by_key_.find(engine_key);
+  return id == ids_by_key_.end() ? nullptr : &id->second;
 }
 
 void EngineDirectory::onReport(Instant now, const wire::EngineReport& report) {
@@ -113,11 +143,8 @@
   for (const auto& [id, engine] : engines_) {
     if (!usable(now, engine)) continue;
     wire::PoolDigest& pool = pools[engine.seed.model];
-    const WeightVersion version = engine.report.version;
     pool.model = engine.seed.model;
-    pool.lowest = pool.engines == 0 ? version : std::min(pool.lowest, version);
-    pool.highest = std::max(pool.highest, version);
-    ++pool.engines;
+    pool.highest = std::max(pool.highest, static_cast<std::uint32_t>(engine.report.version));
     pool.slots += engine.report.slots;
     pool.busy += static_cast<std::uint32_t>(std::max(0.0, engine.expectedLoad()));
   }
--- a/src/upstream/engine_directory.h
+++ b/src/upstream/engine_directory.h
@@ -60,6 +60,12 @@
   /// Replaces the zone's list of engines. Engines that vanished are treated as leaving.
   void onMachineList(const std::vector<EngineSeed>& engines);
   void onReport(Instant now, const wire::EngineReport& report);
+  /// A report as other daemons of the zone tell it.
+  void onCompactReport(Instant now, const wire::CompactReport& report);
+  /// @return the engine that a compact report is about, or nullptr.
+  const EngineId* idOf(std::uint32_t engine_key) const;
+  /// @return a number that changes whenever engines are added or removed.
+  std::uint64_t listRevision() const { return list_revision_; }
   /// The engine itself confirmed an order: it holds `version` now, whatever lagging reports say.
   void onVersionConfirmed(Instant now, const EngineId& id, WeightVersion version);
   void onZoneDigest(Instant now, const wire::ZoneDigest& digest);
@@ -93,9 +99,15 @@
   ZoneName zone_;
   DirectoryOptions options_;
   std::map<EngineId, EngineState> engines_;
+  std::map<std::uint32_t, EngineId> ids_by_key_;  ///< Of all in `engines_`.
+  std::uint64_t list_revision_ = 0;
   std::map<ZoneName, HeardDigest> digests_;  ///< Other zones.
 };
 
+/// @return the short key of an engine in compact reports.
+std::uint32_t engineKey(const EngineId& id);
+wire::CompactReport compact(const wire::EngineReport& report);
+
 /// @return the pool of `digest` that serves `model`, or nullptr.
 const wire::PoolDigest* findPool(const wire::ZoneDigest& digest, const ModelName& model);
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -96,21 +96,30 @@
   LINENPIER_WIRE_FIELDS(engine, running, waiting, slots, version, prefetched, leaving)
 };
 
+/// An engine's report in few bytes: the zone's whole traffic is mostly these.
+struct CompactReport {
+  std::uint32_t engine_key = 0;  ///< `engineKey` of the id; unique within a zone but for bad luck.
+  std::uint32_t version = 0;     ///< Weights in use; versions stay far below 2^32.
+  std::uint16_t running = 0;     ///< Capped at 65535, as the two below.
+  std::uint16_t waiting = 0;
+  std::uint16_t slots = 0;
+  bool leaving = false;
+  LINENPIER_WIRE_FIELDS(engine_key, version, running, waiting, slots, leaving)
+};
+
 /// Detail within a zone: the engines that the sender owns.
 struct ZoneLoad {
-  std::vector<EngineReport> engines;
+  std::vector<CompactReport> engines;
   LINENPIER_WIRE_FIELDS(engines)
 };
 
 /// Sum over the engines of a zone that serve one model.
 struct PoolDigest {
   ModelName model;
-  std::uint32_t engines = 0;
   std::uint32_t slots = 0;    ///< Sum of slots.
   std::uint32_t busy = 0;     ///< Sum of running and waiting sequences.
-  WeightVersion lowest = 0;   ///< Oldest version held.
-  WeightVersion highest = 0;  ///< Newest version held.
-  LINENPIER_WIRE_FIELDS(model, engines, slots, busy, lowest, highest)
+  std::uint32_t highest = 0;  ///< Newest version held; versions stay far below 2^32.
+  LINENPIER_WIRE_FIELDS(model, slots, busy, highest)
 };
 
 /// Digest between zones: one message however many engines the zone has.
@@ -278,6 +287,7 @@
 LINENPIER_WIRE_TYPE(linenpier::wire::ProbeAck)
 LINENPIER_WIRE_TYPE(linenpier::wire::IndirectProbe)
 LINENPIER_WIRE_TYPE(linenpier::wire::EngineReport)
+LINENPIER_WIRE_TYPE(linenpier::wire::CompactReport)
 LINENPIER_WIRE_TYPE(linenpier::wire::ZoneLoad)
 LINENPIER_WIRE_TYPE(linenpier::wire::PoolDigest)
 LINENPIER_WIRE_TYPE(linenpier::wire::ZoneDigest)
