Widen the HTTP servers' listen backlog

Cause: connection attempts were dropped in bursts ("ConnectionTimeout" in logs without any fault, and waits of a whole second): the HTTP library listens with a backlog of 5, fixed when it was compiled.

--- a/src/api/http_server.cpp
+++ b/src/api/http_server.cpp
@@ -4,6 +4,7 @@
 
 #include "api/elastic_task_queue.h"
 #include "common/log.h"
+#include "platform/http_listen.h"
 
 namespace linenpier::api {
 
@@ -44,9 +45,7 @@
 
 tl::expected<void, Findings> HttpServer::start() {
   const Address& address = context_.settings.http;
-  if (!server_.bind_to_port(ipText(address), address.port)) {
-    return tl::make_unexpected(Findings{{"HTTP address " + toString(address), "cannot be bound"}});
-  }
+  if (const auto bound = platform::bindHttpServer(server_, address); !bound) return bound;
   thread_ = std::thread([this] { server_.listen_after_bind(); });
   LINENPIER_LOG(info, "api") << "Listening on " << toString(address) << ".";
   return {};
--- a/src/standin/platform_server.cpp
+++ b/src/standin/platform_server.cpp
@@ -5,6 +5,7 @@
 #include "api/elastic_task_queue.h"
 #include "common/log.h"
 #include "platform/http_call.h"
+#include "platform/http_listen.h"
 
 namespace linenpier::standin {
 
@@ -83,10 +84,7 @@
 
 tl::expected<void, Findings> PlatformServer::start() {
   if (const auto relay = relay_.start(); !relay) return tl::make_unexpected(relay.error());
-  if (!server_.bind_to_port(ipText(topology_.listen), topology_.listen.port)) {
-    return tl::make_unexpected(
-        Findings{{"HTTP address " + toString(topology_.listen), "cannot be bound"}});
-  }
+  if (const auto bound = platform::bindHttpServer(server_, topology_.listen); !bound) return bound;
   server_thread_ = std::thread([this] { server_.listen_after_bind(); });
   advance_thread_ = std::thread([this] { advanceLoop(); });
   LINENPIER_LOG(info, "platform") << "Listening on " << toString(topology_.listen) << " with "
