Serve only once other zones were heard, and tell a new zone at once

Cause: the lookups' tail (p99 1.5 s) was all in the first second after a start: explanations of the slow requests show 490-630 ms waiting to be placed in another zone, whose digest had not come yet. Change: a daemon is ready 3 s after its start, and a zone that comes into sight is told within 300 ms.

--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -12,6 +12,8 @@
 /// A daemon that starts while the table is down waits this long before it trusts its peers.
 constexpr Duration kTableGrace = std::chrono::seconds(3);
 constexpr std::size_t kPendingPulls = 1024;
+/// Members of a zone tend to appear together: one digest serves them all.
+constexpr Duration kNewZonePause = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -34,7 +36,17 @@
   if (started_ == Instant{}) started_ = now;
   effects_.clear();
   std::visit([&](const auto& concrete) { on(now, concrete); }, event);
-  if (!membership_.takeChanges().empty()) renewMembers();
+  const auto changes = membership_.takeChanges();
+  if (!changes.empty()) {
+    renewMembers();
+    // A zone that has just come into sight is told of this one's engines at the next tick.
+    const bool new_elsewhere = std::any_of(changes.begin(), changes.end(), [&](const auto& change) {
+      return change.member.status == wire::MemberStatus::kAlive &&
+             change.before == wire::MemberStatus::kDead &&
+             change.member.zone != options_.self.zone;
+    });
+    if (new_elsewhere) next_zone_digest_ = std::min(next_zone_digest_, now + kNewZonePause);
+  }
   return std::exchange(effects_, {});
 }
 
@@ -62,6 +74,7 @@
 // ---- Time ----
 
 void NodeCore::on(Instant now, const Tick& /*event*/) {
+  settled_ = now - started_ >= options_.settling_time;
   sendAll(membership_.onTick(now, facts()));
   readPlatform(now);
   watchEngines(now);
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -36,8 +36,8 @@
   Duration config_period = std::chrono::seconds(4);
   Duration zone_load_period = std::chrono::seconds(1);
   Duration zone_digest_period = std::chrono::seconds(3);
-  Duration full_report_period =
-      std::chrono::seconds(3);  ///< Unchanged engines are told this often.
+  Duration full_report_period = std::chrono::seconds(3);  ///< Unchanged engines are told this often.
+  Duration settling_time = std::chrono::seconds(3);  ///< From the start until requests are served.
 };
 
 /// Counts and states for metrics and `status`.
@@ -64,8 +64,9 @@
   /// Handles one event. `now` must not go back from call to call.
   Effects handle(Instant now, const Event& event);
 
-  /// @return whether requests may be served: a configuration is known to be current enough.
-  bool ready() const { return config_ready_ && !stopping_; }
+  /// @return whether requests may be served: a configuration is known to be current enough, and
+  /// there was time to hear of the other zones' engines.
+  bool ready() const { return config_ready_ && settled_ && !stopping_; }
   NodeStatus status() const;
   std::optional<admission::Explanation> explain(const RequestId& request) const;
   const config::ConfigState& config() const { return config_; }
@@ -148,6 +149,7 @@
 
   Effects effects_;            ///< Of the event being handled.
   bool config_ready_ = false;  ///< Some source confirmed the configuration.
+  bool settled_ = false;                                ///< Others had time to tell their state.
   bool stopping_ = false;
   bool reading_config_ = false;
   bool reading_machines_ = false;
--- a/tests/node/node_core_test.cpp
+++ b/tests/node/node_core_test.cpp
@@ -78,6 +78,7 @@
   fixture.core.handle(later, node::ConfigRead{});
   fixture.core.handle(later, node::DatagramArrived{
                                  {DaemonId("mate"), wire::ConfigItems{0, 8, {}}}});
+  fixture.core.handle(later, node::Tick{});
   cr_assert(fixture.core.ready());
   cr_assert_eq(fixture.core.config().revision(), 8U);
 }
