--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 constexpr Duration kLongestPause = std::chrono::milliseconds(300);
-constexpr Duration kAnswerSlack = std::chrono::milliseconds(500);
+/// A daemon that sends nothing for this long is taken for dead: another one is asked.
+constexpr Duration kLongestSilence = std::chrono::milliseconds(700);
 
 /// Collects a streamed answer.
 class StreamedAnswer {
@@ -100,8 +101,9 @@
 }
 
 Caller::Reply Caller::ask(const Address& target, const Lookup& lookup, Duration left) {
-  auto client = platform::makeClient(platform::serviceUrl(target),
-                                     {std::chrono::milliseconds(300), left + kAnswerSlack});
+  auto client =
+      platform::makeClient(platform::serviceUrl(target),
+                           {std::chrono::milliseconds(300), std::min(left, kLongestSilence)});
   const bool once = !lookup.once_id.empty();
   const bool stream = plan_.stream && !once;
   const auto left_ms = std::max<long>(1, left / std::chrono::milliseconds(1));
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -29,7 +29,7 @@
   Duration dead_probe_period = std::chrono::seconds(5);     ///< Retries towards dead members.
   int indirect_probes = 2;   ///< Members asked to probe on our behalf.
   int cross_zone_every = 4;  ///< Every n-th probe leaves the zone.
-  int max_updates = 8;         ///< Membership changes that ride on one message.
+  int max_updates = 18;      ///< Membership changes on one message; more would not fit one packet.
   int rides_per_doubling = 3;  ///< A change rides along this often for each doubling of the fleet.
   int repair_records = 6;      ///< Records sent to a member whose view differs.
 };
@@ -122,7 +122,7 @@
   std::vector<DaemonId> other_order_;              ///< Shuffled round of targets elsewhere.
   std::uint64_t next_sequence_ = 1;
   std::uint64_t rounds_ = 0;  ///< Probe rounds so far.
-  DaemonId repair_cursor_;  ///< The record last sent as a repair.
+  DaemonId repair_cursor_;    ///< The record last sent as a repair.
   Instant next_probe_{};
   std::vector<MembershipChange> changes_;
 };
--- a/src/ownership/engine_ownership.cpp
+++ b/src/ownership/engine_ownership.cpp
@@ -20,12 +20,15 @@
     next[id] = known == engines_.end() ? Assigned{} : known->second;
   }
   engines_ = std::move(next);
+  changed_ = true;
 }
 
 EngineOwnership::Work EngineOwnership::onTick(Instant now) {
-  // While a new daemon sees few others, too many engines seem to be its own.
-  if (!first_tick_) first_tick_ = now;
-  const bool settled = now - *first_tick_ >= options_.settling_time;
+  // While a new daemon still finds others, too many engines seem to be its own. Claims made then
+  // would leave the rightful owners with overtaken tokens.
+  if (changed_) quiet_since_ = now;
+  changed_ = false;
+  if (now - quiet_since_ >= options_.settling_time) settled_ = true;
 
   Work work;
   auto claiming = static_cast<std::size_t>(std::count_if(
@@ -37,7 +40,7 @@
       work.polls.push_back(id);
     }
     const bool wants_claim = !assigned.token && !assigned.claiming && now >= assigned.next_claim;
-    if (settled && wants_claim && claiming < options_.claims_at_once) {
+    if (settled_ && wants_claim && claiming < options_.claims_at_once) {
       assigned.claiming = true;
       ++claiming;
       ++claims_made_;
--- a/src/ownership/engine_ownership.h
+++ b/src/ownership/engine_ownership.h
@@ -24,8 +24,9 @@
 struct OwnershipOptions {
   Duration poll_period = std::chrono::seconds(1);
   Duration claim_backoff = std::chrono::seconds(2);  ///< After a claim that did not succeed.
-  Duration settling_time = std::chrono::seconds(4);   ///< A new daemon claims nothing before this.
-  std::size_t claims_at_once = 4;                    ///< Claims under way at most.
+  /// A new daemon claims nothing until members and engines have not changed for this long.
+  Duration settling_time = std::chrono::seconds(4);
+  std::size_t claims_at_once = 4;  ///< Claims under way at most.
 };
 
 /// Pure state machine; one owner.
@@ -68,7 +69,9 @@
   OwnershipOptions options_;
   std::map<EngineId, Assigned> engines_;  ///< Engines that hash to this daemon.
   std::uint64_t claims_made_ = 0;
-  std::optional<Instant> first_tick_;     ///< When this daemon began.
+  bool settled_ = false;   ///< The view was quiet for the settling time once.
+  bool changed_ = true;    ///< Assigned anew since the last tick.
+  Instant quiet_since_{};  ///< Last tick that saw a change; unused once settled.
 };
 
 }  // namespace linenpier::ownership
--- a/tests/ownership/engine_ownership_test.cpp
+++ b/tests/ownership/engine_ownership_test.cpp
@@ -95,9 +95,13 @@
 
 Test(engine_ownership, a_new_daemon_polls_at_once_but_claims_only_when_its_view_has_settled) {
   EngineOwnership ownership(DaemonId("d0"), {});
-  const auto first = tickOf(ownership, kStart, members(1), engines(3));
-  cr_assert_eq(first.polls.size(), 3U);
+  const auto first = tickOf(ownership, kStart, members(1), engines(20));
+  cr_assert_eq(first.polls.size(), 20U);
   cr_assert(first.claims.empty());
-  const auto later = tickOf(ownership, kStart + std::chrono::seconds(4), members(1), engines(3));
-  cr_assert_eq(later.claims.size(), 3U);
+  // Another member comes into sight: the time begins anew.
+  tickOf(ownership, kStart + std::chrono::seconds(3), members(2), engines(20));
+  const auto quiet = kStart + std::chrono::seconds(6);
+  cr_assert(ownership.onTick(quiet).claims.empty());
+  const auto later = ownership.onTick(kStart + std::chrono::seconds(7));
+  cr_assert_gt(later.claims.size(), 0U);
 }
