--- a/src/api/caller_routes.cpp
+++ b/src/api/caller_routes.cpp
@@ -21,6 +21,7 @@
 constexpr long kHighestPriority = 10;
 constexpr long kLongestDeadlineMs = 3600000;
 constexpr std::size_t kLongestKey = 256;
+constexpr std::uint32_t kUsualMaxTokens = 256;
 
 }  // namespace
 
@@ -102,11 +103,14 @@
   const auto snapshot = context_.config.get();
   const config::Tenant* tenant = snapshot->findTenantByKey(bearerKey(request));
   if (tenant == nullptr) return tl::make_unexpected(unauthorized());
-  const auto completion = parseCompletion(kind, request.body);
+  auto completion = parseCompletion(kind, request.body);
   if (!completion) return tl::make_unexpected(badRequest(completion.error()));
   // Another tenant's model and one that does not exist look the same.
   const config::Template* rules = snapshot->templateFor(*tenant, completion->model);
   if (rules == nullptr) return tl::make_unexpected(notFound());
+  if (completion->max_tokens == 0) {
+    completion->max_tokens = std::min(kUsualMaxTokens, rules->max_tokens);
+  }
   if (completion->max_tokens > rules->max_tokens) {
     return tl::make_unexpected(
         badRequest("\"max_tokens\" is over your limit of " + std::to_string(rules->max_tokens)));
--- a/src/api/completion_request.h
+++ b/src/api/completion_request.h
@@ -16,8 +16,8 @@
 struct CompletionRequest {
   CompletionKind kind = CompletionKind::kText;
   ModelName model;
-  std::string prompt;  ///< For a chat: its messages, one a line, with their roles.
-  std::uint32_t max_tokens = 256;
+  std::string prompt;            ///< For a chat: its messages, one a line, with their roles.
+  std::uint32_t max_tokens = 0;  ///< 0: not given.
   bool stream = false;
 };
 
