Let an idle daemon sleep; keep process ids in files

Fault runs left daemons behind that a subshell had started, since only that shell knew their ids. Ruled out: the 50 ms tick (the hollow fleet puts all decisions of a daemon at 0.05 %). Change: work sharing instead of stealing; the main looks at the daemon 5 times a second instead of 20; process ids stand in files.

--- a/apps/linenpierd.cpp
+++ b/apps/linenpierd.cpp
@@ -34,7 +34,7 @@
 
 constexpr int kExitBadSettings = 2;
 constexpr int kExitCannotBind = 3;
-constexpr auto kPollPeriod = std::chrono::milliseconds(50);
+constexpr auto kPollPeriod = std::chrono::milliseconds(200);
 /// Others are told before the last stream may end.
 constexpr auto kLeaveNotice = std::chrono::milliseconds(500);
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,15 +1,33 @@
 # Functions that start and stop the demonstration's processes. Sourced by other scripts.
-# Needs: bin (folder of the programs), run (folder for logs). Ends only what it started.
+# Needs: bin (folder of the programs), run (folder for logs and process ids). Ends only what it
+# started: each process's id stands in a file, so that functions in subshells see it too.
 
 daemon_names=(thamel patan bhaktapur suva nausori lautoka)
 daemon_zones=(hall-thamel hall-patan hall-bhaktapur suva-hall nausori-hall lautoka-hall)
 daemon_regions=(bagmati bagmati bagmati viti-levu viti-levu viti-levu)
-declare -A process_ids=()
+
+# remember NAME: notes the id of the process started last.
+remember() { mkdir -p "$run/pids" && echo $! >"$run/pids/$1"; }
+
+# signal NAME SIGNAL: to the process of that name, if it is there.
+signal() { kill "-$2" "$(cat "$run/pids/$1" 2>/dev/null)" 2>/dev/null; }
+
+alive() { signal "$1" 0; }
+
+# wait_gone NAME: until the process has ended, at most 40 s.
+wait_gone() {
+  local tries
+  for ((tries = 0; tries < 400; tries++)); do
+    alive "$1" || return 0
+    sleep 0.1
+  done
+  return 1
+}
 
 start_platform() {
   "$bin/linenpier-platform" --settings settings/demo/platform.toml --seed "${seed:-1}" \
     --log warning >"$run/platform.log" 2>&1 &
-  process_ids[platform]=$!
+  remember platform
 }
 
 # start_daemon INDEX [EXTRA FLAGS]
@@ -21,7 +39,7 @@
     --set "daemon.region=${daemon_regions[i]}" --set "daemon.http=127.0.0.1:710$((i + 1))" \
     --set "daemon.control=127.0.0.1:720$((i + 1))" \
     --set "daemon.advertise=127.0.0.1:730$((i + 1))" "$@" >>"$run/d-${daemon_names[i]}.log" 2>&1 &
-  process_ids[d$i]=$!
+  remember "d$i"
 }
 
 # wait_for URL: until it answers with success, at most 20 s.
@@ -63,22 +81,22 @@
   done
 }
 
-# stop_fleet: asks all to stop, and after 40 s ends what has not.
+# stop_fleet: asks all to stop, and ends and names what has not stopped in time. The platform goes
+# last, since daemons finish their work with it.
 stop_fleet() {
-  local name tries
-  for name in "${!process_ids[@]}"; do kill -TERM "${process_ids[$name]}" 2>/dev/null || true; done
-  for ((tries = 0; tries < 400; tries++)); do
-    local alive=0
-    for name in "${!process_ids[@]}"; do kill -0 "${process_ids[$name]}" 2>/dev/null && alive=1; done
-    [ "$alive" = 0 ] && break
-    sleep 0.1
+  local file name names=()
+  for file in "$run"/pids/d*; do
+    [ -e "$file" ] || continue
+    name=$(basename "$file")
+    signal "$name" CONT
+    signal "$name" TERM && names+=("$name")
   done
-  for name in "${!process_ids[@]}"; do
-    if kill -0 "${process_ids[$name]}" 2>/dev/null; then
+  for name in "${names[@]}" platform; do
+    [ "$name" = platform ] && signal platform TERM
+    if ! wait_gone "$name"; then
       echo "$name did not stop in time" >&2
-      kill -KILL "${process_ids[$name]}" 2>/dev/null || true
+      signal "$name" KILL
     fi
-    wait "${process_ids[$name]}" 2>/dev/null || true
   done
-  process_ids=()
+  rm -rf "$run/pids"
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -26,6 +26,8 @@
       on_refused_frame_(std::move(on_refused_frame)),
       codec_(settings_.secret) {
   actor_config_.set("scheduler.max-threads", kSchedulerThreads);
+  // The default policy polls for work, which alone costs an idle daemon a tenth of a core.
+  actor_config_.set("scheduler.policy", caf::atom("sharing"));
   system_ = std::make_unique<caf::actor_system>(actor_config_);
   effects_ = std::make_unique<EffectRunner>(selfRecord(settings_), std::move(services), codec_,
                                             transport_, config_);
