--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -6,6 +6,16 @@
 daemon_zones=(hall-thamel hall-patan hall-bhaktapur suva-hall nausori-hall lautoka-hall)
 daemon_regions=(bagmati bagmati bagmati viti-levu viti-levu viti-levu)
 
+# All ports begin with this, so that several fleets can run side by side.
+ports=${LINENPIER_PORTS:-7}
+
+# with_ports FILE: prints the path of a copy of the file with this fleet's ports.
+with_ports() {
+  local copy="$run/$(basename "$1")"
+  sed "s/127\.0\.0\.1:7/127.0.0.1:$ports/g" "$1" >"$copy"
+  echo "$copy"
+}
+
 # remember NAME: notes the id of the process started last.
 remember() { mkdir -p "$run/pids" && echo $! >"$run/pids/$1"; }
 
@@ -25,7 +35,7 @@
 }
 
 start_platform() {
-  "$bin/linenpier-platform" --settings settings/demo/platform.toml --seed "${seed:-1}" \
+  "$bin/linenpier-platform" --settings "$(with_ports settings/demo/platform.toml)" --seed "${seed:-1}" \
     --log warning >"$run/platform.log" 2>&1 &
   remember platform
 }
@@ -34,11 +44,11 @@
 start_daemon() {
   local i=$1
   shift
-  "$bin/linenpierd" --settings settings/demo/daemon.toml \
+  "$bin/linenpierd" --settings "$(with_ports settings/demo/daemon.toml)" \
     --set "daemon.id=d-${daemon_names[i]}" --set "daemon.zone=${daemon_zones[i]}" \
-    --set "daemon.region=${daemon_regions[i]}" --set "daemon.http=127.0.0.1:710$((i + 1))" \
-    --set "daemon.control=127.0.0.1:720$((i + 1))" \
-    --set "daemon.advertise=127.0.0.1:730$((i + 1))" "$@" >>"$run/d-${daemon_names[i]}.log" 2>&1 &
+    --set "daemon.region=${daemon_regions[i]}" --set "daemon.http=127.0.0.1:${ports}10$((i + 1))" \
+    --set "daemon.control=127.0.0.1:${ports}20$((i + 1))" \
+    --set "daemon.advertise=127.0.0.1:${ports}30$((i + 1))" "$@" >>"$run/d-${daemon_names[i]}.log" 2>&1 &
   remember "d$i"
 }
 
@@ -55,13 +65,13 @@
 
 start_fleet() {
   start_platform
-  wait_for http://127.0.0.1:7400/healthz
+  wait_for http://127.0.0.1:${ports}400/healthz
   local i
   for i in "${!daemon_names[@]}"; do start_daemon "$i" "$@"; done
-  for i in "${!daemon_names[@]}"; do wait_for "http://127.0.0.1:710$((i + 1))/readyz"; done
+  for i in "${!daemon_names[@]}"; do wait_for "http://127.0.0.1:${ports}10$((i + 1))/readyz"; done
 }
 
-control() { "$bin/linenpierctl" --daemon 127.0.0.1:7101 --key demonstration-operator "$@"; }
+control() { "$bin/linenpierctl" --daemon "127.0.0.1:${ports}101" --key demonstration-operator "$@"; }
 
 put_configuration() {
   control template put lookup settings/demo/template-lookup.json
@@ -75,7 +85,7 @@
   local i tries
   for i in "${!daemon_names[@]}"; do
     for ((tries = 0; tries < 200; tries++)); do
-      curl -fsS "http://127.0.0.1:710$((i + 1))/metrics" | grep -q "config_revision\"} $1\$" && break
+      curl -fsS "http://127.0.0.1:${ports}10$((i + 1))/metrics" | grep -q "config_revision\"} $1\$" && break
       sleep 0.1
     done
   done
