--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -44,12 +44,7 @@
     return out;
   }
   retry_budget_.onRequest();
-  ticket.enqueued = now;
-  if (!queue_.push(ticket, tenant_bound)) {
-    refuse(now, ticket, RefusalReason::kQueueFull, out);
-    return out;
-  }
-  drain(now, out);
+  enqueue(now, std::move(ticket), tenant_bound, out);
   return out;
 }
 
@@ -64,13 +59,18 @@
     refuse(now, ticket, RefusalReason::kRetryBudget, out);
     return out;
   }
+  enqueue(now, std::move(ticket), tenant_bound, out);
+  return out;
+}
+
+void AdmissionController::enqueue(Instant now, Ticket ticket, std::uint32_t tenant_bound,
+                                  AdmissionOutput& out) {
   ticket.enqueued = now;
   if (!queue_.push(ticket, tenant_bound)) {
     refuse(now, ticket, RefusalReason::kQueueFull, out);
-    return out;
+    return;
   }
   drain(now, out);
-  return out;
 }
 
 AdmissionOutput AdmissionController::onTick(Instant now) {
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -100,6 +100,7 @@
   std::optional<Explanation> explain(const RequestId& request) const;
 
  private:
+  void enqueue(Instant now, Ticket ticket, std::uint32_t tenant_bound, AdmissionOutput& out);
   bool tryStart(Instant now, const Ticket& ticket, AdmissionOutput& out);
   std::optional<upstream::RoutingChoice> chooseEngine(Instant now, const ModelName& model,
                                                       WeightVersion minimum_version,
--- a/src/common/address.cpp
+++ b/src/common/address.cpp
@@ -26,6 +26,14 @@
   return buffer;
 }
 
+sockaddr_in toSocketAddress(const Address& address) {
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_addr.s_addr = htonl(address.ip);
+  result.sin_port = htons(address.port);
+  return result;
+}
+
 std::string toString(const Address& address) {
   return ipText(address) + ":" + std::to_string(address.port);
 }
--- a/src/common/address.h
+++ b/src/common/address.h
@@ -3,6 +3,8 @@
 /// @file
 /// Network addresses by IP number. Host names are never resolved.
 
+#include <netinet/in.h>
+
 #include <boost/serialization/level.hpp>
 #include <boost/serialization/tracking.hpp>
 #include <compare>
@@ -30,6 +32,8 @@
 std::optional<Address> parseAddress(const std::string& text);
 /// @return the address as "127.0.0.1:7000".
 std::string toString(const Address& address);
+/// @return the address in the form that sockets take.
+sockaddr_in toSocketAddress(const Address& address);
 /// @return only the IP number, as "127.0.0.1".
 std::string ipText(const Address& address);
 
--- a/src/daemon/udp_transport.cpp
+++ b/src/daemon/udp_transport.cpp
@@ -18,14 +18,6 @@
 constexpr int kPollMilliseconds = 100;
 constexpr int kReceiveBufferBytes = 1 << 20;
 
-sockaddr_in toSocketAddress(const Address& address) {
-  sockaddr_in result{};
-  result.sin_family = AF_INET;
-  result.sin_addr.s_addr = htonl(address.ip);
-  result.sin_port = htons(address.port);
-  return result;
-}
-
 }  // namespace
 
 UdpTransport::~UdpTransport() {
--- a/src/load/scenario.cpp
+++ b/src/load/scenario.cpp
@@ -54,25 +54,20 @@
 }  // namespace
 
 tl::expected<Scenario, Findings> parseScenario(const std::string& file, const std::string& text) {
-  Findings findings;
-  Scenario scenario;
-  try {
-    const toml::table root = toml::parse(text, file);
-    TableReader top(root, file, findings);
-    readTargets(root, top, scenario);
-    scenario.platform = top.address("platform", true);
-    scenario.duration_s = top.number("duration_s", scenario.duration_s);
-    scenario.seed = top.number("seed", scenario.seed);
-    readArray(root, "caller", file, findings,
-              [&](TableReader& reader) { scenario.callers.push_back(readCaller(reader)); });
-    readArray(root, "trainer", file, findings,
-              [&](TableReader& reader) { scenario.trainers.push_back(readTrainer(reader)); });
-  } catch (const toml::parse_error& error) {
-    findings.push_back(
-        {file + ":" + std::to_string(error.source().begin.line), std::string(error.description())});
-  }
-  if (!findings.empty()) return tl::make_unexpected(findings);
-  return scenario;
+  return settings::readTomlFile<Scenario>(
+      file, text,
+      [&file](const toml::table& root, TableReader& top, Scenario& scenario, Findings& findings) {
+        readTargets(root, top, scenario);
+        scenario.platform = top.address("platform", true);
+        scenario.duration_s = top.number("duration_s", scenario.duration_s);
+        scenario.seed = top.number("seed", scenario.seed);
+        readArray(root, "caller", file, findings, [&scenario](TableReader& reader) {
+          scenario.callers.push_back(readCaller(reader));
+        });
+        readArray(root, "trainer", file, findings, [&scenario](TableReader& reader) {
+          scenario.trainers.push_back(readTrainer(reader));
+        });
+      });
 }
 
 }  // namespace linenpier::load
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -36,7 +36,8 @@
   Duration config_period = std::chrono::seconds(4);
   Duration zone_load_period = std::chrono::seconds(1);
   Duration zone_digest_period = std::chrono::seconds(3);
-  Duration full_report_period = std::chrono::seconds(3);  ///< Unchanged engines are told this often.
+  Duration full_report_period =
+      std::chrono::seconds(3);                       ///< Unchanged engines are told this often.
   Duration settling_time = std::chrono::seconds(3);  ///< From the start until requests are served.
 };
 
@@ -149,7 +150,7 @@
 
   Effects effects_;            ///< Of the event being handled.
   bool config_ready_ = false;  ///< Some source confirmed the configuration.
-  bool settled_ = false;                                ///< Others had time to tell their state.
+  bool settled_ = false;       ///< Others had time to tell their state.
   bool stopping_ = false;
   bool reading_config_ = false;
   bool reading_machines_ = false;
@@ -168,8 +169,8 @@
   /// Live members, all and by zone; renewed whenever membership changes.
   std::vector<wire::MemberRecord> alive_;
   std::map<ZoneName, std::vector<wire::MemberRecord>> alive_by_zone_;
-  std::uint64_t view_revision_ = 0;           ///< Grows whenever the two above are renewed.
-  std::uint64_t assigned_view_ = 0;           ///< View and list that engines were assigned under.
+  std::uint64_t view_revision_ = 0;  ///< Grows whenever the two above are renewed.
+  std::uint64_t assigned_view_ = 0;  ///< View and list that engines were assigned under.
   std::uint64_t assigned_list_revision_ = 0;
 };
 
--- a/src/settings/toml_table_reader.h
+++ b/src/settings/toml_table_reader.h
@@ -64,4 +64,23 @@
   }
 }
 
+/// Parses `text` and lets `read` fill a value from its root table.
+/// @return the value, or every finding.
+template <typename Value, typename Read>
+tl::expected<Value, Findings> readTomlFile(const std::string& file, const std::string& text,
+                                           Read read) {
+  Findings findings;
+  Value value;
+  try {
+    const toml::table root = toml::parse(text, file);
+    TableReader top(root, file, findings);
+    read(root, top, value, findings);
+  } catch (const toml::parse_error& error) {
+    findings.push_back(
+        {file + ":" + std::to_string(error.source().begin.line), std::string(error.description())});
+  }
+  if (!findings.empty()) return tl::make_unexpected(findings);
+  return value;
+}
+
 }  // namespace linenpier::settings
--- a/src/sim/hollow_fleet.cpp
+++ b/src/sim/hollow_fleet.cpp
@@ -32,11 +32,12 @@
 };
 
 const char* messageName(const wire::Message& message) {
-  static constexpr const char* kNames[] = {
-      "Probe",         "ProbeAck",     "IndirectProbe", "ZoneLoad",     "ZoneDigest",
-      "PlacementRequest", "PlacementAnswer", "ConfigRequest", "ConfigItems", "StepNotice",
-      "PullRequest",   "PullAnswer",   "SampleOrder",   "SampleProgress", "SampleCancel",
-      "SampleResult",  "SampleResultAck"};
+  static constexpr const char* kNames[] = {"Probe",           "ProbeAck",       "IndirectProbe",
+                                           "ZoneLoad",        "ZoneDigest",     "PlacementRequest",
+                                           "PlacementAnswer", "ConfigRequest",  "ConfigItems",
+                                           "StepNotice",      "PullRequest",    "PullAnswer",
+                                           "SampleOrder",     "SampleProgress", "SampleCancel",
+                                           "SampleResult",    "SampleResultAck"};
   return kNames[message.index()];
 }
 
@@ -206,7 +207,7 @@
     if (random_.unit() < options_.load_change) {
       engine.running = static_cast<std::uint32_t>(random_.below(options_.slots));
     }
-    const wire::EngineReport report{load->engine,  engine.running, 0, options_.slots,
+    const wire::EngineReport report{load->engine,   engine.running,    0,    options_.slots,
                                     engine.version, engine.prefetched, false};
     answerLater(daemon, std::chrono::milliseconds(1), node::LoadRead{load->engine, report});
   } else if (const auto* head = std::get_if<node::ReadModelHead>(&effect)) {
@@ -304,7 +305,9 @@
   return list;
 }
 
-void HollowFleet::kill(std::size_t daemon) { daemons_[daemon]->up = false; }
+void HollowFleet::kill(std::size_t daemon) {
+  daemons_[daemon]->up = false;
+}
 
 void HollowFleet::cutZone(std::uint32_t zone, bool cut) {
   const ZoneName name("zone-" + std::to_string(zone));
@@ -325,8 +328,9 @@
     if (item.key == key) made_from = item.revision;
   }
   const int staleness = static_cast<int>(random_.below(10));
-  const auto result = store.commit({key, made_from, tenantDocument("tenant-0", "model-0", staleness)},
-                                   AttemptId("hollow-change-" + random_.hex16()));
+  const auto result =
+      store.commit({key, made_from, tenantDocument("tenant-0", "model-0", staleness)},
+                   AttemptId("hollow-change-" + random_.hex16()));
   if (result.outcome != daemon::EditOutcome::kAccepted) return 0;
   feed(daemon, node::ConfigCommitted{result.item});
   return result.item.revision;
--- a/src/sim/hollow_fleet.h
+++ b/src/sim/hollow_fleet.h
@@ -26,13 +26,13 @@
   std::uint32_t engines = 400;
   std::uint32_t zones = 4;
   std::uint32_t regions = 2;
-  std::uint32_t models = 6;              ///< Engines are spread over them evenly in each zone.
+  std::uint32_t models = 6;  ///< Engines are spread over them evenly in each zone.
   std::uint32_t tenants = 100;
-  std::uint32_t slots = 16;              ///< Per engine.
+  std::uint32_t slots = 16;  ///< Per engine.
   std::uint64_t seed = 1;
-  double load_change = 0.5;              ///< Share of the engines whose load differs at each poll.
-  double prefetch_rate = 400;            ///< Versions that the weight store serves per second, to all.
-  double flip_s = 1.0;                   ///< Pause of a flip.
+  double load_change = 0.5;    ///< Share of the engines whose load differs at each poll.
+  double prefetch_rate = 400;  ///< Versions that the weight store serves per second, to all.
+  double flip_s = 1.0;         ///< Pause of a flip.
   Duration zone_latency = std::chrono::microseconds(500);
   Duration region_latency = std::chrono::milliseconds(30);
 };
@@ -40,8 +40,8 @@
 /// What daemons cost, since the last reset.
 struct FleetCost {
   double virtual_s = 0;
-  double cpu_s = 0;                      ///< Processor time of decisions and codec, all daemons.
-  std::uint64_t bytes = 0;               ///< Datagram bytes sent, headers of IP and UDP included.
+  double cpu_s = 0;         ///< Processor time of decisions and codec, all daemons.
+  std::uint64_t bytes = 0;  ///< Datagram bytes sent, headers of IP and UDP included.
   std::uint64_t datagrams = 0;
   std::uint64_t table_reads = 0;
   std::uint64_t table_writes = 0;
@@ -114,7 +114,7 @@
   std::shared_ptr<standin::TableStore> table_store_;
   std::shared_ptr<LocalTable> table_;
   std::map<ModelName, WeightVersion> heads_;
-  Instant weight_store_free_{};          ///< When the weight store can begin the next load.
+  Instant weight_store_free_{};  ///< When the weight store can begin the next load.
   bool table_up_ = true;
   FleetCost cost_;
   Instant cost_since_{};
--- a/src/sim/slope_run.cpp
+++ b/src/sim/slope_run.cpp
@@ -109,18 +109,17 @@
 
 std::string toTable(const SlopeResult& result) {
   char buffer[1024];
-  std::snprintf(buffer, sizeof(buffer),
-                "%u daemons, %u engines, %u zones, %u tenants\n"
-                "  per daemon: %.3f %% of a core, %.2f MB, %.2f KB/s in and out, %.1f datagrams/s\n"
-                "  table: %.1f reads/s, %.2f writes/s\n"
-                "  settled after %.1f s; configuration in force after %.1f s (table down: %.1f s)\n"
-                "  weights on all after %.1f s; takeover %.1f s; a fifth lost seen after %.1f s\n",
-                result.options.daemons, result.options.engines, result.options.zones,
-                result.options.tenants, result.cpu_share * 100, result.memory_mb,
-                result.bytes_per_s / 1000, result.datagrams_per_s, result.table_reads_per_s,
-                result.table_writes_per_s, result.settle_s, result.config_spread_s,
-                result.config_spread_down_s, result.weights_s, result.takeover_s,
-                result.fifth_lost_s);
+  std::snprintf(
+      buffer, sizeof(buffer),
+      "%u daemons, %u engines, %u zones, %u tenants\n"
+      "  per daemon: %.3f %% of a core, %.2f MB, %.2f KB/s in and out, %.1f datagrams/s\n"
+      "  table: %.1f reads/s, %.2f writes/s\n"
+      "  settled after %.1f s; configuration in force after %.1f s (table down: %.1f s)\n"
+      "  weights on all after %.1f s; takeover %.1f s; a fifth lost seen after %.1f s\n",
+      result.options.daemons, result.options.engines, result.options.zones, result.options.tenants,
+      result.cpu_share * 100, result.memory_mb, result.bytes_per_s / 1000, result.datagrams_per_s,
+      result.table_reads_per_s, result.table_writes_per_s, result.settle_s, result.config_spread_s,
+      result.config_spread_down_s, result.weights_s, result.takeover_s, result.fifth_lost_s);
   std::string text = buffer;
   for (const auto& [name, bytes] : result.bytes_by_message) {
     std::snprintf(buffer, sizeof(buffer), "    %-18s %8.0f B/s sent\n", name.c_str(), bytes);
--- a/src/standin/relay.cpp
+++ b/src/standin/relay.cpp
@@ -16,14 +16,6 @@
 constexpr std::size_t kLargestDatagram = 64 * 1024;
 constexpr int kReceiveBufferBytes = 4 << 20;
 
-sockaddr_in toSocketAddress(const Address& address) {
-  sockaddr_in result{};
-  result.sin_family = AF_INET;
-  result.sin_addr.s_addr = htonl(address.ip);
-  result.sin_port = htons(address.port);
-  return result;
-}
-
 }  // namespace
 
 Relay::Relay(const std::vector<ListedDaemon>& daemons, Faults& faults) : faults_(faults) {
--- a/src/standin/topology.cpp
+++ b/src/standin/topology.cpp
@@ -46,23 +46,17 @@
 }  // namespace
 
 tl::expected<Topology, Findings> parseTopology(const std::string& file, const std::string& text) {
-  Findings findings;
-  Topology topology;
-  try {
-    const toml::table root = toml::parse(text, file);
-    TableReader top(root, file, findings);
-    topology.listen = top.address("listen", true);
-    topology.limits = readLimits(root, file, findings);
-    readArray(root, "pool", file, findings,
-              [&](TableReader& reader) { topology.pools.push_back(readPool(reader)); });
-    readArray(root, "daemon", file, findings,
-              [&](TableReader& reader) { topology.daemons.push_back(readDaemon(reader)); });
-  } catch (const toml::parse_error& error) {
-    findings.push_back(
-        {file + ":" + std::to_string(error.source().begin.line), std::string(error.description())});
-  }
-  if (!findings.empty()) return tl::make_unexpected(findings);
-  return topology;
+  return settings::readTomlFile<Topology>(
+      file, text,
+      [&file](const toml::table& root, TableReader& top, Topology& topology, Findings& findings) {
+        topology.listen = top.address("listen", true);
+        topology.limits = readLimits(root, file, findings);
+        readArray(root, "pool", file, findings,
+                  [&topology](TableReader& reader) { topology.pools.push_back(readPool(reader)); });
+        readArray(root, "daemon", file, findings, [&topology](TableReader& reader) {
+          topology.daemons.push_back(readDaemon(reader));
+        });
+      });
 }
 
 }  // namespace linenpier::standin
--- a/src/upstream/engine_directory.cpp
+++ b/src/upstream/engine_directory.cpp
@@ -16,15 +16,17 @@
 EngineDirectory::EngineDirectory(ZoneName zone, DirectoryOptions options)
     : zone_(std::move(zone)), options_(options) {}
 
-std::uint32_t engineKey(const EngineId& id) { return static_cast<std::uint32_t>(hash64(id.str())); }
+std::uint32_t engineKey(const EngineId& id) {
+  return static_cast<std::uint32_t>(hash64(id.str()));
+}
 
 wire::CompactReport compact(const wire::EngineReport& report) {
   const auto capped = [](std::uint32_t value) {
     return static_cast<std::uint16_t>(std::min<std::uint32_t>(value, UINT16_MAX));
   };
-  return {engineKey(report.engine),  static_cast<std::uint32_t>(report.version),
-          capped(report.running), capped(report.waiting),
-          capped(report.slots),   report.leaving};
+  return {engineKey(report.engine), static_cast<std::uint32_t>(report.version),
+          capped(report.running),   capped(report.waiting),
+          capped(report.slots),     report.leaving};
 }
 
 void EngineDirectory::onMachineList(const std::vector<EngineSeed>& engines) {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -58,8 +58,8 @@
 struct Digest {
   Revision config_revision = 0;        ///< Newest configuration revision in force at the sender.
   std::vector<ModelHead> model_heads;  ///< Newest weights the sender knows.
-  std::uint64_t view_hash = 0;         ///< Of the members that the sender believes live; 0: not told.
-  std::vector<MemberRecord> members;   ///< Recent membership changes, bounded.
+  std::uint64_t view_hash = 0;  ///< Of the members that the sender believes live; 0: not told.
+  std::vector<MemberRecord> members;  ///< Recent membership changes, bounded.
   LINENPIER_WIRE_FIELDS(config_revision, model_heads, view_hash, members)
 };
 
--- a/tests/api/http_server_test.cpp
+++ b/tests/api/http_server_test.cpp
@@ -253,10 +253,7 @@
   Fixture fixture(18130);
   fixture.configure();
   const int handle = ::socket(AF_INET, SOCK_DGRAM, 0);
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_addr.s_addr = htonl(fixture.control().ip);
-  to.sin_port = htons(fixture.control().port);
+  sockaddr_in to = toSocketAddress(fixture.control());
   const wire::FrameCodec stranger("another secret of a fleet");
   const std::string forged = *stranger.encode({DaemonId("d"), wire::ConfigRequest{1}});
   for (const std::string& frame : {forged, forged.substr(0, 20), std::string("x")}) {
--- a/tests/node/node_core_test.cpp
+++ b/tests/node/node_core_test.cpp
@@ -10,8 +10,12 @@
 constexpr Instant kStart{std::chrono::seconds(100)};
 
 wire::MemberRecord record(const std::string& id, std::uint16_t port, const std::string& zone) {
-  return {DaemonId(id), {0x7f000001, port},        ZoneName(zone),
-          RegionName("r"), 1, wire::MemberStatus::kAlive};
+  return {DaemonId(id),
+          {0x7f000001, port},
+          ZoneName(zone),
+          RegionName("r"),
+          1,
+          wire::MemberStatus::kAlive};
 }
 
 /// A daemon "self" of zone "a" that knows "mate" of its own zone and "other" of zone "b".
@@ -19,7 +23,8 @@
   NodeCore core;
 
   Fixture() : core(options()) {
-    receive("mate", wire::ProbeAck{0, {0, {}, 0, {record("mate", 2, "a"), record("other", 3, "b")}}});
+    receive("mate",
+            wire::ProbeAck{0, {0, {}, 0, {record("mate", 2, "a"), record("other", 3, "b")}}});
   }
   static node::NodeOptions options() {
     node::NodeOptions options;
@@ -47,8 +52,8 @@
 
 Test(node_core, a_zone_digest_is_passed_on_once) {
   Fixture fixture;
-  const auto first = sent<wire::ZoneDigest>(
-      fixture.receive("other", wire::ZoneDigest{ZoneName("b"), false, {}}));
+  const auto first =
+      sent<wire::ZoneDigest>(fixture.receive("other", wire::ZoneDigest{ZoneName("b"), false, {}}));
   cr_assert_eq(first.size(), 1U);
   cr_assert_eq(first[0].to.port, 2);
   const auto again = fixture.receive("mate", first[0].message);
@@ -76,8 +81,8 @@
   cr_assert_not(fixture.core.ready(), "the table may still answer");
   const Instant later = kStart + std::chrono::seconds(4);
   fixture.core.handle(later, node::ConfigRead{});
-  fixture.core.handle(later, node::DatagramArrived{
-                                 {DaemonId("mate"), wire::ConfigItems{0, 8, {}}}});
+  fixture.core.handle(later,
+                      node::DatagramArrived{{DaemonId("mate"), wire::ConfigItems{0, 8, {}}}});
   fixture.core.handle(later, node::Tick{});
   cr_assert(fixture.core.ready());
   cr_assert_eq(fixture.core.config().revision(), 8U);
