Give up on a frozen engine after a second; callers avoid daemons that gave no answer

A stream on a frozen engine was given up only after 2.5 s, later than a lookup's deadline. The stand-in trainer named versions whose publishing had failed. Change: callers avoid the daemons that failed them; 1 s without a byte ends a try; versions are named once they are stored.

--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <thread>
 
 #include "platform/http_call.h"
@@ -84,11 +85,14 @@
 void Caller::perform(const Lookup& lookup) {
   const Instant deadline = lookup.intended + std::chrono::milliseconds(plan_.deadline_ms);
   Reply reply;
+  std::set<Address> failed;
   while (true) {
     const Duration left = deadline - steadyNow();
     if (left <= Duration::zero()) break;
-    reply = ask(targets_.next(), lookup, left);
+    const Address& target = targets_.nextBut(failed);
+    reply = ask(target, lookup, left);
     if (!reply.try_elsewhere) break;
+    failed.insert(target);
     {
       const std::lock_guard lock(mutex_);
       ++result_.reconnects;
--- a/src/load/trainer.cpp
+++ b/src/load/trainer.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::uint32_t kMaxTokens = 2000;
 constexpr int kPullWaitMs = 2000;
+constexpr int kPublishTries = 200;
 constexpr auto kRetryPause = std::chrono::milliseconds(50);
 constexpr Duration kLongestPull = std::chrono::minutes(3);
 /// A repeated pull is made after every so many steps.
@@ -71,8 +72,14 @@
 
 void Trainer::publish() {
   const json body = {{"model", plan_.model.str()}, {"version", version_}};
-  auto client = platform::makeClient(platform::serviceUrl(platform_), {});
-  client.Put("/weights", body.dump(), "application/json");
+  // A version is named only once it is in the store.
+  for (int tries = 0; tries < kPublishTries; ++tries) {
+    auto client = platform::makeClient(platform::serviceUrl(platform_), {});
+    const auto stored = client.Put("/weights", body.dump(), "application/json");
+    if (stored && stored->status == 200) return;
+    ++result_.failed_calls;
+    std::this_thread::sleep_for(kRetryPause);
+  }
 }
 
 std::vector<rollout::PromptGroup> Trainer::makeGroups(std::uint64_t step) {
--- a/src/platform/http_engine_client.h
+++ b/src/platform/http_engine_client.h
@@ -8,8 +8,10 @@
 
 namespace linenpier::platform {
 
+/// Engines that make a stream wait still send a comment twice a second, so a second without any
+/// byte means that the engine is frozen or cut off.
 struct EngineTimeouts {
-  CallTimeouts generate{std::chrono::milliseconds(500), std::chrono::milliseconds(2500)};
+  CallTimeouts generate{std::chrono::milliseconds(500), std::chrono::milliseconds(1000)};
   CallTimeouts control{std::chrono::milliseconds(300), std::chrono::milliseconds(1000)};
   CallTimeouts order{std::chrono::milliseconds(300), std::chrono::seconds(30)};
 };
