--- a/apps/linenpier_load.cpp
+++ b/apps/linenpier_load.cpp
@@ -9,8 +9,8 @@
 #include <iostream>
 #include <thread>
 
-#include "load/report.h"
 #include "common/log.h"
+#include "load/report.h"
 #include "settings/settings.h"
 #include "sim/slope_run.h"
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -177,7 +177,7 @@
 void Membership::setStatus(Instant now, Member& member, MemberStatus status) {
   const MemberStatus before = member.record.status;
   member.record.status = status;
-  member.rides_left = retransmissions();
+  member.rides_left = retransmissions(status);
   if (before == status) return;
   member.status_since = now;
   changes_.push_back({member.record, before});
@@ -197,9 +197,10 @@
   self_.incarnation = rumoured_incarnation + 1;
 }
 
-int Membership::retransmissions() const {
+int Membership::retransmissions(MemberStatus status) const {
   const auto doublings = static_cast<int>(std::bit_width(members_.size() + 1));
-  return options_.rides_per_doubling * doublings;
+  const bool good = status == MemberStatus::kAlive;
+  return doublings * (good ? options_.good_rides_per_doubling : options_.rides_per_doubling);
 }
 
 std::uint64_t Membership::viewHash() const {
@@ -241,8 +242,11 @@
   for (auto& [id, member] : members_) {
     if (member.rides_left > 0 && id != receiver) fresh.push_back(&member);
   }
-  std::sort(fresh.begin(), fresh.end(),
-            [](const Member* a, const Member* b) { return a->rides_left > b->rides_left; });
+  // Bad news first: a fleet that lost many must not wait for news of those that live.
+  std::sort(fresh.begin(), fresh.end(), [](const Member* a, const Member* b) {
+    if (a->record.status != b->record.status) return a->record.status > b->record.status;
+    return a->rides_left > b->rides_left;
+  });
   for (Member* member : fresh) {
     if (static_cast<int>(digest.members.size()) > options_.max_updates) break;
     digest.members.push_back(member->record);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -25,13 +25,15 @@
   Duration probe_period = std::chrono::seconds(1);
   Duration probe_timeout = std::chrono::milliseconds(400);  ///< Until others are asked to probe.
   Duration suspicion_time = std::chrono::seconds(3);        ///< From suspect to dead.
-  Duration forget_time = std::chrono::seconds(60);          ///< Dead members are kept this long.
-  Duration dead_probe_period = std::chrono::seconds(5);     ///< Retries towards dead members.
-  int indirect_probes = 2;   ///< Members asked to probe on our behalf.
-  int cross_zone_every = 4;  ///< Every n-th probe leaves the zone.
-  int max_updates = 18;      ///< Membership changes on one message; more would not fit one packet.
-  int rides_per_doubling = 3;  ///< A change rides along this often for each doubling of the fleet.
-  int repair_records = 6;      ///< Records sent to a member whose view differs.
+  /// Dead members are kept this long: whoever forgets one could take old gossip for a new member.
+  Duration forget_time = std::chrono::minutes(30);
+  Duration dead_probe_period = std::chrono::seconds(5);  ///< Retries towards dead members.
+  int indirect_probes = 2;                               ///< Members asked to probe on our behalf.
+  int cross_zone_every = 4;                              ///< Every n-th probe leaves the zone.
+  int max_updates = 18;  ///< Membership changes on one message; more would not fit one packet.
+  int rides_per_doubling = 3;  ///< Bad news rides along this often for each doubling of the fleet.
+  int good_rides_per_doubling = 1;  ///< The same for members that live; repairs do the rest.
+  int repair_records = 6;           ///< Records sent to a member whose view differs.
 };
 
 /// A member that the machine list names.
@@ -97,7 +99,7 @@
   void merge(Instant now, const wire::MemberRecord& record);
   void setStatus(Instant now, Member& member, wire::MemberStatus status);
   void hearFrom(Instant now, const DaemonId& from, const wire::Digest& digest);
-  int retransmissions() const;
+  int retransmissions(wire::MemberStatus status) const;
   std::uint64_t viewHash() const;
   void addRepairs(wire::Digest& digest);
   void refute(std::uint64_t rumoured_incarnation);
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -140,3 +140,17 @@
   network.run(15);
   cr_assert_eq(network.liveSeenBy(0), 18U);
 }
+
+Test(membership, old_gossip_does_not_bring_a_dead_member_back) {
+  Network network(8);
+  network.run(30);
+  network.setUp(3, false);
+  // Member 5 sleeps through the death and wakes long after; it still spreads what it knew.
+  network.setUp(5, false);
+  network.run(120);
+  network.setUp(5, true);
+  network.run(20);
+  for (std::size_t i = 0; i < 8; ++i) {
+    if (i != 3) cr_assert_eq(network.liveSeenBy(i), 7U, "node %zu", i);
+  }
+}
