Put copied settings files into place whole

Cause: six daemons started at once each rewrote the same copy of the settings while others read it; some found an empty file and ended, and a fault run took minutes to give up. Change: the copy is moved into place.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -12,7 +12,9 @@
 # with_ports FILE: prints the path of a copy of the file with this fleet's ports.
 with_ports() {
   local copy="$run/$(basename "$1")"
-  sed "s/127\.0\.0\.1:7/127.0.0.1:$ports/g" "$1" >"$copy"
+  # Moved into place whole: other processes may be reading the copy already.
+  sed "s/127\.0\.0\.1:7/127.0.0.1:$ports/g" "$1" >"$copy.$BASHPID"
+  mv "$copy.$BASHPID" "$copy"
   echo "$copy"
 }
 
