--- a/src/api/http_server.cpp
+++ b/src/api/http_server.cpp
@@ -45,7 +45,7 @@
 
 tl::expected<void, Findings> HttpServer::start() {
   const Address& address = context_.settings.http;
-  if (const auto bound = platform::bindHttpServer(server_, address); !bound) return bound;
+  if (auto bound = platform::bindHttpServer(server_, address); !bound) return bound;
   thread_ = std::thread([this] { server_.listen_after_bind(); });
   LINENPIER_LOG(info, "api") << "Listening on " << toString(address) << ".";
   return {};
--- a/src/standin/platform_server.cpp
+++ b/src/standin/platform_server.cpp
@@ -84,7 +84,7 @@
 
 tl::expected<void, Findings> PlatformServer::start() {
   if (const auto relay = relay_.start(); !relay) return tl::make_unexpected(relay.error());
-  if (const auto bound = platform::bindHttpServer(server_, topology_.listen); !bound) return bound;
+  if (auto bound = platform::bindHttpServer(server_, topology_.listen); !bound) return bound;
   server_thread_ = std::thread([this] { server_.listen_after_bind(); });
   advance_thread_ = std::thread([this] { advanceLoop(); });
   LINENPIER_LOG(info, "platform") << "Listening on " << toString(topology_.listen) << " with "
