--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -11,10 +11,12 @@
 
 # with_ports FILE: prints the path of a copy of the file with this fleet's ports.
 with_ports() {
-  local copy="$run/$(basename "$1")"
+  local copy="$run/$(basename "$1")" part
+  # Expanded once: in a redirection it would be the child's id.
+  part="$copy.$BASHPID"
   # Moved into place whole: other processes may be reading the copy already.
-  sed "s/127\.0\.0\.1:7/127.0.0.1:$ports/g" "$1" >"$copy.$BASHPID"
-  mv "$copy.$BASHPID" "$copy"
+  sed "s/127\.0\.0\.1:7/127.0.0.1:$ports/g" "$1" >"$part"
+  mv "$part" "$copy"
   echo "$copy"
 }
 
