Say "unknown" to a keyed request whose row was not read

A daemon that is not ready, stopping or full refused keyed requests as not run without looking at the key, though an earlier try may have run through another daemon. Change: such refusals say unknown.

--- a/src/api/caller_routes.cpp
+++ b/src/api/caller_routes.cpp
@@ -75,8 +75,14 @@
   response.set_header(kRequestIdHeader, id.str());
   auto admitted = read(kind, request, id);
   if (!admitted) {
-    context_.metrics.countRequest("", admitted.error().code);
-    return answerProblem(response, admitted.error(), id);
+    Problem problem = admitted.error();
+    context_.metrics.countRequest("", problem.code);
+    // The row of the key was not read, so an earlier try of this request may have run.
+    const bool may_come_back = problem.retry_after > Duration::zero();
+    if (may_come_back && request.has_header(kIdempotencyHeader)) {
+      problem.run_state = RunState::kUnknown;
+    }
+    return answerProblem(response, problem, id);
   }
   ++context_.open_requests;
   if (!admitted->idempotency_key.empty()) {
--- a/tests/api/http_server_test.cpp
+++ b/tests/api/http_server_test.cpp
@@ -273,6 +273,12 @@
   const auto refused = fixture.post("firm-key", kRight);
   cr_assert_eq(refused->status, 503);
   cr_assert(refused->has_header("Retry-After"));
+  cr_assert(errorOf(refused).value("ran", "") == "not-run");
+  // A daemon that has not read the key's row cannot say that the request did not run.
+  const auto keyed = fixture.post("firm-key", kRight,
+                                  {{"X-Not-Repeatable", "true"}, {"Idempotency-Key", "fee-4"}});
+  cr_assert_eq(keyed->status, 503);
+  cr_assert(errorOf(keyed).value("ran", "") == "unknown");
   fixture.table->up = true;
   fixture.directory->up = true;
   fixture.configure();
