Keep the wait for the table in one place

Cause: the time after which a starting daemon trusts its peers stood twice, once where it asks them and once where it believes them; had one been changed alone, it would have asked and not believed. Ruled out: changing the other pairs found by shape (switches that name enumerators, option readers): the logic is not the same. Change: one constant in node/table_grace.h. Behaviour is unchanged.

--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -4,13 +4,12 @@
 #include <utility>
 
 #include "common/rendezvous.h"
+#include "node/table_grace.h"
 
 namespace linenpier::node {
 
 namespace {
 
-/// A daemon that starts while the table is down waits this long before it trusts its peers.
-constexpr Duration kTableGrace = std::chrono::seconds(3);
 constexpr std::size_t kPendingPulls = 1024;
 /// Members of a zone tend to appear together: one digest serves them all.
 constexpr Duration kNewZonePause = std::chrono::milliseconds(300);
--- a/src/node/node_core_receive.cpp
+++ b/src/node/node_core_receive.cpp
@@ -4,13 +4,12 @@
 #include <algorithm>
 
 #include "node/node_core.h"
+#include "node/table_grace.h"
 
 namespace linenpier::node {
 
 namespace {
 constexpr std::size_t kConfigAnswerBytes = 16 * 1024;
-/// A daemon that starts while the table is down waits this long before it trusts its peers.
-constexpr Duration kTableGrace = std::chrono::seconds(3);
 }  // namespace
 
 void NodeCore::on(Instant now, const DatagramArrived& event) {
