--- /dev/null
+++ b/apps/linenpier_gateway.cpp
@@ -0,0 +1,105 @@
+/// @file
+/// linenpier-gateway: the daemon on the users' platform, the same on every machine.
+
+#include <docopt/docopt.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "common/random.h"
+#include "gateway/gateway.h"
+#include "logging/event_log.h"
+#include "platform.h"
+#include "settings/read_file.h"
+
+namespace {
+
+using namespace linenpier;
+
+constexpr char kUsage[] = R"(linenpier-gateway: serves requests and batch jobs on the users' platform.
+
+Usage:
+  linenpier-gateway [--settings FILE] [--check]
+  linenpier-gateway --help
+
+Options:
+  --settings FILE  Settings file (TOML). Without it, LINENPIER_SETTINGS names the file.
+  --check          Check the settings and exit.
+
+Exit codes: 0 stopped as planned or settings are right, 2 settings are wrong, 3 an address could
+not be bound.
+)";
+
+constexpr int kExitBadSettings = 2;
+constexpr int kExitCannotBind = 3;
+
+tl::expected<gateway::GatewaySettings, Findings> readSettings(const std::string& file) {
+  const auto text = settings::readFile(file);
+  if (!text) return tl::make_unexpected(text.error());
+  return gateway::parseGatewaySettings(file, *text);
+}
+
+std::string settingsFile(std::map<std::string, docopt::value>& arguments) {
+  if (arguments["--settings"]) return arguments["--settings"].asString();
+  const char* named = std::getenv("LINENPIER_SETTINGS");
+  return named == nullptr ? std::string() : std::string(named);
+}
+
+/// Takes over what may change while the daemon runs; a wrong file changes nothing.
+void reload(const std::string& file, platform_adapter::Platform& platform) {
+  const auto settings = readSettings(file);
+  logging::LogEvent event("settings", settings ? "reloaded" : "reload_refused");
+  if (!settings) {
+    event.text("findings", describe(settings.error()));
+    return;
+  }
+  platform.store().setAddress(settings->store);
+}
+
+int run(const std::string& file, const gateway::GatewaySettings& settings) {
+  logging::startEventLog({settings.id.str(), settings.log_enabled, settings.log_text});
+  boost::asio::io_context loop(1);
+  http::ConnectionPool store_pool(loop, {});
+  http::ConnectionPool engine_pool(loop, {});
+  platform_adapter::Platform platform(store_pool, engine_pool, settings.store);
+  gateway::Gateway daemon(loop, settings, platform, engine_pool, Random::seedFromSystem());
+  const Findings findings = daemon.start();
+  if (!findings.empty()) {
+    std::cerr << describe(findings) << "\n";
+    return kExitCannotBind;
+  }
+  boost::asio::signal_set stop_signals(loop, SIGTERM, SIGINT);
+  stop_signals.async_wait([&](const boost::system::error_code& error, int) {
+    if (!error) daemon.stop();
+  });
+  boost::asio::signal_set reload_signal(loop, SIGHUP);
+  std::function<void()> awaitReload = [&] {
+    reload_signal.async_wait([&](const boost::system::error_code& error, int) {
+      if (error) return;
+      reload(file, platform);
+      awaitReload();
+    });
+  };
+  awaitReload();
+  loop.run();
+  logging::stopEventLog();
+  // Tasks that are still waiting hold references to the parts above; the process just ends.
+  std::_Exit(0);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "linenpier-gateway 0.1.0");
+  const std::string file = settingsFile(arguments);
+  const auto settings = readSettings(file);
+  if (!settings) {
+    std::cerr << describe(settings.error()) << "\n";
+    return kExitBadSettings;
+  }
+  if (arguments["--check"].asBool()) return 0;
+  return run(file, *settings);
+}
--- /dev/null
+++ b/src/batch/active_job.h
@@ -0,0 +1,51 @@
+#pragma once
+
+/// @file
+/// A job at its owner. Used by the batch service only.
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "batch/batch_service.h"
+
+namespace linenpier::batch {
+
+struct BatchService::Active {
+  Active(boost::asio::io_context& loop, JobRecord job_record, BatchJob job, RunRules rules)
+      : record(std::move(job_record)),
+        run(std::move(job), rules),
+        finished(loop),
+        listed_changed(loop) {}
+
+  /// An append that was sent; it stays as it is until the store has settled it.
+  struct Pending {
+    std::size_t position = 0;
+    std::vector<ItemIndex> items;
+    std::vector<StoredResult> results;
+  };
+
+  JobRecord record;
+  Revision fence = 0;  ///< Revision of the job's row under which this daemon owns it.
+  BatchRun run;
+  Instant give_up_at{};
+  std::vector<std::string> listed;  ///< Encoded, by position; all in the store.
+  Pending pending;
+  std::set<std::shared_ptr<forward::EngineCall>> calls;
+  Signal finished;        ///< There is something to list, or the job stops.
+  Signal listed_changed;  ///< `listed` has grown, or the job stops.
+  bool stopped = false;
+  Instant stopped_at{};
+
+  void stop(Instant now) {
+    if (stopped) return;
+    stopped = true;
+    stopped_at = now;
+    for (const auto& call : calls) call->abort();
+    finished.notifyAll();
+    listed_changed.notifyAll();
+  }
+};
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/batch_calls.cpp
@@ -0,0 +1,269 @@
+/// @file
+/// The calls of those who hand batch jobs in, read them and end them.
+
+#include <algorithm>
+
+#include "batch/active_job.h"
+#include "batch/batch_service.h"
+#include "logging/event_log.h"
+
+namespace linenpier::batch {
+
+using logging::LogEvent;
+
+namespace {
+constexpr unsigned kOk = 200;
+constexpr unsigned kAccepted = 202;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kTooMany = 429;
+constexpr unsigned kUnknown = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr int kPutTries = 2;
+}  // namespace
+
+Task<void> BatchService::answer(http::ResponseWriter& writer, unsigned status,
+                                std::string body) const {
+  http::Response response(static_cast<boost::beast::http::status>(status), 11);
+  if (status == kUnavailable || status == kTooMany) {
+    response.set(deps_.engines.names.retry_after, "0.3");
+  }
+  response.body() = std::move(body);
+  co_await writer.send(std::move(response));
+}
+
+// --- Handing in ---------------------------------------------------------------------------------
+
+Task<FencedAnswer> BatchService::acceptRecord(JobRecord record, Instant deadline) {
+  for (;;) {
+    const Instant sent_at = steadyNow();
+    std::vector<table::Put> renewal;
+    renewal.push_back(deps_.keeper.renewal());
+    const FencedAnswer answer = co_await deps_.store.putRecord(record, 0, std::move(renewal));
+    if (answer.outcome == FencedOutcome::kDone) deps_.keeper.onRenewed(sent_at);
+    if (answer.outcome != FencedOutcome::kUnknown) co_return answer;
+    // It may be done yet. Only a row that is there settles it; the same write may follow.
+    if (steadyNow() + options_.store_pause >= deadline) co_return answer;
+    co_await sleepFor(deps_.loop, options_.store_pause);
+  }
+}
+
+Task<void> BatchService::submit(const routing::Route& route, const http::Request& request,
+                                Instant received, http::ResponseWriter& writer) {
+  const JobId id(http::fieldText(request, deps_.engines.names.request_id));
+  const Instant deadline = received + options_.accept_time;
+  if (id.empty()) {
+    co_await answer(writer, kBadRequest, "The job has no id.");
+    co_return;
+  }
+  if (const auto at = jobs_.find(id); at != jobs_.end()) {
+    co_await answer(writer, kAccepted);
+    co_return;
+  }
+  const auto logOutcome = [&](const char* outcome, unsigned status) {
+    LogEvent("batch", "submitted")
+        .text("batch", id.str())
+        .text("route", route.name.str())
+        .text("outcome", outcome)
+        .number("status", status)
+        .number("bytes", static_cast<std::int64_t>(request.body().size()))
+        .milliseconds("took_ms", steadyNow() - received);
+  };
+  if (stopping_ || !deps_.leases.feedHealthy()) {
+    ++counts_.refused;
+    logOutcome(stopping_ ? "stopping" : "store_away", kUnavailable);
+    co_await answer(writer, kUnavailable);
+    co_return;
+  }
+  auto job = deps_.codec.parseJob(id, request.body());
+  if (!job) {
+    logOutcome("malformed", kBadRequest);
+    co_await answer(writer, kBadRequest, describe(job.error()));
+    co_return;
+  }
+  CallResult<bool> stored = co_await deps_.store.putJob(id, request.body());
+  for (int tries = 1; !stored && tries < kPutTries && steadyNow() < deadline; ++tries) {
+    co_await sleepFor(deps_.loop, options_.store_pause);
+    stored = co_await deps_.store.putJob(id, request.body());
+  }
+  if (!stored) {
+    // Without its row the object means nothing: the job has not been taken.
+    ++counts_.refused;
+    logOutcome("object_not_stored", kUnavailable);
+    co_await answer(writer, kUnavailable);
+    co_return;
+  }
+  JobRecord record;
+  record.id = id;
+  record.owner = deps_.leases.own();
+  record.host = http::fieldText(request, "Host");
+  record.path = std::string(request.target().substr(0, request.target().find('?')));
+  record.total = job->items.size();
+  record.accepted_ms = deps_.keeper.storeClock(steadyNow());
+  const FencedAnswer accepted = co_await acceptRecord(record, deadline);
+  if (accepted.outcome == FencedOutcome::kNotDone) {
+    ++counts_.refused;
+    logOutcome("row_not_stored", kUnavailable);
+    co_await answer(writer, kUnavailable);
+    co_return;
+  }
+  if (accepted.outcome == FencedOutcome::kUnknown) {
+    logOutcome("row_unknown", kUnknown);
+    co_await answer(writer, kUnknown);
+    co_return;
+  }
+  if (accepted.outcome == FencedOutcome::kFenceLost) {
+    if (accepted.current) onRecordRow(id, *accepted.current);
+    logOutcome("known_already", kAccepted);
+    co_await answer(writer, kAccepted);
+    co_return;
+  }
+  ++counts_.accepted;
+  logOutcome("accepted", kAccepted);
+  Job& mine = jobs_[id];
+  if (accepted.revision > mine.revision && !mine.activating && !mine.active) {
+    mine.record = record;
+    mine.revision = accepted.revision;
+    activate(id, std::move(*job), {}, received + route.queue_limit + std::chrono::seconds(1));
+  }
+  co_await answer(writer, kAccepted);
+}
+
+// --- Reading ------------------------------------------------------------------------------------
+
+Task<bool> BatchService::knows(JobId id, std::optional<JobRecord>& record) {
+  if (const auto at = jobs_.find(id); at != jobs_.end()) {
+    record = at->second.record;
+    co_return true;
+  }
+  const auto row = co_await deps_.store.getRecord(id);
+  if (!row) co_return false;
+  if (row->revision > 0) {
+    onRecordRow(id, *row);
+    record = decodeRecord(id, row->value);
+  }
+  co_return true;
+}
+
+Task<void> BatchService::answerPage(http::ResponseWriter& writer, std::size_t total,
+                                    std::size_t next,
+                                    const std::vector<std::string>& results) const {
+  http::Response response(boost::beast::http::status::ok, 11);
+  response.set(boost::beast::http::field::content_type, "application/json");
+  response.body() = deps_.codec.encodePage(total, next, results);
+  co_await writer.send(std::move(response));
+}
+
+Task<void> BatchService::readResults(JobId id, std::size_t position, Duration wait,
+                                     http::ResponseWriter& writer) {
+  const Instant deadline = steadyNow() + wait;
+  std::optional<JobRecord> record;
+  const bool sure = co_await knows(id, record);
+  if (!record) {
+    LogEvent("batch", "read_refused").text("batch", id.str()).text("why", sure ? "no such job" : "store away");
+    co_await answer(writer, sure ? kNotFound : kUnavailable);
+    co_return;
+  }
+  for (;;) {
+    std::vector<std::string> page;
+    std::size_t bytes = 0;
+    const auto at = jobs_.find(id);
+    const ActivePtr active = at == jobs_.end() ? nullptr : at->second.active;
+    if (active && (position < active->listed.size() || !active->stopped)) {
+      for (std::size_t i = position; i < active->listed.size() && bytes < options_.page_bytes; ++i) {
+        bytes += active->listed[i].size();
+        if (!page.empty() && bytes >= options_.page_bytes) break;
+        page.push_back(active->listed[i]);
+      }
+    } else {
+      auto stored = co_await deps_.store.results(id, position, 0);
+      if (!stored) {
+        co_await answer(writer, kUnavailable);
+        co_return;
+      }
+      for (StoredResult& each : stored->results) {
+        bytes += each.encoded.size();
+        if (!page.empty() && bytes >= options_.page_bytes) break;
+        page.push_back(std::move(each.encoded));
+      }
+    }
+    const Instant now = steadyNow();
+    const bool whole = position + page.size() >= record->total;
+    if (!page.empty() || whole || now >= deadline || stopping_ ||
+        writer.cancellation().requested()) {
+      co_await answerPage(writer, record->total, position + page.size(), page);
+      co_return;
+    }
+    if (active && !active->stopped) {
+      co_await active->listed_changed.waitFor(deadline - now);
+    } else {
+      co_await sleepFor(deps_.loop, std::min<Duration>(options_.poll_gap, deadline - now));
+    }
+  }
+}
+
+Task<void> BatchService::readItem(JobId id, ItemId item, http::ResponseWriter& writer) {
+  std::optional<JobRecord> record;
+  const bool sure = co_await knows(id, record);
+  if (!record) {
+    co_await answer(writer, sure ? kNotFound : kUnavailable);
+    co_return;
+  }
+  const auto find = [&item](const BatchJob& job) {
+    return std::find_if(job.items.begin(), job.items.end(),
+                        [&](const BatchItem& each) { return each.id == item; });
+  };
+  const auto at = jobs_.find(id);
+  if (at != jobs_.end() && at->second.active) {
+    const BatchJob& job = at->second.active->run.job();
+    const auto found = find(job);
+    const bool present = found != job.items.end();
+    co_await answer(writer, present ? kOk : kNotFound, present ? found->body : std::string());
+    co_return;
+  }
+  const auto bytes = co_await deps_.store.getJob(id);
+  if (!bytes) {
+    co_await answer(writer, kUnavailable);
+    co_return;
+  }
+  const auto job = deps_.codec.parseJob(id, *bytes);
+  const bool present = job && find(*job) != job->items.end();
+  co_await answer(writer, present ? kOk : kNotFound, present ? find(*job)->body : std::string());
+}
+
+// --- Ending -------------------------------------------------------------------------------------
+
+Task<void> BatchService::end(JobId id, http::ResponseWriter& writer) {
+  const Instant deadline = steadyNow() + options_.end_time;
+  unsigned status = kUnavailable;
+  while (steadyNow() < deadline && !writer.cancellation().requested()) {
+    const auto row = co_await deps_.store.getRecord(id);
+    if (row && row->revision == 0) {
+      status = kNotFound;
+      break;
+    }
+    auto record = row ? decodeRecord(id, row->value) : std::nullopt;
+    if (record && record->ended) {
+      onRecordRow(id, *row);
+      status = kOk;
+      break;
+    }
+    if (record) {
+      record->ended = true;
+      const FencedAnswer answer = co_await deps_.store.putRecord(*record, row->revision, {});
+      if (answer.outcome == FencedOutcome::kDone) {
+        table::Row ended{row->key, answer.revision, encodeRecord(*record)};
+        onRecordRow(id, ended);
+        status = kOk;
+        break;
+      }
+      if (answer.outcome == FencedOutcome::kFenceLost) continue;
+    }
+    co_await sleepFor(deps_.loop, options_.store_pause);
+  }
+  if (status == kOk) ++counts_.ended;
+  LogEvent("batch", "end_asked").text("batch", id.str()).number("status", status);
+  co_await answer(writer, status);
+}
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/batch_codec.h
@@ -0,0 +1,29 @@
+#pragma once
+
+/// @file
+/// How batch jobs look to those who hand them in and read them. Implemented where the product meets
+/// its platform.
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "batch/batch_types.h"
+#include "common/error.h"
+
+namespace linenpier::batch {
+
+class BatchCodec {
+ public:
+  virtual ~BatchCodec() = default;
+
+  /// @param bytes a job's body as handed in.
+  virtual tl::expected<BatchJob, Findings> parseJob(const JobId& id,
+                                                    std::string_view bytes) const = 0;
+  virtual std::string encodeResult(const BatchResult& result) const = 0;
+  /// @param results encoded, those at `next - results.size()` and on.
+  virtual std::string encodePage(std::size_t total, std::size_t next,
+                                 const std::vector<std::string>& results) const = 0;
+};
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/batch_run.cpp
@@ -0,0 +1,183 @@
+#include "batch/batch_run.h"
+
+#include <algorithm>
+#include <map>
+
+namespace linenpier::batch {
+
+BatchRun::BatchRun(BatchJob job, RunRules rules)
+    : job_(std::move(job)), rules_(rules), progress_(job_.items.size()) {
+  orderItems();
+}
+
+namespace {
+
+struct GroupRank {
+  std::uint64_t longest = 0;  ///< Longest expected item.
+  std::size_t first = 0;      ///< Position of its first item.
+};
+
+}  // namespace
+
+/// A group is whole when its longest item is. Of the groups that must become whole the longest
+/// begin first; those that are expected to be longest of all come last, since the trainer does not
+/// wait for them.
+void BatchRun::orderItems() {
+  std::map<GroupId, GroupRank> ranks;
+  for (ItemIndex item = 0; item < job_.items.size(); ++item) {
+    const BatchItem& each = job_.items[item];
+    const auto [at, fresh] = ranks.try_emplace(each.group, GroupRank{0, item});
+    at->second.longest = std::max(at->second.longest, each.length_hint);
+  }
+  std::vector<std::pair<std::uint64_t, GroupId>> by_length;
+  for (const auto& [group, rank] : ranks) by_length.emplace_back(rank.longest, group);
+  std::sort(by_length.begin(), by_length.end());
+  std::map<GroupId, std::size_t> place;
+  const std::size_t wanted =
+      job_.desired_groups == 0 ? by_length.size() : std::min(job_.desired_groups, by_length.size());
+  for (std::size_t i = 0; i < by_length.size(); ++i) {
+    place[by_length[i].second] = i < wanted ? wanted - i : i + 1;
+  }
+  order_.resize(job_.items.size());
+  for (ItemIndex item = 0; item < order_.size(); ++item) order_[item] = item;
+  std::stable_sort(order_.begin(), order_.end(), [&](ItemIndex one, ItemIndex other) {
+    const std::size_t one_place = place[job_.items[one].group];
+    const std::size_t other_place = place[job_.items[other].group];
+    if (one_place != other_place) return one_place < other_place;
+    return job_.items[one].length_hint > job_.items[other].length_hint;
+  });
+}
+
+void BatchRun::onAlreadyListed(ItemIndex item) {
+  if (progress_[item].state == ItemState::kListed) return;
+  progress_[item].state = ItemState::kListed;
+  ++listed_;
+}
+
+std::optional<ItemIndex> BatchRun::nextToStart(Instant now) const {
+  for (const ItemIndex item : order_) {
+    const ItemProgress& progress = progress_[item];
+    if (progress.state == ItemState::kWaiting && now >= progress.not_before) return item;
+  }
+  return std::nullopt;
+}
+
+std::size_t BatchRun::waiting() const {
+  return static_cast<std::size_t>(
+      std::count_if(progress_.begin(), progress_.end(), [](const ItemProgress& each) {
+        return each.state == ItemState::kWaiting;
+      }));
+}
+
+std::size_t BatchRun::running() const {
+  return static_cast<std::size_t>(
+      std::count_if(progress_.begin(), progress_.end(), [](const ItemProgress& each) {
+        return each.state == ItemState::kRunning;
+      }));
+}
+
+void BatchRun::onStarted(Instant now, ItemIndex item, const EngineId& engine) {
+  ItemProgress& progress = progress_[item];
+  progress.state = ItemState::kRunning;
+  ++progress.attempts_running;
+  progress.last_engine = engine;
+  progress.last_progress = now;
+}
+
+EventVerdict BatchRun::onEvent(Instant now, ItemIndex item, std::uint64_t event,
+                               const std::string& data, WeightVersion version) {
+  ItemProgress& progress = progress_[item];
+  if (progress.state != ItemState::kRunning) return EventVerdict::kUnfit;
+  if (event != progress.last_event + 1) return EventVerdict::kUnfit;
+  if (version < job_.minimum_version) return EventVerdict::kUnfit;
+  if (rules_.single_version && !progress.versions.empty() && !progress.versions.contains(version)) {
+    return EventVerdict::kUnfit;
+  }
+  if (event > 1) progress.text.push_back('\n');
+  progress.text += data;
+  progress.last_event = event;
+  progress.versions.insert(version);
+  progress.last_progress = now;
+  return EventVerdict::kTaken;
+}
+
+void BatchRun::finish(ItemIndex item, ResultState outcome) {
+  ItemProgress& progress = progress_[item];
+  if (progress.state == ItemState::kFinished || progress.state == ItemState::kListed) return;
+  progress.state = ItemState::kFinished;
+  progress.outcome = outcome;
+  finished_.push_back(item);
+}
+
+void BatchRun::onCompleted(Instant now, ItemIndex item) {
+  progress_[item].last_progress = now;
+  --progress_[item].attempts_running;
+  finish(item, ResultState::kCompleted);
+}
+
+void BatchRun::onInterrupted(Instant now, ItemIndex item, Duration pause) {
+  ItemProgress& progress = progress_[item];
+  --progress.attempts_running;
+  if (progress.state != ItemState::kRunning || progress.attempts_running > 0) return;
+  progress.state = ItemState::kWaiting;
+  progress.not_before = now + pause;
+}
+
+void BatchRun::onFailed(Instant now, ItemIndex item) {
+  constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(100);
+  ItemProgress& progress = progress_[item];
+  ++progress.failures;
+  if (progress.failures >= rules_.max_failures) {
+    --progress.attempts_running;
+    finish(item, ResultState::kTerminated);
+    return;
+  }
+  onInterrupted(now, item, kPauseAfterFailure);
+}
+
+void BatchRun::onRejected(ItemIndex item) {
+  --progress_[item].attempts_running;
+  finish(item, ResultState::kTerminated);
+}
+
+void BatchRun::discardText(ItemIndex item) {
+  ItemProgress& progress = progress_[item];
+  if (progress.state == ItemState::kFinished || progress.state == ItemState::kListed) return;
+  progress.text.clear();
+  progress.versions.clear();
+  progress.last_event = 0;
+}
+
+bool BatchRun::onTick(Instant now) {
+  if (now < rules_.give_up_at) return false;
+  const std::size_t before = finished_.size();
+  giveUpAll();
+  return finished_.size() > before;
+}
+
+void BatchRun::giveUpAll() {
+  for (ItemIndex item = 0; item < progress_.size(); ++item) finish(item, ResultState::kTerminated);
+}
+
+BatchResult BatchRun::result(ItemIndex item) const {
+  const ItemProgress& progress = progress_[item];
+  BatchResult result;
+  result.item = job_.items[item].id;
+  result.state = progress.outcome;
+  if (progress.outcome == ResultState::kCompleted) {
+    result.text = progress.text;
+    result.versions = progress.versions;
+  }
+  return result;
+}
+
+void BatchRun::onListed(ItemIndex item) {
+  ItemProgress& progress = progress_[item];
+  if (progress.state == ItemState::kListed) return;
+  progress.state = ItemState::kListed;
+  progress.text = std::string();
+  std::erase(finished_, item);
+  ++listed_;
+}
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/batch_run.h
@@ -0,0 +1,100 @@
+#pragma once
+
+/// @file
+/// The state of a job at its owner: which items wait, run, are finished, and which comes next.
+/// Pure; fed with what attempts did.
+
+#include <vector>
+
+#include "batch/batch_types.h"
+#include "routing/route_table.h"
+
+namespace linenpier::batch {
+
+using ItemIndex = std::size_t;
+
+/// Rules of the route that a job runs under.
+struct RunRules {
+  int max_failures = 3;         ///< Failed runs after which an item is given up.
+  bool single_version = false;  ///< A text must come from one version.
+  Instant give_up_at{};         ///< Items that are not finished then are given up.
+};
+
+enum class ItemState { kWaiting, kRunning, kFinished, kListed };
+
+/// Invariant: `text` holds exactly the data of events 1 to `last_event`, each once, made under
+/// `versions`, none below the job's minimum.
+struct ItemProgress {
+  ItemState state = ItemState::kWaiting;
+  int attempts_running = 0;
+  std::uint64_t last_event = 0;
+  std::string text;
+  std::set<WeightVersion> versions;
+  int failures = 0;
+  Instant not_before{};
+  Instant last_progress{};
+  EngineId last_engine;
+  ResultState outcome = ResultState::kCompleted;
+};
+
+/// What became of an event that an attempt brought.
+enum class EventVerdict {
+  kTaken,
+  kUnfit,  ///< Not the next one, or of a version that does not fit: stop the attempt.
+};
+
+class BatchRun {
+ public:
+  BatchRun(BatchJob job, RunRules rules);
+
+  const BatchJob& job() const { return job_; }
+  const ItemProgress& progress(ItemIndex item) const { return progress_[item]; }
+  void setRules(const RunRules& rules) { rules_ = rules; }
+
+  /// An item that was listed before this daemon took the job over.
+  void onAlreadyListed(ItemIndex item);
+
+  /// @return the waiting item that should start next, if any may start now.
+  std::optional<ItemIndex> nextToStart(Instant now) const;
+  std::size_t waiting() const;
+  std::size_t running() const;
+
+  void onStarted(Instant now, ItemIndex item, const EngineId& engine);
+  /// @param version that made the event.
+  EventVerdict onEvent(Instant now, ItemIndex item, std::uint64_t event, const std::string& data,
+                       WeightVersion version);
+  /// The attempt brought the item's end.
+  void onCompleted(Instant now, ItemIndex item);
+  /// The attempt ended without it; the item goes on from what it has.
+  void onInterrupted(Instant now, ItemIndex item, Duration pause);
+  /// The engine ran the item and failed.
+  void onFailed(Instant now, ItemIndex item);
+  /// The item can never be done.
+  void onRejected(ItemIndex item);
+  /// The text so far cannot be gone on with, as on an engine of another version.
+  void discardText(ItemIndex item);
+  /// Gives up what is too late. @return whether anything was.
+  bool onTick(Instant now);
+  void giveUpAll();
+
+  /// @return finished items that are not listed, in the order in which they finished.
+  const std::vector<ItemIndex>& finished() const { return finished_; }
+  BatchResult result(ItemIndex item) const;
+  /// The item stands at its position for good: its text is no longer needed.
+  void onListed(ItemIndex item);
+  std::size_t listedCount() const { return listed_; }
+  bool allListed() const { return listed_ == progress_.size(); }
+
+ private:
+  void orderItems();
+  void finish(ItemIndex item, ResultState outcome);
+
+  BatchJob job_;
+  RunRules rules_;
+  std::vector<ItemProgress> progress_;
+  std::vector<ItemIndex> order_;     ///< Most urgent first.
+  std::vector<ItemIndex> finished_;  ///< Not listed yet.
+  std::size_t listed_ = 0;
+};
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/batch_service.h
@@ -0,0 +1,147 @@
+#pragma once
+
+/// @file
+/// Batch jobs as a whole: takes them in, owns and runs some, answers for all, and takes over those
+/// whose owner is gone.
+///
+/// What may be relied on:
+/// - a job is accepted only after its object and its row are in the store;
+/// - a reader is shown only results that are in the store;
+/// - items are run by the owner alone, as far as it knows; positions are given only under the fence.
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "batch/batch_codec.h"
+#include "batch/batch_run.h"
+#include "batch/job_store.h"
+#include "forward/engine_call.h"
+#include "http/server.h"
+#include "lease/lease_keeper.h"
+#include "lease/lease_table.h"
+
+namespace linenpier::batch {
+
+struct BatchOptions {
+  Duration connect_time = std::chrono::milliseconds(400);
+  /// Until an engine's first event, during which a request may wait in the engine's queue.
+  Duration first_event_time = std::chrono::milliseconds(2500);
+  Duration event_gap = std::chrono::milliseconds(1200);  ///< Between two events.
+  Duration refused_pause = std::chrono::milliseconds(40);
+  Duration broken_pause = std::chrono::milliseconds(20);
+  Duration list_gap = std::chrono::milliseconds(120);   ///< Between two writes of results.
+  Duration store_pause = std::chrono::milliseconds(150);  ///< Before a write is sent again.
+  Duration poll_gap = std::chrono::milliseconds(200);   ///< Of a reader that waits for results.
+  Duration takeover_spread = std::chrono::milliseconds(400);
+  Duration accept_time = std::chrono::milliseconds(2500);
+  Duration end_time = std::chrono::milliseconds(3500);
+  Duration keep_ended = std::chrono::seconds(3);  ///< Results of an ended job in memory.
+  double requests_per_slot = 1.0;
+  std::size_t page_bytes = 900 * 1024;
+  std::size_t write_bytes = 600 * 1024;
+  std::size_t write_rows = 90;
+  std::size_t most_job_bytes = 64 * 1024 * 1024;  ///< Of all jobs owned.
+};
+
+struct BatchCounts {
+  std::uint64_t accepted = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t taken_over = 0;
+  std::uint64_t lost = 0;
+  std::uint64_t ended = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t terminated = 0;
+  std::uint64_t attempts = 0;
+};
+
+/// Loop thread only.
+class BatchService {
+ public:
+  struct Dependencies {
+    boost::asio::io_context& loop;
+    forward::EngineCallContext engines;
+    JobStore& store;
+    lease::LeaseTable& leases;
+    lease::LeaseKeeper& keeper;
+    const BatchCodec& codec;
+    std::function<routing::RouteTablePtr()> routes;  ///< The newest table; empty before the first.
+  };
+
+  BatchService(Dependencies dependencies, BatchOptions options)
+      : deps_(std::move(dependencies)), options_(options) {}
+  ~BatchService();
+
+  void start();
+
+  Task<void> submit(const routing::Route& route, const http::Request& request, Instant received,
+                    http::ResponseWriter& writer);
+  Task<void> readResults(JobId id, std::size_t position, Duration wait,
+                         http::ResponseWriter& writer);
+  Task<void> readItem(JobId id, ItemId item, http::ResponseWriter& writer);
+  Task<void> end(JobId id, http::ResponseWriter& writer);
+
+  /// A job's row as the feed tells it.
+  void onRecordRow(const JobId& id, const table::Row& row);
+  void onRecordGone(const JobId& id) { jobs_.erase(id); }
+
+  /// @return whether this daemon owns jobs that are not wholly listed.
+  bool ownsAny() const;
+  /// Gives up every owned job so that others take it at once.
+  Task<void> handOver();
+
+  const BatchCounts& counts() const { return counts_; }
+  std::size_t jobCount() const { return jobs_.size(); }
+
+ private:
+  struct Active;
+  using ActivePtr = std::shared_ptr<Active>;
+
+  /// A job as this daemon knows it.
+  struct Job {
+    JobRecord record;
+    Revision revision = 0;
+    ActivePtr active;  ///< Set while this daemon owns and runs it.
+    bool activating = false;
+    Instant orphaned_at{};  ///< When its owner was first seen to be gone.
+  };
+
+  Task<bool> knows(JobId id, std::optional<JobRecord>& record);
+  Task<FencedAnswer> acceptRecord(JobRecord record, Instant deadline);
+
+  void activate(const JobId& id, BatchJob job, const std::vector<StoredResult>& listed,
+                Instant give_up_at);
+  Task<void> takeOver(JobId id);
+  Task<void> resume(JobId id);
+  void deactivate(Job& job, const char* reason);
+  void checkOwners(Instant now);
+  Task<void> tickLoop();
+
+  void pump();
+  bool startItem(const ActivePtr& active, ItemIndex item, const routing::Route& route);
+  Task<void> runItem(ActivePtr active, ItemIndex item, std::shared_ptr<forward::EngineCall> call,
+                     std::string model);
+  Task<forward::AttemptVerdict> readItemEvents(Active& active, ItemIndex item,
+                                               forward::EngineCall& call, const ModelName& model);
+  void settleItem(Active& active, ItemIndex item, forward::EngineCall& call,
+                  forward::AttemptVerdict verdict, const ModelName& model);
+  http::Request itemRequest(const Active& active, ItemIndex item) const;
+
+  Task<void> listLoop(ActivePtr active);
+  Task<bool> listPending(ActivePtr active);
+
+  RunRules rulesFor(const routing::Route* route, Instant give_up_at) const;
+  const routing::Route* routeOf(const JobRecord& record, routing::RouteTablePtr& table) const;
+  Task<void> answer(http::ResponseWriter& writer, unsigned status, std::string body = {}) const;
+  Task<void> answerPage(http::ResponseWriter& writer, std::size_t total, std::size_t next,
+                        const std::vector<std::string>& results) const;
+
+  Dependencies deps_;
+  BatchOptions options_;
+  std::map<JobId, Job> jobs_;
+  BatchCounts counts_;
+  bool stopping_ = false;
+  bool pump_due_ = false;
+};
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/batch_types.h
@@ -0,0 +1,63 @@
+#pragma once
+
+/// @file
+/// Batch jobs: many requests handed in together, run afterwards, and listed one by one at positions
+/// that never change.
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/time.h"
+
+namespace linenpier::batch {
+
+using JobId = Id<struct JobIdTag>;
+using ItemId = Id<struct ItemIdTag>;
+using GroupId = Id<struct GroupIdTag>;
+using LeaseId = Id<struct LeaseIdTag>;  ///< One life of one daemon, as an owner.
+
+struct BatchItem {
+  ItemId id;
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> fields;  ///< HTTP fields, in order.
+  std::string body;
+  GroupId group;
+  ModelName model;            ///< Empty: none named.
+  std::uint64_t length_hint = 0;  ///< Expected tokens out; 0: not told.
+};
+
+/// A job as it was handed in.
+struct BatchJob {
+  JobId id;
+  std::vector<BatchItem> items;
+  std::optional<std::uint64_t> step;
+  WeightVersion minimum_version = 0;
+  std::size_t desired_groups = 0;  ///< Whole groups that the trainer waits for; 0: all.
+};
+
+enum class ResultState { kCompleted, kTerminated };
+
+struct BatchResult {
+  ItemId item;
+  ResultState state = ResultState::kCompleted;
+  std::string text;
+  std::set<WeightVersion> versions;
+};
+
+/// What every daemon knows of a job: the row that stands for it.
+struct JobRecord {
+  JobId id;
+  LeaseId owner;       ///< Empty: nobody, to be taken.
+  std::string host;    ///< Of the route that it was handed in under.
+  std::string path;
+  std::size_t total = 0;
+  bool ended = false;
+  std::int64_t accepted_ms = 0;  ///< By the store's clock.
+};
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/job_store.cpp
@@ -0,0 +1,166 @@
+#include "batch/job_store.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "gateway/store_keys.h"
+
+namespace linenpier::batch {
+
+using gateway::jobKey;
+using gateway::jobObject;
+using gateway::kResultTable;
+using gateway::resultEnd;
+using gateway::resultKey;
+using nlohmann::json;
+
+namespace {
+
+/// A result's row: the item's index, then the result itself or the name of the object it is in.
+constexpr char kInline = '=';
+constexpr char kObject = '@';
+
+std::string resultRowKey(const JobId& id, std::size_t position) {
+  return kResultTable + "/" + resultKey(id, position);
+}
+
+std::string largeResultName(const JobId& id, std::size_t position, Revision fence) {
+  return "result-" + id.str() + "-" + std::to_string(position) + "-" + std::to_string(fence);
+}
+
+}  // namespace
+
+std::string encodeRecord(const JobRecord& record) {
+  const json document = {{"owner", record.owner.str()}, {"host", record.host},
+                         {"path", record.path},         {"total", record.total},
+                         {"ended", record.ended},       {"accepted_ms", record.accepted_ms}};
+  return document.dump();
+}
+
+std::optional<JobRecord> decodeRecord(const JobId& id, const std::string& text) {
+  const json document = json::parse(text, nullptr, false);
+  if (!document.is_object()) return std::nullopt;
+  try {
+    JobRecord record;
+    record.id = id;
+    record.owner = LeaseId(document.at("owner").get<std::string>());
+    record.host = document.at("host").get<std::string>();
+    record.path = document.at("path").get<std::string>();
+    record.total = document.at("total").get<std::size_t>();
+    record.ended = document.at("ended").get<bool>();
+    record.accepted_ms = document.at("accepted_ms").get<std::int64_t>();
+    return record;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+Task<CallResult<bool>> JobStore::putJob(JobId id, std::string bytes) {
+  co_return co_await objects_.put(jobObject(id), std::move(bytes));
+}
+
+Task<CallResult<std::string>> JobStore::getJob(JobId id) {
+  co_return co_await objects_.get(jobObject(id));
+}
+
+FencedAnswer JobStore::judge(const CallResult<table::TransactionAnswer>& answer,
+                             const std::string& job_key, Revision fence) const {
+  FencedAnswer judged;
+  if (!answer) {
+    judged.outcome = certainlyNotProcessed(answer.error().failure) ? FencedOutcome::kNotDone
+                                                                   : FencedOutcome::kUnknown;
+    return judged;
+  }
+  if (answer->committed) {
+    judged.outcome = FencedOutcome::kDone;
+    judged.revision = answer->revision;
+    return judged;
+  }
+  const auto row = std::find_if(answer->conflicts.begin(), answer->conflicts.end(),
+                                [&](const table::Row& each) { return each.key == job_key; });
+  const bool present = row != answer->conflicts.end();
+  const Revision current = present ? row->revision : 0;
+  if (present) judged.current = *row;
+  if (current != fence) {
+    judged.outcome = FencedOutcome::kFenceLost;
+    return judged;
+  }
+  // The fence holds, so what stands at the positions is this owner's own earlier write.
+  judged.outcome = FencedOutcome::kDone;
+  judged.revision = current;
+  return judged;
+}
+
+Task<FencedAnswer> JobStore::putRecord(JobRecord record, Revision fence,
+                                       std::vector<table::Put> also) {
+  const std::string key = jobKey(record.id);
+  table::Write write;
+  write.transaction.checks.push_back({key, fence});
+  write.transaction.puts.push_back({key, encodeRecord(record)});
+  for (table::Put& put : also) write.transaction.puts.push_back(std::move(put));
+  const auto answer = co_await table_.write(std::move(write));
+  co_return judge(answer, key, fence);
+}
+
+Task<CallResult<table::Row>> JobStore::getRecord(JobId id) {
+  const std::string key = gateway::kJobPrefix + id.str();
+  table::RowRange range{gateway::kCoordinationTable, key, key + '\x01', 1};
+  const auto page = co_await table_.read(range);
+  if (!page) co_return tl::make_unexpected(page.error());
+  co_return page->rows.empty() ? table::Row{jobKey(id), 0, ""} : page->rows.front();
+}
+
+Task<FencedAnswer> JobStore::append(JobId id, Revision fence, std::size_t position,
+                                    std::vector<StoredResult> results) {
+  const std::string job_key = jobKey(id);
+  table::Write write;
+  write.transaction.checks.push_back({job_key, fence});
+  for (const StoredResult& result : results) {
+    std::string value = std::to_string(result.item_index);
+    if (result.encoded.size() + value.size() + 1 <= row_bytes_) {
+      value += kInline + result.encoded;
+    } else {
+      const std::string name = largeResultName(id, position, fence);
+      const auto put = co_await objects_.put(name, result.encoded);
+      if (!put) co_return FencedAnswer{FencedOutcome::kNotDone, 0, std::nullopt};
+      value += kObject + name;
+    }
+    const std::string key = resultRowKey(id, position);
+    write.transaction.checks.push_back({key, 0});
+    write.transaction.puts.push_back({key, std::move(value)});
+    ++position;
+  }
+  const auto answer = co_await table_.write(std::move(write));
+  co_return judge(answer, job_key, fence);
+}
+
+Task<CallResult<std::string>> JobStore::largeResult(std::string name) {
+  co_return co_await objects_.get(std::move(name));
+}
+
+Task<CallResult<StoredResults>> JobStore::results(JobId id, std::size_t position,
+                                                  std::size_t limit) {
+  table::RowRange range{kResultTable, resultKey(id, position), resultEnd(id), limit};
+  const auto page = co_await table_.read(range);
+  if (!page) co_return tl::make_unexpected(page.error());
+  StoredResults found;
+  found.clock_ms = page->clock_ms;
+  for (const table::Row& row : page->rows) {
+    const std::size_t mark = row.value.find_first_not_of("0123456789");
+    if (mark == std::string::npos || row.key != resultRowKey(id, position + found.results.size())) {
+      co_return tl::make_unexpected(CallError{CallFailure::kBadAnswer, "a gap in the results"});
+    }
+    StoredResult result;
+    result.item_index = std::strtoull(row.value.c_str(), nullptr, 10);
+    result.encoded = row.value.substr(mark + 1);
+    if (row.value[mark] == kObject) {
+      auto bytes = co_await largeResult(result.encoded);
+      if (!bytes) co_return tl::make_unexpected(bytes.error());
+      result.encoded = std::move(*bytes);
+    }
+    found.results.push_back(std::move(result));
+  }
+  co_return found;
+}
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/job_store.h
@@ -0,0 +1,76 @@
+#pragma once
+
+/// @file
+/// What of a batch job lies in the store, and under which condition it is written.
+///
+/// - the job as handed in: an object, written before anything else;
+/// - the job's row: its revision is the fence of the owner. Written under its last revision;
+/// - results: a row a position, written only while the job's row has the owner's revision and the
+///   position is empty. So a position has one content for ever, whoever believes to be the owner.
+
+#include <memory>
+
+#include "batch/batch_types.h"
+#include "table/async_table.h"
+
+namespace linenpier::batch {
+
+/// A result as it lies in the store.
+struct StoredResult {
+  std::size_t item_index = 0;
+  std::string encoded;  ///< As readers get it.
+};
+
+struct StoredResults {
+  std::vector<StoredResult> results;  ///< From the asked position on, without gaps.
+  std::int64_t clock_ms = 0;
+};
+
+/// What came of a conditional write.
+enum class FencedOutcome {
+  kDone,
+  kFenceLost,  ///< The job's row has another revision.
+  kNotDone,    ///< Certainly not done; again later.
+  kUnknown,    ///< May be done yet; only the same write may follow.
+};
+
+struct FencedAnswer {
+  FencedOutcome outcome = FencedOutcome::kUnknown;
+  Revision revision = 0;              ///< Of what was written.
+  std::optional<table::Row> current;  ///< The job's row, if the fence is lost and the row exists.
+};
+
+std::string encodeRecord(const JobRecord& record);
+/// @return nothing if the text is no job record.
+std::optional<JobRecord> decodeRecord(const JobId& id, const std::string& text);
+
+class JobStore {
+ public:
+  JobStore(table::AsyncTable& table, table::AsyncObjects& objects, std::size_t row_bytes)
+      : table_(table), objects_(objects), row_bytes_(row_bytes) {}
+
+  Task<CallResult<bool>> putJob(JobId id, std::string bytes);
+  Task<CallResult<std::string>> getJob(JobId id);
+
+  /// Writes the job's row if its revision is `fence` (0: absent), with `also` in one transaction.
+  Task<FencedAnswer> putRecord(JobRecord record, Revision fence, std::vector<table::Put> also);
+  /// @return the row; revision 0 if there is none.
+  Task<CallResult<table::Row>> getRecord(JobId id);
+
+  /// Appends results from `position` on under the fence.
+  Task<FencedAnswer> append(JobId id, Revision fence, std::size_t position,
+                            std::vector<StoredResult> results);
+  /// Reads results from `position` on, at most `limit` rows (0: as many as one answer holds).
+  Task<CallResult<StoredResults>> results(JobId id, std::size_t position, std::size_t limit);
+
+ private:
+  FencedAnswer judge(const CallResult<table::TransactionAnswer>& answer, const std::string& job_key,
+                     Revision fence) const;
+  Task<CallResult<std::string>> largeResult(std::string name);
+
+  table::AsyncTable& table_;
+  table::AsyncObjects& objects_;
+  std::size_t row_bytes_;  ///< Larger values become objects.
+};
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/engines/engine_registry.cpp
@@ -0,0 +1,214 @@
+#include "engines/engine_registry.h"
+
+#include <algorithm>
+
+namespace linenpier::engines {
+
+namespace {
+constexpr double kLoadWeight = 0.5;      ///< Of a request already there, in units of its own.
+constexpr double kSlowestFactor = 8;     ///< Slower engines count as this slow.
+constexpr int kLongestBackoffSteps = 4;
+constexpr std::uint64_t kTieBreak = 1000;
+}  // namespace
+
+WeightVersion EngineState::versionOf(const ModelName& model) const {
+  const auto seen = seen_versions.find(model);
+  if (seen != seen_versions.end()) return seen->second;
+  const auto listed = record.models.find(model);
+  return listed == record.models.end() ? 0 : listed->second;
+}
+
+std::vector<Address> EngineRegistry::onList(Instant now, const std::vector<EngineRecord>& records) {
+  std::set<EngineId> present;
+  for (const EngineRecord& record : records) {
+    present.insert(record.id);
+    onRecord(now, record);
+  }
+  std::vector<Address> gone;
+  for (auto at = engines_.begin(); at != engines_.end();) {
+    if (present.contains(at->first)) {
+      ++at;
+      continue;
+    }
+    gone.push_back(at->second.record.address);
+    at = engines_.erase(at);
+  }
+  return gone;
+}
+
+void EngineRegistry::onRecord(Instant now, const EngineRecord& record) {
+  EngineState& engine = engines_[record.id];
+  if (engine.listed_at == Instant{}) engine.listed_at = now;
+  for (const auto& [model, version] : record.models) {
+    const auto listed = engine.record.models.find(model);
+    const bool changed = listed == engine.record.models.end() || listed->second != version;
+    // Discovery lags, but what it says anew is newer than what an older answer said.
+    if (changed) engine.seen_versions.erase(model);
+  }
+  engine.record = record;
+}
+
+std::optional<Address> EngineRegistry::onGone(const EngineId& id) {
+  const auto at = engines_.find(id);
+  if (at == engines_.end()) return std::nullopt;
+  const Address address = at->second.record.address;
+  engines_.erase(at);
+  return address;
+}
+
+EngineState* EngineRegistry::mutableFind(const EngineId& id) {
+  const auto at = engines_.find(id);
+  return at == engines_.end() ? nullptr : &at->second;
+}
+
+const EngineState* EngineRegistry::find(const EngineId& id) const {
+  const auto at = engines_.find(id);
+  return at == engines_.end() ? nullptr : &at->second;
+}
+
+void EngineRegistry::onAttemptStarted(const EngineId& id) {
+  if (EngineState* engine = mutableFind(id)) ++engine->in_flight;
+}
+
+void EngineRegistry::onAttemptEnded(Instant now, const EngineId& id, AttemptEnd end) {
+  EngineState* engine = mutableFind(id);
+  if (engine == nullptr) return;
+  if (engine->in_flight > 0) --engine->in_flight;
+  if (end == AttemptEnd::kServed || end == AttemptEnd::kRefused) {
+    if (end == AttemptEnd::kServed) engine->failures = 0;
+    return;
+  }
+  ++engine->failures;
+  // A single broken answer is common and says little; a silent or unreachable engine is left alone.
+  if (end == AttemptEnd::kBroke && engine->failures < 2) return;
+  const int steps = std::min(engine->failures - 1, kLongestBackoffSteps);
+  const Duration ejection = std::min(options_.first_ejection * (1 << steps),
+                                     options_.longest_ejection);
+  engine->ejected_until = now + (end == AttemptEnd::kMisdirected ? options_.longest_ejection : ejection);
+}
+
+void EngineRegistry::onModelRefused(Instant now, const EngineId& id, const ModelName& model) {
+  if (EngineState* engine = mutableFind(id)) {
+    engine->loading_until[model] = now + options_.refusal_pause;
+  }
+}
+
+void EngineRegistry::onLoad(Instant now, const EngineId& id, const LoadReport& load) {
+  EngineState* engine = mutableFind(id);
+  if (engine == nullptr) return;
+  const double total = static_cast<double>(load.running) + load.waiting;
+  engine->others = std::max(0.0, total - engine->in_flight);
+  engine->load_at = now;
+}
+
+void EngineRegistry::onPace(Instant now, const EngineId& id, Duration duration) {
+  EngineState* engine = mutableFind(id);
+  if (engine == nullptr) return;
+  const double seconds = toSeconds(duration);
+  const bool fresh = engine->pace > 0 && now - engine->pace_at < options_.pace_lifetime;
+  engine->pace = fresh ? engine->pace + options_.pace_weight * (seconds - engine->pace) : seconds;
+  engine->pace_at = now;
+}
+
+void EngineRegistry::onVersionSeen(const EngineId& id, const ModelName& model,
+                                   WeightVersion version) {
+  if (EngineState* engine = mutableFind(id)) engine->seen_versions[model] = version;
+}
+
+void EngineRegistry::onOrderStarted(const EngineId& id) {
+  if (EngineState* engine = mutableFind(id)) ++engine->orders_running;
+}
+
+void EngineRegistry::onOrderEnded(const EngineId& id) {
+  EngineState* engine = mutableFind(id);
+  if (engine != nullptr && engine->orders_running > 0) --engine->orders_running;
+}
+
+double EngineRegistry::load(Instant now, const EngineState& engine) const {
+  const bool fresh = now - engine.load_at < options_.load_lifetime;
+  return engine.in_flight + (fresh ? engine.others : 0);
+}
+
+double EngineRegistry::medianPace(Instant now, const routing::ServiceName& service) const {
+  std::vector<double> paces;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.record.service == service && engine.pace > 0 &&
+        now - engine.pace_at < options_.pace_lifetime) {
+      paces.push_back(engine.pace);
+    }
+  }
+  if (paces.empty()) return 0;
+  const auto middle = paces.begin() + static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
+  std::nth_element(paces.begin(), middle, paces.end());
+  return *middle;
+}
+
+double EngineRegistry::slowness(Instant now, const EngineId& id) const {
+  const EngineState* engine = find(id);
+  if (engine == nullptr || engine->pace <= 0) return 1;
+  if (now - engine->pace_at >= options_.pace_lifetime) return 1;
+  const double median = medianPace(now, engine->record.service);
+  return median > 0 ? std::min(engine->pace / median, kSlowestFactor) : 1;
+}
+
+double EngineRegistry::expectedWait(Instant now, const EngineState& engine) const {
+  const double per_slot = load(now, engine) / std::max(1U, engine.record.slots);
+  double wait = (1 + kLoadWeight * engine.record.slots * per_slot) * slowness(now, engine.record.id);
+  if (per_slot >= 1) wait *= 1 + per_slot;
+  if (engine.record.zone != zone_) wait *= options_.remote_factor;
+  if (now < engine.listed_at + engine.record.cold_for) wait *= 2;
+  return wait;
+}
+
+bool EngineRegistry::fits(Instant now, const EngineState& engine,
+                          const PickRequest& request) const {
+  if (engine.record.service != request.service || engine.record.draining) return false;
+  if (!request.model.empty()) {
+    if (engine.versionOf(request.model) < request.minimum_version) return false;
+    const auto loading = engine.loading_until.find(request.model);
+    if (loading != engine.loading_until.end() && now < loading->second) return false;
+  }
+  if (request.most_per_slot > 0 &&
+      load(now, engine) >= request.most_per_slot * std::max(1U, engine.record.slots)) {
+    return false;
+  }
+  if (request.desperate) return true;
+  return now >= engine.ejected_until && !request.excluded.contains(engine.record.id);
+}
+
+const EngineState* EngineRegistry::pick(Instant now, const PickRequest& request) {
+  const EngineState* best = nullptr;
+  double best_wait = 0;
+  for (const auto& [id, engine] : engines_) {
+    if (!fits(now, engine, request)) continue;
+    const double jitter = 1 + static_cast<double>(random_.below(kTieBreak)) / (20 * kTieBreak);
+    double wait = expectedWait(now, engine) * jitter;
+    if (request.desperate && request.excluded.contains(id)) wait *= kSlowestFactor;
+    if (request.desperate && now < engine.ejected_until) wait *= kSlowestFactor;
+    if (best == nullptr || wait < best_wait) {
+      best = &engine;
+      best_wait = wait;
+    }
+  }
+  return best;
+}
+
+std::vector<const EngineState*> EngineRegistry::ofService(
+    const routing::ServiceName& service) const {
+  std::vector<const EngineState*> found;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.record.service == service && !engine.record.draining) found.push_back(&engine);
+  }
+  return found;
+}
+
+double EngineRegistry::freeSlots(Instant now, const PickRequest& request) const {
+  double sum = 0;
+  for (const auto& [id, engine] : engines_) {
+    if (!fits(now, engine, request)) continue;
+    sum += std::max(0.0, request.most_per_slot * engine.record.slots - load(now, engine));
+  }
+  return sum;
+}
+
+}  // namespace linenpier::engines
--- /dev/null
+++ b/src/engines/engine_registry.h
@@ -0,0 +1,140 @@
+#pragma once
+
+/// @file
+/// The engines that this daemon may send to: what discovery says of them, what they tell with
+/// their answers, what this daemon itself has in flight, and how they did lately. Decides which
+/// engine gets a request.
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/address.h"
+#include "common/ids.h"
+#include "common/random.h"
+#include "common/time.h"
+#include "routing/route_table.h"
+
+namespace linenpier::engines {
+
+/// An engine as discovery names it.
+struct EngineRecord {
+  EngineId id;
+  routing::ServiceName service;
+  Address address;
+  ZoneName zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+  Duration cold_for{};                       ///< It is slow for this long after it was listed.
+  std::map<ModelName, WeightVersion> models;  ///< Weights it holds; lags.
+};
+
+/// How one attempt at an engine ended, as far as the engine's health goes.
+enum class AttemptEnd {
+  kServed,       ///< Answered as asked, or was stopped by us.
+  kRefused,      ///< Said that it did not run the request: full or loading.
+  kUnreachable,  ///< No connection.
+  kBroke,        ///< Broke off, spoilt its answer, or failed.
+  kSilent,       ///< Said nothing in time.
+  kMisdirected,  ///< Another engine has the address now.
+};
+
+/// What an engine says about itself with an answer.
+struct LoadReport {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+/// Everything known of one engine.
+struct EngineState {
+  EngineRecord record;
+  Instant listed_at{};
+  std::uint32_t in_flight = 0;      ///< Attempts of this daemon under way.
+  std::uint32_t orders_running = 0;  ///< Weight loads that this daemon ordered.
+  double others = 0;                ///< Requests of other daemons, as of `load_at`.
+  Instant load_at{};
+  double pace = 0;                  ///< Smoothed time per unit of work, in seconds; 0: unknown.
+  Instant pace_at{};
+  int failures = 0;                 ///< In a row.
+  Instant ejected_until{};
+  std::map<ModelName, Instant> loading_until;  ///< It refused requests for the model lately.
+  std::map<ModelName, WeightVersion> seen_versions;  ///< From answers since discovery last changed.
+
+  WeightVersion versionOf(const ModelName& model) const;
+};
+
+struct RegistryOptions {
+  Duration load_lifetime = std::chrono::milliseconds(1500);  ///< Until others' load is forgotten.
+  Duration pace_lifetime = std::chrono::seconds(4);   ///< Until a slow engine is tried again.
+  Duration first_ejection = std::chrono::milliseconds(700);
+  Duration longest_ejection = std::chrono::seconds(6);
+  Duration refusal_pause = std::chrono::milliseconds(120);
+  double pace_weight = 0.3;       ///< Of the newest measurement in the smoothed pace.
+  double remote_factor = 1.15;    ///< Engines of other zones count as this much more loaded.
+};
+
+/// What a request needs of an engine.
+struct PickRequest {
+  routing::ServiceName service;
+  std::set<EngineId> excluded;
+  ModelName model;                    ///< Empty: any.
+  WeightVersion minimum_version = 0;
+  /// No more than this many requests a slot, counting others'; 0: no limit.
+  double most_per_slot = 0;
+  /// Excluded and ejected engines are taken rather than none.
+  bool desperate = false;
+};
+
+/// Pure state; one owner.
+class EngineRegistry {
+ public:
+  EngineRegistry(ZoneName zone, RegistryOptions options, std::uint64_t seed)
+      : zone_(std::move(zone)), options_(options), random_(seed) {}
+
+  /// Replaces the list. @return the addresses of engines that are gone.
+  std::vector<Address> onList(Instant now, const std::vector<EngineRecord>& records);
+  /// One engine is new or has changed.
+  void onRecord(Instant now, const EngineRecord& record);
+  /// @return the address of the engine that is gone, if it was known.
+  std::optional<Address> onGone(const EngineId& id);
+
+  void onAttemptStarted(const EngineId& id);
+  void onAttemptEnded(Instant now, const EngineId& id, AttemptEnd end);
+  /// The engine refused work for a model, as it does while it loads weights.
+  void onModelRefused(Instant now, const EngineId& id, const ModelName& model);
+  void onLoad(Instant now, const EngineId& id, const LoadReport& load);
+  /// A unit of work (an answer, an event) took `duration`.
+  void onPace(Instant now, const EngineId& id, Duration duration);
+  void onVersionSeen(const EngineId& id, const ModelName& model, WeightVersion version);
+  void onOrderStarted(const EngineId& id);
+  void onOrderEnded(const EngineId& id);
+
+  /// @return the engine that should answer soonest, or nullptr if none fits.
+  const EngineState* pick(Instant now, const PickRequest& request);
+  const EngineState* find(const EngineId& id) const;
+  /// @return every engine of the service that is not draining.
+  std::vector<const EngineState*> ofService(const routing::ServiceName& service) const;
+  const std::map<EngineId, EngineState>& all() const { return engines_; }
+  bool empty() const { return engines_.empty(); }
+  /// @return requests that could still be started at once, by our own count of what runs.
+  double freeSlots(Instant now, const PickRequest& request) const;
+  /// @return the smoothed pace of the engine over the median of its service; 1 if unknown.
+  double slowness(Instant now, const EngineId& id) const;
+
+ private:
+  EngineState* mutableFind(const EngineId& id);
+  bool fits(Instant now, const EngineState& engine, const PickRequest& request) const;
+  double load(Instant now, const EngineState& engine) const;
+  double expectedWait(Instant now, const EngineState& engine) const;
+  double medianPace(Instant now, const routing::ServiceName& service) const;
+
+  ZoneName zone_;
+  RegistryOptions options_;
+  Random random_;
+  std::map<EngineId, EngineState> engines_;
+};
+
+}  // namespace linenpier::engines
--- /dev/null
+++ b/src/forward/engine_call.cpp
@@ -0,0 +1,147 @@
+#include "forward/engine_call.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace linenpier::forward {
+
+using engines::AttemptEnd;
+using http::ExchangeStatus;
+
+namespace {
+constexpr std::size_t kMostAnswer = 64 * 1024 * 1024;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kServerError = 500;
+}  // namespace
+
+const char* toText(AttemptVerdict verdict) {
+  switch (verdict) {
+    case AttemptVerdict::kAnswered:
+      return "answered";
+    case AttemptVerdict::kNotExecuted:
+      return "not_executed";
+    case AttemptVerdict::kUnreachable:
+      return "unreachable";
+    case AttemptVerdict::kBroken:
+      return "broken";
+    case AttemptVerdict::kSilent:
+      return "silent";
+    case AttemptVerdict::kAborted:
+      return "aborted";
+  }
+  return "unknown";
+}
+
+bool mayHaveRun(AttemptVerdict verdict) {
+  return verdict != AttemptVerdict::kNotExecuted && verdict != AttemptVerdict::kUnreachable;
+}
+
+EngineCall::EngineCall(EngineCallContext context, const engines::EngineState& engine,
+                       http::Request request)
+    : context_(context), engine_(engine.record.id), started_at_(steadyNow()) {
+  request.set(context_.names.target_engine, engine_.str());
+  request_id_ = http::fieldText(request, context_.names.request_id);
+  exchange_ = std::make_shared<http::ClientExchange>(context_.pool, engine.record.address,
+                                                     std::move(request));
+  context_.registry.onAttemptStarted(engine_);
+}
+
+EngineCall::~EngineCall() {
+  exchange_->abort();
+  end(AttemptEnd::kServed);
+}
+
+void EngineCall::end(AttemptEnd end) {
+  if (ended_) return;
+  ended_ = true;
+  context_.registry.onAttemptEnded(steadyNow(), engine_, end);
+}
+
+void EngineCall::abort() { exchange_->abort(); }
+
+Task<AttemptVerdict> EngineCall::start(AttemptLimits limits) {
+  const auto self = shared_from_this();
+  http::ExpectedEcho echo{context_.names.request_id, request_id_};
+  const ExchangeStatus status = co_await exchange_->start(limits.connect_deadline, limits.deadline,
+                                                          echo, limits.fresh_connection);
+  if (status != ExchangeStatus::kOk) co_return settle(status);
+  const AttemptVerdict verdict = judgeHead();
+  if (verdict != AttemptVerdict::kNotExecuted) co_return verdict;
+  // Reading the refusal to its end keeps the connection.
+  std::string ignored;
+  co_await exchange_->readAll(ignored, kMostAnswer, limits.deadline);
+  co_return verdict;
+}
+
+AttemptVerdict EngineCall::judgeHead() {
+  readLoad();
+  if (exchange_->status() == kMisdirected) {
+    end(AttemptEnd::kMisdirected);
+    return AttemptVerdict::kNotExecuted;
+  }
+  if (head().count(context_.names.not_executed) > 0) {
+    end(AttemptEnd::kRefused);
+    return AttemptVerdict::kNotExecuted;
+  }
+  if (head().count(context_.names.signature) == 0) {
+    exchange_->abort();
+    end(AttemptEnd::kBroke);
+    return AttemptVerdict::kBroken;
+  }
+  return AttemptVerdict::kAnswered;
+}
+
+void EngineCall::readLoad() {
+  const std::string text = http::fieldText(head(), context_.names.load);
+  engines::LoadReport load;
+  if (std::sscanf(text.c_str(), "%u,%u,%u", &load.running, &load.waiting, &load.slots) == 3) {
+    context_.registry.onLoad(steadyNow(), engine_, load);
+  }
+}
+
+AttemptVerdict EngineCall::settle(ExchangeStatus status) {
+  switch (status) {
+    case ExchangeStatus::kOk:
+      return AttemptVerdict::kAnswered;
+    case ExchangeStatus::kNotConnected:
+      end(AttemptEnd::kUnreachable);
+      return AttemptVerdict::kUnreachable;
+    case ExchangeStatus::kBroken:
+      end(AttemptEnd::kBroke);
+      exchange_->abort();
+      return AttemptVerdict::kBroken;
+    case ExchangeStatus::kTimedOut:
+      end(AttemptEnd::kSilent);
+      exchange_->abort();
+      return AttemptVerdict::kSilent;
+    case ExchangeStatus::kAborted:
+      end(AttemptEnd::kServed);
+      return AttemptVerdict::kAborted;
+  }
+  return AttemptVerdict::kBroken;
+}
+
+Task<AttemptVerdict> EngineCall::readWhole(std::string& body, Instant deadline) {
+  const auto self = shared_from_this();
+  const ExchangeStatus status = co_await exchange_->readAll(body, kMostAnswer, deadline);
+  if (status != ExchangeStatus::kOk) co_return settle(status);
+  end(exchange_->status() >= kServerError ? AttemptEnd::kBroke : AttemptEnd::kServed);
+  co_return AttemptVerdict::kAnswered;
+}
+
+Task<AttemptVerdict> EngineCall::readEvents(EventParser& parser, std::vector<StreamEvent>& events,
+                                            Instant deadline) {
+  const auto self = shared_from_this();
+  std::string bytes;
+  const ExchangeStatus status = co_await exchange_->readSome(bytes, deadline);
+  events = parser.feed(bytes);
+  if (status != ExchangeStatus::kOk) co_return settle(status);
+  if (exchange_->complete()) end(AttemptEnd::kServed);
+  co_return AttemptVerdict::kAnswered;
+}
+
+WeightVersion EngineCall::headVersion() const {
+  return std::strtoull(http::fieldText(head(), context_.names.weight_versions).c_str(), nullptr, 10);
+}
+
+}  // namespace linenpier::forward
--- /dev/null
+++ b/src/forward/event_parser.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/// @file
+/// Cuts a server-sent event stream into whole events.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/ids.h"
+
+namespace linenpier::forward {
+
+struct StreamEvent {
+  std::string raw;                       ///< All bytes, the closing empty line included.
+  std::optional<std::uint64_t> id;
+  std::string data;                      ///< Data lines, joined by line feeds.
+  std::optional<WeightVersion> version;  ///< Set at an event at which the version changes.
+};
+
+/// Holds at most one unfinished event.
+class EventParser {
+ public:
+  /// @param version_field name of the line that tells a change of version; any case.
+  explicit EventParser(const std::string& version_field);
+
+  /// @return the events that `bytes` made whole.
+  std::vector<StreamEvent> feed(std::string_view bytes);
+  /// @return bytes of an event that is not whole.
+  const std::string& rest() const { return pending_; }
+
+ private:
+  StreamEvent parse(std::string raw) const;
+  void parseLine(std::string_view line, StreamEvent& event, bool& has_data) const;
+
+  std::string version_field_;  ///< Lower case.
+  std::string pending_;
+  std::size_t line_start_ = 0;  ///< In `pending_`: where the unfinished line begins.
+};
+
+}  // namespace linenpier::forward
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,290 @@
+#include "gateway/gateway.h"
+
+#include "common/random.h"
+#include "gateway/store_keys.h"
+#include "logging/event_log.h"
+
+namespace linenpier::gateway {
+
+using logging::LogEvent;
+
+namespace {
+
+constexpr Duration kSweepPeriod = std::chrono::seconds(1);
+/// Until the platform has seen that this daemon is not ready and sends nobody new.
+constexpr Duration kLeaveNotice = std::chrono::milliseconds(3200);
+constexpr Duration kStopSlack = std::chrono::milliseconds(900);
+constexpr Duration kStopPoll = std::chrono::milliseconds(50);
+/// Part of a row that its key and encoding may take.
+constexpr std::size_t kRowOverhead = 1024;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+
+versions::OrderOptions orderOptions(const GatewaySettings& settings) {
+  versions::OrderOptions options;
+  options.handover_pause = settings.order_pause + std::chrono::milliseconds(100);
+  return options;
+}
+
+std::string keyWithoutTable(const table::Row& row) { return row.key.substr(row.key.find('/') + 1); }
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& loop, const GatewaySettings& settings,
+                 PlatformPort& platform, http::ConnectionPool& engine_pool, std::uint64_t seed)
+    : loop_(loop),
+      settings_(settings),
+      platform_(platform),
+      engine_pool_(engine_pool),
+      registry_(settings.zone, {}, seed),
+      dealer_(seed),
+      leases_(lease::makeLeaseId(settings.id.str(), Random(seed).hex16()), {}),
+      keeper_(loop, platform.table(), leases_),
+      job_store_(platform.table(), platform.objects(), settings.row_bytes - kRowOverhead),
+      forwarder_(loop, {engine_pool, registry_, platform.fieldNames()}, dealer_, {}),
+      batches_({loop,
+                {engine_pool, registry_, platform.fieldNames()},
+                job_store_,
+                leases_,
+                keeper_,
+                platform.batchCodec(),
+                [this] { return routes_; }},
+               {}),
+      orders_({loop, registry_, platform.table(), leases_, keeper_, platform.orders(),
+               [this] { return routes_; }, settings.id.str()},
+              orderOptions(settings)),
+      requests_(loop, [this](http::Request& request, Instant received,
+                             http::ResponseWriter& writer) {
+        return handle(request, received, writer);
+      }),
+      readiness_(loop, [this](http::Request& request, Instant, http::ResponseWriter& writer) {
+        return handleReadiness(request, writer);
+      }) {}
+
+Findings Gateway::start() {
+  Findings findings;
+  if (const auto finding = requests_.listen(settings_.requests)) findings.push_back(*finding);
+  if (const auto finding = readiness_.listen(settings_.readiness)) findings.push_back(*finding);
+  if (!findings.empty()) return findings;
+  watchTables();
+  keeper_.start([this] { return batches_.ownsAny() || orders_.holdsAny(); });
+  batches_.start();
+  orders_.start();
+  spawn(loop_, [this] { return sweepLoop(); });
+  LogEvent("gateway", "started")
+      .text("zone", settings_.zone.str())
+      .text("lease", leases_.own().str())
+      .text("requests", toString(settings_.requests))
+      .text("store", toString(settings_.store));
+  return {};
+}
+
+bool Gateway::ready() const {
+  return routes_ && engine_watcher_ && engine_watcher_->read() && !stopping_;
+}
+
+// --- What the store tells -----------------------------------------------------------------------
+
+void Gateway::watchTables() {
+  table::TableWatcher::Listener operators;
+  operators.on_snapshot = [this](const std::vector<table::Row>& rows) {
+    for (const table::Row& row : rows) onOperatorRow(row);
+  };
+  operators.on_change = [this](const table::RowChange& change) {
+    if (!change.gone) onOperatorRow(change.row);
+  };
+  operators.on_health = [](bool) {};
+  operator_watcher_ = std::make_unique<table::TableWatcher>(
+      loop_, platform_.table(), platform_.operatorTable(), table::WatcherOptions{}, operators);
+
+  table::TableWatcher::Listener engine_listener;
+  engine_listener.on_snapshot = [this](const std::vector<table::Row>& rows) {
+    onEngineSnapshot(rows);
+  };
+  engine_listener.on_change = [this](const table::RowChange& change) { onEngineRow(change); };
+  engine_listener.on_health = [](bool) {};
+  engine_watcher_ = std::make_unique<table::TableWatcher>(
+      loop_, platform_.table(), platform_.engineTable(), table::WatcherOptions{}, engine_listener);
+
+  table::TableWatcher::Listener coordination;
+  coordination.on_snapshot = [this](const std::vector<table::Row>& rows) {
+    for (const table::Row& row : rows) onCoordinationRow({row, false});
+    orders_.onTableRead();
+  };
+  coordination.on_change = [this](const table::RowChange& change) { onCoordinationRow(change); };
+  coordination.on_health = [this](bool healthy) {
+    if (healthy) {
+      leases_.onFeedRegained(steadyNow());
+    } else {
+      leases_.onFeedLost();
+    }
+  };
+  coordination.on_clock = [this](std::int64_t clock_ms) {
+    keeper_.onStoreClock(steadyNow(), clock_ms);
+  };
+  table::WatcherOptions options;
+  options.wait = std::chrono::milliseconds(1500);
+  options.coalesce = std::chrono::milliseconds(80);
+  coordination_watcher_ = std::make_unique<table::TableWatcher>(
+      loop_, platform_.table(), kCoordinationTable, options, coordination);
+
+  operator_watcher_->start();
+  engine_watcher_->start();
+  coordination_watcher_->start();
+}
+
+void Gateway::onOperatorRow(const table::Row& row) {
+  const std::string key = keyWithoutTable(row);
+  if (platform_.isConfiguration(key)) {
+    onConfiguration(row.value);
+  } else if (const auto named = platform_.parseNamedVersion(key, row.value)) {
+    orders_.onNamed(named->model, named->version);
+  }
+}
+
+void Gateway::onConfiguration(const std::string& value) {
+  auto parsed = platform_.parseConfiguration(value);
+  if (!parsed) {
+    LogEvent("config", "rejected").text("findings", describe(parsed.error()));
+    return;
+  }
+  // A configuration never goes back within a process's life.
+  if (routes_ && parsed->version <= routes_->version) return;
+  LogEvent("config", "in_force")
+      .number("version", static_cast<std::int64_t>(parsed->version))
+      .number("before", routes_ ? static_cast<std::int64_t>(routes_->version) : 0)
+      .number("routes", static_cast<std::int64_t>(parsed->routes.size()));
+  routes_ = std::make_shared<const routing::RouteTable>(std::move(*parsed));
+  requests_.setLimits(routes_->limits);
+}
+
+void Gateway::onEngineSnapshot(const std::vector<table::Row>& rows) {
+  std::vector<engines::EngineRecord> records;
+  for (const table::Row& row : rows) {
+    auto record = platform_.parseEngine(keyWithoutTable(row), row.value);
+    if (record) records.push_back(std::move(*record));
+  }
+  LogEvent("engines", "listed").number("count", static_cast<std::int64_t>(records.size()));
+  for (const Address& gone : registry_.onList(steadyNow(), records)) engine_pool_.forget(gone);
+}
+
+void Gateway::onEngineRow(const table::RowChange& change) {
+  const std::string key = keyWithoutTable(change.row);
+  if (change.gone) {
+    if (const auto address = registry_.onGone(EngineId(key))) engine_pool_.forget(*address);
+    LogEvent("engines", "gone").text("engine", key);
+    return;
+  }
+  const auto record = platform_.parseEngine(key, change.row.value);
+  if (!record) {
+    LogEvent("engines", "bad_record").text("engine", key);
+    return;
+  }
+  registry_.onRecord(steadyNow(), *record);
+  LogEvent("engines", record->draining ? "draining" : "changed")
+      .text("engine", key)
+      .text("service", record->service.str())
+      .number("revision", static_cast<std::int64_t>(change.row.revision));
+}
+
+void Gateway::onCoordinationRow(const table::RowChange& change) {
+  const std::string key = keyWithoutTable(change.row);
+  const auto tail = [&key](const std::string& prefix) { return key.substr(prefix.size()); };
+  if (key.starts_with(kJobPrefix)) {
+    const batch::JobId id(tail(kJobPrefix));
+    change.gone ? batches_.onRecordGone(id) : batches_.onRecordRow(id, change.row);
+  } else if (key.starts_with(kLeasePrefix)) {
+    const batch::LeaseId id(tail(kLeasePrefix));
+    change.gone ? leases_.onGone(id) : leases_.onRow(steadyNow(), id, change.row.revision);
+  } else if (key.starts_with(kOrderPrefix)) {
+    const routing::ServiceName service(tail(kOrderPrefix));
+    change.gone ? orders_.onRightGone(service) : orders_.onRightRow(service, change.row);
+  }
+}
+
+// --- What clients ask ---------------------------------------------------------------------------
+
+Task<void> Gateway::handleReadiness(http::Request& request, http::ResponseWriter& writer) {
+  const bool known = platform_.isReadinessCall(request);
+  http::Response response;
+  response.result(!known ? kNotFound : ready() ? 200U : kUnavailable);
+  co_await writer.send(std::move(response));
+}
+
+Task<void> Gateway::handleBatchCall(const BatchCall& call, http::ResponseWriter& writer) {
+  switch (call.kind) {
+    case BatchCall::Kind::kReadResults:
+      co_await batches_.readResults(call.job, call.position, call.wait, writer);
+      break;
+    case BatchCall::Kind::kReadItem:
+      co_await batches_.readItem(call.job, call.item, writer);
+      break;
+    case BatchCall::Kind::kEnd:
+      co_await batches_.end(call.job, writer);
+      break;
+  }
+}
+
+Task<void> Gateway::handle(http::Request& request, Instant received,
+                           http::ResponseWriter& writer) {
+  const auto call = platform_.parseBatchCall(request);
+  if (call) {
+    co_await handleBatchCall(*call, writer);
+    co_return;
+  }
+  const routing::RouteTablePtr routes = routes_;
+  const std::string id = http::fieldText(request, platform_.fieldNames().request_id);
+  const std::string path(request.target().substr(0, request.target().find('?')));
+  const routing::Route* route =
+      routes ? routes->find(http::fieldText(request, "Host"), path) : nullptr;
+  if (route == nullptr) {
+    // Only a daemon that follows the store knows that there is no such route.
+    const bool sure = routes && operator_watcher_->healthy();
+    LogEvent("forward", "no_route")
+        .text("request", id)
+        .text("path", path)
+        .number("config", routes ? static_cast<std::int64_t>(routes->version) : 0)
+        .number("status", sure ? kNotFound : kUnavailable);
+    http::Response response = forwarder_.ownAnswer(sure ? kNotFound : kUnavailable, id);
+    co_await writer.send(std::move(response));
+    co_return;
+  }
+  if (route->kind == routing::RequestKind::kBatch) {
+    co_await batches_.submit(*route, request, received, writer);
+  } else {
+    co_await forwarder_.serve(routes, *route, request, received, writer);
+  }
+}
+
+// --- Housekeeping -------------------------------------------------------------------------------
+
+Task<void> Gateway::sweepLoop() {
+  for (;;) {
+    co_await sleepFor(loop_, kSweepPeriod);
+    engine_pool_.sweep(steadyNow());
+  }
+}
+
+void Gateway::stop() {
+  if (stopping_) return;
+  stopping_ = true;
+  spawn(loop_, [this] { return stopInOrder(); });
+}
+
+Task<void> Gateway::stopInOrder() {
+  const Instant begun = steadyNow();
+  LogEvent("gateway", "stopping").number("connections", static_cast<std::int64_t>(requests_.connections()));
+  requests_.beginDrain();
+  co_await batches_.handOver();
+  co_await orders_.handOver();
+  co_await keeper_.stop();
+  while (steadyNow() < begun + kLeaveNotice) co_await sleepFor(loop_, kStopPoll);
+  requests_.closeIdle();
+  while (requests_.busy() > 0 && steadyNow() < begun + settings_.stop_limit - kStopSlack) {
+    co_await sleepFor(loop_, kStopPoll);
+  }
+  LogEvent("gateway", "stopped").number("cut_off", static_cast<std::int64_t>(requests_.busy()));
+  loop_.stop();
+}
+
+}  // namespace linenpier::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,64 @@
+#pragma once
+
+/// @file
+/// The daemon on the users' machines: puts the parts together and directs what comes in to them.
+
+#include <memory>
+
+#include "batch/batch_service.h"
+#include "forward/forwarder.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/platform_port.h"
+#include "table/table_watcher.h"
+
+namespace linenpier::gateway {
+
+/// Loop thread only.
+class Gateway {
+ public:
+  /// @param engine_pool connections to engines.
+  Gateway(boost::asio::io_context& loop, const GatewaySettings& settings, PlatformPort& platform,
+          http::ConnectionPool& engine_pool, std::uint64_t seed);
+
+  /// Listens and begins to follow the store. @return what is wrong, if anything.
+  Findings start();
+  /// Begins a planned stop; the loop ends when it is over.
+  void stop();
+
+  bool ready() const;
+
+ private:
+  Task<void> handle(http::Request& request, Instant received, http::ResponseWriter& writer);
+  Task<void> handleBatchCall(const BatchCall& call, http::ResponseWriter& writer);
+  Task<void> handleReadiness(http::Request& request, http::ResponseWriter& writer);
+  Task<void> stopInOrder();
+  Task<void> sweepLoop();
+  void watchTables();
+  void onOperatorRow(const table::Row& row);
+  void onEngineRow(const table::RowChange& change);
+  void onEngineSnapshot(const std::vector<table::Row>& rows);
+  void onCoordinationRow(const table::RowChange& change);
+  void onConfiguration(const std::string& value);
+
+  boost::asio::io_context& loop_;
+  GatewaySettings settings_;
+  PlatformPort& platform_;
+  http::ConnectionPool& engine_pool_;
+  engines::EngineRegistry registry_;
+  routing::RouteTablePtr routes_;  ///< The newest seen in this life; empty before the first.
+  routing::WeightedDealer dealer_;
+  lease::LeaseTable leases_;
+  lease::LeaseKeeper keeper_;
+  batch::JobStore job_store_;
+  forward::Forwarder forwarder_;
+  batch::BatchService batches_;
+  versions::OrderService orders_;
+  http::Server requests_;
+  http::Server readiness_;
+  std::unique_ptr<table::TableWatcher> operator_watcher_;
+  std::unique_ptr<table::TableWatcher> engine_watcher_;
+  std::unique_ptr<table::TableWatcher> coordination_watcher_;
+  bool stopping_ = false;
+};
+
+}  // namespace linenpier::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,40 @@
+#include "gateway/gateway_settings.h"
+
+#include "settings/toml_reader.h"
+
+namespace linenpier::gateway {
+
+tl::expected<GatewaySettings, Findings> parseGatewaySettings(const std::string& file,
+                                                             const std::string& text) {
+  GatewaySettings settings;
+  settings::TomlReader reader(file, text, {});
+  std::string id;
+  std::string zone;
+  std::string format = "json";
+  std::string output = "on";
+  std::int64_t row_bytes = 65536;
+  double stop_seconds = toSeconds(settings.stop_limit);
+  double order_pause_ms = toSeconds(settings.order_pause) * 1000;
+  reader.readString("daemon.id", id, true);
+  reader.readString("daemon.zone", zone, true);
+  reader.readAddress("listen.requests", settings.requests, true);
+  reader.readAddress("listen.readiness", settings.readiness, true);
+  reader.readAddress("store.address", settings.store, true);
+  reader.readInteger("store.row_bytes", row_bytes, 1024, 64 * 1024 * 1024);
+  reader.readNumber("stop.seconds", stop_seconds, 1, 3600);
+  reader.readNumber("orders.pause_ms", order_pause_ms, 0, 600000);
+  reader.readChoice("log.format", format, {"json", "text"});
+  reader.readChoice("log.output", output, {"on", "off"});
+  const Findings findings = reader.finish();
+  if (!findings.empty()) return tl::make_unexpected(findings);
+  settings.id = DaemonId(id);
+  settings.zone = ZoneName(zone);
+  settings.row_bytes = static_cast<std::size_t>(row_bytes);
+  settings.stop_limit = fromSeconds(stop_seconds);
+  settings.order_pause = fromSeconds(order_pause_ms / 1000);
+  settings.log_text = format == "text";
+  settings.log_enabled = output == "on";
+  return settings;
+}
+
+}  // namespace linenpier::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/// @file
+/// Settings of the gateway: TOML under the product's own names.
+
+#include <string>
+
+#include "common/address.h"
+#include "common/error.h"
+#include "common/ids.h"
+#include "common/time.h"
+
+namespace linenpier::gateway {
+
+struct GatewaySettings {
+  DaemonId id;
+  ZoneName zone;
+  Address requests;   ///< Where clients connect.
+  Address readiness;  ///< Where the platform asks whether this daemon is ready.
+  Address store;
+  std::size_t row_bytes = 65536;     ///< Largest value of a row.
+  Duration stop_limit = std::chrono::seconds(8);   ///< From the signal to the end.
+  Duration order_pause = std::chrono::seconds(3);  ///< Between the orders of two holders.
+  bool log_enabled = true;
+  bool log_text = false;
+};
+
+/// @return the settings, or every finding with file and key.
+tl::expected<GatewaySettings, Findings> parseGatewaySettings(const std::string& file,
+                                                             const std::string& text);
+
+}  // namespace linenpier::gateway
--- /dev/null
+++ b/src/gateway/platform_port.h
@@ -0,0 +1,67 @@
+#pragma once
+
+/// @file
+/// What the gateway needs of the platform it runs on: names, formats and calls. Implemented in
+/// `platform/`; nothing here decides anything.
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "batch/batch_codec.h"
+#include "engines/engine_registry.h"
+#include "forward/field_names.h"
+#include "http/http_types.h"
+#include "routing/route_table.h"
+#include "table/async_table.h"
+#include "versions/order_service.h"
+
+namespace linenpier::gateway {
+
+/// A call of those who hand in, read or end batch jobs.
+struct BatchCall {
+  enum class Kind { kReadResults, kReadItem, kEnd };
+  Kind kind = Kind::kReadResults;
+  batch::JobId job;
+  batch::ItemId item;
+  std::size_t position = 0;
+  Duration wait{};
+};
+
+/// The newest weights of a model, as its trainer names them.
+struct NamedVersion {
+  ModelName model;
+  WeightVersion version = 0;
+};
+
+class PlatformPort {
+ public:
+  virtual ~PlatformPort() = default;
+
+  virtual const forward::FieldNames& fieldNames() const = 0;
+  virtual table::AsyncTable& table() = 0;
+  virtual table::AsyncObjects& objects() = 0;
+  virtual const batch::BatchCodec& batchCodec() const = 0;
+  virtual versions::EngineOrders& orders() = 0;
+
+  /// Tables that the platform and its operators write.
+  virtual std::string operatorTable() const = 0;
+  virtual std::string engineTable() const = 0;
+
+  /// @return whether the operator's row holds the configuration; its key without the table.
+  virtual bool isConfiguration(const std::string& key) const = 0;
+  virtual tl::expected<routing::RouteTable, Findings> parseConfiguration(
+      const std::string& value) const = 0;
+  /// @return nothing if the operator's row is about something else.
+  virtual std::optional<NamedVersion> parseNamedVersion(const std::string& key,
+                                                        const std::string& value) const = 0;
+  /// @return nothing if the row describes no engine.
+  virtual std::optional<engines::EngineRecord> parseEngine(const std::string& key,
+                                                           const std::string& value) const = 0;
+
+  virtual bool isReadinessCall(const http::Request& request) const = 0;
+  /// @return nothing if the request is none of these calls.
+  virtual std::optional<BatchCall> parseBatchCall(const http::Request& request) const = 0;
+};
+
+}  // namespace linenpier::gateway
--- /dev/null
+++ b/src/gateway/store_keys.h
@@ -0,0 +1,40 @@
+#pragma once
+
+/// @file
+/// Keys of what this product keeps in the store. One small table, watched whole by every daemon,
+/// holds rights and jobs; results lie in a table of their own that nobody watches.
+
+#include <cstdio>
+#include <string>
+
+#include "batch/batch_types.h"
+#include "routing/route_table.h"
+
+namespace linenpier::gateway {
+
+inline const std::string kCoordinationTable = "linenpier";
+inline const std::string kResultTable = "results";
+inline const std::string kJobPrefix = "job/";
+inline const std::string kLeasePrefix = "lease/";
+inline const std::string kOrderPrefix = "order/";
+
+inline std::string jobKey(const batch::JobId& id) {
+  return kCoordinationTable + "/" + kJobPrefix + id.str();
+}
+inline std::string leaseKey(const batch::LeaseId& id) {
+  return kCoordinationTable + "/" + kLeasePrefix + id.str();
+}
+inline std::string orderKey(const routing::ServiceName& service) {
+  return kCoordinationTable + "/" + kOrderPrefix + service.str();
+}
+/// @return the key within the result table; positions sort as numbers do.
+inline std::string resultKey(const batch::JobId& id, std::size_t position) {
+  char digits[16];
+  std::snprintf(digits, sizeof(digits), "%08zu", position);
+  return id.str() + "/" + digits;
+}
+/// @return a key behind every result of the job.
+inline std::string resultEnd(const batch::JobId& id) { return id.str() + "/~"; }
+inline std::string jobObject(const batch::JobId& id) { return "job-" + id.str(); }
+
+}  // namespace linenpier::gateway
--- /dev/null
+++ b/src/http/client_exchange.cpp
@@ -0,0 +1,198 @@
+#include "http/client_exchange.h"
+
+#include <array>
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <cstdlib>
+
+namespace linenpier::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kReadPiece = 16 * 1024;
+constexpr std::size_t kMostBody = 64 * 1024 * 1024;
+constexpr int kMostSurplusAnswers = 3;
+constexpr Duration kIdleSlack = std::chrono::milliseconds(600);
+
+/// @return how long the peer keeps the idle connection, by its Keep-Alive field.
+Duration idleTime(const Fields& fields, Duration usual) {
+  const auto value = std::string(fields[beast_http::field::keep_alive]);
+  const auto at = value.find("timeout=");
+  if (at == std::string::npos) return usual;
+  const auto seconds = std::chrono::seconds(std::atoi(value.c_str() + at + 8));
+  return std::max<Duration>(seconds - kIdleSlack, Duration::zero());
+}
+
+/// Closes at once, also under a write that is still going on.
+void close(ClientConnection& connection) {
+  boost::system::error_code ignored;
+  connection.stream.socket().close(ignored);
+}
+
+}  // namespace
+
+const char* toText(ExchangeStatus status) {
+  switch (status) {
+    case ExchangeStatus::kOk:
+      return "ok";
+    case ExchangeStatus::kNotConnected:
+      return "not connected";
+    case ExchangeStatus::kBroken:
+      return "broken";
+    case ExchangeStatus::kTimedOut:
+      return "timed out";
+    case ExchangeStatus::kAborted:
+      return "aborted";
+  }
+  return "unknown";
+}
+
+ClientExchange::ClientExchange(ConnectionPool& pool, Address peer, Request request)
+    : pool_(pool), peer_(peer), request_(std::move(request)) {}
+
+Task<ExchangeStatus> ClientExchange::start(Instant connect_deadline, Instant deadline,
+                                           std::optional<ExpectedEcho> echo, bool fresh) {
+  const auto self = shared_from_this();
+  if (!fresh) connection_ = pool_.takeIdle(steadyNow(), peer_);
+  if (!connection_) connection_ = co_await pool_.connect(peer_, std::min(connect_deadline, deadline));
+  if (aborted_) {
+    connection_.reset();
+    co_return ExchangeStatus::kAborted;
+  }
+  if (!connection_) co_return ExchangeStatus::kNotConnected;
+  connection_->stream.expires_at(deadline);
+  beginWrite();
+  for (int surplus = 0; surplus <= kMostSurplusAnswers; ++surplus) {
+    const ExchangeStatus status = co_await readHead(deadline);
+    if (status != ExchangeStatus::kOk) co_return status;
+    if (!echo || fieldText(head(), echo->field) == echo->value) {
+      if (parser_->is_done()) finish();
+      co_return ExchangeStatus::kOk;
+    }
+    surplus_seen_ = true;
+    const ExchangeStatus skipped = co_await skipBody(deadline);
+    if (skipped != ExchangeStatus::kOk) co_return skipped;
+  }
+  abort();
+  co_return ExchangeStatus::kBroken;
+}
+
+void ClientExchange::beginWrite() {
+  sent_ = true;
+  beast_http::async_write(connection_->stream, request_,
+                          [self = shared_from_this(), connection = connection_](
+                              const boost::system::error_code& error, std::size_t) {
+                            self->write_done_ = !error;
+                          });
+}
+
+Task<ExchangeStatus> ClientExchange::readHead(Instant deadline) {
+  do {
+    parser_.emplace();
+    parser_->body_limit(kMostBody);
+    if (request_.method() == beast_http::verb::head) parser_->skip(true);
+    const auto connection = connection_;
+    connection->stream.expires_at(deadline);
+    boost::system::error_code error;
+    co_await beast_http::async_read_header(connection->stream, connection->buffer, *parser_,
+                                           asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return toStatus(error);
+  } while (status() / 100 == 1);
+  co_return ExchangeStatus::kOk;
+}
+
+Task<ExchangeStatus> ClientExchange::skipBody(Instant deadline) {
+  std::string ignored;
+  while (!parser_->is_done()) {
+    const ExchangeStatus status = co_await readPiece(ignored, deadline);
+    if (status != ExchangeStatus::kOk) co_return status;
+    ignored.clear();
+  }
+  // An answer that ends with its connection leaves none for the right one.
+  co_return parser_->need_eof() ? ExchangeStatus::kBroken : ExchangeStatus::kOk;
+}
+
+Task<ExchangeStatus> ClientExchange::readPiece(std::string& out, Instant deadline) {
+  const auto connection = connection_;
+  if (!connection) co_return ExchangeStatus::kAborted;
+  const std::size_t before = out.size();
+  out.resize(before + kReadPiece);
+  parser_->get().body().data = out.data() + before;
+  parser_->get().body().size = kReadPiece;
+  parser_->get().body().more = true;
+  connection->stream.expires_at(deadline);
+  boost::system::error_code error;
+  co_await beast_http::async_read_some(connection->stream, connection->buffer, *parser_,
+                                       asio::redirect_error(asio::use_awaitable, error));
+  out.resize(before + kReadPiece - parser_->get().body().size);
+  if (error == beast_http::error::need_buffer) error = {};
+  co_return error ? toStatus(error) : ExchangeStatus::kOk;
+}
+
+Task<ExchangeStatus> ClientExchange::readSome(std::string& out, Instant deadline) {
+  const auto self = shared_from_this();
+  if (complete_) co_return ExchangeStatus::kOk;
+  if (!parser_->is_done()) {
+    const ExchangeStatus status = co_await readPiece(out, deadline);
+    if (status != ExchangeStatus::kOk) co_return status;
+  }
+  if (parser_->is_done()) finish();
+  co_return ExchangeStatus::kOk;
+}
+
+Task<ExchangeStatus> ClientExchange::readAll(std::string& out, std::size_t limit,
+                                             Instant deadline) {
+  const auto self = shared_from_this();
+  while (!complete_) {
+    const ExchangeStatus status = co_await readSome(out, deadline);
+    if (status != ExchangeStatus::kOk) co_return status;
+    if (out.size() > limit) {
+      abort();
+      co_return ExchangeStatus::kBroken;
+    }
+  }
+  co_return ExchangeStatus::kOk;
+}
+
+ExchangeStatus ClientExchange::toStatus(const boost::system::error_code& error) const {
+  if (aborted_) return ExchangeStatus::kAborted;
+  if (error == boost::beast::error::timeout) return ExchangeStatus::kTimedOut;
+  return ExchangeStatus::kBroken;
+}
+
+void ClientExchange::finish() {
+  complete_ = true;
+  const ClientConnectionPtr connection = std::move(connection_);
+  if (!connection) return;
+  const bool reusable = write_done_ && !surplus_seen_ && parser_->keep_alive() &&
+                        !parser_->need_eof() && connection->buffer.size() == 0;
+  if (reusable) {
+    pool_.giveBack(steadyNow(), connection, idleTime(head(), pool_.usualIdleTime()));
+  } else {
+    close(*connection);
+  }
+}
+
+void ClientExchange::abort() {
+  aborted_ = true;
+  const ClientConnectionPtr connection = std::move(connection_);
+  if (connection) close(*connection);
+}
+
+Task<CallOutcome> call(ConnectionPool& pool, Address peer, Request request, Instant deadline) {
+  const auto exchange = std::make_shared<ClientExchange>(pool, peer, std::move(request));
+  CallOutcome outcome;
+  outcome.status = co_await exchange->start(deadline, deadline, std::nullopt, false);
+  outcome.sent = exchange->sent();
+  if (outcome.status != ExchangeStatus::kOk) co_return outcome;
+  outcome.status = co_await exchange->readAll(outcome.response.body(), kMostBody, deadline);
+  outcome.response.base() = exchange->head();
+  co_return outcome;
+}
+
+}  // namespace linenpier::http
--- /dev/null
+++ b/src/http/client_exchange.h
@@ -0,0 +1,90 @@
+#pragma once
+
+/// @file
+/// One request and its answer on an outgoing connection, read piece by piece.
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <optional>
+#include <string>
+
+#include "http/connection_pool.h"
+
+namespace linenpier::http {
+
+/// How an exchange, or one step of it, ended.
+enum class ExchangeStatus {
+  kOk,
+  kNotConnected,  ///< No connection: nothing was sent.
+  kBroken,        ///< Closed, reset, or bytes that are no answer; the request may have run.
+  kTimedOut,      ///< No progress before the deadline; the request may have run.
+  kAborted,       ///< `abort` was called.
+};
+
+const char* toText(ExchangeStatus status);
+
+/// A field that the answer must echo, so that a surplus answer to another request is known as one.
+struct ExpectedEcho {
+  std::string field;
+  std::string value;
+};
+
+/// Sends while it receives: peers may answer before they have read a long body. Loop thread only;
+/// must be held by a shared pointer.
+///
+/// Invariant: the connection goes back to the pool only after a whole answer, with the request
+/// written whole, nothing left in the buffer and both sides willing to go on.
+class ClientExchange : public std::enable_shared_from_this<ClientExchange> {
+ public:
+  ClientExchange(ConnectionPool& pool, Address peer, Request request);
+
+  /// Connects, sends and reads the head.
+  /// @param fresh whether to open a new connection even if one is idle.
+  Task<ExchangeStatus> start(Instant connect_deadline, Instant deadline,
+                             std::optional<ExpectedEcho> echo, bool fresh);
+  /// Reads some of the body into `out`, appending.
+  /// @return kOk; `complete` tells whether the answer is whole.
+  Task<ExchangeStatus> readSome(std::string& out, Instant deadline);
+  /// Reads the rest of the body, at most `limit` bytes.
+  Task<ExchangeStatus> readAll(std::string& out, std::size_t limit, Instant deadline);
+
+  const ResponseHead& head() const { return parser_->get().base(); }
+  unsigned status() const { return parser_->get().result_int(); }
+  bool complete() const { return complete_; }
+  /// @return whether any byte of the request may have reached the peer.
+  bool sent() const { return sent_; }
+  /// Ends the exchange by closing its connection; pending calls return kAborted.
+  void abort();
+
+ private:
+  using Parser = beast_http::response_parser<beast_http::buffer_body>;
+
+  void beginWrite();
+  Task<ExchangeStatus> readHead(Instant deadline);
+  Task<ExchangeStatus> skipBody(Instant deadline);
+  Task<ExchangeStatus> readPiece(std::string& out, Instant deadline);
+  ExchangeStatus toStatus(const boost::system::error_code& error) const;
+  void finish();
+
+  ConnectionPool& pool_;
+  Address peer_;
+  Request request_;
+  ClientConnectionPtr connection_;  ///< Empty before the connection and after the end.
+  std::optional<Parser> parser_;
+  bool sent_ = false;
+  bool write_done_ = false;
+  bool complete_ = false;
+  bool aborted_ = false;
+  bool surplus_seen_ = false;  ///< An answer to something else came first: do not keep.
+};
+
+/// Sends a request and reads the whole answer.
+/// @return the answer, or how the exchange ended; `sent` tells whether it may have been processed.
+struct CallOutcome {
+  ExchangeStatus status = ExchangeStatus::kNotConnected;
+  bool sent = false;
+  Response response;
+};
+Task<CallOutcome> call(ConnectionPool& pool, Address peer, Request request, Instant deadline);
+
+}  // namespace linenpier::http
--- /dev/null
+++ b/src/http/connection_pool.cpp
@@ -0,0 +1,65 @@
+#include "http/connection_pool.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace linenpier::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// @return whether the peer neither closed the connection nor sent anything on it.
+bool isQuiet(ClientConnection& connection) {
+  char byte = 0;
+  const int descriptor = connection.stream.socket().native_handle();
+  const ssize_t received = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+ClientConnectionPtr ConnectionPool::takeIdle(Instant now, const Address& peer) {
+  const auto at = idle_.find(peer);
+  if (at == idle_.end()) return nullptr;
+  while (!at->second.empty()) {
+    ClientConnectionPtr connection = std::move(at->second.back());
+    at->second.pop_back();
+    if (now < connection->usable_until && isQuiet(*connection)) return connection;
+  }
+  idle_.erase(at);
+  return nullptr;
+}
+
+Task<ClientConnectionPtr> ConnectionPool::connect(Address peer, Instant deadline) {
+  auto connection = std::make_shared<ClientConnection>(loop_);
+  connection->peer = peer;
+  connection->stream.expires_at(deadline);
+  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(peer.ip), peer.port);
+  boost::system::error_code error;
+  ++opened_;
+  co_await connection->stream.async_connect(endpoint,
+                                            asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return nullptr;
+  connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  co_return connection;
+}
+
+void ConnectionPool::giveBack(Instant now, ClientConnectionPtr connection, Duration idle_time) {
+  connection->usable_until = now + idle_time;
+  connection->reused = true;
+  connection->stream.expires_never();
+  auto& idle = idle_[connection->peer];
+  if (idle.size() < options_.idle_per_peer) idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::sweep(Instant now) {
+  for (auto at = idle_.begin(); at != idle_.end();) {
+    std::erase_if(at->second,
+                  [now](const ClientConnectionPtr& each) { return now >= each->usable_until; });
+    at = at->second.empty() ? idle_.erase(at) : std::next(at);
+  }
+}
+
+}  // namespace linenpier::http
--- /dev/null
+++ b/src/http/connection_pool.h
@@ -0,0 +1,62 @@
+#pragma once
+
+/// @file
+/// Kept connections to engines and to the platform.
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include "common/address.h"
+#include "common/task.h"
+#include "http/http_types.h"
+
+namespace linenpier::http {
+
+/// One outgoing connection. Closed when the last owner lets go of it.
+struct ClientConnection {
+  explicit ClientConnection(boost::asio::io_context& loop) : stream(loop) {}
+
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;  ///< Bytes received and not parsed yet.
+  Address peer;
+  Instant usable_until{};  ///< The peer closes it some time after this.
+  bool reused = false;     ///< Whether it carried an exchange before.
+};
+
+using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
+
+struct ConnectionPoolOptions {
+  std::size_t idle_per_peer = 32;
+  Duration idle_time = std::chrono::seconds(4);  ///< Where the peer names no time.
+};
+
+/// Idle connections by peer. Loop thread only.
+class ConnectionPool {
+ public:
+  ConnectionPool(boost::asio::io_context& loop, ConnectionPoolOptions options)
+      : loop_(loop), options_(options) {}
+
+  /// @return an idle connection on which nothing unasked has arrived, or nullptr.
+  ClientConnectionPtr takeIdle(Instant now, const Address& peer);
+  /// Opens a connection. @return nullptr if none came up before `deadline`.
+  Task<ClientConnectionPtr> connect(Address peer, Instant deadline);
+  /// Keeps a connection that is at rest between two exchanges.
+  void giveBack(Instant now, ClientConnectionPtr connection, Duration idle_time);
+  /// Closes the idle connections to a peer that is gone.
+  void forget(const Address& peer) { idle_.erase(peer); }
+  /// Closes what has rested too long.
+  void sweep(Instant now);
+
+  Duration usualIdleTime() const { return options_.idle_time; }
+  boost::asio::io_context& loop() { return loop_; }
+  std::uint64_t opened() const { return opened_; }
+
+ private:
+  boost::asio::io_context& loop_;
+  ConnectionPoolOptions options_;
+  std::map<Address, std::vector<ClientConnectionPtr>> idle_;  ///< Newest last.
+  std::uint64_t opened_ = 0;  ///< Connections ever opened, for the metrics.
+};
+
+}  // namespace linenpier::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,50 @@
+#include "http/server.h"
+
+#include "http/server_session.h"
+
+namespace linenpier::http {
+
+namespace asio = boost::asio;
+
+namespace {
+constexpr int kBacklog = 1024;
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+}  // namespace
+
+std::optional<Finding> Server::listen(const Address& address) {
+  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(address.ip), address.port);
+  boost::system::error_code error;
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.listen(kBacklog, error);
+  if (error) return Finding{toString(address), "cannot listen: " + error.message()};
+  spawn(loop_, [this] { return acceptLoop(); });
+  return std::nullopt;
+}
+
+Task<void> Server::acceptLoop() {
+  while (acceptor_.is_open()) {
+    asio::ip::tcp::socket socket(loop_);
+    boost::system::error_code error;
+    co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) {
+      co_await sleepFor(loop_, kAcceptPause);
+      continue;
+    }
+    const auto session = std::make_shared<ServerSession>(*this, std::move(socket));
+    spawn(loop_, [session] { return session->run(); });
+  }
+}
+
+void Server::beginDrain() { draining_ = true; }
+
+void Server::closeIdle() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  const std::set<ServerSession*> sessions = sessions_;
+  for (ServerSession* session : sessions) session->closeIfIdle();
+}
+
+}  // namespace linenpier::http
--- /dev/null
+++ b/src/http/server_session.cpp
@@ -0,0 +1,219 @@
+#include "http/server_session.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace linenpier::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kWriteTime = std::chrono::seconds(10);
+
+beast_http::status refusalFor(const boost::system::error_code& error) {
+  if (error == beast_http::error::header_limit) {
+    return beast_http::status::request_header_fields_too_large;
+  }
+  if (error == beast_http::error::body_limit) return beast_http::status::payload_too_large;
+  if (error == boost::beast::error::timeout) return beast_http::status::request_timeout;
+  return beast_http::status::bad_request;
+}
+
+bool isProtocolError(const boost::system::error_code& error) {
+  return error.category() ==
+             boost::system::error_code(beast_http::error::bad_method).category() &&
+         error != beast_http::error::end_of_stream && error != beast_http::error::partial_message;
+}
+
+}  // namespace
+
+ServerSession::ServerSession(Server& server, asio::ip::tcp::socket socket)
+    : server_(server), stream_(std::move(socket)) {
+  boost::system::error_code ignored;
+  stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  server_.sessions_.insert(this);
+}
+
+ServerSession::~ServerSession() { server_.sessions_.erase(this); }
+
+void ServerSession::close() {
+  closed_ = true;
+  boost::system::error_code ignored;
+  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  stream_.socket().close(ignored);
+}
+
+void ServerSession::closeIfIdle() {
+  if (!in_request_) close();
+}
+
+Task<bool> ServerSession::waitForRequest() {
+  if (buffer_.size() > 0) co_return true;
+  stream_.expires_after(server_.limits_.idle_time);
+  boost::system::error_code error;
+  const std::size_t received = co_await stream_.async_read_some(
+      buffer_.prepare(4096), asio::redirect_error(asio::use_awaitable, error));
+  if (error || closed_) co_return false;
+  buffer_.commit(received);
+  co_return true;
+}
+
+Task<bool> ServerSession::readRequest(Parser& parser) {
+  parser.header_limit(server_.limits_.header_bytes);
+  parser.body_limit(server_.limits_.body_bytes);
+  stream_.expires_after(server_.limits_.header_time);
+  boost::system::error_code error;
+  co_await beast_http::async_read_header(stream_, buffer_, parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+  if (!error && parser.get().count(beast_http::field::expect) > 0 && !parser.is_done()) {
+    static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(stream_, asio::buffer(kContinue.data(), kContinue.size()),
+                               asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (!error && !parser.is_done()) {
+    stream_.expires_after(server_.limits_.body_time);
+    co_await beast_http::async_read(stream_, buffer_, parser,
+                                    asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (!error) co_return true;
+  if (isProtocolError(error) || error == boost::beast::error::timeout) {
+    co_await refuse(refusalFor(error));
+  }
+  co_return false;
+}
+
+Task<void> ServerSession::refuse(beast_http::status status) {
+  Response response(status, 11);
+  keep_alive_ = false;
+  co_await writeAll(std::move(response));
+  // What the client still sends is read for a moment, or closing would reset the refusal away.
+  boost::system::error_code error;
+  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  stream_.expires_after(std::chrono::milliseconds(500));
+  while (!error) {
+    buffer_.clear();
+    const std::size_t received = co_await stream_.async_read_some(
+        buffer_.prepare(16384), asio::redirect_error(asio::use_awaitable, error));
+    if (received == 0) break;
+  }
+}
+
+Task<void> ServerSession::run() {
+  const auto self = shared_from_this();
+  while (keep_alive_ && !closed_) {
+    if (!co_await waitForRequest()) break;
+    in_request_ = true;
+    ++server_.busy_;
+    Parser parser;
+    const bool read = co_await readRequest(parser);
+    if (read) {
+      const Instant received = steadyNow();
+      Request request = parser.release();
+      keep_alive_ = request.keep_alive();
+      ResponseWriter writer(*this);
+      watchForClose(writer);
+      co_await server_.handler_(request, received, writer);
+      writer_ = nullptr;
+      ++request_number_;
+      if (!writer.ended()) keep_alive_ = false;
+    }
+    --server_.busy_;
+    in_request_ = false;
+    if (!read) break;
+  }
+  if (!closed_) close();
+}
+
+void ServerSession::watchForClose(ResponseWriter& writer) {
+  writer_ = &writer;
+  const std::uint64_t number = request_number_;
+  stream_.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this(), number](const boost::system::error_code& error) {
+        if (!error) self->onReadable(number);
+      });
+}
+
+void ServerSession::onReadable(std::uint64_t request_number) {
+  if (request_number != request_number_ || writer_ == nullptr) return;
+  char byte = 0;
+  const ssize_t received =
+      ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool gone = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  if (!gone) return;  // The next request came early; it is read after this one.
+  writer_->cancellation_.request();
+}
+
+void ServerSession::closeAfterAnswerIfDraining() {
+  if (server_.draining_) keep_alive_ = false;
+}
+
+Task<bool> ServerSession::writeAll(Response response) {
+  if (closed_) co_return false;
+  closeAfterAnswerIfDraining();
+  response.keep_alive(keep_alive_);
+  response.prepare_payload();
+  stream_.expires_after(kWriteTime);
+  boost::system::error_code error;
+  co_await beast_http::async_write(stream_, response,
+                                   asio::redirect_error(asio::use_awaitable, error));
+  if (error) keep_alive_ = false;
+  co_return !error;
+}
+
+Task<bool> ResponseWriter::send(Response response) {
+  begun_ = true;
+  ended_ = co_await session_.writeAll(std::move(response));
+  co_return ended_;
+}
+
+Task<bool> ResponseWriter::beginStream(ResponseHead head) {
+  begun_ = true;
+  beast_http::response<beast_http::empty_body> message(std::move(head));
+  session_.closeAfterAnswerIfDraining();
+  message.keep_alive(session_.keep_alive_);
+  message.chunked(true);
+  beast_http::response_serializer<beast_http::empty_body> serializer(message);
+  session_.stream_.expires_after(kWriteTime);
+  boost::system::error_code error;
+  co_await beast_http::async_write_header(session_.stream_, serializer,
+                                          asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+Task<bool> ResponseWriter::writeChunk(std::string bytes) {
+  if (session_.closed_) co_return false;
+  session_.stream_.expires_after(kWriteTime);
+  boost::system::error_code error;
+  co_await asio::async_write(session_.stream_, beast_http::make_chunk(asio::buffer(bytes)),
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+Task<bool> ResponseWriter::endStream() {
+  if (session_.closed_) co_return false;
+  session_.stream_.expires_after(kWriteTime);
+  boost::system::error_code error;
+  co_await asio::async_write(session_.stream_, beast_http::make_chunk_last(),
+                             asio::redirect_error(asio::use_awaitable, error));
+  ended_ = !error;
+  co_return ended_;
+}
+
+void ResponseWriter::breakOff() {
+  session_.closed_ = true;
+  boost::system::error_code ignored;
+  session_.stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  session_.stream_.socket().close(ignored);
+}
+
+}  // namespace linenpier::http
--- /dev/null
+++ b/src/lease/lease_keeper.cpp
@@ -0,0 +1,57 @@
+#include "lease/lease_keeper.h"
+
+#include "gateway/store_keys.h"
+
+namespace linenpier::lease {
+
+void LeaseKeeper::start(std::function<bool()> needed) {
+  needed_ = std::move(needed);
+  spawn(loop_, [this] { return run(); });
+}
+
+table::Put LeaseKeeper::renewal() const {
+  return {gateway::leaseKey(leases_.own()), "renewed"};
+}
+
+void LeaseKeeper::onRenewed(Instant sent_at) { renewed_at_ = std::max(renewed_at_, sent_at); }
+
+std::int64_t LeaseKeeper::storeClock(Instant now) const {
+  if (clock_ms_ == 0) return 0;
+  return clock_ms_ +
+         std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_read_at_).count();
+}
+
+Task<bool> LeaseKeeper::renew() {
+  const Instant sent_at = steadyNow();
+  table::Write write;
+  write.transaction.puts.push_back(renewal());
+  const auto answer = co_await table_.write(std::move(write));
+  const bool done = answer.has_value() && answer->committed;
+  if (done) onRenewed(sent_at);
+  co_return done;
+}
+
+Task<void> LeaseKeeper::run() {
+  constexpr Duration kRetryPause = std::chrono::milliseconds(200);
+  while (!stopping_) {
+    Duration pause = leases_.times().renewal;
+    const Instant due = renewed_at_ + leases_.times().renewal;
+    const Instant now = steadyNow();
+    if (needed_() && now >= due) {
+      if (!co_await renew()) pause = kRetryPause;
+    } else if (now < due) {
+      pause = due - now;
+    }
+    co_await sleepFor(loop_, pause);
+  }
+}
+
+Task<void> LeaseKeeper::stop() {
+  stopping_ = true;
+  if (renewed_at_ == Instant{}) co_return;
+  table::Write write;
+  write.removes.push_back(gateway::leaseKey(leases_.own()));
+  co_await table_.write(std::move(write));
+}
+
+}  // namespace linenpier::lease
--- /dev/null
+++ b/src/lease/lease_keeper.h
@@ -0,0 +1,53 @@
+#pragma once
+
+/// @file
+/// Renews this daemon's lease row while it owns anything.
+
+#include <functional>
+
+#include "common/task.h"
+#include "lease/lease_table.h"
+#include "table/async_table.h"
+
+namespace linenpier::lease {
+
+/// Loop thread only.
+class LeaseKeeper {
+ public:
+  LeaseKeeper(boost::asio::io_context& loop, table::AsyncTable& table, const LeaseTable& leases)
+      : loop_(loop), table_(table), leases_(leases) {}
+
+  /// @param needed tells whether anything is owned now.
+  void start(std::function<bool()> needed);
+  /// Ends the renewals. The row is removed if possible.
+  Task<void> stop();
+
+  /// @return the put that renews the lease, to ride on other writes.
+  table::Put renewal() const;
+  /// A write with the renewal, sent at `sent_at`, was done.
+  void onRenewed(Instant sent_at);
+  /// @return whether this daemon may act under what it owns without asking the store first.
+  bool valid(Instant now) const { return now - renewed_at_ < leases_.times().validity; }
+  /// @return the store's steady clock, estimated from what its answers said; 0 if none came yet.
+  std::int64_t storeClock(Instant now) const;
+  void onStoreClock(Instant now, std::int64_t clock_ms) {
+    clock_ms_ = clock_ms;
+    clock_read_at_ = now;
+  }
+  /// Renews at once. @return whether the store took it.
+  Task<bool> renew();
+
+ private:
+  Task<void> run();
+
+  boost::asio::io_context& loop_;
+  table::AsyncTable& table_;
+  const LeaseTable& leases_;
+  std::function<bool()> needed_;
+  Instant renewed_at_{};  ///< When the last successful renewal was sent.
+  std::int64_t clock_ms_ = 0;  ///< The store's clock as last read.
+  Instant clock_read_at_{};
+  bool stopping_ = false;
+};
+
+}  // namespace linenpier::lease
--- /dev/null
+++ b/src/lease/lease_table.h
@@ -0,0 +1,68 @@
+#pragma once
+
+/// @file
+/// Who is alive, as told by lease rows in the store. An owner renews its row while it owns
+/// something; observers measure the silence by their own steady clocks. Pure.
+///
+/// Leases only decide when others try to take over. That two owners never act under one right is
+/// decided by conditional writes on the row of what is owned.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "batch/batch_types.h"
+#include "common/time.h"
+#include "table/table_client.h"
+
+namespace linenpier::lease {
+
+using batch::LeaseId;
+
+struct LeaseTimes {
+  Duration renewal = std::chrono::milliseconds(900);
+  /// An owner acts under a lease only this long after it sent the last successful renewal.
+  Duration validity = std::chrono::milliseconds(1800);
+  /// Silence after which others may take over.
+  Duration expiry = std::chrono::milliseconds(2600);
+};
+
+/// @return the lease id of one life of a daemon.
+LeaseId makeLeaseId(const std::string& daemon, const std::string& incarnation);
+/// @return the daemon that the lease belongs to.
+std::string daemonOf(const LeaseId& lease);
+
+class LeaseTable {
+ public:
+  LeaseTable(LeaseId own, LeaseTimes times) : own_(std::move(own)), times_(times) {}
+
+  void onRow(Instant now, const LeaseId& lease, Revision revision);
+  void onGone(const LeaseId& lease) { rows_.erase(lease); }
+  /// The feed works from now on; silence before says nothing.
+  void onFeedRegained(Instant now) { feed_healthy_since_ = now; }
+  void onFeedLost() { feed_healthy_since_.reset(); }
+  bool feedHealthy() const { return feed_healthy_since_.has_value(); }
+
+  /// @return whether the owner has been silent for long enough, or is an earlier life of this
+  ///     daemon. Never for this life.
+  bool expired(Instant now, const LeaseId& lease);
+  /// @return whether the lease is of another life of the same daemon.
+  bool isEarlierSelf(const LeaseId& lease) const;
+  const LeaseId& own() const { return own_; }
+  const LeaseTimes& times() const { return times_; }
+  /// @return leases of others that have been silent for `silence`, for clearing away.
+  std::vector<LeaseId> silentFor(Instant now, Duration silence) const;
+
+ private:
+  struct Observation {
+    Revision revision = 0;
+    Instant changed_at{};
+  };
+  LeaseId own_;
+  LeaseTimes times_;
+  std::map<LeaseId, Observation> rows_;  ///< As last seen; an absent row counts from its asking.
+  std::optional<Instant> feed_healthy_since_;
+};
+
+}  // namespace linenpier::lease
--- /dev/null
+++ b/src/routing/route_table.h
@@ -0,0 +1,100 @@
+#pragma once
+
+/// @file
+/// Routes: which service serves a request, and under which rules. Values only; every daemon holds
+/// the newest table it has seen and replaces it whole.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/time.h"
+#include "http/server.h"
+
+namespace linenpier::routing {
+
+using ServiceName = Id<struct ServiceNameTag>;  ///< A pool of engines.
+using RouteName = Id<struct RouteNameTag>;
+
+/// What the operator says about repeating a route's requests, and in what form they answer.
+enum class RequestKind {
+  kIdempotent,     ///< May run more than once.
+  kNonIdempotent,  ///< May run at most once.
+  kStreaming,      ///< Answers with events; repeated only if resumable.
+  kBatch,          ///< Batch jobs are handed in under this route.
+};
+
+struct WeightedService {
+  ServiceName service;
+  std::uint32_t weight = 1;
+};
+
+struct Route {
+  RouteName name;
+  std::string host;
+  std::string path_prefix;  ///< Begins and ends with a slash.
+  RequestKind kind = RequestKind::kNonIdempotent;
+  std::vector<WeightedService> services;  ///< At least one.
+  Duration timeout = std::chrono::seconds(30);
+  Duration target_latency = std::chrono::seconds(1);
+  Duration target_finish{};  ///< Batch: all results are due this long after the hand-in.
+  Duration queue_limit{};    ///< Batch: an item may be given up this long after the hand-in.
+  int priority = 5;
+  int max_attempts = 1;
+  bool sticky = false;
+  bool resumable = false;
+  bool single_version = false;
+
+  /// @return whether a request may be sent to a second engine after the first may have run it.
+  bool repeatable() const {
+    return kind == RequestKind::kIdempotent || (kind == RequestKind::kStreaming && resumable);
+  }
+};
+
+struct Service {
+  ServiceName name;
+  std::string health_path;
+  std::uint32_t max_connections = 100;  ///< An engine's limit, over all daemons.
+  std::vector<ModelName> models;        ///< Empty for services that serve no model.
+};
+
+/// One version of the operator's configuration. Versions only grow.
+struct RouteTable {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::map<ServiceName, Service> services;
+  http::ServerLimits limits;
+
+  /// @return the route of that host whose prefix begins `path` and is longest, or nullptr.
+  const Route* find(const std::string& host, const std::string& path) const;
+  const Route* findByName(const RouteName& name) const;
+};
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+/// Deals requests to the services of a route in proportion to their weights, smoothly: after each
+/// round of as many requests as the weights sum to, every service had exactly its share.
+class WeightedDealer {
+ public:
+  /// @param start a number that differs between daemons, so that they do not deal in step.
+  explicit WeightedDealer(std::uint64_t start) : start_(start) {}
+
+  /// @return the service whose turn it is.
+  ServiceName next(const Route& route);
+
+ private:
+  struct Balance {
+    std::vector<WeightedService> services;  ///< As they were when the credits were last reset.
+    std::vector<double> credits;
+  };
+  /// @return the index of the service whose turn it is.
+  static std::size_t deal(Balance& balance, double total);
+
+  std::uint64_t start_;
+  std::map<RouteName, Balance> balances_;
+};
+
+}  // namespace linenpier::routing
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,8 +1,5 @@
 #include "settings/settings.h"
 
-#include <fstream>
-#include <sstream>
-
 #include "settings/toml_reader.h"
 #include "upstream/routing_policy.h"
 
@@ -53,12 +50,4 @@
   return settings;
 }
 
-tl::expected<std::string, Findings> readFile(const std::string& path) {
-  std::ifstream stream(path);
-  if (!stream) return tl::make_unexpected(Findings{{path, "cannot be read"}});
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
-}
-
 }  // namespace linenpier::settings
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -11,6 +11,7 @@
 #include "common/address.h"
 #include "common/error.h"
 #include "common/ids.h"
+#include "settings/read_file.h"
 #include "common/time.h"
 
 namespace linenpier::settings {
@@ -43,7 +44,5 @@
 tl::expected<DaemonSettings, Findings> parseDaemonSettings(const std::string& file,
                                                            const std::string& text,
                                                            const Overrides& overrides);
-/// Reads a file. @return its text or one finding.
-tl::expected<std::string, Findings> readFile(const std::string& path);
 
 }  // namespace linenpier::settings
--- /dev/null
+++ b/src/table/async_table.h
@@ -0,0 +1,70 @@
+#pragma once
+
+/// @file
+/// The platform's durable services as tasks of the event loop see them: rows under conditions, a
+/// feed of changes, and objects. Keys are "TABLE/KEY". Reads and writes are linearizable.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/task.h"
+#include "table/table_client.h"
+
+namespace linenpier::table {
+
+/// Rows as of a single moment.
+struct RowPage {
+  std::vector<Row> rows;   ///< Ascending by key.
+  bool has_more = false;   ///< More rows follow the last one.
+  Revision revision = 0;   ///< The newest of the whole store.
+  std::int64_t clock_ms = 0;  ///< The store's steady clock.
+};
+
+/// A row that changed; `gone` when it was removed.
+struct RowChange {
+  Row row;
+  bool gone = false;
+};
+
+struct ChangeBatch {
+  std::vector<RowChange> changes;  ///< In the order of their revisions.
+  Revision revision = 0;           ///< Continue from here.
+  bool history_lost = false;       ///< Read the table anew.
+};
+
+struct RowRange {
+  std::string table;
+  std::string from;    ///< Key without its table; inclusive.
+  std::string until;   ///< Exclusive; empty: to the table's end.
+  std::size_t limit = 0;  ///< 0: as many as the store gives.
+};
+
+struct Write {
+  Transaction transaction;
+  std::vector<std::string> removes;  ///< Keys of rows to remove.
+};
+
+class AsyncTable {
+ public:
+  virtual ~AsyncTable() = default;
+
+  /// @return the store's answer; kAnswerLost if the write may have been or may yet be done.
+  virtual Task<CallResult<TransactionAnswer>> write(Write write) = 0;
+  virtual Task<CallResult<RowPage>> read(RowRange range) = 0;
+  /// Waits until rows of the table change after `after`, at most `wait`.
+  virtual Task<CallResult<ChangeBatch>> watch(std::string table, Revision after, Duration wait) = 0;
+};
+
+class AsyncObjects {
+ public:
+  virtual ~AsyncObjects() = default;
+
+  /// Writes an object whose content never differs between writers; present is done.
+  virtual Task<CallResult<bool>> put(std::string name, std::string bytes) = 0;
+  /// @return the bytes; kRejected if there is no such object.
+  virtual Task<CallResult<std::string>> get(std::string name) = 0;
+  virtual Task<CallResult<bool>> remove(std::string name) = 0;
+};
+
+}  // namespace linenpier::table
--- /dev/null
+++ b/src/table/table_watcher.cpp
@@ -0,0 +1,73 @@
+#include "table/table_watcher.h"
+
+#include "logging/event_log.h"
+
+namespace linenpier::table {
+
+void TableWatcher::start() {
+  spawn(loop_, [this] { return run(); });
+}
+
+void TableWatcher::setHealthy(bool healthy) {
+  if (healthy) last_answer_ = steadyNow();
+  if (healthy == healthy_) return;
+  healthy_ = healthy;
+  logging::LogEvent("store", healthy ? "feed_regained" : "feed_lost")
+      .text("table", name_)
+      .number("revision", static_cast<std::int64_t>(revision_));
+  listener_.on_health(healthy);
+}
+
+Task<void> TableWatcher::run() {
+  for (;;) {
+    const bool done = have_rows_ ? co_await waitForChanges() : co_await readWhole();
+    if (!done) co_await sleepFor(loop_, options_.retry_pause);
+  }
+}
+
+Task<bool> TableWatcher::readWhole() {
+  std::vector<Row> rows;
+  Revision revision = 0;
+  RowRange range{name_, "", "", 0};
+  for (;;) {
+    auto page = co_await table_.read(range);
+    if (!page) {
+      if (page.error().failure != CallFailure::kRateLimited) setHealthy(false);
+      co_return false;
+    }
+    if (revision == 0) revision = page->revision;
+    if (listener_.on_clock) listener_.on_clock(page->clock_ms);
+    for (Row& row : page->rows) rows.push_back(std::move(row));
+    if (!page->has_more || rows.empty()) break;
+    range.from = rows.back().key.substr(name_.size() + 1) + '\x01';
+  }
+  // A read from before what was told already would turn time back.
+  if (revision < revision_) co_return false;
+  revision_ = revision;
+  have_rows_ = true;
+  ever_read_ = true;
+  listener_.on_snapshot(rows);
+  setHealthy(true);
+  co_return true;
+}
+
+Task<bool> TableWatcher::waitForChanges() {
+  auto batch = co_await table_.watch(name_, revision_, options_.wait);
+  if (!batch) {
+    if (batch.error().failure != CallFailure::kRateLimited) setHealthy(false);
+    co_return false;
+  }
+  if (batch->history_lost) {
+    have_rows_ = false;
+    co_return true;
+  }
+  setHealthy(true);
+  for (const RowChange& change : batch->changes) listener_.on_change(change);
+  revision_ = std::max(revision_, batch->revision);
+  if (!batch->changes.empty() && options_.coalesce > Duration::zero()) {
+    co_await sleepFor(loop_, options_.coalesce);
+  }
+  co_return true;
+}
+
+}  // namespace linenpier::table
--- /dev/null
+++ b/src/table/table_watcher.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// @file
+/// Follows one table of the store: reads it whole, then waits for changes, and begins anew where
+/// the history was lost. What it tells never goes back in time.
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "common/task.h"
+#include "table/async_table.h"
+
+namespace linenpier::table {
+
+struct WatcherOptions {
+  Duration wait = std::chrono::seconds(2);          ///< Of one call.
+  Duration coalesce{};                              ///< Pause after changes, so that more come at once.
+  Duration retry_pause = std::chrono::milliseconds(150);
+};
+
+/// Loop thread only.
+class TableWatcher {
+ public:
+  struct Listener {
+    std::function<void(const std::vector<Row>&)> on_snapshot;  ///< All rows, as of one moment or later.
+    std::function<void(const RowChange&)> on_change;
+    std::function<void(bool healthy)> on_health;               ///< Called on each change only.
+    std::function<void(std::int64_t clock_ms)> on_clock;       ///< May be empty.
+  };
+
+  TableWatcher(boost::asio::io_context& loop, AsyncTable& table, std::string name,
+               WatcherOptions options, Listener listener)
+      : loop_(loop),
+        table_(table),
+        name_(std::move(name)),
+        options_(options),
+        listener_(std::move(listener)) {}
+
+  void start();
+  bool healthy() const { return healthy_; }
+  /// @return whether the table was ever read.
+  bool read() const { return ever_read_; }
+  /// @return when the store last answered for this table.
+  Instant lastAnswer() const { return last_answer_; }
+
+ private:
+  Task<void> run();
+  Task<bool> readWhole();
+  Task<bool> waitForChanges();
+  void setHealthy(bool healthy);
+
+  boost::asio::io_context& loop_;
+  AsyncTable& table_;
+  std::string name_;
+  WatcherOptions options_;
+  Listener listener_;
+  Revision revision_ = 0;   ///< Everything up to here was told.
+  bool have_rows_ = false;  ///< Whether `revision_` may be continued from.
+  bool ever_read_ = false;
+  bool healthy_ = false;
+  Instant last_answer_{};
+};
+
+}  // namespace linenpier::table
--- /dev/null
+++ b/src/versions/order_service.cpp
@@ -0,0 +1,203 @@
+#include "versions/order_service.h"
+
+#include <algorithm>
+
+#include "common/hash.h"
+#include "gateway/store_keys.h"
+#include "logging/event_log.h"
+
+namespace linenpier::versions {
+
+using logging::LogEvent;
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(60);
+
+const char* toText(OrderAnswer answer) {
+  switch (answer) {
+    case OrderAnswer::kUnderWay:
+      return "under_way";
+    case OrderAnswer::kInForce:
+      return "in_force";
+    case OrderAnswer::kBusy:
+      return "busy";
+    case OrderAnswer::kFenced:
+      return "fenced";
+    case OrderAnswer::kRejected:
+      return "rejected";
+    case OrderAnswer::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void OrderService::start() {
+  spawn(deps_.loop, [this] { return tickLoop(); });
+}
+
+OrderService::Right& OrderService::rightOf(const routing::ServiceName& service) {
+  auto& right = rights_[service];
+  if (!right) {
+    right = std::make_unique<Right>(options_.rollout);
+    for (const auto& [model, version] : named_) right->rollout.onNamed(model, version);
+  }
+  return *right;
+}
+
+bool OrderService::held(const Right& right) const {
+  return right.revision > 0 && right.owner == deps_.leases.own();
+}
+
+bool OrderService::holdsAny() const {
+  return std::any_of(rights_.begin(), rights_.end(),
+                     [this](const auto& each) { return held(*each.second); });
+}
+
+void OrderService::onNamed(const ModelName& model, WeightVersion version) {
+  WeightVersion& known = named_[model];
+  if (version <= known) return;
+  known = version;
+  LogEvent("versions", "named")
+      .text("model", model.str())
+      .number("version", static_cast<std::int64_t>(version));
+  for (auto& [service, right] : rights_) right->rollout.onNamed(model, version);
+}
+
+void OrderService::onRightRow(const routing::ServiceName& service, const table::Row& row) {
+  Right& right = rightOf(service);
+  if (row.revision <= right.revision) return;
+  const bool was_held = held(right);
+  right.revision = row.revision;
+  right.owner = lease::LeaseId(row.value);
+  right.vacant_since = Instant{};
+  if (was_held && !held(right)) {
+    right.rollout.reset();
+    LogEvent("versions", "right_lost")
+        .text("service", service.str())
+        .text("to", row.value)
+        .number("revision", static_cast<std::int64_t>(row.revision));
+  }
+}
+
+void OrderService::onRightGone(const routing::ServiceName& service) {
+  Right& right = rightOf(service);
+  right.revision = 0;
+  right.owner = lease::LeaseId();
+}
+
+Task<void> OrderService::tickLoop() {
+  for (;;) {
+    co_await sleepFor(deps_.loop, kTick);
+    const routing::RouteTablePtr routes = deps_.routes();
+    if (!routes || stopping_) continue;
+    for (const auto& [name, service] : routes->services) {
+      if (!service.models.empty()) tickService(steadyNow(), name);
+    }
+  }
+}
+
+void OrderService::tickService(Instant now, const routing::ServiceName& service) {
+  Right& right = rightOf(service);
+  if (held(right)) {
+    if (now < right.may_order_at || !deps_.keeper.valid(now)) return;
+    const auto engines = deps_.registry.ofService(service);
+    for (VersionOrder& order : right.rollout.onTick(now, engines)) {
+      spawn(deps_.loop, [this, service, order] { return sendOrder(service, order); });
+    }
+    return;
+  }
+  if (!table_read_ || right.acquiring || !deps_.leases.feedHealthy()) return;
+  const bool vacant = right.revision == 0 || deps_.leases.expired(now, right.owner);
+  if (!vacant) return;
+  if (right.vacant_since == Instant{}) right.vacant_since = now;
+  const bool own = deps_.leases.isEarlierSelf(right.owner);
+  const auto share =
+      static_cast<std::int64_t>(hash64(deps_.leases.own().str(), hash64(service.str())) % 100);
+  if (!own && now - right.vacant_since < options_.acquire_spread * share / 100) return;
+  right.acquiring = true;
+  const routing::ServiceName name = service;
+  spawn(deps_.loop, [this, name] { return acquire(name); });
+}
+
+Task<void> OrderService::acquire(routing::ServiceName service) {
+  Right& right = rightOf(service);
+  const Revision before = right.revision;
+  const lease::LeaseId from = right.owner;
+  const bool first = before == 0 || deps_.leases.isEarlierSelf(from);
+  table::Write write;
+  write.transaction.checks.push_back({gateway::orderKey(service), before});
+  write.transaction.puts.push_back({gateway::orderKey(service), deps_.leases.own().str()});
+  write.transaction.puts.push_back(deps_.keeper.renewal());
+  const Instant sent_at = steadyNow();
+  const auto answer = co_await deps_.table.write(std::move(write));
+  right.acquiring = false;
+  const bool done = answer.has_value() && answer->committed;
+  LogEvent("versions", "right_asked")
+      .text("service", service.str())
+      .text("from", from.str())
+      .number("before", static_cast<std::int64_t>(before))
+      .text("outcome", done ? "acquired" : answer ? "taken_by_another" : "no_answer");
+  if (!done) {
+    right.vacant_since = Instant{};
+    co_return;
+  }
+  ++counts_.acquired;
+  deps_.keeper.onRenewed(sent_at);
+  right.may_order_at = steadyNow() + (first ? Duration::zero() : options_.handover_pause);
+  right.rollout.reset();
+  if (answer->revision > right.revision) {
+    right.revision = answer->revision;
+    right.owner = deps_.leases.own();
+  }
+}
+
+Task<void> OrderService::sendOrder(routing::ServiceName service, VersionOrder order) {
+  Right& right = rightOf(service);
+  if (!order.expected_sequence) {
+    const auto sequence = co_await deps_.orders.sequence(order.engine, order.address);
+    if (sequence) {
+      right.rollout.onSequence(order.engine, sequence->taken);
+      order.expected_sequence = sequence->taken;
+    }
+    if (!sequence || sequence->busy) {
+      right.rollout.onAnswer(steadyNow(), order, sequence ? OrderAnswer::kBusy : OrderAnswer::kUnknown);
+      co_return;
+    }
+  }
+  if (!held(right) || !deps_.keeper.valid(steadyNow()) || stopping_) {
+    right.rollout.onAnswer(steadyNow(), order, OrderAnswer::kBusy);
+    co_return;
+  }
+  const FencingToken token = right.revision;
+  ++counts_.sent;
+  deps_.registry.onOrderStarted(order.engine);
+  const OrderAnswer answer = co_await deps_.orders.send(order, deps_.holder, token);
+  deps_.registry.onOrderEnded(order.engine);
+  right.rollout.onAnswer(steadyNow(), order, answer);
+  if (answer == OrderAnswer::kUnderWay) ++counts_.under_way;
+  if (answer == OrderAnswer::kUnknown) ++counts_.unanswered;
+  LogEvent("versions", "order_answered")
+      .text("engine", order.engine.str())
+      .text("model", order.model.str())
+      .number("version", static_cast<std::int64_t>(order.version))
+      .number("token", static_cast<std::int64_t>(token))
+      .number("sequence", static_cast<std::int64_t>(order.expected_sequence.value_or(0)))
+      .text("outcome", toText(answer));
+}
+
+Task<void> OrderService::handOver() {
+  stopping_ = true;
+  for (auto& [service, right] : rights_) {
+    if (!held(*right)) continue;
+    table::Write write;
+    write.transaction.checks.push_back({gateway::orderKey(service), right->revision});
+    write.transaction.puts.push_back({gateway::orderKey(service), std::string()});
+    right->owner = lease::LeaseId();
+    co_await deps_.table.write(std::move(write));
+  }
+}
+
+}  // namespace linenpier::versions
--- /dev/null
+++ b/src/versions/order_service.h
@@ -0,0 +1,103 @@
+#pragma once
+
+/// @file
+/// Holds the right to order the engines of services, and uses it: one daemon a service at a time.
+///
+/// The right is a row whose revision is the fencing token. It is taken by a conditional write when
+/// its owner's lease has run out; the new holder first waits until the old one can no longer order.
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "lease/lease_keeper.h"
+#include "versions/version_rollout.h"
+
+namespace linenpier::versions {
+
+/// What an engine tells of the orders it has taken.
+struct EngineSequence {
+  std::uint64_t taken = 0;
+  bool busy = false;
+};
+
+/// Sends orders in the platform's form.
+class EngineOrders {
+ public:
+  virtual ~EngineOrders() = default;
+
+  virtual Task<OrderAnswer> send(VersionOrder order, std::string holder, FencingToken token) = 0;
+  /// @return nothing if the engine gave no answer.
+  virtual Task<std::optional<EngineSequence>> sequence(EngineId engine, Address address) = 0;
+};
+
+struct OrderOptions {
+  Duration handover_pause = std::chrono::milliseconds(3100);  ///< Between two holders' orders.
+  Duration acquire_spread = std::chrono::milliseconds(400);
+  RolloutOptions rollout;
+};
+
+struct OrderCounts {
+  std::uint64_t sent = 0;
+  std::uint64_t under_way = 0;
+  std::uint64_t unanswered = 0;
+  std::uint64_t acquired = 0;
+};
+
+/// Loop thread only.
+class OrderService {
+ public:
+  struct Dependencies {
+    boost::asio::io_context& loop;
+    engines::EngineRegistry& registry;
+    table::AsyncTable& table;
+    lease::LeaseTable& leases;
+    lease::LeaseKeeper& keeper;
+    EngineOrders& orders;
+    std::function<routing::RouteTablePtr()> routes;
+    std::string holder;  ///< Name that orders carry.
+  };
+  OrderService(Dependencies dependencies, OrderOptions options)
+      : deps_(std::move(dependencies)), options_(options) {}
+
+  void start();
+  void onNamed(const ModelName& model, WeightVersion version);
+  /// The row of a service's right, as the feed tells it.
+  void onRightRow(const routing::ServiceName& service, const table::Row& row);
+  void onRightGone(const routing::ServiceName& service);
+  /// The table was read and other rows of it are about to be told: unless told, there is no row.
+  void onTableRead() { table_read_ = true; }
+  bool holdsAny() const;
+  /// Gives up every right.
+  Task<void> handOver();
+  const OrderCounts& counts() const { return counts_; }
+
+ private:
+  /// A service's right as this daemon knows it.
+  struct Right {
+    explicit Right(const RolloutOptions& rollout_options) : rollout(rollout_options) {}
+
+    Revision revision = 0;  ///< The fencing token, if `owner` is this daemon.
+    lease::LeaseId owner;
+    bool acquiring = false;
+    Instant vacant_since{};
+    Instant may_order_at{};
+    VersionRollout rollout;
+  };
+  Right& rightOf(const routing::ServiceName& service);
+  bool held(const Right& right) const;
+  Task<void> tickLoop();
+  void tickService(Instant now, const routing::ServiceName& service);
+  Task<void> acquire(routing::ServiceName service);
+  Task<void> sendOrder(routing::ServiceName service, VersionOrder order);
+
+  Dependencies deps_;
+  OrderOptions options_;
+  std::map<routing::ServiceName, std::unique_ptr<Right>> rights_;
+  std::map<ModelName, WeightVersion> named_;
+  OrderCounts counts_;
+  bool table_read_ = false;  ///< Whether an unknown right means that there is no row.
+  bool stopping_ = false;
+};
+
+}  // namespace linenpier::versions
