Mend a double free on reading an item's body

Cause: a conditional expression with temporaries inside an awaited call; the compiler (GCC 12) destroys such temporaries twice. Ruled out: ownership of connections (no crash without readers of item bodies). Change: values are made before the call that takes them.

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -20,6 +20,13 @@
 constexpr unsigned kUnknown = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr int kPutTries = 2;
+
+std::optional<std::string> bodyOf(const BatchJob& job, const ItemId& item) {
+  const auto found = std::find_if(job.items.begin(), job.items.end(),
+                                  [&](const BatchItem& each) { return each.id == item; });
+  if (found == job.items.end()) return std::nullopt;
+  return found->body;
+}
 }  // namespace
 
 Task<void> BatchService::answer(http::ResponseWriter& writer, unsigned status,
@@ -209,26 +216,24 @@
     co_await answer(writer, sure ? kNotFound : kUnavailable);
     co_return;
   }
-  const auto find = [&item](const BatchJob& job) {
-    return std::find_if(job.items.begin(), job.items.end(),
-                        [&](const BatchItem& each) { return each.id == item; });
-  };
   const auto at = jobs_.find(id);
+  std::optional<std::string> body;
   if (at != jobs_.end() && at->second.active) {
-    const BatchJob& job = at->second.active->run.job();
-    const auto found = find(job);
-    const bool present = found != job.items.end();
-    co_await answer(writer, present ? kOk : kNotFound, present ? found->body : std::string());
-    co_return;
+    body = bodyOf(at->second.active->run.job(), item);
+  } else {
+    const auto bytes = co_await deps_.store.getJob(id);
+    if (!bytes) {
+      co_await answer(writer, kUnavailable);
+      co_return;
+    }
+    const auto job = deps_.codec.parseJob(id, *bytes);
+    if (job) body = bodyOf(*job, item);
   }
-  const auto bytes = co_await deps_.store.getJob(id);
-  if (!bytes) {
-    co_await answer(writer, kUnavailable);
-    co_return;
+  if (body) {
+    co_await answer(writer, kOk, std::move(*body));
+  } else {
+    co_await answer(writer, kNotFound);
   }
-  const auto job = deps_.codec.parseJob(id, *bytes);
-  const bool present = job && find(*job) != job->items.end();
-  co_await answer(writer, present ? kOk : kNotFound, present ? find(*job)->body : std::string());
 }
 
 // --- Ending -------------------------------------------------------------------------------------
