Give each model its own engines, move runs off slow engines, load quiet engines first

Cause: with every engine holding every model, bringing a version round took 8.6 s of loads (two at a time, 0.96 s each) while versions are named every 4 s; engines stayed behind for good and steps waited. Ruled out: slots (38 % in use), order of items alone.

--- a/src/batch/active_job.h
+++ b/src/batch/active_job.h
@@ -3,8 +3,8 @@
 /// @file
 /// A job at its owner. Used by the batch service only.
 
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -32,7 +32,7 @@
   Instant give_up_at{};
   std::vector<std::string> listed;  ///< Encoded, by position; all in the store.
   Pending pending;
-  std::set<std::shared_ptr<forward::EngineCall>> calls;
+  std::map<ItemIndex, std::shared_ptr<forward::EngineCall>> calls;  ///< By the item they run.
   Signal finished;        ///< There is something to list, or the job stops.
   Signal listed_changed;  ///< `listed` has grown, or the job stops.
   bool stopped = false;
@@ -42,7 +42,7 @@
     if (stopped) return;
     stopped = true;
     stopped_at = now;
-    for (const auto& call : calls) call->abort();
+    for (const auto& [item, call] : calls) call->abort();
     finished.notifyAll();
     listed_changed.notifyAll();
   }
--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -106,6 +106,7 @@
   record.host = http::fieldText(request, "Host");
   record.path = std::string(request.target().substr(0, request.target().find('?')));
   record.total = job->items.size();
+  if (!job->items.empty()) record.model = job->items.front().model;
   record.accepted_ms = deps_.keeper.storeClock(steadyNow());
   const FencedAnswer accepted = co_await acceptRecord(record, deadline);
   if (accepted.outcome == FencedOutcome::kNotDone) {
--- a/src/batch/batch_run.cpp
+++ b/src/batch/batch_run.cpp
@@ -10,40 +10,28 @@
   orderItems();
 }
 
-namespace {
-
-struct GroupRank {
-  std::uint64_t longest = 0;  ///< Longest expected item.
-  std::size_t first = 0;      ///< Position of its first item.
-};
-
-}  // namespace
-
-/// A group is whole when its longest item is. Of the groups that must become whole the longest
-/// begin first; those that are expected to be longest of all come last, since the trainer does not
-/// wait for them.
+/// The longest items begin first, since the step ends with them. The groups that are expected to
+/// be longest of all come last, since the trainer does not wait for them.
 void BatchRun::orderItems() {
-  std::map<GroupId, GroupRank> ranks;
+  std::map<GroupId, std::uint64_t> longest_of;
   for (ItemIndex item = 0; item < job_.items.size(); ++item) {
     const BatchItem& each = job_.items[item];
-    const auto [at, fresh] = ranks.try_emplace(each.group, GroupRank{0, item});
-    at->second.longest = std::max(at->second.longest, each.length_hint);
+    std::uint64_t& longest = longest_of[each.group];
+    longest = std::max(longest, each.length_hint);
   }
   std::vector<std::pair<std::uint64_t, GroupId>> by_length;
-  for (const auto& [group, rank] : ranks) by_length.emplace_back(rank.longest, group);
+  for (const auto& [group, longest] : longest_of) by_length.emplace_back(longest, group);
   std::sort(by_length.begin(), by_length.end());
-  std::map<GroupId, std::size_t> place;
   const std::size_t wanted =
       job_.desired_groups == 0 ? by_length.size() : std::min(job_.desired_groups, by_length.size());
-  for (std::size_t i = 0; i < by_length.size(); ++i) {
-    place[by_length[i].second] = i < wanted ? wanted - i : i + 1;
-  }
+  std::set<GroupId> spare;
+  for (std::size_t i = wanted; i < by_length.size(); ++i) spare.insert(by_length[i].second);
   order_.resize(job_.items.size());
   for (ItemIndex item = 0; item < order_.size(); ++item) order_[item] = item;
   std::stable_sort(order_.begin(), order_.end(), [&](ItemIndex one, ItemIndex other) {
-    const std::size_t one_place = place[job_.items[one].group];
-    const std::size_t other_place = place[job_.items[other].group];
-    if (one_place != other_place) return one_place < other_place;
+    const bool one_spare = spare.contains(job_.items[one].group);
+    const bool other_spare = spare.contains(job_.items[other].group);
+    if (one_spare != other_spare) return other_spare;
     return job_.items[one].length_hint > job_.items[other].length_hint;
   });
 }
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -13,8 +13,15 @@
 using logging::LogEvent;
 
 namespace {
+constexpr double kPromptTokens = 300;  ///< A usual prompt.
 constexpr Duration kTick = std::chrono::milliseconds(50);
 constexpr Duration kGiveUpSlack = std::chrono::milliseconds(1500);
+
+/// @return the memory that an item is expected to fill: less than the most that it may.
+double expectedTokens(const BatchItem& item) {
+  if (item.length_hint == 0) return item.tokens;
+  return std::min(item.tokens, static_cast<double>(item.length_hint) + kPromptTokens);
+}
 }  // namespace
 
 BatchService::~BatchService() = default;
@@ -214,10 +221,50 @@
       job.active->run.setRules(rulesFor(routeOf(job.record, table), job.active->give_up_at));
       if (job.active->run.onTick(now)) job.active->finished.notifyAll();
     }
+    moveSlowRuns(now);
     pump();
   }
 }
 
+std::set<ModelName> BatchService::modelsInUse() const {
+  std::set<ModelName> models;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.record.ended && !job.record.model.empty()) models.insert(job.record.model);
+  }
+  return models;
+}
+
+void BatchService::moveSlowRuns(Instant now) {
+  std::size_t moved = 0;
+  for (auto& [id, job] : jobs_) {
+    if (!job.active || job.active->stopped) continue;
+    Active& active = *job.active;
+    routing::RouteTablePtr table;
+    const routing::Route* route = routeOf(active.record, table);
+    if (route == nullptr || route->single_version || active.run.waiting() > 0) continue;
+    for (const auto& [item, call] : active.calls) {
+      if (moved >= options_.moves_per_tick) return;
+      if (now - call->startedAt() < options_.move_after) continue;
+      const double own_pace = deps_.engines.registry.slowness(now, call->engine());
+      if (own_pace < options_.move_gain) continue;
+      engines::PickRequest wanted = pickFor(active, item, *route);
+      wanted.excluded.insert(call->engine());
+      const engines::EngineState* better = deps_.engines.registry.pick(now, wanted);
+      if (better == nullptr) continue;
+      const double better_pace = deps_.engines.registry.slowness(now, better->record.id);
+      if (own_pace < options_.move_gain * better_pace) continue;
+      LogEvent("batch", "run_moved")
+          .text("item", active.run.job().items[item].id.str())
+          .text("from", call->engine().str())
+          .text("towards", better->record.id.str())
+          .real("slowness", own_pace)
+          .real("slowness_there", better_pace);
+      call->abort();
+      ++moved;
+    }
+  }
+}
+
 Task<void> BatchService::handOver() {
   stopping_ = true;
   std::vector<JobId> owned;
@@ -273,15 +320,27 @@
   return request;
 }
 
-bool BatchService::startItem(const ActivePtr& active, ItemIndex item,
-                             const routing::Route& route) {
-  const Instant now = steadyNow();
-  const BatchItem& each = active->run.job().items[item];
+engines::PickRequest BatchService::pickFor(const Active& active, ItemIndex item,
+                                           const routing::Route& route) const {
+  const BatchItem& each = active.run.job().items[item];
   engines::PickRequest wanted;
   wanted.service = route.services.front().service;
   wanted.model = each.model;
-  wanted.minimum_version = active->run.job().minimum_version;
+  wanted.minimum_version = active.run.job().minimum_version;
   wanted.most_per_slot = options_.requests_per_slot;
+  wanted.tokens = expectedTokens(each);
+  wanted.batching = !each.model.empty();
+  const routing::RouteTablePtr table = deps_.routes();
+  const auto service = table->services.find(wanted.service);
+  if (service != table->services.end()) wanted.memory_tokens = service->second.memory_tokens;
+  return wanted;
+}
+
+bool BatchService::startItem(const ActivePtr& active, ItemIndex item,
+                             const routing::Route& route) {
+  const Instant now = steadyNow();
+  const BatchItem& each = active->run.job().items[item];
+  engines::PickRequest wanted = pickFor(*active, item, route);
   const ItemProgress& progress = active->run.progress(item);
   if (progress.failures > 0 && !progress.last_engine.empty()) {
     wanted.excluded.insert(progress.last_engine);
@@ -295,7 +354,8 @@
   const auto call =
       std::make_shared<forward::EngineCall>(deps_.engines, *engine, itemRequest(*active, item));
   active->run.onStarted(now, item, engine->record.id);
-  active->calls.insert(call);
+  active->calls[item] = call;
+  deps_.engines.registry.onTokens(call->engine(), wanted.tokens);
   ++counts_.attempts;
   const std::string model = each.model.str();
   spawn(deps_.loop, [this, active, item, call, model] { return runItem(active, item, call, model); });
@@ -306,7 +366,9 @@
                                  std::shared_ptr<forward::EngineCall> call, std::string model) {
   const ModelName model_name(model);
   const AttemptVerdict verdict = co_await readItemEvents(*active, item, *call, model_name);
-  active->calls.erase(call);
+  active->calls.erase(item);
+  deps_.engines.registry.onTokens(call->engine(),
+                                  -expectedTokens(active->run.job().items[item]));
   if (active->stopped) co_return;
   settleItem(*active, item, *call, verdict, model_name);
   pump();
@@ -375,6 +437,9 @@
     if (!model.empty()) deps_.engines.registry.onModelRefused(now, call.engine(), model);
     active.run.onInterrupted(now, item, options_.refused_pause);
   } else {
+    if (verdict == AttemptVerdict::kBroken && !model.empty()) {
+      deps_.engines.registry.onModelReset(now, call.engine(), model);
+    }
     routing::RouteTablePtr table;
     const routing::Route* route = routeOf(active.record, table);
     if (route != nullptr && route->single_version) active.run.discardText(item);
@@ -382,7 +447,6 @@
   }
   const ItemState state = active.run.progress(item).state;
   if (state == ItemState::kFinished) active.finished.notifyAll();
-  if (state == ItemState::kFinished && status < 300) return;
   LogEvent("batch", "attempt_ended")
       .text("batch", active.record.id.str())
       .text("item", active.run.job().items[item].id.str())
@@ -390,6 +454,7 @@
       .text("verdict", forward::toText(verdict))
       .number("status", status)
       .number("events", static_cast<std::int64_t>(events))
+      .number("hint", static_cast<std::int64_t>(active.run.job().items[item].length_hint))
       .milliseconds("took_ms", now - call.startedAt());
 }
 
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -29,7 +29,7 @@
   Duration first_event_time = std::chrono::milliseconds(2500);
   Duration event_gap = std::chrono::milliseconds(1200);  ///< Between two events.
   Duration refused_pause = std::chrono::milliseconds(40);
-  Duration broken_pause = std::chrono::milliseconds(20);
+  Duration broken_pause{};
   Duration list_gap = std::chrono::milliseconds(120);   ///< Between two writes of results.
   Duration store_pause = std::chrono::milliseconds(150);  ///< Before a write is sent again.
   Duration poll_gap = std::chrono::milliseconds(200);   ///< Of a reader that waits for results.
@@ -38,6 +38,9 @@
   Duration end_time = std::chrono::milliseconds(3500);
   Duration keep_ended = std::chrono::seconds(3);  ///< Results of an ended job in memory.
   double requests_per_slot = 1.0;
+  double move_gain = 1.22;  ///< An engine must be this much faster for a run to move there.
+  Duration move_after = std::chrono::milliseconds(350);  ///< Shorter runs stay.
+  std::size_t moves_per_tick = 6;
   std::size_t page_bytes = 900 * 1024;
   std::size_t write_bytes = 600 * 1024;
   std::size_t write_rows = 90;
@@ -87,6 +90,8 @@
 
   /// @return whether this daemon owns jobs that are not wholly listed.
   bool ownsAny() const;
+  /// @return the models that jobs under way ask for, at any daemon.
+  std::set<ModelName> modelsInUse() const;
   /// Gives up every owned job so that others take it at once.
   Task<void> handOver();
 
@@ -118,6 +123,11 @@
   Task<void> tickLoop();
 
   void pump();
+  /// Moves runs from slow engines to clearly faster ones that have room.
+  void moveSlowRuns(Instant now);
+  /// What an item asks of an engine.
+  engines::PickRequest pickFor(const Active& active, ItemIndex item,
+                               const routing::Route& route) const;
   bool startItem(const ActivePtr& active, ItemIndex item, const routing::Route& route);
   Task<void> runItem(ActivePtr active, ItemIndex item, std::shared_ptr<forward::EngineCall> call,
                      std::string model);
--- a/src/batch/batch_types.h
+++ b/src/batch/batch_types.h
@@ -28,6 +28,7 @@
   std::string body;
   GroupId group;
   ModelName model;            ///< Empty: none named.
+  double tokens = 0;          ///< Of the prompt, plus the most that may come out.
   std::uint64_t length_hint = 0;  ///< Expected tokens out; 0: not told.
 };
 
@@ -55,6 +56,7 @@
   LeaseId owner;       ///< Empty: nobody, to be taken.
   std::string host;    ///< Of the route that it was handed in under.
   std::string path;
+  ModelName model;     ///< Of its items; empty if none is named.
   std::size_t total = 0;
   bool ended = false;
   std::int64_t accepted_ms = 0;  ///< By the store's clock.
--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -32,7 +32,8 @@
 
 std::string encodeRecord(const JobRecord& record) {
   const json document = {{"owner", record.owner.str()}, {"host", record.host},
-                         {"path", record.path},         {"total", record.total},
+                         {"path", record.path},         {"model", record.model.str()},
+                         {"total", record.total},
                          {"ended", record.ended},       {"accepted_ms", record.accepted_ms}};
   return document.dump();
 }
@@ -46,6 +47,7 @@
     record.owner = LeaseId(document.at("owner").get<std::string>());
     record.host = document.at("host").get<std::string>();
     record.path = document.at("path").get<std::string>();
+    record.model = ModelName(document.value("model", ""));
     record.total = document.at("total").get<std::size_t>();
     record.ended = document.at("ended").get<bool>();
     record.accepted_ms = document.at("accepted_ms").get<std::int64_t>();
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 constexpr double kLoadWeight = 0.5;      ///< Of a request already there, in units of its own.
+constexpr double kBatchWeight = 0.12;    ///< Slowing of a batch that is full.
 constexpr double kSlowestFactor = 8;     ///< Slower engines count as this slow.
 constexpr int kLongestBackoffSteps = 4;
 constexpr std::uint64_t kTieBreak = 1000;
@@ -78,6 +79,9 @@
     if (end == AttemptEnd::kServed) engine->failures = 0;
     return;
   }
+  // An engine that breaks off everything at once, as when it changes weights, failed once.
+  if (engine->failures > 0 && now - engine->failed_at < options_.failure_burst) return;
+  engine->failed_at = now;
   ++engine->failures;
   // A single broken answer is common and says little; a silent or unreachable engine is left alone.
   if (end == AttemptEnd::kBroke && engine->failures < 2) return;
@@ -87,12 +91,26 @@
   engine->ejected_until = now + (end == AttemptEnd::kMisdirected ? options_.longest_ejection : ejection);
 }
 
+void EngineRegistry::onTokens(const EngineId& id, double tokens) {
+  if (EngineState* engine = mutableFind(id)) engine->tokens = std::max(0.0, engine->tokens + tokens);
+}
+
 void EngineRegistry::onModelRefused(Instant now, const EngineId& id, const ModelName& model) {
   if (EngineState* engine = mutableFind(id)) {
-    engine->loading_until[model] = now + options_.refusal_pause;
+    // An engine that has room but refuses is loading weights.
+    const bool full = load(now, *engine) >= engine->record.slots;
+    engine->loading_until[model] = now + (full ? options_.refusal_pause : options_.loading_pause);
   }
 }
 
+void EngineRegistry::onModelReset(Instant now, const EngineId& id, const ModelName& model) {
+  EngineState* engine = mutableFind(id);
+  if (engine == nullptr) return;
+  Instant& until = engine->loading_until[model];
+  // Resets that follow belong to the same load.
+  if (until < now) until = now + options_.reset_pause;
+}
+
 void EngineRegistry::onLoad(Instant now, const EngineId& id, const LoadReport& load) {
   EngineState* engine = mutableFind(id);
   if (engine == nullptr) return;
@@ -151,9 +169,12 @@
   return median > 0 ? std::min(engine->pace / median, kSlowestFactor) : 1;
 }
 
-double EngineRegistry::expectedWait(Instant now, const EngineState& engine) const {
+double EngineRegistry::expectedWait(Instant now, const EngineState& engine,
+                                    const PickRequest& request) const {
   const double per_slot = load(now, engine) / std::max(1U, engine.record.slots);
-  double wait = (1 + kLoadWeight * engine.record.slots * per_slot) * slowness(now, engine.record.id);
+  const double weight = request.batching ? kBatchWeight : kLoadWeight * engine.record.slots;
+  double wait = (1 + weight * per_slot) * slowness(now, engine.record.id);
+  if (request.memory_tokens > 0 && engine.tokens + request.tokens > request.memory_tokens) wait *= 2;
   if (per_slot >= 1) wait *= 1 + per_slot;
   if (engine.record.zone != zone_) wait *= options_.remote_factor;
   if (now < engine.listed_at + engine.record.cold_for) wait *= 2;
@@ -182,7 +203,7 @@
   for (const auto& [id, engine] : engines_) {
     if (!fits(now, engine, request)) continue;
     const double jitter = 1 + static_cast<double>(random_.below(kTieBreak)) / (20 * kTieBreak);
-    double wait = expectedWait(now, engine) * jitter;
+    double wait = expectedWait(now, engine, request) * jitter;
     if (request.desperate && request.excluded.contains(id)) wait *= kSlowestFactor;
     if (request.desperate && now < engine.ejected_until) wait *= kSlowestFactor;
     if (best == nullptr || wait < best_wait) {
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -58,7 +58,9 @@
   Instant load_at{};
   double pace = 0;                  ///< Smoothed time per unit of work, in seconds; 0: unknown.
   Instant pace_at{};
-  int failures = 0;                 ///< In a row.
+  double tokens = 0;                ///< That those attempts are expected to fill its memory with.
+  int failures = 0;                 ///< In a row; those that come together count once.
+  Instant failed_at{};
   Instant ejected_until{};
   std::map<ModelName, Instant> loading_until;  ///< It refused requests for the model lately.
   std::map<ModelName, WeightVersion> seen_versions;  ///< From answers since discovery last changed.
@@ -71,8 +73,11 @@
   Duration pace_lifetime = std::chrono::seconds(4);   ///< Until a slow engine is tried again.
   Duration first_ejection = std::chrono::milliseconds(700);
   Duration longest_ejection = std::chrono::seconds(6);
+  Duration failure_burst = std::chrono::milliseconds(500);  ///< Breaks within this count once.
   Duration refusal_pause = std::chrono::milliseconds(120);
-  double pace_weight = 0.3;       ///< Of the newest measurement in the smoothed pace.
+  Duration loading_pause = std::chrono::milliseconds(350);
+  Duration reset_pause = std::chrono::milliseconds(900);
+  double pace_weight = 0.1;       ///< Of the newest measurement in the smoothed pace.
   double remote_factor = 1.15;    ///< Engines of other zones count as this much more loaded.
 };
 
@@ -82,6 +87,10 @@
   std::set<EngineId> excluded;
   ModelName model;                    ///< Empty: any.
   WeightVersion minimum_version = 0;
+  double tokens = 0;         ///< Memory that the request is expected to need.
+  double memory_tokens = 0;  ///< Memory of an engine; 0: not bounded.
+  /// The engines work in batches: one more request slows the others by little.
+  bool batching = false;
   /// No more than this many requests a slot, counting others'; 0: no limit.
   double most_per_slot = 0;
   /// Excluded and ejected engines are taken rather than none.
@@ -102,10 +111,14 @@
   std::optional<Address> onGone(const EngineId& id);
 
   void onAttemptStarted(const EngineId& id);
+  /// Memory that an attempt is expected to need, and gives back at its end (negative).
+  void onTokens(const EngineId& id, double tokens);
   void onAttemptEnded(Instant now, const EngineId& id, AttemptEnd end);
   /// The engine refused work for a model, as it does while it loads weights.
   void onModelRefused(Instant now, const EngineId& id, const ModelName& model);
   void onLoad(Instant now, const EngineId& id, const LoadReport& load);
+  /// The engine reset a run of the model, as it does when it begins to load weights.
+  void onModelReset(Instant now, const EngineId& id, const ModelName& model);
   /// A unit of work (an answer, an event) took `duration`.
   void onPace(Instant now, const EngineId& id, Duration duration);
   void onVersionSeen(const EngineId& id, const ModelName& model, WeightVersion version);
@@ -128,7 +141,7 @@
   EngineState* mutableFind(const EngineId& id);
   bool fits(Instant now, const EngineState& engine, const PickRequest& request) const;
   double load(Instant now, const EngineState& engine) const;
-  double expectedWait(Instant now, const EngineState& engine) const;
+  double expectedWait(Instant now, const EngineState& engine, const PickRequest& request) const;
   double medianPace(Instant now, const routing::ServiceName& service) const;
 
   ZoneName zone_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,7 @@
 versions::OrderOptions orderOptions(const GatewaySettings& settings) {
   versions::OrderOptions options;
   options.handover_pause = settings.order_pause + std::chrono::milliseconds(100);
+  options.rollout = settings.rollout;
   return options;
 }
 
@@ -49,9 +50,9 @@
                 keeper_,
                 platform.batchCodec(),
                 [this] { return routes_; }},
-               {}),
+               settings.batch),
       orders_({loop, registry_, platform.table(), leases_, keeper_, platform.orders(),
-               [this] { return routes_; }, settings.id.str()},
+               [this] { return routes_; }, [this] { return batches_.modelsInUse(); }, settings.id.str()},
               orderOptions(settings)),
       requests_(loop, [this](http::Request& request, Instant received,
                              http::ResponseWriter& writer) {
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -4,6 +4,16 @@
 
 namespace linenpier::gateway {
 
+namespace {
+
+std::optional<versions::LoadMode> loadModeFromName(const std::string& name) {
+  if (name == "auto") return std::nullopt;
+  if (name == "wait") return versions::LoadMode::kWait;
+  return name == "retain" ? versions::LoadMode::kRetain : versions::LoadMode::kCancel;
+}
+
+}  // namespace
+
 tl::expected<GatewaySettings, Findings> parseGatewaySettings(const std::string& file,
                                                              const std::string& text) {
   GatewaySettings settings;
@@ -25,6 +35,13 @@
   reader.readNumber("orders.pause_ms", order_pause_ms, 0, 600000);
   reader.readChoice("log.format", format, {"json", "text"});
   reader.readChoice("log.output", output, {"on", "off"});
+  std::string mode = "auto";
+  double patience_ms = toSeconds(settings.rollout.patience) * 1000;
+  reader.readChoice("versions.mode", mode, {"auto", "wait", "cancel", "retain"});
+  reader.readNumber("versions.patience_ms", patience_ms, 0, 600000);
+  reader.readNumber("versions.quiet_share", settings.rollout.quiet_share, 0, 1);
+  reader.readNumber("batch.move_gain", settings.batch.move_gain, 1, 1000);
+  reader.readNumber("batch.requests_per_slot", settings.batch.requests_per_slot, 0.1, 10);
   const Findings findings = reader.finish();
   if (!findings.empty()) return tl::make_unexpected(findings);
   settings.id = DaemonId(id);
@@ -32,6 +49,8 @@
   settings.row_bytes = static_cast<std::size_t>(row_bytes);
   settings.stop_limit = fromSeconds(stop_seconds);
   settings.order_pause = fromSeconds(order_pause_ms / 1000);
+  settings.rollout.patience = fromSeconds(patience_ms / 1000);
+  settings.rollout.mode = loadModeFromName(mode);
   settings.log_text = format == "text";
   settings.log_enabled = output == "on";
   return settings;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -9,6 +9,8 @@
 #include "common/error.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "batch/batch_service.h"
+#include "versions/version_rollout.h"
 
 namespace linenpier::gateway {
 
@@ -21,6 +23,8 @@
   std::size_t row_bytes = 65536;     ///< Largest value of a row.
   Duration stop_limit = std::chrono::seconds(8);   ///< From the signal to the end.
   Duration order_pause = std::chrono::seconds(3);  ///< Between the orders of two holders.
+  versions::RolloutOptions rollout;
+  batch::BatchOptions batch;
   bool log_enabled = true;
   bool log_text = false;
 };
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -42,7 +42,7 @@
   auto& right = rights_[service];
   if (!right) {
     right = std::make_unique<Right>(options_.rollout);
-    for (const auto& [model, version] : named_) right->rollout.onNamed(model, version);
+    for (const auto& [model, version] : named_) right->rollout.onNamed(steadyNow(), model, version);
   }
   return *right;
 }
@@ -63,7 +63,7 @@
   LogEvent("versions", "named")
       .text("model", model.str())
       .number("version", static_cast<std::int64_t>(version));
-  for (auto& [service, right] : rights_) right->rollout.onNamed(model, version);
+  for (auto& [service, right] : rights_) right->rollout.onNamed(steadyNow(), model, version);
 }
 
 void OrderService::onRightRow(const routing::ServiceName& service, const table::Row& row) {
@@ -104,9 +104,17 @@
   if (held(right)) {
     if (now < right.may_order_at || !deps_.keeper.valid(now)) return;
     const auto engines = deps_.registry.ofService(service);
-    for (VersionOrder& order : right.rollout.onTick(now, engines)) {
+    std::set<ModelName> models = deps_.models_in_use();
+    for (const auto& [model, version] : named_) models.insert(model);
+    for (VersionOrder& order : right.rollout.onTick(now, engines, models)) {
       spawn(deps_.loop, [this, service, order] { return sendOrder(service, order); });
     }
+    for (const engines::EngineState* engine : right.rollout.reportsWanted()) {
+      right.rollout.onReportAsked(now, engine->record.id);
+      const EngineId id = engine->record.id;
+      const Address address = engine->record.address;
+      spawn(deps_.loop, [this, service, id, address] { return askReport(service, id, address); });
+    }
     return;
   }
   if (!table_read_ || right.acquiring || !deps_.leases.feedHealthy()) return;
@@ -154,19 +162,14 @@
   }
 }
 
+Task<void> OrderService::askReport(routing::ServiceName service, EngineId engine,
+                                   Address address) {
+  const auto report = co_await deps_.orders.report(engine, address);
+  if (report) rightOf(service).rollout.onReport(steadyNow(), engine, *report);
+}
+
 Task<void> OrderService::sendOrder(routing::ServiceName service, VersionOrder order) {
   Right& right = rightOf(service);
-  if (!order.expected_sequence) {
-    const auto sequence = co_await deps_.orders.sequence(order.engine, order.address);
-    if (sequence) {
-      right.rollout.onSequence(order.engine, sequence->taken);
-      order.expected_sequence = sequence->taken;
-    }
-    if (!sequence || sequence->busy) {
-      right.rollout.onAnswer(steadyNow(), order, sequence ? OrderAnswer::kBusy : OrderAnswer::kUnknown);
-      co_return;
-    }
-  }
   if (!held(right) || !deps_.keeper.valid(steadyNow()) || stopping_) {
     right.rollout.onAnswer(steadyNow(), order, OrderAnswer::kBusy);
     co_return;
--- a/src/versions/order_service.h
+++ b/src/versions/order_service.h
@@ -15,12 +15,6 @@
 
 namespace linenpier::versions {
 
-/// What an engine tells of the orders it has taken.
-struct EngineSequence {
-  std::uint64_t taken = 0;
-  bool busy = false;
-};
-
 /// Sends orders in the platform's form.
 class EngineOrders {
  public:
@@ -28,7 +22,7 @@
 
   virtual Task<OrderAnswer> send(VersionOrder order, std::string holder, FencingToken token) = 0;
   /// @return nothing if the engine gave no answer.
-  virtual Task<std::optional<EngineSequence>> sequence(EngineId engine, Address address) = 0;
+  virtual Task<std::optional<OrderReport>> report(EngineId engine, Address address) = 0;
 };
 
 struct OrderOptions {
@@ -55,6 +49,7 @@
     lease::LeaseKeeper& keeper;
     EngineOrders& orders;
     std::function<routing::RouteTablePtr()> routes;
+    std::function<std::set<ModelName>()> models_in_use;  ///< That jobs under way ask for.
     std::string holder;  ///< Name that orders carry.
   };
   OrderService(Dependencies dependencies, OrderOptions options)
@@ -89,6 +84,7 @@
   Task<void> tickLoop();
   void tickService(Instant now, const routing::ServiceName& service);
   Task<void> acquire(routing::ServiceName service);
+  Task<void> askReport(routing::ServiceName service, EngineId engine, Address address);
   Task<void> sendOrder(routing::ServiceName service, VersionOrder order);
 
   Dependencies deps_;
--- a/src/versions/version_rollout.cpp
+++ b/src/versions/version_rollout.cpp
@@ -4,9 +4,11 @@
 
 namespace linenpier::versions {
 
-void VersionRollout::onNamed(const ModelName& model, WeightVersion version) {
+void VersionRollout::onNamed(Instant now, const ModelName& model, WeightVersion version) {
   WeightVersion& known = named_[model];
-  known = std::max(known, version);
+  if (version <= known) return;
+  known = version;
+  named_at_[model] = now;
 }
 
 WeightVersion VersionRollout::named(const ModelName& model) const {
@@ -14,13 +16,30 @@
   return at == named_.end() ? 0 : at->second;
 }
 
-bool VersionRollout::needsSequence(const EngineId& engine) const {
-  const auto at = progress_.find(engine);
-  return at == progress_.end() || !at->second.sequence;
+void VersionRollout::onReportAsked(Instant now, const EngineId& engine) {
+  progress_[engine].asked_at = now;
 }
 
-void VersionRollout::onSequence(const EngineId& engine, std::uint64_t sequence) {
-  progress_[engine].sequence = sequence;
+void VersionRollout::onReport(Instant now, const EngineId& engine, const OrderReport& report) {
+  Progress& progress = progress_[engine];
+  progress.reported_at = now;
+  progress.load = report.load;
+  // Reports are a little old: our own count of the orders it has taken may be ahead.
+  progress.sequence = std::max(progress.sequence.value_or(0), report.taken);
+  if (report.busy) progress.not_before = std::max(progress.not_before, now + options_.busy_pause);
+}
+
+VersionRollout::Urgency VersionRollout::urgencyOf(Instant now, const engines::EngineState& engine,
+                                                  const ModelName& model) const {
+  const WeightVersion wanted = named(model);
+  // The newest step takes weights one version old. Engines behind that are of no use to it.
+  if (engine.versionOf(model) + 1 < wanted) return Urgency::kNow;
+  const Progress& progress = progress_.at(engine.record.id);
+  const double load = std::max(progress.load, engine.in_flight);
+  if (load <= options_.quiet_share * engine.record.slots) return Urgency::kSoon;
+  const auto named_at = named_at_.find(model);
+  const bool patient = named_at != named_at_.end() && now - named_at->second < options_.patience;
+  return patient ? Urgency::kLater : Urgency::kSoon;
 }
 
 bool VersionRollout::isBehind(Instant now, const engines::EngineState& engine,
@@ -40,38 +59,92 @@
 }
 
 std::vector<VersionOrder> VersionRollout::onTick(
-    Instant now, const std::vector<const engines::EngineState*>& engines) {
+    Instant now, const std::vector<const engines::EngineState*>& engines,
+    const std::set<ModelName>& models) {
+  shares_.update(engines, models, named_);
   std::size_t loading = 0;
   for (const auto& [id, progress] : progress_) {
     if (progress.sending || now < progress.loading_until) ++loading;
   }
-  std::vector<const engines::EngineState*> candidates = engines;
-  std::sort(candidates.begin(), candidates.end(),
-            [](const engines::EngineState* one, const engines::EngineState* other) {
-              const double one_load = one->in_flight + one->others;
-              const double other_load = other->in_flight + other->others;
-              if (one_load != other_load) return one_load < other_load;
-              return one->record.id < other->record.id;
-            });
+  std::vector<Candidate> candidates = findCandidates(now, engines);
+  std::sort(candidates.begin(), candidates.end(), [](const Candidate& one, const Candidate& other) {
+    if (one.urgency != other.urgency) return one.urgency < other.urgency;
+    if (one.load != other.load) return one.load < other.load;
+    return one.engine->record.id < other.engine->record.id;
+  });
   std::vector<VersionOrder> orders;
-  for (const engines::EngineState* engine : candidates) {
+  std::map<ModelName, std::size_t> taken_out = loadingByModel(now);
+  for (const Candidate& candidate : candidates) {
     if (loading + orders.size() >= options_.at_once) break;
+    const ModelName& model = candidate.model;
+    if (candidate.urgency == Urgency::kLater) break;
+    // The newest step needs some engines while others load.
+    const std::size_t most = std::max<std::size_t>(1, shares_.sizeOf(model) / 3);
+    if (candidate.urgency != Urgency::kNow && taken_out[model] >= most) continue;
+    Progress& progress = progress_[candidate.engine->record.id];
+    if (!progress.sequence) continue;
+    VersionOrder order;
+    order.engine = candidate.engine->record.id;
+    order.address = candidate.engine->record.address;
+    order.model = model;
+    order.version = named(model);
+    order.mode = modeFor(now, *candidate.engine, model, engines);
+    order.expected_sequence = progress.sequence;
+    orders.push_back(order);
+    progress.sending = true;
+    progress.model = model;
+    ++taken_out[model];
+  }
+  return orders;
+}
+
+LoadMode VersionRollout::modeFor(Instant now, const engines::EngineState& engine,
+                                 const ModelName& model,
+                                 const std::vector<const engines::EngineState*>& engines) const {
+  if (options_.mode) return *options_.mode;
+  double room = 0;
+  double displaced = 0;
+  for (const engines::EngineState* each : engines) {
+    if (!shares_.isFor(each->record.id, model)) continue;
+    const auto at = progress_.find(each->record.id);
+    const std::uint32_t reported = at == progress_.end() ? 0 : at->second.load;
+    const double load = std::max(reported, each->in_flight);
+    if (each == &engine) {
+      displaced = load;
+    } else if (at == progress_.end() || (!at->second.sending && now >= at->second.loading_until)) {
+      room += std::max(0.0, each->record.slots - load);
+    }
+  }
+  return displaced <= room ? LoadMode::kCancel : LoadMode::kRetain;
+}
+
+std::map<ModelName, std::size_t> VersionRollout::loadingByModel(Instant now) const {
+  std::map<ModelName, std::size_t> counts;
+  for (const auto& [id, progress] : progress_) {
+    if (progress.sending || now < progress.loading_until) ++counts[progress.model];
+  }
+  return counts;
+}
+
+std::vector<VersionRollout::Candidate> VersionRollout::findCandidates(
+    Instant now, const std::vector<const engines::EngineState*>& engines) {
+  std::vector<Candidate> candidates;
+  reports_wanted_.clear();
+  for (const engines::EngineState* engine : engines) {
     Progress& progress = progress_[engine->record.id];
     if (progress.sending || now < progress.loading_until || now < progress.not_before) continue;
     for (const auto& [model, version] : named_) {
-      if (!engine->record.models.contains(model) || !isBehind(now, *engine, model)) continue;
-      VersionOrder order;
-      order.engine = engine->record.id;
-      order.address = engine->record.address;
-      order.model = model;
-      order.version = version;
-      order.expected_sequence = progress.sequence;
-      orders.push_back(order);
-      progress.sending = true;
+      if (!shares_.isFor(engine->record.id, model) || !isBehind(now, *engine, model)) continue;
+      const bool fresh = now - progress.reported_at < options_.report_period;
+      if (!fresh && now - progress.asked_at >= options_.report_period) {
+        reports_wanted_.push_back(engine);
+      }
+      candidates.push_back({engine, model, urgencyOf(now, *engine, model),
+                            std::max(progress.load, engine->in_flight)});
       break;
     }
   }
-  return orders;
+  return candidates;
 }
 
 void VersionRollout::onAnswer(Instant now, const VersionOrder& order, OrderAnswer answer) {
--- a/src/versions/version_rollout.h
+++ b/src/versions/version_rollout.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "engines/engine_registry.h"
+#include "versions/engine_shares.h"
 
 namespace linenpier::versions {
 
@@ -24,7 +25,7 @@
   Address address;
   ModelName model;
   WeightVersion version = 0;
-  LoadMode mode = LoadMode::kRetain;
+  LoadMode mode = LoadMode::kCancel;
   std::optional<std::uint64_t> expected_sequence;  ///< Orders the engine must have taken before.
 };
 
@@ -38,8 +39,24 @@
   kUnknown,   ///< It may be carried out yet.
 };
 
+/// What an engine tells of itself; a little old when it arrives.
+struct OrderReport {
+  std::uint64_t taken = 0;  ///< Orders it has taken.
+  bool busy = false;        ///< One of them is under way.
+  std::uint32_t load = 0;   ///< Requests that run or wait.
+};
+
 struct RolloutOptions {
+  /// Runs that are reset go on elsewhere from what they have, which costs little where there is
+  /// room; left where they are they stand still while the engine loads. Set: always this mode.
+  std::optional<LoadMode> mode;
   std::size_t at_once = 2;  ///< Engines that load; more at a time slow each other down.
+  /// An engine is changed while it has at most this share of its slots in use, since what it runs
+  /// must go elsewhere …
+  double quiet_share = 0.2;
+  /// … or when its model's newest version was named this long ago.
+  Duration patience = std::chrono::milliseconds(1500);
+  Duration report_period = std::chrono::milliseconds(250);  ///< Between two reports of an engine.
   Duration load_time = std::chrono::milliseconds(900);  ///< Of one change.
   Duration confirm_time = std::chrono::milliseconds(3500);  ///< Until discovery shows it.
   Duration busy_pause = std::chrono::milliseconds(250);
@@ -51,36 +68,66 @@
  public:
   explicit VersionRollout(RolloutOptions options) : options_(options) {}
 
-  void onNamed(const ModelName& model, WeightVersion version);
+  void onNamed(Instant now, const ModelName& model, WeightVersion version);
   WeightVersion named(const ModelName& model) const;
   const std::map<ModelName, WeightVersion>& allNamed() const { return named_; }
 
   /// @param engines those of the service that are not draining.
   /// @return the orders to send now. Each counts as being sent until it is answered.
+  /// @param models those that need engines now.
   std::vector<VersionOrder> onTick(Instant now,
-                                   const std::vector<const engines::EngineState*>& engines);
+                                   const std::vector<const engines::EngineState*>& engines,
+                                   const std::set<ModelName>& models);
   void onAnswer(Instant now, const VersionOrder& order, OrderAnswer answer);
-  /// The engine told how many orders it has taken.
-  void onSequence(const EngineId& engine, std::uint64_t sequence);
-  /// @return whether the sequence must be asked for before an order may be sent.
-  bool needsSequence(const EngineId& engine) const;
+  /// @return the engines that must tell of themselves before they may be changed.
+  const std::vector<const engines::EngineState*>& reportsWanted() const { return reports_wanted_; }
+  void onReportAsked(Instant now, const EngineId& engine);
+  void onReport(Instant now, const EngineId& engine, const OrderReport& report);
   /// The right to order is gone, or new: what engines have taken must be asked again.
-  void reset() { progress_.clear(); }
+  void reset() {
+    progress_.clear();
+    shares_.reset();
+  }
 
  private:
   struct Progress {
     bool sending = false;
+    ModelName model;               ///< Of the order sent last.
     Instant loading_until{};       ///< The engine is taken to load until then.
     Instant not_before{};
-    std::optional<std::uint64_t> sequence;
+    std::optional<std::uint64_t> sequence;  ///< Orders taken, by the engine's word and our count.
+    Instant asked_at{};
+    Instant reported_at{};
+    std::uint32_t load = 0;  ///< As reported.
     std::map<ModelName, WeightVersion> confirmed;  ///< From the engine's own answers.
     std::map<ModelName, Instant> confirmed_at;
   };
+  /// How soon an engine should be changed.
+  enum class Urgency {
+    kNow,    ///< It is of no use to the newest step.
+    kSoon,   ///< It is quiet, or the version has waited long enough.
+    kLater,  ///< It has work that would have to go elsewhere.
+  };
+  struct Candidate {
+    const engines::EngineState* engine = nullptr;
+    ModelName model;
+    Urgency urgency = Urgency::kLater;
+    std::uint32_t load = 0;
+  };
+  std::vector<Candidate> findCandidates(Instant now,
+                                        const std::vector<const engines::EngineState*>& engines);
+  Urgency urgencyOf(Instant now, const engines::EngineState& engine, const ModelName& model) const;
+  LoadMode modeFor(Instant now, const engines::EngineState& engine, const ModelName& model,
+                   const std::vector<const engines::EngineState*>& engines) const;
+  std::map<ModelName, std::size_t> loadingByModel(Instant now) const;
   bool isBehind(Instant now, const engines::EngineState& engine, const ModelName& model) const;
 
   RolloutOptions options_;
+  EngineShares shares_;
   std::map<ModelName, WeightVersion> named_;
+  std::map<ModelName, Instant> named_at_;
   std::map<EngineId, Progress> progress_;
+  std::vector<const engines::EngineState*> reports_wanted_;  ///< As of the last tick.
 };
 
 }  // namespace linenpier::versions
