--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -42,8 +42,9 @@
   Duration move_after = std::chrono::milliseconds(350);  ///< Shorter runs stay.
   std::size_t moves_per_tick = 6;
   std::size_t page_bytes = 900 * 1024;
-  std::size_t write_bytes = 600 * 1024;
-  std::size_t write_rows = 90;
+  std::size_t write_bytes = 480 * 1024;
+  /// The store takes 100 entries a write: a condition and a value each, and the job's row.
+  std::size_t write_rows = 48;
   std::size_t most_job_bytes = 64 * 1024 * 1024;  ///< Of all jobs owned.
 };
 
--- a/src/lease/lease_table.h
+++ b/src/lease/lease_table.h
@@ -21,11 +21,11 @@
 using batch::LeaseId;
 
 struct LeaseTimes {
-  Duration renewal = std::chrono::milliseconds(900);
+  Duration renewal = std::chrono::milliseconds(400);
   /// An owner acts under a lease only this long after it sent the last successful renewal.
-  Duration validity = std::chrono::milliseconds(1800);
+  Duration validity = std::chrono::milliseconds(1000);
   /// Silence after which others may take over.
-  Duration expiry = std::chrono::milliseconds(2600);
+  Duration expiry = std::chrono::milliseconds(1500);
 };
 
 /// @return the lease id of one life of a daemon.
