--- a/src/common/task.h
+++ b/src/common/task.h
@@ -11,7 +11,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
-#include <utility>  // Ahead of Asio: Boost 1.74 uses std::exchange without including it.
 
 #include "common/log.h"
 #include "common/time.h"
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,6 +26,9 @@
   void stop();
 
   bool ready() const;
+  bool stopping() const { return stopping_; }
+  Address requestAddress() const { return requests_.address(); }
+  Address readinessAddress() const { return readiness_.address(); }
 
  private:
   Task<void> handle(http::Request& request, Instant received, http::ResponseWriter& writer);
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -10,8 +10,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <utility>  // Ahead of Asio, see common/task.h.
-
 namespace linenpier::http {
 
 namespace beast_http = boost::beast::http;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -38,6 +38,12 @@
   }
 }
 
+Address Server::address() const {
+  boost::system::error_code ignored;
+  const asio::ip::tcp::endpoint endpoint = acceptor_.local_endpoint(ignored);
+  return {endpoint.address().to_v4().to_uint(), endpoint.port()};
+}
+
 void Server::beginDrain() {
   draining_ = true;
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -65,6 +65,8 @@
 
   /// @return nothing, or what is wrong with the address.
   std::optional<Finding> listen(const Address& address);
+  /// @return the address in use, with the port that the system chose where port 0 was asked for.
+  Address address() const;
   void setLimits(const ServerLimits& limits) { limits_ = limits; }
   /// From now on every answer closes its connection.
   void beginDrain();
--- /dev/null
+++ b/tests/batch/batch_run_test.cpp
@@ -0,0 +1,134 @@
+#include "batch/batch_run.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using batch::BatchItem;
+using batch::BatchJob;
+using batch::BatchRun;
+using batch::EventVerdict;
+using batch::ItemState;
+using batch::ResultState;
+
+namespace {
+
+constexpr Instant kStart{std::chrono::seconds(100)};
+const EngineId kEngine("e");
+
+BatchItem item(const std::string& id, const std::string& group, std::uint64_t hint) {
+  BatchItem made;
+  made.id = batch::ItemId(id);
+  made.group = batch::GroupId(group);
+  made.length_hint = hint;
+  return made;
+}
+
+BatchJob job() {
+  BatchJob made;
+  made.id = batch::JobId("j");
+  made.minimum_version = 3;
+  made.items = {item("a", "g1", 10), item("b", "g1", 40), item("c", "g2", 90), item("d", "g2", 5)};
+  return made;
+}
+
+batch::RunRules rules() {
+  batch::RunRules made;
+  made.max_failures = 2;
+  made.give_up_at = kStart + std::chrono::seconds(30);
+  return made;
+}
+
+}  // namespace
+
+Test(batch_run, the_longest_items_begin_first_and_unneeded_groups_last) {
+  BatchRun all(job(), rules());
+  cr_assert_eq(*all.nextToStart(kStart), 2U);
+  BatchJob one_group = job();
+  one_group.desired_groups = 1;
+  BatchRun some(one_group, rules());
+  cr_assert_eq(*some.nextToStart(kStart), 1U, "the longest of the group that is waited for");
+}
+
+Test(batch_run, a_text_is_joined_event_by_event_with_the_versions_that_made_it) {
+  BatchRun run(job(), rules());
+  run.onStarted(kStart, 0, kEngine);
+  cr_assert_eq(run.onEvent(kStart, 0, 1, "one", 3), EventVerdict::kTaken);
+  run.onInterrupted(kStart, 0, Duration::zero());
+  cr_assert_eq(run.progress(0).state, ItemState::kWaiting);
+  run.onStarted(kStart, 0, kEngine);
+  cr_assert_eq(run.onEvent(kStart, 0, 1, "one", 4), EventVerdict::kUnfit, "not twice");
+  cr_assert_eq(run.onEvent(kStart, 0, 3, "three", 4), EventVerdict::kUnfit, "no gap");
+  cr_assert_eq(run.onEvent(kStart, 0, 2, "two", 4), EventVerdict::kTaken);
+  run.onCompleted(kStart, 0);
+  const batch::BatchResult result = run.result(0);
+  cr_assert_eq(result.text, "one\ntwo");
+  cr_assert_eq(result.versions.size(), 2U);
+  cr_assert_eq(result.state, ResultState::kCompleted);
+}
+
+Test(batch_run, events_of_too_old_weights_are_not_taken) {
+  BatchRun run(job(), rules());
+  run.onStarted(kStart, 0, kEngine);
+  cr_assert_eq(run.onEvent(kStart, 0, 1, "old", 2), EventVerdict::kUnfit);
+  cr_assert_eq(run.progress(0).last_event, 0U);
+}
+
+Test(batch_run, a_single_version_route_never_joins_versions) {
+  batch::RunRules single = rules();
+  single.single_version = true;
+  BatchRun run(job(), single);
+  run.onStarted(kStart, 0, kEngine);
+  run.onEvent(kStart, 0, 1, "one", 3);
+  cr_assert_eq(run.onEvent(kStart, 0, 2, "two", 4), EventVerdict::kUnfit);
+  run.discardText(0);
+  run.onInterrupted(kStart, 0, Duration::zero());
+  run.onStarted(kStart, 0, kEngine);
+  cr_assert_eq(run.onEvent(kStart, 0, 1, "one", 4), EventVerdict::kTaken);
+}
+
+Test(batch_run, an_item_that_always_fails_is_given_up_after_the_attempts_allowed) {
+  BatchRun run(job(), rules());
+  run.onStarted(kStart, 0, kEngine);
+  run.onFailed(kStart, 0);
+  cr_assert_eq(run.progress(0).state, ItemState::kWaiting);
+  run.onStarted(kStart, 0, kEngine);
+  run.onFailed(kStart, 0);
+  cr_assert_eq(run.result(0).state, ResultState::kTerminated);
+  run.onStarted(kStart, 1, kEngine);
+  run.onRejected(1);
+  cr_assert_eq(run.result(1).state, ResultState::kTerminated, "a rejected item at once");
+}
+
+Test(batch_run, what_is_too_late_is_given_up_only_then) {
+  BatchRun run(job(), rules());
+  run.onStarted(kStart, 0, kEngine);
+  cr_assert_not(run.onTick(kStart + std::chrono::seconds(29)));
+  cr_assert(run.onTick(kStart + std::chrono::seconds(30)));
+  cr_assert_eq(run.finished().size(), 4U);
+  cr_assert(run.result(0).text.empty());
+}
+
+Test(batch_run, a_checkpoint_is_taken_if_it_fits) {
+  BatchRun run(job(), rules());
+  run.onCheckpoint(0, 2, {3}, "one\ntwo");
+  run.onCheckpoint(1, 2, {2}, "too\nold");
+  cr_assert_eq(run.progress(0).last_event, 2U);
+  cr_assert_eq(run.progress(1).last_event, 0U);
+  run.onStarted(kStart, 0, kEngine);
+  run.onEvent(kStart, 0, 3, "three", 4);
+  run.onCheckpoint(0, 1, {3}, "one");
+  cr_assert_eq(run.progress(0).last_event, 3U, "never back");
+}
+
+Test(batch_run, listed_items_stay_listed) {
+  BatchRun run(job(), rules());
+  run.onAlreadyListed(2);
+  cr_assert_eq(*run.nextToStart(kStart), 1U);
+  run.onStarted(kStart, 1, kEngine);
+  run.onEvent(kStart, 1, 1, "x", 3);
+  run.onCompleted(kStart, 1);
+  run.onListed(1);
+  cr_assert_eq(run.listedCount(), 2U);
+  run.giveUpAll();
+  cr_assert_eq(run.finished().size(), 2U, "listed items are not given up");
+}
--- /dev/null
+++ b/tests/engines/engine_registry_test.cpp
@@ -0,0 +1,143 @@
+#include "engines/engine_registry.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using engines::AttemptEnd;
+using engines::EngineRecord;
+using engines::EngineRegistry;
+using engines::PickRequest;
+
+namespace {
+
+const ZoneName kZone("z");
+const ModelName kModel("m");
+const routing::ServiceName kService("s");
+constexpr Instant kStart{std::chrono::seconds(100)};
+
+EngineRecord record(const std::string& id, WeightVersion version = 1) {
+  EngineRecord made;
+  made.id = EngineId(id);
+  made.service = kService;
+  made.address = {0x7f000001, static_cast<std::uint16_t>(9000 + id.back())};
+  made.zone = kZone;
+  made.slots = 4;
+  made.models[kModel] = version;
+  return made;
+}
+
+EngineRegistry registryOf(const std::vector<EngineRecord>& records) {
+  EngineRegistry registry(kZone, {}, 1);
+  registry.onList(kStart, records);
+  return registry;
+}
+
+PickRequest any() {
+  PickRequest request;
+  request.service = kService;
+  return request;
+}
+
+}  // namespace
+
+Test(engine_registry, draining_and_gone_engines_get_nothing_new) {
+  EngineRecord leaving = record("a");
+  leaving.draining = true;
+  EngineRegistry registry = registryOf({leaving, record("b")});
+  for (int i = 0; i < 20; ++i) cr_assert_eq(registry.pick(kStart, any())->record.id.str(), "b");
+  cr_assert(registry.onGone(EngineId("b")).has_value());
+  cr_assert_null(registry.pick(kStart, any()));
+}
+
+Test(engine_registry, a_list_replaces_what_is_not_on_it) {
+  EngineRegistry registry = registryOf({record("a"), record("b")});
+  const auto gone = registry.onList(kStart, {record("b")});
+  cr_assert_eq(gone.size(), 1U);
+  cr_assert_null(registry.find(EngineId("a")));
+}
+
+Test(engine_registry, the_less_loaded_engine_is_taken_counting_our_own_requests) {
+  EngineRegistry registry = registryOf({record("a"), record("b")});
+  registry.onAttemptStarted(EngineId("a"));
+  registry.onAttemptStarted(EngineId("a"));
+  cr_assert_eq(registry.pick(kStart, any())->record.id.str(), "b");
+  registry.onLoad(kStart, EngineId("b"), {4, 3, 4});
+  cr_assert_eq(registry.pick(kStart, any())->record.id.str(), "a", "others' load counts");
+  const Instant later = kStart + std::chrono::seconds(5);
+  cr_assert_eq(registry.pick(later, any())->record.id.str(), "b", "old reports are forgotten");
+}
+
+Test(engine_registry, a_slow_engine_is_left_alone_until_its_measurement_is_old) {
+  EngineRegistry registry = registryOf({record("a"), record("b"), record("c")});
+  for (int i = 0; i < 20; ++i) {
+    registry.onPace(kStart, EngineId("a"), std::chrono::milliseconds(120));
+    registry.onPace(kStart, EngineId("b"), std::chrono::milliseconds(30));
+    registry.onPace(kStart, EngineId("c"), std::chrono::milliseconds(30));
+  }
+  cr_assert(registry.slowness(kStart, EngineId("a")) > 3);
+  for (int i = 0; i < 20; ++i) cr_assert_neq(registry.pick(kStart, any())->record.id.str(), "a");
+  cr_assert(registry.slowness(kStart + std::chrono::seconds(10), EngineId("a")) <= 1);
+}
+
+Test(engine_registry, one_broken_answer_ejects_nobody_but_repeated_ones_do) {
+  EngineRegistry registry = registryOf({record("a")});
+  registry.onAttemptEnded(kStart, EngineId("a"), AttemptEnd::kBroke);
+  cr_assert_not_null(registry.pick(kStart, any()));
+  const Instant later = kStart + std::chrono::seconds(1);
+  registry.onAttemptEnded(later, EngineId("a"), AttemptEnd::kBroke);
+  cr_assert_null(registry.pick(later, any()));
+  PickRequest desperate = any();
+  desperate.desperate = true;
+  cr_assert_not_null(registry.pick(later, desperate), "rather an ejected engine than none");
+}
+
+Test(engine_registry, a_burst_of_resets_counts_as_one_failure) {
+  EngineRegistry registry = registryOf({record("a")});
+  for (int i = 0; i < 12; ++i) {
+    registry.onAttemptEnded(kStart, EngineId("a"), AttemptEnd::kBroke);
+  }
+  cr_assert_not_null(registry.pick(kStart, any()),
+                     "an engine that changes weights resets everything");
+}
+
+Test(engine_registry, an_engine_at_anothers_address_is_ejected_for_long) {
+  EngineRegistry registry = registryOf({record("a")});
+  registry.onAttemptEnded(kStart, EngineId("a"), AttemptEnd::kMisdirected);
+  cr_assert_null(registry.pick(kStart + std::chrono::seconds(3), any()));
+}
+
+Test(engine_registry, versions_seen_in_answers_are_newer_than_discovery) {
+  EngineRegistry registry = registryOf({record("a", 3)});
+  PickRequest request = any();
+  request.model = kModel;
+  request.minimum_version = 4;
+  cr_assert_null(registry.pick(kStart, request));
+  registry.onVersionSeen(EngineId("a"), kModel, 4);
+  cr_assert_not_null(registry.pick(kStart, request));
+  registry.onRecord(kStart, record("a", 3));
+  cr_assert_not_null(registry.pick(kStart, request), "the same old entry again is no news");
+  registry.onRecord(kStart, record("a", 2));
+  cr_assert_null(registry.pick(kStart, request), "a changed entry is");
+}
+
+Test(engine_registry, an_engine_that_refuses_while_it_has_room_is_loading) {
+  EngineRegistry registry = registryOf({record("a")});
+  PickRequest request = any();
+  request.model = kModel;
+  registry.onModelRefused(kStart, EngineId("a"), kModel);
+  cr_assert_null(registry.pick(kStart + std::chrono::milliseconds(300), request));
+  cr_assert_not_null(registry.pick(kStart + std::chrono::milliseconds(300), any()),
+                     "other models go on");
+  cr_assert_not_null(registry.pick(kStart + std::chrono::milliseconds(400), request));
+}
+
+Test(engine_registry, no_more_than_the_slots_where_that_is_asked_for) {
+  EngineRegistry registry = registryOf({record("a")});
+  PickRequest request = any();
+  request.most_per_slot = 1;
+  for (int i = 0; i < 4; ++i) {
+    cr_assert_not_null(registry.pick(kStart, request));
+    registry.onAttemptStarted(EngineId("a"));
+  }
+  cr_assert_null(registry.pick(kStart, request));
+}
--- /dev/null
+++ b/tests/forward/event_parser_test.cpp
@@ -0,0 +1,37 @@
+#include "forward/event_parser.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using forward::EventParser;
+
+Test(event_parser, events_are_cut_wherever_the_bytes_were_split) {
+  const std::string stream =
+      "weight-versions: 7\nid: 1\ndata: one\ndata: two\n\nid: 2\r\ndata: three\r\n\r\n";
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    EventParser parser("Weight-Versions");
+    auto events = parser.feed(stream.substr(0, cut));
+    for (auto& event : parser.feed(stream.substr(cut))) events.push_back(std::move(event));
+    cr_assert_eq(events.size(), 2U, "cut at %zu", cut);
+    cr_assert_eq(*events[0].id, 1U);
+    cr_assert_eq(events[0].data, "one\ntwo");
+    cr_assert_eq(*events[0].version, 7U);
+    cr_assert_eq(events[1].data, "three");
+    cr_assert_not(events[1].version.has_value());
+    cr_assert(parser.rest().empty());
+    cr_assert_eq(events[0].raw + events[1].raw, stream, "bytes pass unchanged");
+  }
+}
+
+Test(event_parser, an_unfinished_event_is_kept_back) {
+  EventParser parser("v");
+  cr_assert(parser.feed("id: 1\ndata: on").empty());
+  cr_assert_eq(parser.rest(), "id: 1\ndata: on");
+}
+
+Test(event_parser, a_number_that_is_none_is_no_id) {
+  EventParser parser("v");
+  const auto events = parser.feed("id: 1x\ndata: a\n\n");
+  cr_assert_eq(events.size(), 1U);
+  cr_assert_not(events[0].id.has_value());
+}
--- /dev/null
+++ b/tests/lease/lease_table_test.cpp
@@ -0,0 +1,71 @@
+#include "lease/lease_table.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using lease::LeaseTable;
+using lease::makeLeaseId;
+
+namespace {
+
+constexpr Instant kStart{std::chrono::seconds(100)};
+const lease::LeaseId kOwn = makeLeaseId("d1", "b");
+const lease::LeaseId kOther = makeLeaseId("d2", "a");
+
+LeaseTable watching() {
+  LeaseTable table(kOwn, {}, kStart);
+  table.onFeedRegained(kStart);
+  table.onRow(kStart, kOther, 5);
+  return table;
+}
+
+}  // namespace
+
+Test(lease_table, silence_longer_than_the_expiry_ends_a_lease) {
+  LeaseTable table = watching();
+  cr_assert_not(table.expired(kStart + std::chrono::milliseconds(1400), kOther));
+  cr_assert(table.expired(kStart + std::chrono::milliseconds(1600), kOther));
+  table.onRow(kStart + std::chrono::milliseconds(1600), kOther, 6);
+  cr_assert_not(table.expired(kStart + std::chrono::milliseconds(2000), kOther));
+}
+
+Test(lease_table, the_same_revision_again_is_no_renewal) {
+  LeaseTable table = watching();
+  table.onRow(kStart + std::chrono::seconds(1), kOther, 5);
+  cr_assert(table.expired(kStart + std::chrono::milliseconds(1600), kOther));
+}
+
+Test(lease_table, nothing_expires_while_the_feed_is_away_or_just_after) {
+  LeaseTable table = watching();
+  table.onFeedLost();
+  cr_assert_not(table.expired(kStart + std::chrono::seconds(60), kOther));
+  table.onFeedRegained(kStart + std::chrono::seconds(60));
+  cr_assert_not(table.expired(kStart + std::chrono::milliseconds(61400), kOther));
+  cr_assert(table.expired(kStart + std::chrono::milliseconds(61600), kOther));
+}
+
+Test(lease_table, an_earlier_life_of_this_daemon_has_ended_for_sure) {
+  LeaseTable table = watching();
+  cr_assert(table.expired(kStart, makeLeaseId("d1", "a")));
+  cr_assert_not(table.expired(kStart + std::chrono::seconds(60), kOwn));
+}
+
+Test(lease_table, an_owner_whose_row_was_never_seen_gets_its_time) {
+  LeaseTable table = watching();
+  const lease::LeaseId unseen = makeLeaseId("d3", "x");
+  cr_assert_not(table.expired(kStart, unseen));
+  cr_assert(table.expired(kStart + std::chrono::milliseconds(1600), unseen));
+}
+
+Test(lease_table, daemons_that_started_last_take_over_first) {
+  const LeaseTable old(kOwn, {}, kStart);
+  const LeaseTable young(makeLeaseId("d4", "a"), {}, kStart + std::chrono::seconds(50));
+  const Instant now = kStart + std::chrono::seconds(55);
+  cr_assert(young.courtesy(now, "job") < old.courtesy(now, "job"));
+}
+
+Test(lease_table, an_owner_stops_before_others_may_start) {
+  const lease::LeaseTimes times;
+  cr_assert(times.renewal * 2 <= times.validity);
+  cr_assert(times.validity < times.expiry);
+}
--- /dev/null
+++ b/tests/platform/documents_test.cpp
@@ -0,0 +1,132 @@
+#include "documents.h"
+
+#include <criterion/criterion.h>
+
+#include "base64.h"
+
+using namespace linenpier;
+using namespace linenpier::platform_adapter;
+
+namespace {
+
+constexpr char kConfiguration[] = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","pathPrefix":"/x/","kind":"idempotent","timeoutMs":1500,
+   "targetLatencyMs":150,"priority":2,"maxAttempts":2,
+   "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}]},
+  {"name":"r2","host":"a.example","pathPrefix":"/y/","kind":"rollout","service":"s1",
+   "timeoutMs":10000,"targetLatencyMs":400,"maxAttempts":3,"maxQueueS":40.0,
+   "targetFinishMs":7500,"singleVersion":false,"sticky":true,"resumable":true,"later":1}],
+ "services":[{"name":"s1","healthPath":"/healthz","maxConnections":170,
+   "engine":{"slots":16,"kvCacheTokens":52385,"models":[{"name":"m"}]}}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+bool mentions(const Findings& findings, const std::string& place) {
+  for (const Finding& finding : findings) {
+    if (finding.place.find(place) != std::string::npos) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+Test(documents, a_configuration_becomes_a_route_table) {
+  const auto table = parseConfiguration(kConfiguration);
+  cr_assert(table.has_value());
+  cr_assert_eq(table->version, 7U);
+  const routing::Route* route = table->find("a.example", "/x/1");
+  cr_assert_eq(route->services.size(), 2U);
+  cr_assert_eq(route->services[0].weight, 90U);
+  cr_assert_eq(route->max_attempts, 2);
+  cr_assert(route->timeout == std::chrono::milliseconds(1500));
+  const routing::Route* batch = table->find("a.example", "/y/1");
+  cr_assert_eq(batch->kind, routing::RequestKind::kBatch);
+  cr_assert(batch->queue_limit == std::chrono::seconds(40));
+  cr_assert_eq(table->services.at(routing::ServiceName("s1")).models.size(), 1U);
+  cr_assert_eq(table->limits.body_bytes, 1000U);
+}
+
+Test(documents, every_fault_of_a_configuration_is_reported_with_its_place) {
+  const auto table = parseConfiguration(
+      R"({"version":"x","routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"odd"}]})");
+  cr_assert_not(table.has_value());
+  cr_assert(mentions(table.error(), "configuration.version"));
+  cr_assert(mentions(table.error(), "routes[0].kind"));
+  cr_assert(mentions(table.error(), "routes[0].service"));
+  cr_assert_not(parseConfiguration("{").has_value());
+  cr_assert_not(parseConfiguration("[]").has_value());
+}
+
+Test(documents, a_discovery_entry_becomes_an_engine) {
+  const auto engine = parseServer(
+      "i-1",
+      R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":16,
+          "state":"draining","coldRemainingMs":1500,"models":[{"name":"m","version":4}],"seq":4})");
+  cr_assert(engine.has_value());
+  cr_assert_eq(engine->id.str(), "i-1");
+  cr_assert(engine->draining);
+  cr_assert_eq(engine->models.at(ModelName("m")), 4U);
+  cr_assert(engine->cold_for == std::chrono::milliseconds(1500));
+  cr_assert_not(parseServer("i-1", "{}").has_value());
+  cr_assert_not(parseServer("i-1", R"({"service":"s","address":"nowhere"})").has_value());
+  cr_assert_not(parseServer("i-1", "nonsense").has_value());
+}
+
+Test(documents, a_named_version_is_read_from_its_own_rows_only) {
+  const auto named = parseNamedVersion("version/m", R"({"model":"m","version":8})");
+  cr_assert_eq(named->version, 8U);
+  cr_assert_not(parseNamedVersion("other/m", R"({"model":"m","version":8})").has_value());
+  cr_assert_not(parseNamedVersion("version/m", R"({"model":"m"})").has_value());
+}
+
+Test(documents, a_batch_job_is_read_with_its_items) {
+  const BatchDocuments documents;
+  const auto job =
+      documents.parseJob(batch::JobId("j"),
+                         R"({"step":7,"model":"m","minVersion":6,"desired":12,"requests":[
+          {"id":"i1","path":"/y/3","headers":{"Model":"m","Token-Usage":"540,400",
+           "Length-Hint":"123"},"body":"q83vEjRWeJA=","tokens":940,"group":"g"}]})");
+  cr_assert(job.has_value());
+  cr_assert_eq(job->minimum_version, 6U);
+  cr_assert_eq(job->desired_groups, 12U);
+  const batch::BatchItem& item = job->items.at(0);
+  cr_assert_eq(item.body.size(), 8U);
+  cr_assert_eq(item.model.str(), "m");
+  cr_assert_eq(item.length_hint, 123U);
+  cr_assert_eq(item.fields.size(), 3U);
+}
+
+Test(documents, every_fault_of_a_batch_job_is_reported_with_its_place) {
+  const BatchDocuments documents;
+  const auto job = documents.parseJob(
+      batch::JobId("j"),
+      R"({"minVersion":"x","requests":[{"id":"i1","path":"/y/3","body":"!!"},{"path":7}]})");
+  cr_assert_not(job.has_value());
+  cr_assert(mentions(job.error(), "job.minVersion"));
+  cr_assert(mentions(job.error(), "requests[0].body"));
+  cr_assert(mentions(job.error(), "requests[1].id"));
+  cr_assert(mentions(job.error(), "requests[1].path"));
+  cr_assert_not(documents.parseJob(batch::JobId("j"), "{}").has_value());
+  cr_assert_not(documents.parseJob(batch::JobId("j"), "\xff\xfe").has_value());
+}
+
+Test(documents, results_are_written_as_readers_expect_them) {
+  const BatchDocuments documents;
+  batch::BatchResult result;
+  result.item = batch::ItemId("i");
+  result.text = "a\nb";
+  result.versions = {6, 7};
+  const std::string encoded = documents.encodeResult(result);
+  cr_assert_eq(encoded, R"({"id":"i","state":"completed","text":"a\nb","versions":[6,7]})");
+  cr_assert_eq(documents.encodePage(40, 13, {encoded}),
+               R"({"total":40,"nextToken":13,"results":[)" + encoded + "]}");
+}
+
+Test(base64, what_is_encoded_is_decoded) {
+  for (std::size_t length = 0; length < 20; ++length) {
+    std::string bytes;
+    for (std::size_t i = 0; i < length; ++i) bytes.push_back(static_cast<char>(i * 37));
+    cr_assert_eq(*decodeBase64(encodeBase64(bytes)), bytes);
+  }
+  cr_assert_not(decodeBase64("abc").has_value());
+  cr_assert_not(decodeBase64("ab!=").has_value());
+}
--- /dev/null
+++ b/tests/support/gateway_fixture.cpp
@@ -0,0 +1,165 @@
+#include "support/gateway_fixture.h"
+
+#include <nlohmann/json.hpp>
+
+#include "base64.h"
+
+namespace linenpier::test {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr Duration kLongestTest = std::chrono::seconds(25);
+
+gateway::GatewaySettings settingsOf(Address store, const std::string& name) {
+  gateway::GatewaySettings settings;
+  settings.id = DaemonId(name);
+  settings.zone = ZoneName("z");
+  settings.requests = {0x7f000001, 0};
+  settings.readiness = {0x7f000001, 0};
+  settings.store = store;
+  return settings;
+}
+
+}  // namespace
+
+GatewayUnderTest::GatewayUnderTest(boost::asio::io_context& loop, Address store,
+                                   const std::string& name)
+    : store_pool(loop, {}),
+      engine_pool(loop, {}),
+      platform(store_pool, engine_pool, store),
+      gateway(loop, settingsOf(store, name), platform, engine_pool, Random::seedFromSystem()) {
+  cr_assert(gateway.start().empty());
+}
+
+GatewayFixture::GatewayFixture(FixtureOptions options) {
+  store_ = std::make_unique<StandinStore>(loop_);
+  for (int i = 0; i < options.lookup_samplers; ++i) {
+    lookups_.push_back(std::make_unique<StandinSampler>(loop_, "look-" + std::to_string(i), 0));
+  }
+  for (int i = 0; i < options.model_samplers; ++i) {
+    models_.push_back(
+        std::make_unique<StandinSampler>(loop_, "model-" + std::to_string(i), options.events));
+  }
+  putConfiguration(3);
+  putSamplers();
+  for (int i = 0; i < options.gateways; ++i) addGateway("d" + std::to_string(i));
+}
+
+void GatewayFixture::addGateway(const std::string& name) {
+  gateways_.push_back(std::make_unique<GatewayUnderTest>(loop_, store_->address(), name));
+}
+
+void GatewayFixture::putConfiguration(std::uint64_t version, const std::string& more_routes) {
+  const std::string routes =
+      R"({"name":"look","host":"h.example","pathPrefix":"/look/","kind":"idempotent",
+          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
+         {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent",
+          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
+         {"name":"talk","host":"h.example","pathPrefix":"/talk/","kind":"streaming","resumable":true,
+          "timeoutMs":5000,"targetLatencyMs":150,"service":"models","maxAttempts":3},
+         {"name":"say","host":"h.example","pathPrefix":"/say/","kind":"streaming",
+          "timeoutMs":5000,"targetLatencyMs":150,"service":"models","maxAttempts":3},
+         {"name":"jobs","host":"h.example","pathPrefix":"/jobs/","kind":"rollout",
+          "timeoutMs":5000,"targetLatencyMs":400,"targetFinishMs":7500,"maxQueueS":20,
+          "service":"models","maxAttempts":2,"resumable":true})";
+  store_->put("op", "config",
+              "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes + more_routes +
+                  R"(],"services":[{"name":"desk"},{"name":"models","engine":{"slots":8,
+                     "kvCacheTokens":50000,"models":[{"name":"m"}]}}],
+                     "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":300,
+                     "idleTimeoutMs":2000}})");
+}
+
+void GatewayFixture::putSamplers() {
+  for (const auto& each : lookups_) store_->put("servers", each->id(), each->entry("desk"));
+  for (const auto& each : models_) store_->put("servers", each->id(), each->entry("models"));
+}
+
+void GatewayFixture::run(std::function<Task<void>(GatewayFixture&)> test) {
+  bool finished = false;
+  spawn(loop_, [this, &test, &finished]() -> Task<void> {
+    for (std::size_t i = 0; i < gateways_.size(); ++i) cr_assert(co_await waitReady(i));
+    co_await test(*this);
+    finished = true;
+    loop_.stop();
+  });
+  loop_.run_for(kLongestTest);
+  cr_assert(finished, "the test did not end in time, or failed within a task");
+}
+
+Task<http::CallOutcome> GatewayFixture::call(std::size_t gateway, http::Request request) {
+  const Address address = gateways_.at(gateway)->gateway.requestAddress();
+  co_return co_await http::call(client_pool_, address, std::move(request),
+                                steadyNow() + std::chrono::seconds(8));
+}
+
+http::Request GatewayFixture::lookupRequest(const std::string& id, const std::string& path) const {
+  http::Request request(boost::beast::http::verb::post, path, 11);
+  request.set("Host", "h.example");
+  request.set("Request-Id", id);
+  request.set("Deadline-Ms", "1000");
+  request.body() = "body of " + id;
+  request.prepare_payload();
+  return request;
+}
+
+http::Request GatewayFixture::jobRequest(const std::string& id, int items) const {
+  json requests = json::array();
+  for (int i = 0; i < items; ++i) {
+    requests.push_back({{"id", id + "-" + std::to_string(i)},
+                        {"path", "/jobs/" + std::to_string(i)},
+                        {"headers", {{"Model", "m"}, {"Length-Hint", "100"}}},
+                        {"body", platform_adapter::encodeBase64("prompt " + std::to_string(i))},
+                        {"tokens", 200},
+                        {"group", "g" + std::to_string(i / 2)}});
+  }
+  http::Request request(boost::beast::http::verb::post, "/jobs/x", 11);
+  request.set("Host", "h.example");
+  request.set("Request-Id", id);
+  request.body() = json{{"model", "m"}, {"minVersion", 1}, {"requests", requests}}.dump();
+  request.prepare_payload();
+  return request;
+}
+
+Task<std::string> GatewayFixture::readAll(std::size_t gateway, std::string id) {
+  std::string all;
+  std::size_t next = 0;
+  std::size_t total = 1;
+  const Instant deadline = steadyNow() + std::chrono::seconds(15);
+  while (next < total && steadyNow() < deadline) {
+    http::Request request(boost::beast::http::verb::get,
+                          "/linenpier/lots/" + id + "?afterRev=" + std::to_string(next), 11);
+    request.set("Host", "h.example");
+    request.set("Wait-Ms", "500");
+    const http::CallOutcome outcome = co_await call(gateway, std::move(request));
+    if (outcome.response.result_int() != 200) {
+      co_await sleepFor(loop_, std::chrono::milliseconds(50));
+      continue;
+    }
+    const json page = json::parse(outcome.response.body());
+    total = page["total"].get<std::size_t>();
+    cr_assert_eq(page["nextToken"].get<std::size_t>(), next + page["results"].size());
+    next = page["nextToken"].get<std::size_t>();
+    for (const json& result : page["results"]) all += result.dump() + "\n";
+  }
+  cr_assert_eq(next, total, "%zu of %zu results of %s", next, total, id.c_str());
+  co_return all;
+}
+
+Task<bool> GatewayFixture::waitReady(std::size_t gateway) {
+  gateway::Gateway* waited = &gateways_.at(gateway)->gateway;
+  co_return co_await waitFor([waited] { return waited->ready(); });
+}
+
+Task<bool> GatewayFixture::waitFor(std::function<bool()> condition, Duration limit) {
+  const Instant deadline = steadyNow() + limit;
+  while (!condition()) {
+    if (steadyNow() >= deadline) co_return false;
+    co_await sleepFor(loop_, std::chrono::milliseconds(10));
+  }
+  co_return true;
+}
+
+}  // namespace linenpier::test
--- /dev/null
+++ b/tests/support/gateway_fixture.h
@@ -0,0 +1,75 @@
+#pragma once
+
+/// @file
+/// One or more gateways on one event loop, with a stand-in store and stand-in samplers. Test code.
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "gateway/gateway.h"
+#include "platform.h"
+#include "support/standin_sampler.h"
+#include "support/standin_store.h"
+
+// Criterion's macros clash with Boost's headers that come after it.
+// clang-format off
+#include <criterion/criterion.h>
+// clang-format on
+
+namespace linenpier::test {
+
+/// A gateway with what belongs to it.
+struct GatewayUnderTest {
+  GatewayUnderTest(boost::asio::io_context& loop, Address store, const std::string& name);
+
+  http::ConnectionPool store_pool;
+  http::ConnectionPool engine_pool;
+  platform_adapter::Platform platform;
+  gateway::Gateway gateway;
+};
+
+struct FixtureOptions {
+  int gateways = 1;
+  int lookup_samplers = 2;
+  int model_samplers = 2;
+  int events = 10;  ///< Of a model sampler's stream.
+};
+
+class GatewayFixture {
+ public:
+  explicit GatewayFixture(FixtureOptions options = {});
+
+  /// Runs `test` on the loop and stops it afterwards; fails the test if that takes too long.
+  void run(std::function<Task<void>(GatewayFixture&)> test);
+
+  boost::asio::io_context& loop() { return loop_; }
+  StandinStore& store() { return *store_; }
+  StandinSampler& lookup(std::size_t index) { return *lookups_.at(index); }
+  StandinSampler& model(std::size_t index) { return *models_.at(index); }
+  gateway::Gateway& gateway(std::size_t index = 0) { return gateways_.at(index)->gateway; }
+  void addGateway(const std::string& name);
+
+  void putConfiguration(std::uint64_t version, const std::string& more_routes = "");
+  void putSamplers();
+
+  /// Sends a request to a gateway and reads the whole answer.
+  Task<http::CallOutcome> call(std::size_t gateway, http::Request request);
+  http::Request lookupRequest(const std::string& id, const std::string& path = "/look/1") const;
+  /// @return the request that hands in a job of `items` items.
+  http::Request jobRequest(const std::string& id, int items) const;
+  /// Reads a job's results until all are listed.
+  Task<std::string> readAll(std::size_t gateway, std::string id);
+  Task<bool> waitReady(std::size_t gateway);
+  Task<bool> waitFor(std::function<bool()> condition, Duration limit = std::chrono::seconds(5));
+
+ private:
+  boost::asio::io_context loop_{1};
+  http::ConnectionPool client_pool_{loop_, {}};
+  std::unique_ptr<StandinStore> store_;
+  std::vector<std::unique_ptr<StandinSampler>> lookups_;
+  std::vector<std::unique_ptr<StandinSampler>> models_;
+  std::vector<std::unique_ptr<GatewayUnderTest>> gateways_;
+};
+
+}  // namespace linenpier::test
--- /dev/null
+++ b/tests/support/standin_sampler.cpp
@@ -0,0 +1,219 @@
+#include "support/standin_sampler.h"
+
+#include <sys/socket.h>
+
+#include <boost/algorithm/string/case_conv.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <nlohmann/json.hpp>
+
+namespace linenpier::test {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using tcp = asio::ip::tcp;
+
+struct StandinSampler::Connection {
+  explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) {}
+  tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+
+  bool clientGone() {
+    char byte = 0;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+};
+
+StandinSampler::StandinSampler(asio::io_context& loop, std::string id, int events)
+    : loop_(loop),
+      acceptor_(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      id_(std::move(id)),
+      events_(events) {
+  spawn(loop_, [this] { return acceptLoop(); });
+}
+
+Address StandinSampler::address() const {
+  return {0x7f000001, acceptor_.local_endpoint().port()};
+}
+
+std::string StandinSampler::entry(const std::string& service, const std::string& state) const {
+  const json document = {{"service", service},
+                         {"address", toString(address())},
+                         {"zone", "z"},
+                         {"slots", 8},
+                         {"state", state},
+                         {"coldRemainingMs", 0},
+                         {"models", json::array({{{"name", "m"}, {"version", version_}}})}};
+  return document.dump();
+}
+
+Task<void> StandinSampler::acceptLoop() {
+  for (;;) {
+    tcp::socket socket(loop_);
+    boost::system::error_code error;
+    co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return;
+    const auto connection = std::make_shared<Connection>(std::move(socket));
+    spawn(loop_, [this, connection] { return serve(connection); });
+  }
+}
+
+Task<bool> StandinSampler::write(Connection& connection, std::string bytes) {
+  boost::system::error_code error;
+  co_await asio::async_write(connection.socket, asio::buffer(bytes),
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
+}
+
+Task<void> StandinSampler::serve(std::shared_ptr<Connection> connection) {
+  for (;;) {
+    boost::beast::http::request<boost::beast::http::string_body> request;
+    boost::system::error_code error;
+    co_await boost::beast::http::async_read(connection->socket, connection->buffer, request,
+                                            asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return;
+    SamplerArrival arrival;
+    arrival.method = std::string(request.method_string());
+    arrival.target = std::string(request.target());
+    arrival.body = request.body();
+    for (const auto& field : request) {
+      arrival.fields[boost::to_lower_copy(std::string(field.name_string()))] =
+          std::string(field.value());
+    }
+    bool goes_on = true;
+    if (arrival.target == "/linenpier/order") {
+      std::string answer_text = order(arrival.body);
+      goes_on = co_await write(*connection, std::move(answer_text));
+    } else if (arrival.target == "/linenpier/report") {
+      const json report = {{"busy", false}, {"seq", sequence_}, {"running", 0}, {"waiting", 0}};
+      std::string text = plain("", 200, "", report.dump());
+      goes_on = co_await write(*connection, std::move(text));
+    } else {
+      arrivals_.push_back(arrival);
+      SamplerAct act = SamplerAct::kAnswer;
+      if (!script_.empty()) {
+        act = script_.front();
+        script_.pop_front();
+      }
+      goes_on = co_await answer(*connection, std::move(arrival), act);
+    }
+    if (!goes_on) co_return;
+  }
+}
+
+std::string StandinSampler::plain(const std::string& id, unsigned status, const std::string& more,
+                                  const std::string& body) const {
+  return "HTTP/1.1 " + std::to_string(status) + " Status\r\nRequest-Id: " + id +
+         "\r\nInstance-Load: 1,0,8\r\n" + more + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+std::string StandinSampler::order(const std::string& body) {
+  const json document = json::parse(body);
+  const auto fence = document["fence"].get<std::uint64_t>();
+  if (fence < fence_) return plain("", 412, "", "");
+  fence_ = fence;
+  if (document.contains("expected") && document["expected"].get<std::uint64_t>() != sequence_) {
+    return plain("", 409, "", "");
+  }
+  ++sequence_;
+  orders_.push_back(body);
+  version_ = document["version"].get<std::uint64_t>();
+  return plain("", 202, "", "");
+}
+
+Task<bool> StandinSampler::answer(Connection& connection, SamplerArrival arrival, SamplerAct act) {
+  const std::string id = arrival.fields["request-id"];
+  const std::string signature = "Response-Signature: s-" + id + "\r\n";
+  if (arrival.fields["target-instance"] != id_) {
+    std::string misdirected = plain(id, 421, "Instance-Id: " + id_ + "\r\n", "");
+    co_return co_await write(connection, std::move(misdirected));
+  }
+  const std::string body = "answer to " + id;
+  std::string bytes;
+  bool goes_on = true;
+  switch (act) {
+    case SamplerAct::kAnswer:
+      if (events_ > 0) co_return co_await stream(connection, arrival, false);
+      bytes = plain(id, 200, signature, body);
+      break;
+    case SamplerAct::kShed:
+      bytes = plain(id, 503, "Not-Executed: 1\r\n", "");
+      break;
+    case SamplerAct::kFail:
+      bytes = plain(id, 500, signature, "failed");
+      break;
+    case SamplerAct::kReject:
+      bytes = plain(id, 422, signature, "never");
+      break;
+    case SamplerAct::kCutShort:
+      if (events_ > 0) co_return co_await stream(connection, arrival, true);
+      bytes = plain(id, 200, signature, body);
+      bytes.resize(bytes.size() - 3);
+      goes_on = false;
+      break;
+    case SamplerAct::kSurplusFirst:
+      bytes = plain("someone-else", 200, signature, "not yours") + plain(id, 200, signature, body);
+      break;
+    case SamplerAct::kExtraAfter:
+      bytes = plain(id, 200, signature, body) + plain(id, 200, signature, "again");
+      break;
+    case SamplerAct::kNonsense:
+      bytes = "what is this?\r\n\r\n";
+      goes_on = false;
+      break;
+    case SamplerAct::kUnframed:
+      bytes = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n" + signature + "\r\n" + body;
+      goes_on = false;
+      break;
+    case SamplerAct::kUnsigned:
+      bytes = plain(id, 200, "", body);
+      break;
+    case SamplerAct::kClose:
+      co_return false;
+    case SamplerAct::kSilent:
+      while (!connection.clientGone()) co_await sleepFor(loop_, std::chrono::milliseconds(10));
+      ++dropped_;
+      co_return false;
+  }
+  const bool written = co_await write(connection, std::move(bytes));
+  co_return written&& goes_on;
+}
+
+Task<bool> StandinSampler::stream(Connection& connection, const SamplerArrival& arrival, bool cut) {
+  const auto field = [&arrival](const std::string& name) {
+    const auto at = arrival.fields.find(name);
+    return at == arrival.fields.end() ? std::string() : at->second;
+  };
+  const std::string id = field("request-id");
+  const std::string resumed = field("last-event-id");
+  int event = resumed.empty() ? 0 : std::stoi(resumed);
+  std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s-" + id +
+                     "\r\nWeight-Versions: " + std::to_string(version_) +
+                     "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  if (!co_await write(connection, std::move(head))) co_return false;
+  const int stop_after = cut ? (event + events_) / 2 : events_;
+  while (event < stop_after) {
+    co_await sleepFor(loop_, event_gap_);
+    ++event;
+    const std::string text =
+        "id: " + std::to_string(event) + "\ndata: " + id + "." + std::to_string(event) + "\n\n";
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+    std::string chunk = size + text + "\r\n";
+    if (connection.clientGone() || !co_await write(connection, std::move(chunk))) {
+      ++dropped_;
+      co_return false;
+    }
+  }
+  if (cut) {
+    std::string half = "9\r\nid: 99\nda\r\n";
+    co_await write(connection, std::move(half));
+    co_return false;
+  }
+  std::string end = "0\r\n\r\n";
+  co_return co_await write(connection, std::move(end));
+}
+
+}  // namespace linenpier::test
--- /dev/null
+++ b/tests/support/standin_sampler.h
@@ -0,0 +1,87 @@
+#pragma once
+
+/// @file
+/// A stand-in of one sampler that speaks the platform's published protocol on a raw socket, so that
+/// it can also break it. Test code.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/address.h"
+#include "common/task.h"
+#include "http/http_types.h"
+
+namespace linenpier::test {
+
+/// How the sampler answers its next requests.
+enum class SamplerAct {
+  kAnswer,        ///< As it should.
+  kShed,          ///< 503: not executed.
+  kFail,          ///< Its own 500.
+  kReject,        ///< Its own 422.
+  kCutShort,      ///< Closes in the middle of the answer.
+  kSurplusFirst,  ///< An answer to another request comes first.
+  kExtraAfter,    ///< A second answer follows a whole one.
+  kNonsense,      ///< Bytes that are no answer.
+  kUnframed,      ///< An answer without length that ends with its connection.
+  kUnsigned,      ///< A success without its signature.
+  kClose,         ///< Closes without an answer.
+  kSilent,        ///< Says nothing.
+};
+
+/// A request as the sampler got it.
+struct SamplerArrival {
+  std::string method;
+  std::string target;
+  std::string body;
+  std::map<std::string, std::string> fields;  ///< Names in lower case.
+};
+
+class StandinSampler {
+ public:
+  /// @param events of a streamed answer; 0: answers are plain.
+  StandinSampler(boost::asio::io_context& loop, std::string id, int events);
+
+  Address address() const;
+  const std::string& id() const { return id_; }
+  /// What the next requests get; when used up, they are answered as they should.
+  std::deque<SamplerAct>& script() { return script_; }
+  const std::vector<SamplerArrival>& arrivals() const { return arrivals_; }
+  const std::vector<std::string>& orders() const { return orders_; }
+  std::uint64_t version() const { return version_; }
+  void setVersion(std::uint64_t version) { version_ = version; }
+  void setEventGap(Duration gap) { event_gap_ = gap; }
+  /// Requests whose connection was closed while they were worked on.
+  int dropped() const { return dropped_; }
+  /// @return the entry under which discovery lists it.
+  std::string entry(const std::string& service, const std::string& state = "ready") const;
+
+ private:
+  struct Connection;
+  Task<void> acceptLoop();
+  Task<void> serve(std::shared_ptr<Connection> connection);
+  Task<bool> answer(Connection& connection, SamplerArrival arrival, SamplerAct act);
+  Task<bool> stream(Connection& connection, const SamplerArrival& arrival, bool cut);
+  Task<bool> write(Connection& connection, std::string bytes);
+  std::string order(const std::string& body);
+  std::string plain(const std::string& id, unsigned status, const std::string& more,
+                    const std::string& body) const;
+
+  boost::asio::io_context& loop_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::string id_;
+  int events_;
+  Duration event_gap_ = std::chrono::milliseconds(5);
+  std::deque<SamplerAct> script_;
+  std::vector<SamplerArrival> arrivals_;
+  std::vector<std::string> orders_;
+  std::uint64_t version_ = 1;
+  std::uint64_t sequence_ = 0;
+  std::uint64_t fence_ = 0;
+  int dropped_ = 0;
+};
+
+}  // namespace linenpier::test
--- /dev/null
+++ b/tests/support/standin_store.cpp
@@ -0,0 +1,224 @@
+#include "support/standin_store.h"
+
+#include <nlohmann/json.hpp>
+
+#include "base64.h"
+
+namespace linenpier::test {
+
+using nlohmann::json;
+using platform_adapter::decodeBase64;
+using platform_adapter::encodeBase64;
+
+namespace {
+
+constexpr Duration kLate = std::chrono::milliseconds(400);
+constexpr std::size_t kMostEntries = 100;
+
+std::string parameter(const std::string& target, const std::string& name) {
+  const std::size_t at = target.find(name + "=");
+  if (at == std::string::npos) return {};
+  const std::size_t begin = at + name.size() + 1;
+  std::string value = target.substr(begin, target.find('&', begin) - begin);
+  std::string decoded;
+  for (std::size_t i = 0; i < value.size(); ++i) {
+    if (value[i] == '%' && i + 2 < value.size()) {
+      decoded.push_back(static_cast<char>(std::stoi(value.substr(i + 1, 2), nullptr, 16)));
+      i += 2;
+    } else {
+      decoded.push_back(value[i]);
+    }
+  }
+  return decoded;
+}
+
+}  // namespace
+
+StandinStore::StandinStore(boost::asio::io_context& loop)
+    : loop_(loop),
+      server_(loop, [this](http::Request& request, Instant,
+                           http::ResponseWriter& writer) { return handle(request, writer); }),
+      changed_(loop) {
+  server_.listen({0x7f000001, 0});
+}
+
+void StandinStore::put(const std::string& table, const std::string& key, const std::string& value) {
+  rows_[{table, key}] = {value, ++version_, false};
+  changed_.notifyAll();
+}
+
+void StandinStore::remove(const std::string& table, const std::string& key) {
+  rows_[{table, key}] = {"", ++version_, true};
+  changed_.notifyAll();
+}
+
+std::optional<std::string> StandinStore::get(const std::string& table,
+                                             const std::string& key) const {
+  const auto at = rows_.find({table, key});
+  if (at == rows_.end() || at->second.gone) return std::nullopt;
+  return at->second.value;
+}
+
+std::vector<std::string> StandinStore::keys(const std::string& table) const {
+  std::vector<std::string> found;
+  for (const auto& [key, row] : rows_) {
+    if (key.first == table && !row.gone) found.push_back(key.second);
+  }
+  return found;
+}
+
+std::uint64_t StandinStore::versionOf(const Key& key) const {
+  const auto at = rows_.find(key);
+  return at == rows_.end() || at->second.gone ? 0 : at->second.version;
+}
+
+std::string StandinStore::rowJson(const Key& key, const Row& row) const {
+  json document = {{"table", key.first}, {"part", ""}, {"key", key.second}, {"ver", row.version}};
+  if (row.gone) {
+    document["gone"] = true;
+  } else {
+    document["value"] = encodeBase64(row.value);
+  }
+  return document.dump();
+}
+
+Task<void> StandinStore::reply(http::ResponseWriter& writer, unsigned status, std::string body) {
+  http::Response response;
+  response.result(status);
+  response.body() = std::move(body);
+  co_await writer.send(std::move(response));
+}
+
+Task<void> StandinStore::hang(http::ResponseWriter& writer) {
+  while (!writer.cancellation().requested())
+    co_await sleepFor(loop_, std::chrono::milliseconds(20));
+}
+
+std::string StandinStore::readRows(const std::string& target) const {
+  const std::string table = parameter(target, "table");
+  const std::string from = parameter(target, "from");
+  const std::string until = parameter(target, "targetVersion");
+  const std::string limit_text = parameter(target, "limit");
+  const std::size_t limit = limit_text.empty() ? 500 : std::stoul(limit_text);
+  std::string rows;
+  std::size_t count = 0;
+  bool more = false;
+  for (const auto& [key, row] : rows_) {
+    if (key.first != table || row.gone || key.second < from) continue;
+    if (!until.empty() && key.second >= until) continue;
+    if (count == limit) {
+      more = true;
+      break;
+    }
+    rows += (count++ > 0 ? "," : "") + rowJson(key, row);
+  }
+  return "{\"rows\":[" + rows + "],\"hasMore\":" + (more ? "true" : "false") +
+         ",\"ver\":" + std::to_string(version_) + ",\"now_ms\":1000}";
+}
+
+std::pair<unsigned, std::string> StandinStore::transact(const std::string& body) {
+  const json document = json::parse(body);
+  const auto keyOf = [](const json& entry) { return Key{entry["table"], entry["key"]}; };
+  const std::size_t entries =
+      document["expected"].size() + document["put"].size() + document["remove"].size();
+  if (entries > kMostEntries) return {400, "{}"};
+  bool holds = true;
+  std::string current;
+  for (const json& entry : document["expected"]) {
+    const Key key = keyOf(entry);
+    if (versionOf(key) != entry["ver"].get<std::uint64_t>()) holds = false;
+    if (versionOf(key) > 0) current += (current.empty() ? "" : ",") + rowJson(key, rows_.at(key));
+  }
+  if (!holds) {
+    return {412, "{\"rows\":[" + current + "],\"ver\":" + std::to_string(version_) + "}"};
+  }
+  ++version_;
+  ++writes_;
+  for (const json& entry : document["put"]) {
+    rows_[keyOf(entry)] = {*decodeBase64(entry["value"].get<std::string>()), version_, false};
+  }
+  for (const json& entry : document["remove"]) rows_[keyOf(entry)] = {"", version_, true};
+  changed_.notifyAll();
+  return {200, "{\"ver\":" + std::to_string(version_) + ",\"now_ms\":1000}"};
+}
+
+Task<void> StandinStore::handleFeed(std::string target, http::ResponseWriter& writer) {
+  const std::string table = parameter(target, "table");
+  const std::uint64_t after = std::stoull(parameter(target, "afterRev"));
+  const Instant until =
+      steadyNow() + std::chrono::milliseconds(std::stol(parameter(target, "waitMs")));
+  if (faults_.forget_history) {
+    faults_.forget_history = false;
+    co_await reply(writer, 410, "{}");
+    co_return;
+  }
+  for (;;) {
+    std::map<std::uint64_t, std::string> changes;
+    for (const auto& [key, row] : rows_) {
+      if (key.first == table && row.version > after)
+        changes[row.version * 1000 + changes.size()] = rowJson(key, row);
+    }
+    const Instant now = steadyNow();
+    if (!changes.empty() || now >= until) {
+      std::string rows;
+      for (const auto& [order, row] : changes) rows += (rows.empty() ? "" : ",") + row;
+      co_await reply(writer, 200,
+                     "{\"rows\":[" + rows + "],\"ver\":" + std::to_string(version_) + "}");
+      co_return;
+    }
+    co_await changed_.waitFor(until - now);
+    if (writer.cancellation().requested()) co_return;
+  }
+}
+
+Task<void> StandinStore::handle(http::Request& request, http::ResponseWriter& writer) {
+  const std::string target(request.target());
+  const std::string path = target.substr(0, target.find('?'));
+  if (faults_.silent) {
+    co_await hang(writer);
+    co_return;
+  }
+  if (faults_.refuse || faults_.rate_limit) {
+    co_await reply(writer, faults_.refuse ? 503 : 429, "{}");
+    co_return;
+  }
+  if (faults_.nonsense) {
+    co_await reply(writer, 200, "<html>");
+    co_return;
+  }
+  if (path == "/linenpier/rows-tx") {
+    if (faults_.delay_writes > 0) {
+      --faults_.delay_writes;
+      const std::string body = request.body();
+      spawn(loop_, [this, body]() -> Task<void> {
+        co_await sleepFor(loop_, kLate);
+        transact(body);
+      });
+      co_await hang(writer);
+      co_return;
+    }
+    auto [status, body] = transact(request.body());
+    if (faults_.lose_writes > 0) {
+      --faults_.lose_writes;
+      co_await hang(writer);
+      co_return;
+    }
+    co_await reply(writer, status, std::move(body));
+  } else if (path == "/linenpier/rows-get") {
+    std::string rows = readRows(target);
+    co_await reply(writer, 200, std::move(rows));
+  } else if (path == "/linenpier/rows-feed") {
+    co_await handleFeed(target, writer);
+  } else if (path.starts_with("/linenpier/blob-put/")) {
+    const bool fresh = objects_.emplace(path.substr(20), request.body()).second;
+    co_await reply(writer, fresh ? 200 : 412, "{}");
+  } else if (path.starts_with("/linenpier/blob-get/")) {
+    const auto at = objects_.find(path.substr(20));
+    std::string bytes = at == objects_.end() ? std::string() : at->second;
+    co_await reply(writer, at == objects_.end() ? 404 : 200, std::move(bytes));
+  } else {
+    co_await reply(writer, 404, "{}");
+  }
+}
+
+}  // namespace linenpier::test
--- /dev/null
+++ b/tests/versions/version_rollout_test.cpp
@@ -0,0 +1,151 @@
+#include "versions/version_rollout.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using engines::EngineState;
+using versions::LoadMode;
+using versions::OrderAnswer;
+using versions::VersionOrder;
+using versions::VersionRollout;
+
+namespace {
+
+const ModelName kModel("m");
+const ModelName kOtherModel("n");
+constexpr Instant kStart{std::chrono::seconds(100)};
+
+/// Engines of one service as the holder of its right sees them.
+struct Fixture {
+  std::vector<EngineState> states;
+  VersionRollout rollout{{}};
+
+  explicit Fixture(int count, WeightVersion version = 1) {
+    for (int i = 0; i < count; ++i) {
+      EngineState state;
+      state.record.id = EngineId("e" + std::to_string(i));
+      state.record.slots = 4;
+      state.record.models[kModel] = version;
+      state.record.models[kOtherModel] = version;
+      states.push_back(state);
+    }
+  }
+  std::vector<VersionOrder> tick(Instant now, const std::set<ModelName>& models = {kModel}) {
+    std::vector<const EngineState*> engines;
+    for (const EngineState& state : states) engines.push_back(&state);
+    return rollout.onTick(now, engines, models);
+  }
+  void reportAll(Instant now, std::uint32_t load = 0) {
+    for (const EngineState& state : states)
+      rollout.onReport(now, state.record.id, {0, false, load});
+  }
+};
+
+}  // namespace
+
+Test(version_rollout, nothing_is_ordered_before_the_engine_has_told_its_sequence) {
+  Fixture fixture(3);
+  fixture.rollout.onNamed(kStart, kModel, 2);
+  cr_assert(fixture.tick(kStart).empty());
+  cr_assert_eq(fixture.rollout.reportsWanted().size(), 3U);
+  fixture.reportAll(kStart);
+  const auto orders = fixture.tick(kStart);
+  cr_assert_eq(orders.size(), 1U, "a third of the engines at once");
+  cr_assert_eq(*orders[0].expected_sequence, 0U);
+}
+
+Test(version_rollout, engines_of_no_use_to_the_newest_step_load_at_once_two_at_a_time) {
+  Fixture fixture(4);
+  fixture.rollout.onNamed(kStart, kModel, 3);
+  fixture.reportAll(kStart, 4);
+  cr_assert_eq(fixture.tick(kStart).size(), 2U);
+  cr_assert(fixture.tick(kStart).empty(), "they count while they are being sent");
+}
+
+Test(version_rollout, busy_engines_wait_while_the_version_is_new) {
+  Fixture fixture(4);
+  fixture.rollout.onNamed(kStart, kModel, 2);
+  fixture.reportAll(kStart, 4);
+  cr_assert(fixture.tick(kStart).empty());
+  const Instant later = kStart + std::chrono::seconds(2);
+  fixture.reportAll(later, 4);
+  cr_assert_eq(fixture.tick(later).size(), 1U);
+}
+
+Test(version_rollout, runs_are_reset_only_where_the_others_have_room) {
+  Fixture fixture(4);
+  fixture.rollout.onNamed(kStart, kModel, 3);
+  fixture.reportAll(kStart, 1);
+  cr_assert_eq(fixture.tick(kStart).at(0).mode, LoadMode::kCancel);
+  Fixture full(4);
+  full.rollout.onNamed(kStart, kModel, 3);
+  full.reportAll(kStart, 4);
+  cr_assert_eq(full.tick(kStart).at(0).mode, LoadMode::kRetain);
+}
+
+Test(version_rollout, an_unanswered_order_is_sent_again_under_the_same_sequence) {
+  Fixture fixture(1);
+  fixture.rollout.onNamed(kStart, kModel, 2);
+  fixture.reportAll(kStart);
+  const VersionOrder first = fixture.tick(kStart).at(0);
+  fixture.rollout.onAnswer(kStart, first, OrderAnswer::kUnknown);
+  cr_assert(fixture.tick(kStart).empty());
+  const auto again = fixture.tick(kStart + std::chrono::seconds(1));
+  cr_assert_eq(again.at(0).expected_sequence, first.expected_sequence,
+               "so that at most one of both is carried out");
+}
+
+Test(version_rollout, the_engines_own_answer_counts_before_discovery_shows_it) {
+  Fixture fixture(1);
+  fixture.rollout.onNamed(kStart, kModel, 2);
+  fixture.reportAll(kStart);
+  const VersionOrder order = fixture.tick(kStart).at(0);
+  fixture.rollout.onAnswer(kStart, order, OrderAnswer::kUnderWay);
+  cr_assert(fixture.tick(kStart + std::chrono::seconds(2)).empty());
+  cr_assert_eq(fixture.tick(kStart + std::chrono::seconds(5)).size(), 1U,
+               "but not for ever: the engine may have come back old");
+}
+
+Test(version_rollout, a_fenced_holder_asks_anew_before_it_goes_on) {
+  Fixture fixture(1);
+  fixture.rollout.onNamed(kStart, kModel, 2);
+  fixture.reportAll(kStart);
+  fixture.rollout.onAnswer(kStart, fixture.tick(kStart).at(0), OrderAnswer::kFenced);
+  cr_assert(fixture.tick(kStart + std::chrono::seconds(3)).empty());
+  cr_assert_eq(fixture.rollout.reportsWanted().size(), 1U);
+}
+
+Test(engine_shares, each_model_has_its_engines_and_they_stay) {
+  Fixture fixture(9);
+  fixture.rollout.onNamed(kStart, kModel, 2);
+  versions::EngineShares shares;
+  std::vector<const EngineState*> engines;
+  for (const EngineState& state : fixture.states) engines.push_back(&state);
+  shares.update(engines, {kModel, kOtherModel}, {});
+  cr_assert_eq(shares.sizeOf(kModel) + shares.sizeOf(kOtherModel), 9U);
+  cr_assert(shares.sizeOf(kModel) >= 4 && shares.sizeOf(kModel) <= 5);
+  std::vector<bool> before;
+  for (const EngineState& state : fixture.states)
+    before.push_back(shares.isFor(state.record.id, kModel));
+  engines.pop_back();
+  shares.update(engines, {kModel, kOtherModel}, {});
+  int moved = 0;
+  for (std::size_t i = 0; i + 1 < fixture.states.size(); ++i) {
+    moved += shares.isFor(fixture.states[i].record.id, kModel) != before[i] ? 1 : 0;
+  }
+  cr_assert(moved <= 1, "%d moved", moved);
+}
+
+Test(engine_shares, a_new_holder_goes_on_with_what_the_engines_hold) {
+  Fixture fixture(4);
+  for (int i = 0; i < 2; ++i) fixture.states[static_cast<std::size_t>(i)].record.models[kModel] = 7;
+  for (int i = 2; i < 4; ++i) {
+    fixture.states[static_cast<std::size_t>(i)].record.models[kOtherModel] = 6;
+  }
+  std::vector<const EngineState*> engines;
+  for (const EngineState& state : fixture.states) engines.push_back(&state);
+  versions::EngineShares shares;
+  shares.update(engines, {kModel, kOtherModel}, {{kModel, 7}, {kOtherModel, 6}});
+  cr_assert(shares.isFor(EngineId("e0"), kModel));
+  cr_assert(shares.isFor(EngineId("e3"), kOtherModel));
+}
