--- a/tests/api/http_server_test.cpp
+++ b/tests/api/http_server_test.cpp
@@ -142,9 +142,9 @@
   void configure() {
     waitUntil([this] { return daemon_->node().status().ready; });
     ready_ = true;
-    putItem("template/basic", R"({"name":"basic","kind":"serving","max_tokens":100})");
-    putItem("tenant/firm", tenant("firm", "permits"));
-    putItem("tenant/waves", tenant("waves", "captions"));
+    putAccepted("template/basic", R"({"name":"basic","kind":"serving","max_tokens":100})");
+    putAccepted("tenant/firm", tenant("firm", "permits"));
+    putAccepted("tenant/waves", tenant("waves", "captions"));
     waitUntil([this] { return daemon_->config().get()->tenants.size() == 2; });
   }
   httplib::Client client() {
@@ -162,6 +162,14 @@
     return client().Put("/admin/" + key, {{"Authorization", std::string("Bearer ") + kOperatorKey}},
                         body.dump(), "application/json");
   }
+  /// An item that must be accepted at once; says what the daemon answered otherwise.
+  void putAccepted(const std::string& key, const std::string& document) {
+    const httplib::Result result = putItem(key, document);
+    cr_assert(static_cast<bool>(result), "%s: no answer: %s", key.c_str(),
+              httplib::to_string(result.error()).c_str());
+    cr_assert_eq(result->status, 200, "%s: %d %s", key.c_str(), result->status,
+                 result->body.c_str());
+  }
   template <typename Done>
   static void waitUntil(Done done) {
     for (int i = 0; i < 1000 && !done(); ++i) {
