Metrics on their own address, bounded request logs, and a trace command

Cause: a failed request could not be followed across daemons, and nothing counted. Change: counters and histograms by prometheus-cpp on the settings' metrics address; a line for each failed attempt with its inputs; successes in full up to a rate, then sampled and counted; linenpierctl trace puts an id's lines from many daemons into order, free of clock jumps.

--- a/apps/linenpier_gateway.cpp
+++ b/apps/linenpier_gateway.cpp
@@ -65,7 +65,11 @@
   http::ConnectionPool store_pool(loop, {});
   http::ConnectionPool engine_pool(loop, {});
   platform_adapter::Platform platform(store_pool, engine_pool, settings.store);
-  gateway::Gateway daemon(loop, settings, platform, engine_pool, Random::seedFromSystem());
+  metrics::GatewayMetrics metrics;
+  platform.store().setObserver([&metrics](const char* call, const char* result, Duration took) {
+    metrics.onStoreCall(call, result, took);
+  });
+  gateway::Gateway daemon(loop, settings, platform, engine_pool, metrics, Random::seedFromSystem());
   const Findings findings = daemon.start();
   if (!findings.empty()) {
     std::cerr << describe(findings) << "\n";
--- a/apps/linenpierctl.cpp
+++ b/apps/linenpierctl.cpp
@@ -4,10 +4,12 @@
 #include <docopt/docopt.h>
 
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "config/documents.h"
+#include "logging/trace_reader.h"
 #include "platform/http_call.h"
 #include "settings/settings.h"
 
@@ -26,6 +28,7 @@
   linenpierctl [options] status
   linenpierctl [options] explain REQUEST
   linenpierctl [options] check FILE
+  linenpierctl [options] trace ID [FILE...]
   linenpierctl --help
 
 Options:
@@ -34,6 +37,9 @@
   --from REVISION   The item's revision that the edit was made from; 0 for a new one [default: 0].
   --json            Print JSON.
 
+trace reads log files (or standard input) of many daemons and prints the way of one request, item or
+batch job in time order. It asks no daemon.
+
 Exit codes: 0 done, 1 refused (the daemon says why), 2 the file or arguments are wrong, 3 the daemon
 does not answer, 4 the edit conflicts with another one, 5 the outcome is unknown.
 )";
@@ -159,8 +165,32 @@
   return findings.empty() ? 0 : kExitWrong;
 }
 
+/// Prints the way of one id through the logs of many daemons.
+int trace(Arguments& arguments) {
+  logging::TraceReader reader;
+  const std::vector<std::string> files = arguments["FILE"].asStringList();
+  if (files.empty()) reader.read(std::cin);
+  for (const std::string& file : files) {
+    std::ifstream input(file);
+    if (!input) {
+      std::cerr << file << " cannot be read.\n";
+      return kExitWrong;
+    }
+    reader.read(input);
+  }
+  const logging::Trace found = reader.about(arguments["ID"].asString());
+  std::cout << (arguments["--json"].asBool() ? logging::toJson(found) : logging::toText(found));
+  return found.lines.empty() ? kExitRefused : 0;
+}
+
+/// @return the one file that the command names; docopt gives a list since another command takes it.
+std::string onlyFile(Arguments& arguments) {
+  return arguments["FILE"].asStringList().at(0);
+}
+
 int run(Arguments& arguments) {
-  if (arguments["check"].asBool()) return checkFile(arguments["FILE"].asString());
+  if (arguments["trace"].asBool()) return trace(arguments);
+  if (arguments["check"].asBool()) return checkFile(onlyFile(arguments));
   const auto address = parseAddress(arguments["--daemon"].asString());
   if (!address) {
     std::cerr << "--daemon must be an IP number and a port.\n";
@@ -182,10 +212,10 @@
   } else if (arguments["get"].asBool()) {
     reply = client.get("/admin/" + kind + "/" + arguments["NAME"].asString());
   } else {
-    const auto text = settings::readFile(arguments["FILE"].asString());
+    const auto text = settings::readFile(onlyFile(arguments));
     const json document = text ? json::parse(*text, nullptr, false) : json();
     if (!document.is_object()) {
-      std::cerr << arguments["FILE"].asString() << " is not a JSON object.\n";
+      std::cerr << onlyFile(arguments) << " is not a JSON object.\n";
       return kExitWrong;
     }
     const auto from = static_cast<Revision>(std::stoull(arguments["--from"].asString()));
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -234,6 +234,17 @@
   }
 }
 
+BatchService::Work BatchService::work() const {
+  Work work;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.active || job.active->stopped) continue;
+    ++work.jobs;
+    work.waiting += job.active->run.waiting();
+    work.running += job.active->run.running();
+  }
+  return work;
+}
+
 std::set<ModelName> BatchService::modelsInUse() const {
   std::set<ModelName> models;
   for (const auto& [id, job] : jobs_) {
@@ -456,6 +467,8 @@
   }
   const ItemState state = active.run.progress(item).state;
   if (state == ItemState::kFinished) active.finished.notifyAll();
+  const bool success = verdict == AttemptVerdict::kAnswered && status < 300;
+  if (success && !sampler_.admit(now)) return;
   LogEvent("batch", "attempt_ended")
       .text("batch", active.record.id.str())
       .text("item", active.run.job().items[item].id.str())
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -21,6 +21,7 @@
 #include "http/server.h"
 #include "lease/lease_keeper.h"
 #include "lease/lease_table.h"
+#include "logging/success_sampler.h"
 
 namespace linenpier::batch {
 
@@ -50,6 +51,10 @@
   std::size_t most_job_bytes = 64 * 1024 * 1024;  ///< Of all jobs owned.
 };
 
+/// Lines about finished items that a daemon writes in full each second, and one in how many then.
+inline constexpr std::uint32_t kFullLinesPerSecond = 60;
+inline constexpr std::uint32_t kThenOneIn = 10;
+
 struct BatchCounts {
   std::uint64_t accepted = 0;
   std::uint64_t refused = 0;
@@ -100,6 +105,13 @@
 
   const BatchCounts& counts() const { return counts_; }
   std::size_t jobCount() const { return jobs_.size(); }
+  /// Owned jobs under way and their items, for the metrics.
+  struct Work {
+    std::size_t jobs = 0;
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+  };
+  Work work() const;
 
  private:
   struct Active;
@@ -162,7 +174,7 @@
   std::map<JobId, Job> jobs_;
   BatchCounts counts_;
   bool stopping_ = false;
-  bool pump_due_ = false;
+  logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
 };
 
 }  // namespace linenpier::batch
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -92,7 +92,8 @@
 Task<void> Forwarder::serve(routing::RouteTablePtr table, const routing::Route& route,
                             const http::Request& request, Instant received,
                             http::ResponseWriter& writer) {
-  ForwardedRequest forwarded;
+  const auto shared = std::make_shared<ForwardedRequest>();
+  ForwardedRequest& forwarded = *shared;
   forwarded.table = std::move(table);
   forwarded.route = &route;
   forwarded.request = &request;
@@ -102,7 +103,7 @@
   if (route.kind == routing::RequestKind::kStreaming) {
     co_await serveStream(forwarded, writer);
   } else {
-    co_await servePlain(forwarded, writer);
+    co_await servePlain(shared, writer);
   }
 }
 
@@ -128,7 +129,8 @@
 }
 
 Task<void> Forwarder::runAttempt(std::shared_ptr<Race> race, std::shared_ptr<EngineCall> call,
-                                 Instant deadline) {
+                                 std::shared_ptr<ForwardedRequest> forwarded) {
+  const Instant deadline = forwarded->deadline;
   Race::Result result;
   result.engine = call->engine();
   AttemptLimits limits{steadyNow() + options_.connect_time, deadline};
@@ -142,25 +144,27 @@
       context_.registry.onPace(steadyNow(), call->engine(), steadyNow() - call->startedAt());
     }
   }
+  logAttempt(*forwarded, *call, result.verdict);
   std::erase(race->running, call);
   race->results.push_back(std::move(result));
   race->changed.notifyAll();
 }
 
-bool Forwarder::startAttempt(ForwardedRequest& forwarded, std::shared_ptr<Race> race) {
-  const engines::EngineState* engine = pickEngine(forwarded, race->tried);
+bool Forwarder::startAttempt(std::shared_ptr<ForwardedRequest> forwarded,
+                             std::shared_ptr<Race> race) {
+  const engines::EngineState* engine = pickEngine(*forwarded, race->tried);
   if (engine == nullptr) return false;
   race->tried.insert(engine->record.id);
-  ++counts_.attempts;
   const auto call =
-      std::make_shared<EngineCall>(context_, *engine, outgoing(forwarded, steadyNow()));
+      std::make_shared<EngineCall>(context_, *engine, outgoing(*forwarded, steadyNow()));
   race->running.push_back(call);
-  const Instant deadline = forwarded.deadline;
-  spawn(loop_, [this, race, call, deadline] { return runAttempt(race, call, deadline); });
+  spawn(loop_, [this, race, call, forwarded] { return runAttempt(race, call, forwarded); });
   return true;
 }
 
-Task<void> Forwarder::servePlain(ForwardedRequest& forwarded, http::ResponseWriter& writer) {
+Task<void> Forwarder::servePlain(std::shared_ptr<ForwardedRequest> shared,
+                                 http::ResponseWriter& writer) {
+  ForwardedRequest& forwarded = *shared;
   const auto race = std::make_shared<Race>(loop_);
   AttemptPolicy policy(*forwarded.route, forwarded.deadline);
   writer.cancellation().onRequest([race] { race->changed.notifyAll(); });
@@ -180,7 +184,7 @@
     if (now >= forwarded.deadline) break;
     bool exhausted = false;
     if (policy.mayStart(now)) {
-      exhausted = !startAttempt(forwarded, race);
+      exhausted = !startAttempt(shared, race);
       if (!exhausted) policy.onStarted(now);
     }
     if (policy.running() == 0) break;
@@ -191,7 +195,6 @@
   race->abortAll();
   writer.cancellation().onRequest(nullptr);
   if (writer.cancellation().requested()) {
-    ++counts_.client_gone;
     logEnd(forwarded, "client_gone", 0, policy);
     co_return;
   }
@@ -201,16 +204,12 @@
     co_await answerFinally(forwarded, final_answer, writer);
     co_return;
   }
-  ++counts_.answered;
   logEnd(forwarded, "answered", answer->response.result_int(), policy);
   co_await writer.send(std::move(answer->response));
 }
 
 Task<void> Forwarder::answerFinally(ForwardedRequest& forwarded, FinalAnswer answer,
                                     http::ResponseWriter& writer) {
-  if (answer == FinalAnswer::kRefused) ++counts_.refused;
-  if (answer == FinalAnswer::kUnknown) ++counts_.unknown;
-  if (answer == FinalAnswer::kOutOfTime) ++counts_.out_of_time;
   http::Response response = ownAnswer(statusOf(answer), forwarded.id);
   co_await writer.send(std::move(response));
 }
@@ -242,12 +241,11 @@
       request.set(context_.names.last_event_id, std::to_string(*state.last_event));
     running = std::make_shared<EngineCall>(context_, *engine, std::move(request));
     policy.onStarted(now);
-    ++counts_.attempts;
     const AttemptVerdict verdict = co_await relay(forwarded, *running, state, writer);
+    logAttempt(forwarded, *running, verdict);
     policy.onEnded(verdict);
     if (verdict == AttemptVerdict::kAnswered) {
       writer.cancellation().onRequest(nullptr);
-      ++counts_.answered;
       logEnd(forwarded, "answered", running->status(), policy);
       co_return;
     }
@@ -257,12 +255,10 @@
   writer.cancellation().onRequest(nullptr);
   running.reset();
   if (writer.cancellation().requested()) {
-    ++counts_.client_gone;
     logEnd(forwarded, "client_gone", 0, policy);
     co_return;
   }
   if (state.head_sent) {
-    ++counts_.unknown;
     logEnd(forwarded, "broken_off", 0, policy);
     writer.breakOff();
     co_return;
@@ -327,17 +323,48 @@
   co_return AttemptVerdict::kAnswered;
 }
 
+void Forwarder::logAttempt(const ForwardedRequest& forwarded, EngineCall& call,
+                           AttemptVerdict verdict) {
+  const engines::EngineState* engine = context_.registry.find(call.engine());
+  const std::string service = engine == nullptr ? "gone" : engine->record.service.str();
+  metrics_.onAttemptEnded(service, toText(verdict));
+  // What went well stands in the request's own line.
+  if (verdict == AttemptVerdict::kAnswered) return;
+  logging::LogEvent event("forward", "attempt_ended");
+  event.text("request", forwarded.id)
+      .text("engine", call.engine().str())
+      .text("service", service)
+      .text("verdict", toText(verdict))
+      .milliseconds("took_ms", steadyNow() - call.startedAt());
+  if (engine != nullptr) {
+    event.number("in_flight", engine->in_flight)
+        .real("others", engine->others)
+        .milliseconds("load_age_ms", steadyNow() - engine->load_at)
+        .number("failures", engine->failures);
+  }
+}
+
 void Forwarder::logEnd(const ForwardedRequest& forwarded, const char* outcome, unsigned status,
-                       const AttemptPolicy& policy) const {
-  logging::LogEvent("forward", "request_ended")
-      .text("request", forwarded.id)
+                       const AttemptPolicy& policy) {
+  const Instant now = steadyNow();
+  const Duration took = now - forwarded.received;
+  metrics_.onRequestEnded(routing::toText(forwarded.route->kind),
+                          forwarded.route->services.front().service.str(), outcome,
+                          policy.started(), took);
+  const bool success = status >= 200 && status < 300;
+  if (success && !sampler_.admit(now)) return;
+  logging::LogEvent event("forward", "request_ended");
+  event.text("request", forwarded.id)
       .text("route", forwarded.route->name.str())
       .number("config", static_cast<std::int64_t>(forwarded.table->version))
       .text("outcome", outcome)
       .number("status", status)
       .number("attempts", policy.started())
-      .milliseconds("took_ms", steadyNow() - forwarded.received)
-      .milliseconds("left_ms", forwarded.deadline - steadyNow());
+      .milliseconds("took_ms", took)
+      .milliseconds("left_ms", forwarded.deadline - now);
+  if (const auto skipped = sampler_.takeSkipped()) {
+    event.number("successes_not_written", static_cast<std::int64_t>(skipped));
+  }
 }
 
 }  // namespace linenpier::forward
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,17 +34,19 @@
 }  // namespace
 
 Gateway::Gateway(boost::asio::io_context& loop, const GatewaySettings& settings,
-                 PlatformPort& platform, http::ConnectionPool& engine_pool, std::uint64_t seed)
+                 PlatformPort& platform, http::ConnectionPool& engine_pool,
+                 metrics::GatewayMetrics& metrics, std::uint64_t seed)
     : loop_(loop),
       settings_(settings),
       platform_(platform),
       engine_pool_(engine_pool),
+      metrics_(metrics),
       registry_(settings.zone, {}, seed),
       dealer_(seed),
       leases_(lease::makeLeaseId(settings.id.str(), Random(seed).hex16()), {}, steadyNow()),
       keeper_(loop, platform.table(), leases_),
       job_store_(platform.table(), platform.objects(), settings.row_bytes - kRowOverhead),
-      forwarder_(loop, {engine_pool, registry_, platform.fieldNames()}, dealer_, {}),
+      forwarder_(loop, {engine_pool, registry_, platform.fieldNames()}, dealer_, metrics, {}),
       batches_({loop,
                 {engine_pool, registry_, platform.fieldNames()},
                 job_store_,
@@ -61,8 +63,12 @@
                 [this](http::Request& request, Instant received, http::ResponseWriter& writer) {
                   return handle(request, received, writer);
                 }),
-      readiness_(loop, [this](http::Request& request, Instant, http::ResponseWriter& writer) {
-        return handleReadiness(request, writer);
+      readiness_(loop,
+                 [this](http::Request& request, Instant, http::ResponseWriter& writer) {
+                   return handleReadiness(request, writer);
+                 }),
+      metrics_server_(loop, [this](http::Request&, Instant, http::ResponseWriter& writer) {
+        return handleMetrics(writer);
       }) {}
 
 Findings Gateway::start() {
@@ -70,6 +76,12 @@
   if (const auto finding = requests_.listen(settings_.requests)) findings.push_back(*finding);
   if (const auto finding = readiness_.listen(settings_.readiness)) findings.push_back(*finding);
   if (!findings.empty()) return findings;
+  if (settings_.metrics) {
+    // Metrics are worth less than service: without their address the daemon serves on.
+    if (const auto finding = metrics_server_.listen(*settings_.metrics)) {
+      LogEvent("gateway", "metrics_unavailable").text("findings", describe({*finding}));
+    }
+  }
   watchTables();
   keeper_.start([this] { return batches_.ownsAny() || orders_.holdsAny(); });
   batches_.start();
@@ -215,6 +227,55 @@
   co_await writer.send(std::move(response));
 }
 
+metrics::GatewayState Gateway::state() const {
+  metrics::GatewayState state;
+  const Instant now = steadyNow();
+  state.config_version = routes_ ? routes_->version : 0;
+  const std::map<std::string, const table::TableWatcher*> watchers = {
+      {"operator", operator_watcher_.get()},
+      {"engines", engine_watcher_.get()},
+      {"coordination", coordination_watcher_.get()}};
+  for (const auto& [name, watcher] : watchers) {
+    state.feeds_healthy[name] = watcher->healthy();
+    state.feed_ages[name] = watcher->read() ? toSeconds(now - watcher->lastAnswer()) : -1;
+  }
+  for (const auto& [id, engine] : registry_.all()) {
+    auto& states = state.engines[engine.record.service.str()];
+    const char* name = engine.record.draining       ? "draining"
+                       : now < engine.ejected_until ? "ejected"
+                                                    : "usable";
+    ++states[name];
+  }
+  const batch::BatchService::Work work = batches_.work();
+  state.jobs_known = batches_.jobCount();
+  state.jobs_owned = work.jobs;
+  state.items_waiting = work.waiting;
+  state.items_running = work.running;
+  state.client_connections = requests_.connections();
+  state.requests_in_progress = requests_.busy();
+  state.engine_connections_opened = engine_pool_.opened();
+  state.log_lines_dropped = logging::droppedLines();
+  state.lease_valid = keeper_.valid(now);
+  state.order_rights_held = orders_.rightsHeld();
+  state.orders_sent = orders_.counts().sent;
+  state.orders_unanswered = orders_.counts().unanswered;
+  const batch::BatchCounts& counts = batches_.counts();
+  state.items_completed = counts.completed;
+  state.items_terminated = counts.terminated;
+  state.item_attempts = counts.attempts;
+  state.jobs_accepted = counts.accepted;
+  state.jobs_refused = counts.refused;
+  state.jobs_taken_over = counts.taken_over;
+  return state;
+}
+
+Task<void> Gateway::handleMetrics(http::ResponseWriter& writer) {
+  http::Response response;
+  response.set(boost::beast::http::field::content_type, "text/plain; version=0.0.4");
+  response.body() = metrics_.render(state());
+  co_await writer.send(std::move(response));
+}
+
 Task<void> Gateway::handleBatchCall(const BatchCall& call, http::ResponseWriter& writer) {
   switch (call.kind) {
     case BatchCall::Kind::kReadResults:
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "forward/forwarder.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/platform_port.h"
+#include "metrics/gateway_metrics.h"
 #include "table/table_watcher.h"
 
 namespace linenpier::gateway {
@@ -18,7 +19,7 @@
  public:
   /// @param engine_pool connections to engines.
   Gateway(boost::asio::io_context& loop, const GatewaySettings& settings, PlatformPort& platform,
-          http::ConnectionPool& engine_pool, std::uint64_t seed);
+          http::ConnectionPool& engine_pool, metrics::GatewayMetrics& metrics, std::uint64_t seed);
 
   /// Listens and begins to follow the store. @return what is wrong, if anything.
   Findings start();
@@ -28,12 +29,15 @@
   bool ready() const;
   bool stopping() const { return stopping_; }
   Address requestAddress() const { return requests_.address(); }
+  Address metricsAddress() const { return metrics_server_.address(); }
   Address readinessAddress() const { return readiness_.address(); }
 
  private:
   Task<void> handle(http::Request& request, Instant received, http::ResponseWriter& writer);
   Task<void> handleBatchCall(const BatchCall& call, http::ResponseWriter& writer);
   Task<void> handleReadiness(http::Request& request, http::ResponseWriter& writer);
+  Task<void> handleMetrics(http::ResponseWriter& writer);
+  metrics::GatewayState state() const;
   Task<void> stopInOrder();
   Task<void> sweepLoop();
   void watchTables();
@@ -47,6 +51,7 @@
   GatewaySettings settings_;
   PlatformPort& platform_;
   http::ConnectionPool& engine_pool_;
+  metrics::GatewayMetrics& metrics_;
   engines::EngineRegistry registry_;
   routing::RouteTablePtr routes_;  ///< The newest seen in this life; empty before the first.
   routing::WeightedDealer dealer_;
@@ -58,6 +63,7 @@
   versions::OrderService orders_;
   http::Server requests_;
   http::Server readiness_;
+  http::Server metrics_server_;
   std::unique_ptr<table::TableWatcher> operator_watcher_;
   std::unique_ptr<table::TableWatcher> engine_watcher_;
   std::unique_ptr<table::TableWatcher> coordination_watcher_;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -29,6 +29,9 @@
   reader.readString("daemon.zone", zone, true);
   reader.readAddress("listen.requests", settings.requests, true);
   reader.readAddress("listen.readiness", settings.readiness, true);
+  Address metrics;
+  reader.readAddress("listen.metrics", metrics, false);
+  if (metrics.port != 0) settings.metrics = metrics;
   reader.readAddress("store.address", settings.store, true);
   reader.readInteger("store.row_bytes", row_bytes, 1024, 64 * 1024 * 1024);
   reader.readNumber("stop.seconds", stop_seconds, 1, 3600);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 /// @file
 /// Settings of the gateway: TOML under the product's own names.
 
+#include <optional>
 #include <string>
 
 #include "batch/batch_service.h"
@@ -17,8 +18,9 @@
 struct GatewaySettings {
   DaemonId id;
   ZoneName zone;
-  Address requests;   ///< Where clients connect.
-  Address readiness;  ///< Where the platform asks whether this daemon is ready.
+  Address requests;                ///< Where clients connect.
+  Address readiness;               ///< Where the platform asks whether this daemon is ready.
+  std::optional<Address> metrics;  ///< Where metrics are told; absent: nowhere.
   Address store;
   std::size_t row_bytes = 65536;                   ///< Largest value of a row.
   Duration stop_limit = std::chrono::seconds(8);   ///< From the signal to the end.
--- /dev/null
+++ b/src/metrics/gateway_metrics.cpp
@@ -0,0 +1,134 @@
+#include "metrics/gateway_metrics.h"
+
+#include <prometheus/text_serializer.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace linenpier::metrics {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kLatencyBuckets = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10};
+const prometheus::Histogram::BucketBoundaries kStoreBuckets = {0.005, 0.01, 0.025, 0.05, 0.1,
+                                                               0.25,  0.5,  1,     2.5};
+
+double residentBytes() {
+  std::ifstream statistics("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  statistics >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+double processorSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : requests_(prometheus::BuildCounter()
+                    .Name("linenpier_requests_total")
+                    .Help("Client requests by route kind, service and outcome.")
+                    .Register(registry_)),
+      attempts_(prometheus::BuildCounter()
+                    .Name("linenpier_attempts_total")
+                    .Help("Attempts at engines by service and verdict.")
+                    .Register(registry_)),
+      latency_(prometheus::BuildHistogram()
+                   .Name("linenpier_request_duration_seconds")
+                   .Help("From a request read to its answer, by outcome and attempts.")
+                   .Register(registry_)),
+      store_calls_(prometheus::BuildCounter()
+                       .Name("linenpier_store_calls_total")
+                       .Help("Calls to the store by kind and result.")
+                       .Register(registry_)),
+      store_latency_(prometheus::BuildHistogram()
+                         .Name("linenpier_store_call_duration_seconds")
+                         .Help("Duration of calls to the store, waiting feeds left out.")
+                         .Register(registry_)) {}
+
+void GatewayMetrics::onRequestEnded(const std::string& kind, const std::string& service,
+                                    const std::string& outcome, int attempts, Duration took) {
+  requests_.Add({{"kind", kind}, {"service", service}, {"outcome", outcome}}).Increment();
+  latency_.Add({{"outcome", outcome}, {"attempts", std::to_string(attempts)}}, kLatencyBuckets)
+      .Observe(toSeconds(took));
+}
+
+void GatewayMetrics::onAttemptEnded(const std::string& service, const std::string& verdict) {
+  attempts_.Add({{"service", service}, {"verdict", verdict}}).Increment();
+}
+
+void GatewayMetrics::onStoreCall(const std::string& call, const std::string& result,
+                                 Duration took) {
+  store_calls_.Add({{"call", call}, {"result", result}}).Increment();
+  if (call != "watch") {
+    store_latency_.Add({{"call", call}}, kStoreBuckets).Observe(toSeconds(took));
+  }
+}
+
+void GatewayMetrics::set(const std::string& name, const std::string& help, double value,
+                         const std::map<std::string, std::string>& labels) {
+  auto& family = gauges_[name];
+  if (family == nullptr) {
+    family = &prometheus::BuildGauge().Name("linenpier_" + name).Help(help).Register(registry_);
+  }
+  family->Add(labels).Set(value);
+}
+
+void GatewayMetrics::setProcessMetrics() {
+  set("process_resident_bytes", "Resident memory.", residentBytes());
+  set("process_cpu_seconds", "Processor time used.", processorSeconds());
+}
+
+std::string GatewayMetrics::render(const GatewayState& state) {
+  const auto number = [](auto value) { return static_cast<double>(value); };
+  set("config_version", "Version of the configuration in force; 0: none.",
+      number(state.config_version));
+  for (const auto& [table, healthy] : state.feeds_healthy) {
+    set("feed_healthy", "Whether the feed of a store table works.", healthy ? 1 : 0,
+        {{"table", table}});
+  }
+  for (const auto& [table, age] : state.feed_ages) {
+    set("feed_age_seconds", "Since the store last answered for a table.", age, {{"table", table}});
+  }
+  for (const auto& [service, states] : state.engines) {
+    for (const auto& [name, count] : states) {
+      set("engines", "Engines by service and state.", count,
+          {{"service", service}, {"state", name}});
+    }
+  }
+  set("jobs_known", "Batch jobs known.", number(state.jobs_known));
+  set("jobs_owned", "Batch jobs owned and under way.", number(state.jobs_owned));
+  set("items_waiting", "Items of owned jobs that wait for an engine.", number(state.items_waiting));
+  set("items_running", "Items of owned jobs that run.", number(state.items_running));
+  set("client_connections", "Open client connections.", number(state.client_connections));
+  set("requests_in_progress", "Requests being read or answered.",
+      number(state.requests_in_progress));
+  set("engine_connections_opened", "Connections opened to engines, ever.",
+      number(state.engine_connections_opened));
+  set("log_lines_dropped", "Log lines dropped, ever.", number(state.log_lines_dropped));
+  set("lease_valid", "Whether this daemon may act under what it owns.", state.lease_valid ? 1 : 0);
+  set("order_rights_held", "Services whose engines this daemon orders.",
+      number(state.order_rights_held));
+  set("orders_sent", "Orders sent to engines, ever.", number(state.orders_sent));
+  set("orders_unanswered", "Orders without an answer, ever.", number(state.orders_unanswered));
+  set("items_completed", "Results listed as completed, ever.", number(state.items_completed));
+  set("items_terminated", "Results listed as terminated, ever.", number(state.items_terminated));
+  set("item_attempts", "Attempts for items, ever.", number(state.item_attempts));
+  set("jobs_accepted", "Jobs accepted, ever.", number(state.jobs_accepted));
+  set("jobs_refused", "Jobs refused, ever.", number(state.jobs_refused));
+  set("jobs_taken_over", "Jobs taken over from others, ever.", number(state.jobs_taken_over));
+  setProcessMetrics();
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace linenpier::metrics
--- /dev/null
+++ b/src/metrics/gateway_metrics.h
@@ -0,0 +1,72 @@
+#pragma once
+
+/// @file
+/// The gateway's metrics in Prometheus text. Names and meanings stand in docs/OPERATIONS.md.
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+
+#include "common/time.h"
+
+namespace linenpier::metrics {
+
+/// State at the moment of a scrape.
+struct GatewayState {
+  std::uint64_t config_version = 0;
+  std::map<std::string, bool> feeds_healthy;  ///< By table.
+  std::map<std::string, double> feed_ages;    ///< Seconds since the store's last answer.
+  std::map<std::string, std::map<std::string, int>> engines;  ///< By service, by state.
+  std::size_t jobs_known = 0;
+  std::size_t jobs_owned = 0;
+  std::size_t items_waiting = 0;
+  std::size_t items_running = 0;
+  std::size_t client_connections = 0;
+  std::size_t requests_in_progress = 0;
+  std::uint64_t engine_connections_opened = 0;
+  std::uint64_t log_lines_dropped = 0;
+  bool lease_valid = false;
+  std::size_t order_rights_held = 0;
+  std::uint64_t orders_sent = 0;
+  std::uint64_t orders_unanswered = 0;
+  std::uint64_t items_completed = 0;
+  std::uint64_t items_terminated = 0;
+  std::uint64_t jobs_accepted = 0;
+  std::uint64_t jobs_refused = 0;
+  std::uint64_t jobs_taken_over = 0;
+  std::uint64_t item_attempts = 0;
+};
+
+/// Loop thread only.
+class GatewayMetrics {
+ public:
+  GatewayMetrics();
+
+  /// @param kind of route, such as "idempotent".
+  void onRequestEnded(const std::string& kind, const std::string& service,
+                      const std::string& outcome, int attempts, Duration took);
+  void onAttemptEnded(const std::string& service, const std::string& verdict);
+  /// @param call such as "write", "read", "watch".
+  void onStoreCall(const std::string& call, const std::string& result, Duration took);
+  /// @return the text of all metrics.
+  std::string render(const GatewayState& state);
+
+ private:
+  void set(const std::string& name, const std::string& help, double value,
+           const std::map<std::string, std::string>& labels = {});
+  void setProcessMetrics();
+
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Counter>& attempts_;
+  prometheus::Family<prometheus::Histogram>& latency_;
+  prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Family<prometheus::Histogram>& store_latency_;
+  std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges_;
+};
+
+}  // namespace linenpier::metrics
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -6,6 +6,20 @@
 
 namespace linenpier::routing {
 
+const char* toText(RequestKind kind) {
+  switch (kind) {
+    case RequestKind::kIdempotent:
+      return "idempotent";
+    case RequestKind::kNonIdempotent:
+      return "non_idempotent";
+    case RequestKind::kStreaming:
+      return "streaming";
+    case RequestKind::kBatch:
+      return "batch";
+  }
+  return "unknown";
+}
+
 const Route* RouteTable::find(const std::string& host, const std::string& path) const {
   const std::string host_name = host.substr(0, host.find(':'));
   const Route* best = nullptr;
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -27,6 +27,9 @@
   kBatch,          ///< Batch jobs are handed in under this route.
 };
 
+/// @return the kind as logs and metrics name it.
+const char* toText(RequestKind kind);
+
 struct WeightedService {
   ServiceName service;
   std::uint32_t weight = 1;
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -72,9 +72,9 @@
   return right.revision > 0 && right.owner == deps_.leases.own();
 }
 
-bool OrderService::holdsAny() const {
-  return std::any_of(rights_.begin(), rights_.end(),
-                     [this](const auto& each) { return held(*each.second); });
+std::size_t OrderService::rightsHeld() const {
+  return static_cast<std::size_t>(std::count_if(
+      rights_.begin(), rights_.end(), [this](const auto& each) { return held(*each.second); }));
 }
 
 void OrderService::onNamed(const ModelName& model, WeightVersion version) {
--- a/src/versions/order_service.h
+++ b/src/versions/order_service.h
@@ -61,7 +61,8 @@
   void onRightGone(const routing::ServiceName& service);
   /// The table was read and other rows of it are about to be told: unless told, there is no row.
   void onTableRead() { table_read_ = true; }
-  bool holdsAny() const;
+  bool holdsAny() const { return rightsHeld() > 0; }
+  std::size_t rightsHeld() const;
   /// Gives up every right.
   Task<void> handOver();
   const OrderCounts& counts() const { return counts_; }
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -18,6 +18,7 @@
   settings.zone = ZoneName("z");
   settings.requests = {0x7f000001, 0};
   settings.readiness = {0x7f000001, 0};
+  settings.metrics = Address{0x7f000001, 0};
   settings.store = store;
   return settings;
 }
@@ -29,7 +30,8 @@
     : store_pool(loop, {}),
       engine_pool(loop, {}),
       platform(store_pool, engine_pool, store),
-      gateway(loop, settingsOf(store, name), platform, engine_pool, Random::seedFromSystem()) {
+      gateway(loop, settingsOf(store, name), platform, engine_pool, metrics,
+              Random::seedFromSystem()) {
   cr_assert(gateway.start().empty());
 }
 
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -26,6 +26,7 @@
   http::ConnectionPool store_pool;
   http::ConnectionPool engine_pool;
   platform_adapter::Platform platform;
+  metrics::GatewayMetrics metrics;
   gateway::Gateway gateway;
 };
 
