--- /dev/null
+++ b/spec/job_log.pml
@@ -0,0 +1,136 @@
+/* Results of a batch job at positions that never change (src/batch/job_store, batch_service).
+ *
+ * Two daemons may own the job one after the other; the second may claim it at any time, and the first
+ * may go on believing that it owns it. A claim raises the revision of the job's row; that revision is
+ * the owner's fence. A result is written at the next position under two conditions: the row has the
+ * owner's revision, and the position is empty. A write may be done and answered, done and not answered,
+ * refused, or done late: at any later moment, if its conditions still hold. After a write without an
+ * answer the owner sends the same write again until the store has settled it. A conflict while the row
+ * still has the owner's revision means that the owner's own write stands there. Readers are shown what
+ * the owner takes for listed, or what is stored.
+ *
+ * Bounds: 2 daemons, 1 claim each, 2 items, 2 positions, 1 late write at a time, 3 losses.
+ * Properties: STABLE   a position that a reader was shown never shows anything else;
+ *             ONCE     no item stands at two positions.
+ * Mutants:    NO_ROW_CONDITION (results are written without the row's revision), RETRY_OTHER (after a
+ *             write without an answer the owner goes on with another item), SHOW_EARLY (the owner shows
+ *             a result before it is stored).
+ */
+#define ITEMS 2
+#define POSITIONS 2
+
+byte revision = 1;            /* of the job's row */
+byte slot[POSITIONS];         /* 0: empty, else item + 1 */
+byte shown[POSITIONS];        /* what some reader was shown, 0: nothing yet */
+byte losses_left = 3;
+bool late = false;            /* a write that may be done later */
+byte late_revision, late_position, late_item;
+
+inline present(where, what) {
+  assert(shown[where] == 0 || shown[where] == what);                       /* STABLE */
+  shown[where] = what
+}
+
+inline store(fence, where, what) {
+#ifdef NO_ROW_CONDITION
+  if
+  :: slot[where] == 0 ->
+#else
+  if
+  :: revision == fence && slot[where] == 0 ->
+#endif
+     slot[where] = what + 1;
+     assert(slot[0] == 0 || slot[0] != slot[1])                            /* ONCE */
+  :: else -> skip
+  fi
+}
+
+proctype Daemon() {
+  byte fence, listed, item, other;
+  bool settled, conflict, mine;
+  byte done = 0;                                     /* items listed, a bit each */
+  atomic { revision++; fence = revision };           /* the claim */
+  atomic {                                           /* what is listed already */
+    do
+    :: listed < POSITIONS && slot[listed] != 0 ->
+       done = done | (1 << (slot[listed] - 1));
+       listed++
+    :: else -> break
+    od
+  };
+  do
+  :: listed < POSITIONS && done != 3 ->
+     if
+     :: !(done & 1) -> item = 0
+     :: !(done & 2) -> item = 1
+     fi;
+     settled = false;
+     do
+     :: settled -> break
+     :: !settled ->
+#ifdef SHOW_EARLY
+        atomic { present(listed, item + 1) };
+#endif
+        if
+        :: atomic {                                  /* answered */
+             mine = (revision == fence);
+             conflict = !(mine && slot[listed] == 0);
+             store(fence, listed, item)
+           };
+           if
+           :: !mine -> goto lost
+           :: mine ->
+              settled = true;
+              atomic { present(listed, item + 1) };     /* a reader at the owner */
+              done = done | (1 << item);
+              listed++
+           fi
+        :: losses_left > 0 ->                        /* done, not answered */
+           atomic { losses_left--; store(fence, listed, item) };
+#ifdef RETRY_OTHER
+           if
+           :: !(done & 1) && item == 1 -> item = 0
+           :: !(done & 2) && item == 0 -> item = 1
+           :: else -> skip
+           fi
+#endif
+        :: losses_left > 0 && !late ->               /* done later, perhaps */
+           atomic {
+             losses_left--;
+             late = true;
+             late_revision = fence;
+             late_position = listed;
+             late_item = item
+           };
+#ifdef RETRY_OTHER
+           if
+           :: !(done & 1) && item == 1 -> item = 0
+           :: !(done & 2) && item == 0 -> item = 1
+           :: else -> skip
+           fi
+#endif
+        :: losses_left > 0 -> losses_left--          /* refused */
+        fi
+     od
+  :: else -> break
+  od;
+lost: skip
+}
+
+active proctype Late() {
+  do
+  :: atomic { late -> store(late_revision, late_position, late_item); late = false }
+  :: timeout -> break
+  od
+}
+
+active proctype Reader() {                           /* a reader at another daemon */
+  byte position;
+  do
+  :: atomic { position = 0; if :: slot[0] != 0 -> present(0, slot[0]) :: else -> skip fi }
+  :: atomic { position = 1; if :: slot[1] != 0 -> present(1, slot[1]) :: else -> skip fi }
+  :: break
+  od
+}
+
+init { atomic { run Daemon(); run Daemon() } }
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -495,7 +495,13 @@
   const std::uint64_t number = ++active->checkpoints;
   const FencedAnswer answer = co_await deps_.store.putCheckpoint(active->record.id, active->fence,
                                                                  number, std::move(checkpoint));
-  if (answer.outcome != FencedOutcome::kDone) active->checkpoint_events = 0;
+  const bool done = answer.outcome == FencedOutcome::kDone;
+  if (!done) active->checkpoint_events = 0;
+  LogEvent("batch", "checkpoint")
+      .text("batch", active->record.id.str())
+      .number("number", static_cast<std::int64_t>(number))
+      .number("events", static_cast<std::int64_t>(events))
+      .text("outcome", done ? "done" : "not_done");
 }
 
 Task<void> BatchService::checkpointLoop(ActivePtr active) {
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -32,11 +32,11 @@
   Duration event_gap = std::chrono::milliseconds(1200);  ///< Between two events.
   Duration refused_pause = std::chrono::milliseconds(40);
   Duration broken_pause{};
-  Duration list_gap = std::chrono::milliseconds(120);  ///< Between two writes of results.
-  Duration checkpoint_gap = std::chrono::milliseconds(900);
+  Duration list_gap = std::chrono::milliseconds(60);  ///< Between two writes of results.
+  Duration checkpoint_gap = std::chrono::milliseconds(500);
   std::uint64_t checkpoint_events = 10;  ///< Fewer new ones are not worth a checkpoint.
   Duration store_pause = std::chrono::milliseconds(150);  ///< Before a write is sent again.
-  Duration poll_gap = std::chrono::milliseconds(200);     ///< Of a reader that waits for results.
+  Duration poll_gap = std::chrono::milliseconds(100);     ///< Of a reader that waits for results.
   Duration accept_time = std::chrono::milliseconds(2500);
   Duration end_time = std::chrono::milliseconds(3500);
   Duration keep_ended = std::chrono::seconds(3);  ///< Results of an ended job in memory.
