Let daemons that cannot reach the store be told by others

Cause: a daemon that starts while the store is away was not ready until it came back, and a daemon that is cut off kept an old configuration. Ruled out: asking every peer (only seeds are known, which is enough). Change: what a daemon acts on is told on the control address; one that lost its feeds asks a seed every 0.3 s and takes only what is newer. Never a 404 on a peer's word.

--- a/src/common/task.h
+++ b/src/common/task.h
@@ -24,7 +24,7 @@
 /// Runs `task` on the loop on its own. An exception that escapes it is logged, never fatal.
 template <typename Function>
 void spawn(boost::asio::io_context& loop, Function function) {
-  boost::asio::co_spawn(loop, std::move(function), [](std::exception_ptr error) {
+  boost::asio::co_spawn(loop, std::move(function), [](const std::exception_ptr& error) {
     if (!error) return;
     try {
       std::rethrow_exception(error);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,8 @@
 /// Until the platform has seen that this daemon is not ready and sends nobody new.
 constexpr Duration kLeaveNotice = std::chrono::milliseconds(3200);
 constexpr Duration kStopSlack = std::chrono::milliseconds(900);
+constexpr Duration kPeerPeriod = std::chrono::milliseconds(300);
+constexpr Duration kPeerCallTime = std::chrono::milliseconds(300);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 /// Part of a row that its key and encoding may take.
 constexpr std::size_t kRowOverhead = 1024;
@@ -67,8 +69,10 @@
                  [this](http::Request& request, Instant, http::ResponseWriter& writer) {
                    return handleReadiness(request, writer);
                  }),
-      metrics_server_(loop, [this](http::Request&, Instant, http::ResponseWriter& writer) {
-        return handleMetrics(writer);
+      metrics_server_(loop, [this](http::Request&, Instant,
+                                   http::ResponseWriter& writer) { return handleMetrics(writer); }),
+      peer_server_(loop, [this](http::Request&, Instant, http::ResponseWriter& writer) {
+        return handlePeer(writer);
       }) {}
 
 Findings Gateway::start() {
@@ -82,7 +86,13 @@
       LogEvent("gateway", "metrics_unavailable").text("findings", describe({*finding}));
     }
   }
+  if (settings_.peers) {
+    if (const auto finding = peer_server_.listen(*settings_.peers)) {
+      LogEvent("gateway", "peers_unavailable").text("findings", describe({*finding}));
+    }
+  }
   watchTables();
+  spawn(loop_, [this] { return peerLoop(); });
   keeper_.start([this] { return batches_.ownsAny() || orders_.holdsAny(); });
   batches_.start();
   orders_.start();
@@ -96,7 +106,7 @@
 }
 
 bool Gateway::ready() const {
-  return routes_ && engine_watcher_ && engine_watcher_->read() && !stopping_;
+  return routes_ && engines_known_ && !stopping_;
 }
 
 // --- What the store tells -----------------------------------------------------------------------
@@ -170,6 +180,8 @@
       .number("version", static_cast<std::int64_t>(parsed->version))
       .number("before", routes_ ? static_cast<std::int64_t>(routes_->version) : 0)
       .number("routes", static_cast<std::int64_t>(parsed->routes.size()));
+  snapshot_.config_version = parsed->version;
+  snapshot_.configuration = value;
   routes_ = std::make_shared<const routing::RouteTable>(std::move(*parsed));
   requests_.setLimits(routes_->limits);
 }
@@ -180,12 +192,17 @@
     auto record = platform_.parseEngine(keyWithoutTable(row), row.value);
     if (record) records.push_back(std::move(*record));
   }
+  engines_known_ = true;
+  snapshot_.engines = rows;
   LogEvent("engines", "listed").number("count", static_cast<std::int64_t>(records.size()));
   for (const Address& gone : registry_.onList(steadyNow(), records)) engine_pool_.forget(gone);
 }
 
 void Gateway::onEngineRow(const table::RowChange& change) {
   const std::string key = keyWithoutTable(change.row);
+  std::erase_if(snapshot_.engines,
+                [&](const table::Row& row) { return row.key == change.row.key; });
+  if (!change.gone) snapshot_.engines.push_back(change.row);
   if (change.gone) {
     if (const auto address = registry_.onGone(EngineId(key))) engine_pool_.forget(*address);
     LogEvent("engines", "gone").text("engine", key);
@@ -269,6 +286,57 @@
   return state;
 }
 
+// --- Other daemons ------------------------------------------------------------------------------
+
+Task<void> Gateway::handlePeer(http::ResponseWriter& writer) {
+  http::Response response;
+  if (routes_ && engines_known_) {
+    snapshot_.engines_revision = std::max(snapshot_.engines_revision, engine_watcher_->revision());
+    response.body() = encodeSnapshot(snapshot_);
+  } else {
+    response.result(kUnavailable);
+  }
+  co_await writer.send(std::move(response));
+}
+
+Task<void> Gateway::peerLoop() {
+  std::size_t next = 0;
+  while (!settings_.seeds.empty()) {
+    co_await sleepFor(loop_, kPeerPeriod);
+    const bool store_away = !operator_watcher_->healthy() || !engine_watcher_->healthy();
+    if (!store_away || stopping_) continue;
+    const Address peer = settings_.seeds[next++ % settings_.seeds.size()];
+    if (settings_.peers && peer == *settings_.peers) continue;
+    co_await askPeer(peer);
+  }
+}
+
+Task<void> Gateway::askPeer(Address peer) {
+  http::Request request(boost::beast::http::verb::get, "/snapshot", 11);
+  request.set(boost::beast::http::field::host, "peer");
+  const Instant deadline = steadyNow() + kPeerCallTime;
+  const http::CallOutcome outcome =
+      co_await http::call(engine_pool_, peer, std::move(request), deadline);
+  if (outcome.status != http::ExchangeStatus::kOk || outcome.response.result_int() != 200)
+    co_return;
+  const auto told = decodeSnapshot(outcome.response.body());
+  if (!told) co_return;
+  const std::uint64_t before = snapshot_.config_version;
+  if (!operator_watcher_->healthy()) onConfiguration(told->configuration);
+  const bool newer =
+      told->engines_revision > std::max(snapshot_.engines_revision, engine_watcher_->revision());
+  if (!engine_watcher_->healthy() && (newer || !engines_known_)) {
+    onEngineSnapshot(told->engines);
+    snapshot_.engines_revision = told->engines_revision;
+  }
+  if (newer || snapshot_.config_version > before) {
+    LogEvent("gateway", "told_by_peer")
+        .text("peer", toString(peer))
+        .number("config", static_cast<std::int64_t>(told->config_version))
+        .number("engines_revision", static_cast<std::int64_t>(told->engines_revision));
+  }
+}
+
 Task<void> Gateway::handleMetrics(http::ResponseWriter& writer) {
   http::Response response;
   response.set(boost::beast::http::field::content_type, "text/plain; version=0.0.4");
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "batch/batch_service.h"
 #include "forward/forwarder.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/peer_snapshot.h"
 #include "gateway/platform_port.h"
 #include "metrics/gateway_metrics.h"
 #include "table/table_watcher.h"
@@ -29,6 +30,7 @@
   bool ready() const;
   bool stopping() const { return stopping_; }
   Address requestAddress() const { return requests_.address(); }
+  Address peerAddress() const { return peer_server_.address(); }
   Address metricsAddress() const { return metrics_server_.address(); }
   Address readinessAddress() const { return readiness_.address(); }
 
@@ -36,6 +38,10 @@
   Task<void> handle(http::Request& request, Instant received, http::ResponseWriter& writer);
   Task<void> handleBatchCall(const BatchCall& call, http::ResponseWriter& writer);
   Task<void> handleReadiness(http::Request& request, http::ResponseWriter& writer);
+  Task<void> handlePeer(http::ResponseWriter& writer);
+  /// Asks other daemons while the store does not answer.
+  Task<void> peerLoop();
+  Task<void> askPeer(Address peer);
   Task<void> handleMetrics(http::ResponseWriter& writer);
   metrics::GatewayState state() const;
   Task<void> stopInOrder();
@@ -64,9 +70,12 @@
   http::Server requests_;
   http::Server readiness_;
   http::Server metrics_server_;
+  http::Server peer_server_;
+  PeerSnapshot snapshot_;  ///< What this daemon acts on, as rows, to be told to others.
   std::unique_ptr<table::TableWatcher> operator_watcher_;
   std::unique_ptr<table::TableWatcher> engine_watcher_;
   std::unique_ptr<table::TableWatcher> coordination_watcher_;
+  bool engines_known_ = false;  ///< Whether the engines were read, from the store or a peer.
   bool stopping_ = false;
 };
 
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_settings.h"
 
+#include <sstream>
+
 #include "settings/toml_reader.h"
 
 namespace linenpier::gateway {
@@ -12,6 +14,22 @@
   return name == "retain" ? versions::LoadMode::kRetain : versions::LoadMode::kCancel;
 }
 
+/// @param text addresses, separated by commas; may be empty.
+std::vector<Address> parseSeeds(const std::string& text, settings::TomlReader& reader) {
+  std::vector<Address> seeds;
+  std::istringstream list(text);
+  std::string entry;
+  while (std::getline(list, entry, ',')) {
+    const auto address = parseAddress(entry);
+    if (address) {
+      seeds.push_back(*address);
+    } else {
+      reader.report("peers.seeds", "\"" + entry + "\" is no IP number and port");
+    }
+  }
+  return seeds;
+}
+
 }  // namespace
 
 tl::expected<GatewaySettings, Findings> parseGatewaySettings(const std::string& file,
@@ -31,6 +49,12 @@
   reader.readAddress("listen.readiness", settings.readiness, true);
   Address metrics;
   reader.readAddress("listen.metrics", metrics, false);
+  Address peers;
+  reader.readAddress("listen.peers", peers, false);
+  if (peers.port != 0) settings.peers = peers;
+  std::string seeds;
+  reader.readString("peers.seeds", seeds, false);
+  settings.seeds = parseSeeds(seeds, reader);
   if (metrics.port != 0) settings.metrics = metrics;
   reader.readAddress("store.address", settings.store, true);
   reader.readInteger("store.row_bytes", row_bytes, 1024, 64 * 1024 * 1024);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "batch/batch_service.h"
 #include "common/address.h"
@@ -21,6 +22,8 @@
   Address requests;                ///< Where clients connect.
   Address readiness;               ///< Where the platform asks whether this daemon is ready.
   std::optional<Address> metrics;  ///< Where metrics are told; absent: nowhere.
+  std::optional<Address> peers;    ///< Where other daemons ask; absent: nowhere.
+  std::vector<Address> seeds;      ///< Some daemons' addresses for that; may be stale.
   Address store;
   std::size_t row_bytes = 65536;                   ///< Largest value of a row.
   Duration stop_limit = std::chrono::seconds(8);   ///< From the signal to the end.
--- /dev/null
+++ b/src/gateway/peer_snapshot.cpp
@@ -0,0 +1,40 @@
+#include "gateway/peer_snapshot.h"
+
+#include <nlohmann/json.hpp>
+
+namespace linenpier::gateway {
+
+using nlohmann::json;
+
+std::string encodeSnapshot(const PeerSnapshot& snapshot) {
+  json engines = json::array();
+  for (const table::Row& row : snapshot.engines) {
+    engines.push_back({{"key", row.key}, {"revision", row.revision}, {"value", row.value}});
+  }
+  const json document = {{"config_version", snapshot.config_version},
+                         {"configuration", snapshot.configuration},
+                         {"engines_revision", snapshot.engines_revision},
+                         {"engines", std::move(engines)}};
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<PeerSnapshot> decodeSnapshot(const std::string& text) {
+  const json document = json::parse(text, nullptr, false);
+  if (!document.is_object()) return std::nullopt;
+  try {
+    PeerSnapshot snapshot;
+    snapshot.config_version = document.at("config_version").get<std::uint64_t>();
+    snapshot.configuration = document.at("configuration").get<std::string>();
+    snapshot.engines_revision = document.at("engines_revision").get<Revision>();
+    for (const json& entry : document.at("engines")) {
+      snapshot.engines.push_back({entry.at("key").get<std::string>(),
+                                  entry.at("revision").get<Revision>(),
+                                  entry.at("value").get<std::string>()});
+    }
+    return snapshot;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace linenpier::gateway
--- /dev/null
+++ b/src/gateway/peer_snapshot.h
@@ -0,0 +1,29 @@
+#pragma once
+
+/// @file
+/// What one daemon tells another that cannot reach the store: the configuration and the engines, as
+/// the platform's rows have them.
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/ids.h"
+#include "table/table_client.h"
+
+namespace linenpier::gateway {
+
+/// Invariant: taken only by a daemon whose own feeds are lost, and only if it is newer than what
+/// that daemon acts on.
+struct PeerSnapshot {
+  std::uint64_t config_version = 0;
+  std::string configuration;      ///< As the operator's row has it.
+  Revision engines_revision = 0;  ///< How much of the engine table it knows.
+  std::vector<table::Row> engines;
+};
+
+std::string encodeSnapshot(const PeerSnapshot& snapshot);
+/// @return nothing if the text is no snapshot.
+std::optional<PeerSnapshot> decodeSnapshot(const std::string& text);
+
+}  // namespace linenpier::gateway
--- a/src/table/table_watcher.h
+++ b/src/table/table_watcher.h
@@ -42,6 +42,8 @@
   bool healthy() const { return healthy_; }
   /// @return whether the table was ever read.
   bool read() const { return ever_read_; }
+  /// @return everything up to here was told.
+  Revision revision() const { return revision_; }
   /// @return when the store last answered for this table.
   Instant lastAnswer() const { return last_answer_; }
 
--- /dev/null
+++ b/tests/gateway/peers_test.cpp
@@ -0,0 +1,47 @@
+/// @file
+/// Daemons that cannot reach the store are told by others.
+
+#include "gateway/peer_snapshot.h"
+#include "support/gateway_fixture.h"
+
+using namespace linenpier;
+using test::GatewayFixture;
+
+GATEWAY_TEST(peers, a_daemon_that_starts_while_the_store_is_away_serves_by_a_peers_word,
+             test::FixtureOptions{}) {
+  fixture.store().faults().refuse = true;
+  fixture.addGateway("late");
+  cr_assert(co_await fixture.waitReady(1));
+  const auto outcome = co_await fixture.call(1, fixture.lookupRequest("r1"));
+  cr_assert_eq(outcome.response.result_int(), 200U);
+  const auto unknown = co_await fixture.call(1, fixture.lookupRequest("r2", "/nowhere/1"));
+  cr_assert_eq(unknown.response.result_int(), 503U, "a peer may be behind");
+}
+
+GATEWAY_TEST(peers, without_store_and_peers_a_daemon_is_not_ready_and_refuses,
+             test::FixtureOptions{}) {
+  fixture.store().faults().refuse = true;
+  fixture.gateway(0).stop();
+  test::GatewayUnderTest alone(fixture.loop(), fixture.store().address(), "alone", {});
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(700));
+  cr_assert_not(alone.gateway.ready());
+  http::ConnectionPool pool(fixture.loop(), {});
+  const Address address = alone.gateway.requestAddress();
+  const Instant deadline = steadyNow() + std::chrono::seconds(2);
+  const auto outcome = co_await http::call(pool, address, fixture.lookupRequest("r"), deadline);
+  cr_assert_eq(outcome.response.result_int(), 503U);
+  std::quick_exit(0);
+}
+
+Test(peer_snapshot, what_is_encoded_is_decoded_and_nonsense_is_not) {
+  gateway::PeerSnapshot snapshot;
+  snapshot.config_version = 7;
+  snapshot.configuration = "{}";
+  snapshot.engines_revision = 9;
+  snapshot.engines.push_back({"servers/i-1", 5, "{\"x\":1}"});
+  const auto read = gateway::decodeSnapshot(gateway::encodeSnapshot(snapshot));
+  cr_assert_eq(read->config_version, 7U);
+  cr_assert_eq(read->engines.at(0).value, "{\"x\":1}");
+  cr_assert_not(gateway::decodeSnapshot("{").has_value());
+  cr_assert_not(gateway::decodeSnapshot("{\"config_version\":1}").has_value());
+}
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -12,13 +12,16 @@
 
 constexpr Duration kLongestTest = std::chrono::seconds(25);
 
-gateway::GatewaySettings settingsOf(Address store, const std::string& name) {
+gateway::GatewaySettings settingsOf(Address store, const std::string& name,
+                                    std::vector<Address> seeds) {
   gateway::GatewaySettings settings;
   settings.id = DaemonId(name);
   settings.zone = ZoneName("z");
   settings.requests = {0x7f000001, 0};
   settings.readiness = {0x7f000001, 0};
   settings.metrics = Address{0x7f000001, 0};
+  settings.peers = Address{0x7f000001, 0};
+  settings.seeds = std::move(seeds);
   settings.store = store;
   return settings;
 }
@@ -26,11 +29,11 @@
 }  // namespace
 
 GatewayUnderTest::GatewayUnderTest(boost::asio::io_context& loop, Address store,
-                                   const std::string& name)
+                                   const std::string& name, std::vector<Address> seeds)
     : store_pool(loop, {}),
       engine_pool(loop, {}),
       platform(store_pool, engine_pool, store),
-      gateway(loop, settingsOf(store, name), platform, engine_pool, metrics,
+      gateway(loop, settingsOf(store, name, std::move(seeds)), platform, engine_pool, metrics,
               Random::seedFromSystem()) {
   cr_assert(gateway.start().empty());
 }
@@ -50,7 +53,10 @@
 }
 
 void GatewayFixture::addGateway(const std::string& name) {
-  gateways_.push_back(std::make_unique<GatewayUnderTest>(loop_, store_->address(), name));
+  std::vector<Address> seeds;
+  for (const auto& each : gateways_) seeds.push_back(each->gateway.peerAddress());
+  gateways_.push_back(
+      std::make_unique<GatewayUnderTest>(loop_, store_->address(), name, std::move(seeds)));
 }
 
 void GatewayFixture::putConfiguration(std::uint64_t version, const std::string& more_routes) {
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -21,7 +21,8 @@
 
 /// A gateway with what belongs to it.
 struct GatewayUnderTest {
-  GatewayUnderTest(boost::asio::io_context& loop, Address store, const std::string& name);
+  GatewayUnderTest(boost::asio::io_context& loop, Address store, const std::string& name,
+                   std::vector<Address> seeds);
 
   http::ConnectionPool store_pool;
   http::ConnectionPool engine_pool;
