--- a/src/batch/batch_run.cpp
+++ b/src/batch/batch_run.cpp
@@ -20,6 +20,7 @@
     longest = std::max(longest, each.length_hint);
   }
   std::vector<std::pair<std::uint64_t, GroupId>> by_length;
+  by_length.reserve(longest_of.size());
   for (const auto& [group, longest] : longest_of) by_length.emplace_back(longest, group);
   std::sort(by_length.begin(), by_length.end());
   const std::size_t wanted =
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -150,8 +150,8 @@
   race->changed.notifyAll();
 }
 
-bool Forwarder::startAttempt(std::shared_ptr<ForwardedRequest> forwarded,
-                             std::shared_ptr<Race> race) {
+bool Forwarder::startAttempt(const std::shared_ptr<ForwardedRequest>& forwarded,
+                             const std::shared_ptr<Race>& race) {
   const engines::EngineState* engine = pickEngine(*forwarded, race->tried);
   if (engine == nullptr) return false;
   race->tried.insert(engine->record.id);
@@ -189,8 +189,9 @@
     }
     if (policy.running() == 0) break;
     const Instant look = exhausted ? forwarded.deadline : policy.nextLook();
-    if (race->results.empty())
+    if (race->results.empty()) {
       co_await race->changed.waitFor(std::max<Duration>(look - now, Duration(1000)));
+    }
   }
   race->abortAll();
   writer.cancellation().onRequest(nullptr);
@@ -349,7 +350,8 @@
   int known = 0;
   int draining = 0;
   int ejected = 0;
-  for (const auto& [id, engine] : context_.registry.all()) {
+  for (const auto& entry : context_.registry.all()) {
+    const engines::EngineState& engine = entry.second;
     const bool serves =
         std::any_of(route.services.begin(), route.services.end(),
                     [&](const auto& each) { return each.service == engine.record.service; });
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -56,7 +56,8 @@
   Task<void> runAttempt(std::shared_ptr<Race> race, std::shared_ptr<EngineCall> call,
                         std::shared_ptr<ForwardedRequest> forwarded);
   /// @return whether there was an engine for it.
-  bool startAttempt(std::shared_ptr<ForwardedRequest> forwarded, std::shared_ptr<Race> race);
+  bool startAttempt(const std::shared_ptr<ForwardedRequest>& forwarded,
+                    const std::shared_ptr<Race>& race);
   Task<void> serveStream(ForwardedRequest& forwarded, http::ResponseWriter& writer);
   Task<AttemptVerdict> relay(ForwardedRequest& forwarded, EngineCall& call, StreamState& state,
                              http::ResponseWriter& writer);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -411,7 +411,9 @@
   co_await batches_.handOver();
   co_await orders_.handOver();
   co_await keeper_.stop();
-  while (steadyNow() < begun + kLeaveNotice) co_await sleepFor(loop_, kStopPoll);
+  while (steadyNow() < begun + kLeaveNotice) {
+    co_await sleepFor(loop_, kStopPoll);
+  }
   requests_.closeIdle();
   while (requests_.busy() > 0 && steadyNow() < begun + settings_.stop_limit - kStopSlack) {
     co_await sleepFor(loop_, kStopPoll);
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -59,8 +59,9 @@
                                            std::optional<ExpectedEcho> echo, bool fresh) {
   const auto self = shared_from_this();
   if (!fresh) connection_ = pool_.takeIdle(steadyNow(), peer_);
-  if (!connection_)
+  if (!connection_) {
     connection_ = co_await pool_.connect(peer_, std::min(connect_deadline, deadline));
+  }
   if (aborted_) {
     connection_.reset();
     co_return ExchangeStatus::kAborted;
--- a/src/logging/event_log.cpp
+++ b/src/logging/event_log.cpp
@@ -25,7 +25,8 @@
 std::uint64_t reported_drops = 0;
 EventLogOptions options;
 
-/// Drops what does not fit into the queue, and counts it.
+/// Drops what does not fit into the queue, and counts it. The names are Boost.Log's.
+// NOLINTBEGIN(readability-identifier-naming)
 struct DropAndCount {
   template <typename Lock>
   static bool on_overflow(const boost::log::record_view& /*record*/, Lock& /*lock*/) {
@@ -35,6 +36,7 @@
   static void on_queue_space_available() {}
   static void interrupt() {}
 };
+// NOLINTEND(readability-identifier-naming)
 
 using Sink = sinks::asynchronous_sink<sinks::text_ostream_backend,
                                       sinks::bounded_fifo_queue<kQueuedLines, DropAndCount>>;
--- a/src/table/table_watcher.cpp
+++ b/src/table/table_watcher.cpp
@@ -21,7 +21,9 @@
 Task<void> TableWatcher::run() {
   for (;;) {
     const bool done = have_rows_ ? co_await waitForChanges() : co_await readWhole();
-    if (!done) co_await sleepFor(loop_, options_.retry_pause);
+    if (!done) {
+      co_await sleepFor(loop_, options_.retry_pause);
+    }
   }
 }
 
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -147,8 +147,7 @@
   const bool own = deps_.leases.isEarlierSelf(right.owner);
   if (!own && now - right.vacant_since < deps_.leases.courtesy(now, service.str())) return;
   right.acquiring = true;
-  const routing::ServiceName name = service;
-  spawn(deps_.loop, [this, name] { return acquire(name); });
+  spawn(deps_.loop, [this, service] { return acquire(service); });
 }
 
 Duration OrderService::pauseAfter(const lease::LeaseId& from, std::int64_t last_order_ms) const {
