Answer an accepted edit once it is in force here; split the batch service by job

Cause of the tests that hung beside a busy machine (http_server suite, seen four times): a tenant put right after its template was checked against the configuration in force, which did not have the template yet, and was refused (422). The fixture's new message showed it. It is a fault of the product: an operator's script could meet it. Change: the daemon waits until an accepted edit is in force before it answers, a second at most.

--- a/src/api/operator_routes.cpp
+++ b/src/api/operator_routes.cpp
@@ -1,6 +1,7 @@
 #include "api/operator_routes.h"
 
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace linenpier::api {
 
@@ -10,6 +11,8 @@
 namespace {
 
 const RequestId kNoRequest;
+constexpr auto kLongestWaitInForce = std::chrono::seconds(1);
+constexpr auto kWaitInForceStep = std::chrono::milliseconds(2);
 
 json itemJson(const wire::ConfigItem& item) {
   return {{"key", item.key},
@@ -110,6 +113,7 @@
   switch (result.outcome) {
     case EditOutcome::kAccepted:
       context_.node.post(node::ConfigCommitted{result.item});
+      waitInForce(result.item.revision);
       return answerJson(response, 200,
                         json{{"status", "accepted"}, {"revision", result.item.revision}}.dump());
     case EditOutcome::kConflict:
@@ -135,6 +139,13 @@
   }
 }
 
+void OperatorRoutes::waitInForce(Revision revision) const {
+  const Instant deadline = steadyNow() + kLongestWaitInForce;
+  while (context_.config.get()->revision < revision && steadyNow() < deadline) {
+    std::this_thread::sleep_for(kWaitInForceStep);
+  }
+}
+
 Findings OperatorRoutes::check(const std::string& key, const std::string& document) const {
   Findings findings;
   const std::string name = key.substr(key.find('/') + 1);
--- /dev/null
+++ b/src/batch/batch_items.cpp
@@ -0,0 +1,229 @@
+/// @file
+/// Running of the items of owned jobs: choice of engines, attempts, moves.
+
+#include <algorithm>
+
+#include "batch/active_job.h"
+#include "batch/batch_service.h"
+#include "logging/event_log.h"
+
+namespace linenpier::batch {
+
+using forward::AttemptVerdict;
+using logging::LogEvent;
+
+namespace {
+
+constexpr double kPromptTokens = 300;  ///< A usual prompt.
+
+/// @return the memory that an item is expected to fill: less than the most that it may.
+double expectedTokens(const BatchItem& item) {
+  if (item.length_hint == 0) return item.tokens;
+  return std::min(item.tokens, static_cast<double>(item.length_hint) + kPromptTokens);
+}
+}  // namespace
+
+void BatchService::pump() {
+  std::vector<ActivePtr> active;
+  for (auto& [id, job] : jobs_) {
+    if (job.active && !job.active->stopped) active.push_back(job.active);
+  }
+  std::sort(active.begin(), active.end(), [](const ActivePtr& one, const ActivePtr& other) {
+    return one->record.accepted_ms < other->record.accepted_ms;
+  });
+  for (const ActivePtr& each : active) {
+    routing::RouteTablePtr table;
+    const routing::Route* route = routeOf(each->record, table);
+    if (route == nullptr) continue;
+    while (const auto item = each->run.nextToStart(steadyNow())) {
+      if (!startItem(each, *item, *route)) break;
+    }
+  }
+}
+
+http::Request BatchService::itemRequest(const Active& active, ItemIndex item) const {
+  const BatchItem& each = active.run.job().items[item];
+  http::Request request(boost::beast::http::verb::post, each.path, 11);
+  request.set(boost::beast::http::field::host, active.record.host);
+  for (const auto& [name, value] : each.fields) request.insert(name, value);
+  request.set(deps_.engines.names.request_id, each.id.str());
+  const ItemProgress& progress = active.run.progress(item);
+  if (progress.last_event > 0) {
+    request.set(deps_.engines.names.last_event_id, std::to_string(progress.last_event));
+  }
+  request.body() = each.body;
+  request.prepare_payload();
+  return request;
+}
+
+engines::PickRequest BatchService::pickFor(const Active& active, ItemIndex item,
+                                           const routing::Route& route) const {
+  const BatchItem& each = active.run.job().items[item];
+  engines::PickRequest wanted;
+  wanted.service = route.services.front().service;
+  wanted.model = each.model;
+  wanted.minimum_version = active.run.job().minimum_version;
+  wanted.most_per_slot = options_.requests_per_slot;
+  wanted.tokens = expectedTokens(each);
+  wanted.batching = !each.model.empty();
+  const routing::RouteTablePtr table = deps_.routes();
+  const auto service = table->services.find(wanted.service);
+  if (service != table->services.end()) wanted.memory_tokens = service->second.memory_tokens;
+  return wanted;
+}
+
+bool BatchService::startItem(const ActivePtr& active, ItemIndex item, const routing::Route& route) {
+  const Instant now = steadyNow();
+  const BatchItem& each = active->run.job().items[item];
+  engines::PickRequest wanted = pickFor(*active, item, route);
+  const ItemProgress& progress = active->run.progress(item);
+  if (progress.failures > 0 && !progress.last_engine.empty()) {
+    wanted.excluded.insert(progress.last_engine);
+  }
+  const engines::EngineState* engine = deps_.engines.registry.pick(now, wanted);
+  if (engine == nullptr && !wanted.excluded.empty()) {
+    wanted.excluded.clear();
+    engine = deps_.engines.registry.pick(now, wanted);
+  }
+  if (engine == nullptr) return false;
+  const auto call =
+      std::make_shared<forward::EngineCall>(deps_.engines, *engine, itemRequest(*active, item));
+  active->run.onStarted(now, item, engine->record.id);
+  active->calls[item] = call;
+  deps_.engines.registry.onTokens(call->engine(), wanted.tokens);
+  ++counts_.attempts;
+  const std::string model = each.model.str();
+  spawn(deps_.loop,
+        [this, active, item, call, model] { return runItem(active, item, call, model); });
+  return true;
+}
+
+Task<void> BatchService::runItem(ActivePtr active, ItemIndex item,
+                                 std::shared_ptr<forward::EngineCall> call, std::string model) {
+  const ModelName model_name(model);
+  const AttemptVerdict verdict = co_await readItemEvents(*active, item, *call, model_name);
+  active->calls.erase(item);
+  deps_.engines.registry.onTokens(call->engine(), -expectedTokens(active->run.job().items[item]));
+  if (active->stopped) co_return;
+  settleItem(*active, item, *call, verdict, model_name);
+  pump();
+}
+
+Task<AttemptVerdict> BatchService::readItemEvents(Active& active, ItemIndex item,
+                                                  forward::EngineCall& call,
+                                                  const ModelName& model) {
+  const Instant started = steadyNow();
+  forward::AttemptLimits limits{started + options_.connect_time,
+                                started + options_.first_event_time};
+  AttemptVerdict verdict = co_await call.start(limits);
+  if (verdict != AttemptVerdict::kAnswered) co_return verdict;
+  if (call.status() >= 300) {
+    std::string ignored;
+    co_return co_await call.readWhole(ignored, steadyNow() + options_.event_gap);
+  }
+  WeightVersion version = call.headVersion();
+  if (!model.empty()) deps_.engines.registry.onVersionSeen(call.engine(), model, version);
+  forward::EventParser parser(deps_.engines.names.weight_versions);
+  std::vector<forward::StreamEvent> events;
+  Instant last = steadyNow();
+  bool first = true;
+  while (!call.finished()) {
+    const Duration gap = first ? options_.first_event_time : options_.event_gap;
+    verdict = co_await call.readEvents(parser, events, steadyNow() + gap);
+    if (active.stopped) co_return AttemptVerdict::kAborted;
+    const Instant now = steadyNow();
+    for (forward::StreamEvent& event : events) {
+      if (event.version) {
+        version = *event.version;
+        if (!model.empty()) deps_.engines.registry.onVersionSeen(call.engine(), model, version);
+      }
+      const EventVerdict taken =
+          active.run.onEvent(now, item, event.id.value_or(0), event.data, version);
+      if (taken == EventVerdict::kUnfit) {
+        call.abort();
+        co_return AttemptVerdict::kBroken;
+      }
+    }
+    if (!events.empty()) {
+      if (!first) {
+        deps_.engines.registry.onPace(now, call.engine(),
+                                      (now - last) / static_cast<int>(events.size()));
+      }
+      first = false;
+      last = now;
+    }
+    if (verdict != AttemptVerdict::kAnswered) co_return verdict;
+  }
+  co_return parser.rest().empty() ? AttemptVerdict::kAnswered : AttemptVerdict::kBroken;
+}
+
+void BatchService::settleItem(Active& active, ItemIndex item, forward::EngineCall& call,
+                              AttemptVerdict verdict, const ModelName& model) {
+  const Instant now = steadyNow();
+  const unsigned status = verdict == AttemptVerdict::kAnswered ? call.status() : 0;
+  const std::uint64_t events = active.run.progress(item).last_event;
+  if (verdict == AttemptVerdict::kAnswered && status == 422) {
+    active.run.onRejected(item);
+  } else if (verdict == AttemptVerdict::kAnswered && status >= 300) {
+    active.run.onFailed(now, item);
+  } else if (verdict == AttemptVerdict::kAnswered && events > 0) {
+    active.run.onCompleted(now, item);
+  } else if (verdict == AttemptVerdict::kNotExecuted) {
+    if (!model.empty()) deps_.engines.registry.onModelRefused(now, call.engine(), model);
+    active.run.onInterrupted(now, item, options_.refused_pause);
+  } else {
+    if (verdict == AttemptVerdict::kBroken && !model.empty()) {
+      deps_.engines.registry.onModelReset(now, call.engine(), model);
+    }
+    routing::RouteTablePtr table;
+    const routing::Route* route = routeOf(active.record, table);
+    if (route != nullptr && route->single_version) active.run.discardText(item);
+    active.run.onInterrupted(now, item, options_.broken_pause);
+  }
+  const ItemState state = active.run.progress(item).state;
+  if (state == ItemState::kFinished) active.finished.notifyAll();
+  const bool success = verdict == AttemptVerdict::kAnswered && status < 300;
+  if (success && !sampler_.admit(now)) return;
+  LogEvent("batch", "attempt_ended")
+      .text("batch", active.record.id.str())
+      .text("item", active.run.job().items[item].id.str())
+      .text("engine", call.engine().str())
+      .text("verdict", forward::toText(verdict))
+      .number("status", status)
+      .number("events", static_cast<std::int64_t>(events))
+      .number("hint", static_cast<std::int64_t>(active.run.job().items[item].length_hint))
+      .milliseconds("took_ms", now - call.startedAt());
+}
+
+void BatchService::moveSlowRuns(Instant now) {
+  std::size_t moved = 0;
+  for (auto& [id, job] : jobs_) {
+    if (!job.active || job.active->stopped) continue;
+    Active& active = *job.active;
+    routing::RouteTablePtr table;
+    const routing::Route* route = routeOf(active.record, table);
+    if (route == nullptr || route->single_version || active.run.waiting() > 0) continue;
+    for (const auto& [item, call] : active.calls) {
+      if (moved >= options_.moves_per_tick) return;
+      if (now - call->startedAt() < options_.move_after) continue;
+      const double own_pace = deps_.engines.registry.slowness(now, call->engine());
+      if (own_pace < options_.move_gain) continue;
+      engines::PickRequest wanted = pickFor(active, item, *route);
+      wanted.excluded.insert(call->engine());
+      const engines::EngineState* better = deps_.engines.registry.pick(now, wanted);
+      if (better == nullptr) continue;
+      const double better_pace = deps_.engines.registry.slowness(now, better->record.id);
+      if (own_pace < options_.move_gain * better_pace) continue;
+      LogEvent("batch", "run_moved")
+          .text("item", active.run.job().items[item].id.str())
+          .text("from", call->engine().str())
+          .text("towards", better->record.id.str())
+          .real("slowness", own_pace)
+          .real("slowness_there", better_pace);
+      call->abort();
+      ++moved;
+    }
+  }
+}
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/batch_listing.cpp
@@ -0,0 +1,105 @@
+/// @file
+/// What the owner of a job writes while items run: checkpoints and results.
+
+#include <algorithm>
+
+#include "batch/active_job.h"
+#include "batch/batch_service.h"
+#include "logging/event_log.h"
+
+namespace linenpier::batch {
+
+using logging::LogEvent;
+
+// --- Checkpoints ------------------------------------------------------------------------------
+
+Task<void> BatchService::writeCheckpoint(ActivePtr active, CheckpointNeed need) {
+  Checkpoint checkpoint = active->checkpoint();
+  std::uint64_t events = 0;
+  for (const ItemCheckpoint& item : checkpoint) events += item.last_event;
+  const std::uint64_t before = active->checkpoint_events;
+  const std::uint64_t difference = events > before ? events - before : before - events;
+  const bool much = difference >= options_.checkpoint_events;
+  if (need == CheckpointNeed::kIfMuchIsNew && !much) co_return;
+  active->checkpoint_events = events;
+  const std::uint64_t number = ++active->checkpoints;
+  const FencedAnswer answer = co_await deps_.store.putCheckpoint(active->record.id, active->fence,
+                                                                 number, std::move(checkpoint));
+  const bool done = answer.outcome == FencedOutcome::kDone;
+  if (!done) active->checkpoint_events = 0;
+  LogEvent("batch", "checkpoint")
+      .text("batch", active->record.id.str())
+      .number("number", static_cast<std::int64_t>(number))
+      .number("events", static_cast<std::int64_t>(events))
+      .text("outcome", done ? "done" : "not_done");
+}
+
+Task<void> BatchService::checkpointLoop(ActivePtr active) {
+  for (;;) {
+    co_await sleepFor(deps_.loop, options_.checkpoint_gap);
+    if (active->stopped || active->run.allListed()) co_return;
+    co_await writeCheckpoint(active, CheckpointNeed::kIfMuchIsNew);
+  }
+}
+
+// --- Listing ------------------------------------------------------------------------------------
+
+Task<void> BatchService::listLoop(ActivePtr active) {
+  while (!active->stopped && !active->run.allListed()) {
+    if (active->pending.results.empty() && active->run.finished().empty()) {
+      co_await active->finished.waitFor(std::chrono::seconds(1));
+      continue;
+    }
+    const bool done = co_await listPending(active);
+    if (active->stopped) break;
+    co_await sleepFor(deps_.loop, done ? options_.list_gap : options_.store_pause);
+  }
+  if (!active->stopped) {
+    LogEvent("batch", "job_listed")
+        .text("batch", active->record.id.str())
+        .number("results", static_cast<std::int64_t>(active->listed.size()));
+    active->stop(steadyNow());
+  }
+}
+
+Task<bool> BatchService::listPending(ActivePtr active) {
+  Active::Pending& pending = active->pending;
+  if (pending.results.empty()) {
+    pending.position = active->listed.size();
+    std::size_t bytes = 0;
+    for (const ItemIndex item : active->run.finished()) {
+      if (pending.results.size() >= options_.write_rows || bytes >= options_.write_bytes) break;
+      StoredResult result{item, deps_.codec.encodeResult(active->run.result(item))};
+      bytes += result.encoded.size();
+      pending.items.push_back(item);
+      pending.results.push_back(std::move(result));
+    }
+  }
+  const Revision fence = active->fence;
+  const FencedAnswer answer =
+      co_await deps_.store.append(active->record.id, fence, pending.position, pending.results);
+  if (active->stopped) co_return false;
+  if (answer.outcome == FencedOutcome::kFenceLost && answer.current) {
+    onRecordRow(active->record.id, *answer.current);
+    co_return false;
+  }
+  if (answer.outcome != FencedOutcome::kDone) {
+    LogEvent("batch", "list_failed")
+        .text("batch", active->record.id.str())
+        .number("position", static_cast<std::int64_t>(pending.position))
+        .text("outcome", answer.outcome == FencedOutcome::kUnknown ? "unknown" : "not_done");
+    co_return false;
+  }
+  for (std::size_t i = 0; i < pending.items.size(); ++i) {
+    const bool completed =
+        active->run.progress(pending.items[i]).outcome == ResultState::kCompleted;
+    ++(completed ? counts_.completed : counts_.terminated);
+    active->run.onListed(pending.items[i]);
+    active->listed.push_back(std::move(pending.results[i].encoded));
+  }
+  pending = Active::Pending{};
+  active->listed_changed.notifyAll();
+  co_return true;
+}
+
+}  // namespace linenpier::batch
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -269,6 +269,13 @@
   co_await answerFinally(forwarded, final_answer, writer);
 }
 
+Task<bool> Forwarder::beginClientStream(EngineCall& call, http::ResponseWriter& writer) {
+  http::ResponseHead head;
+  head.result(call.status());
+  http::copyEndToEndFields(call.head(), head);
+  co_return co_await writer.beginStream(std::move(head));
+}
+
 Task<AttemptVerdict> Forwarder::relay(ForwardedRequest& forwarded, EngineCall& call,
                                       StreamState& state, http::ResponseWriter& writer) {
   const auto stepDeadline = [this, &forwarded, &state] {
@@ -302,11 +309,8 @@
     }
     if (!bytes.empty()) {
       if (!state.head_sent) {
-        http::ResponseHead head;
-        head.result(call.status());
-        http::copyEndToEndFields(call.head(), head);
         state.head_sent = true;
-        if (!co_await writer.beginStream(std::move(head))) co_return AttemptVerdict::kAborted;
+        if (!co_await beginClientStream(call, writer)) co_return AttemptVerdict::kAborted;
       }
       if (!co_await writer.writeChunk(std::move(bytes))) co_return AttemptVerdict::kAborted;
     }
@@ -314,11 +318,8 @@
   }
   if (!parser.rest().empty()) co_return AttemptVerdict::kBroken;
   if (!state.head_sent) {
-    http::ResponseHead head;
-    head.result(call.status());
-    http::copyEndToEndFields(call.head(), head);
     state.head_sent = true;
-    if (!co_await writer.beginStream(std::move(head))) co_return AttemptVerdict::kAborted;
+    if (!co_await beginClientStream(call, writer)) co_return AttemptVerdict::kAborted;
   }
   co_await writer.endStream();
   co_return AttemptVerdict::kAnswered;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -61,6 +61,8 @@
   Task<void> serveStream(ForwardedRequest& forwarded, http::ResponseWriter& writer);
   Task<AttemptVerdict> relay(ForwardedRequest& forwarded, EngineCall& call, StreamState& state,
                              http::ResponseWriter& writer);
+  /// Passes on the head of an engine's stream.
+  Task<bool> beginClientStream(EngineCall& call, http::ResponseWriter& writer);
   Task<void> answerFinally(ForwardedRequest& forwarded, FinalAnswer answer,
                            http::ResponseWriter& writer);
 
