Remove what nothing calls in the gateway

Cause: reading the change once more showed pieces without a caller: a list of silent leases, a count of free slots, a route by name, counts of running orders, a bound that nothing checked, and a wrapper around one call. Ruled out as the same logic: the pairs of similar option and dependency structs (each names other things). Change: they are removed; nothing that runs differs.

--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -48,7 +48,6 @@
   std::size_t write_bytes = 480 * 1024;
   /// The store takes 100 entries a write: a condition and a value each, and the job's row.
   std::size_t write_rows = 48;
-  std::size_t most_job_bytes = 64 * 1024 * 1024;  ///< Of all jobs owned.
 };
 
 /// Lines about finished items that a daemon writes in full each second, and one in how many then.
--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -193,10 +193,6 @@
   co_return decodeCheckpoint(*bytes).value_or(Checkpoint{});
 }
 
-Task<CallResult<std::string>> JobStore::largeResult(std::string name) {
-  co_return co_await objects_.get(std::move(name));
-}
-
 Task<CallResult<StoredResults>> JobStore::results(JobId id, std::size_t position,
                                                   std::size_t limit) {
   table::RowRange range{kResultTable, resultKey(id, position), resultEnd(id), limit};
@@ -213,7 +209,7 @@
     result.item_index = std::strtoull(row.value.c_str(), nullptr, 10);
     result.encoded = row.value.substr(mark + 1);
     if (row.value[mark] == kObject) {
-      auto bytes = co_await largeResult(result.encoded);
+      auto bytes = co_await objects_.get(result.encoded);
       if (!bytes) co_return tl::make_unexpected(bytes.error());
       result.encoded = std::move(*bytes);
     }
--- a/src/batch/job_store.h
+++ b/src/batch/job_store.h
@@ -89,7 +89,6 @@
  private:
   FencedAnswer judge(const CallResult<table::TransactionAnswer>& answer, const std::string& job_key,
                      Revision fence) const;
-  Task<CallResult<std::string>> largeResult(std::string name);
 
   table::AsyncTable& table_;
   table::AsyncObjects& objects_;
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -135,15 +135,6 @@
   if (EngineState* engine = mutableFind(id)) engine->seen_versions[model] = version;
 }
 
-void EngineRegistry::onOrderStarted(const EngineId& id) {
-  if (EngineState* engine = mutableFind(id)) ++engine->orders_running;
-}
-
-void EngineRegistry::onOrderEnded(const EngineId& id) {
-  EngineState* engine = mutableFind(id);
-  if (engine != nullptr && engine->orders_running > 0) --engine->orders_running;
-}
-
 double EngineRegistry::load(Instant now, const EngineState& engine) const {
   const bool fresh = now - engine.load_at < options_.load_lifetime;
   return engine.in_flight + (fresh ? engine.others : 0);
@@ -226,13 +217,4 @@
   return found;
 }
 
-double EngineRegistry::freeSlots(Instant now, const PickRequest& request) const {
-  double sum = 0;
-  for (const auto& [id, engine] : engines_) {
-    if (!fits(now, engine, request)) continue;
-    sum += std::max(0.0, request.most_per_slot * engine.record.slots - load(now, engine));
-  }
-  return sum;
-}
-
 }  // namespace linenpier::engines
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -52,9 +52,8 @@
 struct EngineState {
   EngineRecord record;
   Instant listed_at{};
-  std::uint32_t in_flight = 0;       ///< Attempts of this daemon under way.
-  std::uint32_t orders_running = 0;  ///< Weight loads that this daemon ordered.
-  double others = 0;                 ///< Requests of other daemons, as of `load_at`.
+  std::uint32_t in_flight = 0;  ///< Attempts of this daemon under way.
+  double others = 0;            ///< Requests of other daemons, as of `load_at`.
   Instant load_at{};
   double pace = 0;  ///< Smoothed time per unit of work, in seconds; 0: unknown.
   Instant pace_at{};
@@ -122,8 +121,6 @@
   /// A unit of work (an answer, an event) took `duration`.
   void onPace(Instant now, const EngineId& id, Duration duration);
   void onVersionSeen(const EngineId& id, const ModelName& model, WeightVersion version);
-  void onOrderStarted(const EngineId& id);
-  void onOrderEnded(const EngineId& id);
 
   /// @return the engine that should answer soonest, or nullptr if none fits.
   const EngineState* pick(Instant now, const PickRequest& request);
@@ -132,8 +129,6 @@
   std::vector<const EngineState*> ofService(const routing::ServiceName& service) const;
   const std::map<EngineId, EngineState>& all() const { return engines_; }
   bool empty() const { return engines_.empty(); }
-  /// @return requests that could still be started at once, by our own count of what runs.
-  double freeSlots(Instant now, const PickRequest& request) const;
   /// @return the smoothed pace of the engine over the median of its service; 1 if unknown.
   double slowness(Instant now, const EngineId& id) const;
 
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -53,14 +53,4 @@
   return at == rows_.end() ? 0 : at->second.revision;
 }
 
-std::vector<LeaseId> LeaseTable::silentFor(Instant now, Duration silence) const {
-  std::vector<LeaseId> silent;
-  if (!feed_healthy_since_) return silent;
-  for (const auto& [lease, seen] : rows_) {
-    const Instant since = std::max(seen.changed_at, *feed_healthy_since_);
-    if (lease != own_ && seen.revision > 0 && now - since > silence) silent.push_back(lease);
-  }
-  return silent;
-}
-
 }  // namespace linenpier::lease
--- a/src/lease/lease_table.h
+++ b/src/lease/lease_table.h
@@ -59,8 +59,6 @@
   bool isEarlierSelf(const LeaseId& lease) const;
   const LeaseId& own() const { return own_; }
   const LeaseTimes& times() const { return times_; }
-  /// @return leases of others that have been silent for `silence`, for clearing away.
-  std::vector<LeaseId> silentFor(Instant now, Duration silence) const;
 
  private:
   struct Observation {
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -30,12 +30,6 @@
   return best;
 }
 
-const Route* RouteTable::findByName(const RouteName& name) const {
-  const auto at = std::find_if(routes.begin(), routes.end(),
-                               [&](const Route& each) { return each.name == name; });
-  return at == routes.end() ? nullptr : &*at;
-}
-
 namespace {
 
 bool sameServices(const std::vector<WeightedService>& left,
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -74,7 +74,6 @@
 
   /// @return the route of that host whose prefix begins `path` and is longest, or nullptr.
   const Route* find(const std::string& host, const std::string& path) const;
-  const Route* findByName(const RouteName& name) const;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -217,9 +217,7 @@
   const FencingToken token = right.revision;
   ++counts_.sent;
   right.last_order_at = steadyNow();
-  deps_.registry.onOrderStarted(order.engine);
   const OrderAnswer answer = co_await deps_.orders.send(order, deps_.holder, token);
-  deps_.registry.onOrderEnded(order.engine);
   right.rollout.onAnswer(steadyNow(), order, answer);
   if (answer == OrderAnswer::kUnderWay) ++counts_.under_way;
   if (answer == OrderAnswer::kUnknown) ++counts_.unanswered;
