Wait for groups that come again from an earlier job, and go on with their text

The trainer waits for each group that comes again from an earlier step; they are the ones that were spared there, and with the longest hints they were spared again and began last.

Ruled out: lack of slots (the last four items of a job ran alone for 6.3 s).

Change: an owner reads the newest three earlier jobs of the same route and model (from memory where it ran them), never spares groups whose items it finds there, and goes on with the text that was kept of them if its versions fit. An owner writes a last checkpoint when its job ends. Checkpoints have a file of their own. A planned stop now also gives up jobs that were accepted and not begun.

The rest of what is lost: long items that are interrupted by loads and moves.

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -132,8 +132,10 @@
   if (accepted.revision > mine.revision && !mine.activating && !mine.active) {
     mine.record = record;
     mine.revision = accepted.revision;
-    activate(id, std::move(*job), Inheritance{},
-             received + route.queue_limit + std::chrono::seconds(1));
+    mine.activating = true;
+    const Instant give_up_at = received + route.queue_limit + std::chrono::seconds(1);
+    auto shared = std::make_shared<BatchJob>(std::move(*job));
+    spawn(deps_.loop, [this, id, shared, give_up_at] { return begin(id, shared, give_up_at); });
   }
   co_await answer(writer, kAccepted);
 }
--- a/src/batch/batch_run.cpp
+++ b/src/batch/batch_run.cpp
@@ -10,23 +10,32 @@
   orderItems();
 }
 
-/// The longest items begin first, since the step ends with them. The groups that are expected to
-/// be longest of all come last, since the trainer does not wait for them.
-void BatchRun::orderItems() {
+/// The trainer does not wait for all groups: those that are expected to be longest can be spared.
+/// It does wait for each group that comes again from an earlier job.
+std::set<GroupId> BatchRun::spareGroups() const {
   std::map<GroupId, std::uint64_t> longest_of;
-  for (ItemIndex item = 0; item < job_.items.size(); ++item) {
-    const BatchItem& each = job_.items[item];
-    std::uint64_t& longest = longest_of[each.group];
-    longest = std::max(longest, each.length_hint);
+  for (const BatchItem& item : job_.items) {
+    std::uint64_t& longest = longest_of[item.group];
+    longest = std::max(longest, item.length_hint);
   }
+  const std::size_t groups = longest_of.size();
+  std::size_t left_to_spare = job_.desired_groups == 0 || job_.desired_groups >= groups
+                                  ? 0
+                                  : groups - job_.desired_groups;
   std::vector<std::pair<std::uint64_t, GroupId>> by_length;
-  by_length.reserve(longest_of.size());
-  for (const auto& [group, longest] : longest_of) by_length.emplace_back(longest, group);
-  std::sort(by_length.begin(), by_length.end());
-  const std::size_t wanted =
-      job_.desired_groups == 0 ? by_length.size() : std::min(job_.desired_groups, by_length.size());
+  for (const auto& [group, longest] : longest_of) {
+    if (!carried_groups_.contains(group)) by_length.emplace_back(longest, group);
+  }
+  std::sort(by_length.rbegin(), by_length.rend());
+  left_to_spare = std::min(left_to_spare, by_length.size());
   std::set<GroupId> spare;
-  for (std::size_t i = wanted; i < by_length.size(); ++i) spare.insert(by_length[i].second);
+  for (std::size_t i = 0; i < left_to_spare; ++i) spare.insert(by_length[i].second);
+  return spare;
+}
+
+/// The longest items begin first, since the step ends with them; what can be spared comes last.
+void BatchRun::orderItems() {
+  const std::set<GroupId> spare = spareGroups();
   order_.resize(job_.items.size());
   for (ItemIndex item = 0; item < order_.size(); ++item) order_[item] = item;
   std::stable_sort(order_.begin(), order_.end(), [&](ItemIndex one, ItemIndex other) {
@@ -37,6 +46,16 @@
   });
 }
 
+void BatchRun::onCarriedOver(const carry_over& carried) {
+  for (ItemIndex item = 0; item < job_.items.size(); ++item) {
+    if (!carried.contains(job_.items[item].id)) continue;
+    carried_groups_.insert(job_.items[item].group);
+    const ItemCheckpoint* kept = carried.textOf(job_.items[item].id);
+    if (kept != nullptr) onCheckpoint(item, kept->last_event, kept->versions, kept->text);
+  }
+  if (!carried_groups_.empty()) orderItems();
+}
+
 void BatchRun::onAlreadyListed(ItemIndex item) {
   if (progress_[item].state == ItemState::kListed) return;
   progress_[item].state = ItemState::kListed;
--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "batch/batch_types.h"
+#include "batch/carry_over.h"
 #include "routing/route_table.h"
 
 namespace linenpier::batch {
@@ -58,6 +59,11 @@
   void onCheckpoint(ItemIndex item, std::uint64_t last_event,
                     const std::set<WeightVersion>& versions, const std::string& text);
 
+  /// Groups that come again from earlier jobs are waited for in any case; what is kept of them is
+  /// gone on with if its versions fit.
+  void onCarriedOver(const carry_over& carried);
+  std::size_t carriedGroups() const { return carried_groups_.size(); }
+
   /// @return the waiting item that should start next, if any may start now.
   std::optional<ItemIndex> nextToStart(Instant now) const;
   std::size_t waiting() const;
@@ -91,11 +97,13 @@
 
  private:
   void orderItems();
+  std::set<GroupId> spareGroups() const;
   void finish(ItemIndex item, ResultState outcome);
 
   BatchJob job_;
   RunRules rules_;
   std::vector<ItemProgress> progress_;
+  std::set<GroupId> carried_groups_;
   std::vector<ItemIndex> order_;     ///< Most urgent first.
   std::vector<ItemIndex> finished_;  ///< Not listed yet.
   std::size_t listed_ = 0;
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -77,6 +77,11 @@
       .number("listed", static_cast<std::int64_t>(job.active->listed.size()));
   if (!job.record.ended) ++counts_.lost;
   job.active->stop(steadyNow());
+  if (!job.record.ended || job.active->run.allListed()) return;
+  // Its unfinished groups may come again in a later job.
+  job.active->fence = job.revision;
+  const ActivePtr active = job.active;
+  spawn(deps_.loop, [this, active] { return writeCheckpoint(active, CheckpointNeed::kAlways); });
 }
 
 // --- Taking over --------------------------------------------------------------------------------
@@ -151,8 +156,12 @@
              at->second.record.owner == deps_.leases.own();
     };
     if (!stillOwned()) break;
-    const auto inheritance = co_await inherit(id);
+    auto inheritance = co_await inherit(id);
+    at = jobs_.find(id);
     const bool whole = bytes.has_value() && inheritance.has_value();
+    if (whole && at != jobs_.end()) {
+      inheritance->carried = co_await findCarryOver(at->second.record);
+    }
     at = jobs_.find(id);
     if (!stillOwned()) break;
     if (whole) {
@@ -206,9 +215,11 @@
     if (kept.item_index >= job.active->run.job().items.size()) continue;
     job.active->run.onCheckpoint(kept.item_index, kept.last_event, kept.versions, kept.text);
   }
+  if (inheritance.carried) job.active->run.onCarriedOver(*inheritance.carried);
   LogEvent("batch", "job_active")
       .text("batch", id.str())
       .number("fence", static_cast<std::int64_t>(job.active->fence))
+      .number("carried_groups", static_cast<std::int64_t>(job.active->run.carriedGroups()))
       .number("items", static_cast<std::int64_t>(job.record.total))
       .number("listed", static_cast<std::int64_t>(inheritance.listed.size()))
       .number("checkpoint", static_cast<std::int64_t>(inheritance.checkpoint.size()))
@@ -258,18 +269,20 @@
   stopping_ = true;
   std::vector<JobId> owned;
   for (auto& [id, job] : jobs_) {
-    if (job.active && !job.active->stopped) owned.push_back(id);
+    if (!job.record.ended && job.record.owner == deps_.leases.own()) owned.push_back(id);
   }
   for (const JobId& id : owned) {
     auto at = jobs_.find(id);
-    if (at == jobs_.end() || !at->second.active || at->second.active->stopped) continue;
+    if (at == jobs_.end() || at->second.record.owner != deps_.leases.own()) continue;
     JobRecord record = at->second.record;
     record.owner = LeaseId();
-    const Revision fence = at->second.active->fence;
+    const Revision fence = at->second.revision;
     const ActivePtr active = at->second.active;
-    active->stop(steadyNow());
-    // Also where one was sent just now: it may come too late, after the job was given up.
-    co_await writeCheckpoint(active, CheckpointNeed::kAlways);
+    if (active && !active->stopped) {
+      active->stop(steadyNow());
+      // Also where one was sent just now: it may come too late, after the job was given up.
+      co_await writeCheckpoint(active, CheckpointNeed::kAlways);
+    }
     const FencedAnswer answer = co_await deps_.store.putRecord(std::move(record), fence, {});
     LogEvent("batch", "handed_over")
         .text("batch", id.str())
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -40,6 +40,10 @@
   Duration accept_time = std::chrono::milliseconds(2500);
   Duration end_time = std::chrono::milliseconds(3500);
   Duration keep_ended = std::chrono::seconds(3);  ///< Results of an ended job in memory.
+  /// How long a job's begin may wait for what earlier jobs left.
+  Duration carry_over_time = std::chrono::milliseconds(250);
+  /// Trainers ask for the next step while one or two are under way.
+  std::size_t earlier_jobs = 3;
   double requests_per_slot = 1.0;
   double move_gain = 1.22;  ///< An engine must be this much faster for a run to move there.
   Duration move_after = std::chrono::milliseconds(350);  ///< Shorter runs stay.
@@ -132,10 +136,20 @@
   struct Inheritance {
     std::vector<StoredResult> listed;
     Checkpoint checkpoint;
+    carry_over_ptr carried;  ///< Of earlier jobs; may be empty.
     std::int64_t clock_ms = 0;
   };
   Task<CallResult<Inheritance>> inherit(JobId id);
   void activate(const JobId& id, BatchJob job, const Inheritance& inheritance, Instant give_up_at);
+  /// Begins a job that this daemon has just accepted.
+  Task<void> begin(JobId id, std::shared_ptr<BatchJob> job, Instant give_up_at);
+
+  /// What earlier jobs left that a job may go on with, as far as it is known soon enough.
+  Task<carry_over_ptr> findCarryOver(JobRecord record);
+  /// @return the newest jobs of the same route and model that were accepted before.
+  std::vector<JobId> earlierJobs(const JobRecord& record) const;
+  struct carry_over_search;
+  Task<void> readEarlierJob(JobId id, boost::intrusive_ptr<carry_over_search> search);
   Task<void> takeOver(JobId id);
   Task<void> resume(JobId id);
   void deactivate(Job& job, const char* reason);
--- /dev/null
+++ b/src/batch/carry_over.cpp
@@ -0,0 +1,19 @@
+#include "batch/carry_over.h"
+
+namespace linenpier::batch {
+
+void carry_over::addJob(const BatchJob& earlier, const Checkpoint& kept) {
+  for (const BatchItem& item : earlier.items) this->items_.insert(item.id);
+  for (const ItemCheckpoint& text : kept) {
+    if (text.item_index >= earlier.items.size()) continue;
+    ItemCheckpoint& longest = this->texts_[earlier.items[text.item_index].id];
+    if (text.last_event > longest.last_event) longest = text;
+  }
+}
+
+const ItemCheckpoint* carry_over::textOf(const ItemId& item) const {
+  const auto at = this->texts_.find(item);
+  return at == this->texts_.end() ? nullptr : &at->second;
+}
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/carry_over.h
@@ -0,0 +1,41 @@
+#pragma once
+
+/** @file
+ * Groups that a trainer hands in again because an earlier job ended before they were whole. A job
+ * waits for every one of them, and what they had so far may be gone on with. Pure.
+ */
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <map>
+#include <set>
+
+#include "batch/batch_types.h"
+#include "batch/checkpoint.h"
+
+namespace linenpier::batch {
+
+/** What earlier jobs of the same route and model left. One owner at a time fills it; then it is
+ * only read.
+ */
+class carry_over : public boost::intrusive_ref_counter<carry_over, boost::thread_unsafe_counter> {
+ public:
+  /** Adds an earlier job. Of two texts of one item the longer one stays.
+   * @param kept text of its items that were not finished.
+   */
+  void addJob(const BatchJob& earlier, const Checkpoint& kept);
+
+  /// @return whether the item was handed in before.
+  bool contains(const ItemId& item) const { return this->items_.contains(item); }
+  /// @return what is kept of the item, or nullptr.
+  const ItemCheckpoint* textOf(const ItemId& item) const;
+  bool empty() const { return this->items_.empty(); }
+
+ private:
+  std::set<ItemId> items_;
+  std::map<ItemId, ItemCheckpoint> texts_;
+};
+
+using carry_over_ptr = boost::intrusive_ptr<const carry_over>;
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/checkpoint.cpp
@@ -0,0 +1,40 @@
+#include "batch/checkpoint.h"
+
+#include <nlohmann/json.hpp>
+
+namespace linenpier::batch {
+
+using nlohmann::json;
+
+std::string encodeCheckpoint(const Checkpoint& checkpoint) {
+  json document = json::array();
+  for (const ItemCheckpoint& item : checkpoint) {
+    document.push_back({{"item", item.item_index},
+                        {"last_event", item.last_event},
+                        {"versions", item.versions},
+                        {"text", item.text}});
+  }
+  const std::vector<std::uint8_t> bytes = json::to_cbor(document);
+  return {bytes.begin(), bytes.end()};
+}
+
+std::optional<Checkpoint> decodeCheckpoint(const std::string& bytes) {
+  const json document = json::from_cbor(bytes, true, false);
+  if (!document.is_array()) return std::nullopt;
+  try {
+    Checkpoint checkpoint;
+    for (const json& entry : document) {
+      ItemCheckpoint item;
+      item.item_index = entry.at("item").get<std::size_t>();
+      item.last_event = entry.at("last_event").get<std::uint64_t>();
+      item.versions = entry.at("versions").get<std::set<WeightVersion>>();
+      item.text = entry.at("text").get<std::string>();
+      checkpoint.push_back(std::move(item));
+    }
+    return checkpoint;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace linenpier::batch
--- a/src/batch/job_store.h
+++ b/src/batch/job_store.h
@@ -14,6 +14,7 @@
 #include <memory>
 
 #include "batch/batch_types.h"
+#include "batch/checkpoint.h"
 #include "table/async_table.h"
 
 namespace linenpier::batch {
@@ -43,20 +44,6 @@
   std::optional<table::Row> current;  ///< The job's row, if the fence is lost and the row exists.
 };
 
-/// Text of an item that is not finished, for whoever owns the job next.
-struct ItemCheckpoint {
-  std::size_t item_index = 0;
-  std::uint64_t last_event = 0;
-  std::set<WeightVersion> versions;
-  std::string text;
-};
-
-using Checkpoint = std::vector<ItemCheckpoint>;
-
-std::string encodeCheckpoint(const Checkpoint& checkpoint);
-/// @return nothing if the bytes are no checkpoint.
-std::optional<Checkpoint> decodeCheckpoint(const std::string& bytes);
-
 std::string encodeRecord(const JobRecord& record);
 /// @return nothing if the text is no job record.
 std::optional<JobRecord> decodeRecord(const JobId& id, const std::string& text);
--- a/tests/batch/batch_run_test.cpp
+++ b/tests/batch/batch_run_test.cpp
@@ -132,3 +132,37 @@
   run.giveUpAll();
   cr_assert_eq(run.finished().size(), 2U, "listed items are not given up");
 }
+
+namespace {
+
+/// An earlier job from which the group `g2` comes again; `text` is kept of its item "c".
+batch::carry_over leftBehind(const std::set<WeightVersion>& versions) {
+  BatchJob earlier;
+  earlier.items = {item("c", "g2", 90), item("d", "g2", 5)};
+  batch::carry_over carried;
+  carried.addJob(earlier, {{0, 2, versions, "one\ntwo"}});
+  return carried;
+}
+
+}  // namespace
+
+Test(batch_run, a_group_that_comes_again_is_never_spared) {
+  BatchJob one_group = job();
+  one_group.desired_groups = 1;
+  BatchRun run(one_group, rules());
+  cr_assert_eq(*run.nextToStart(kStart), 1U, "the shorter group, while nothing is known");
+  run.onCarriedOver(leftBehind({3}));
+  cr_assert_eq(run.carriedGroups(), 1U);
+  cr_assert_eq(*run.nextToStart(kStart), 2U, "the group that is waited for in any case");
+}
+
+Test(batch_run, text_of_a_group_that_comes_again_is_gone_on_with_if_its_versions_fit) {
+  BatchRun fitting(job(), rules());
+  fitting.onCarriedOver(leftBehind({3, 4}));
+  cr_assert_eq(fitting.progress(2).last_event, 2U);
+  cr_assert_eq(fitting.progress(2).text, "one\ntwo");
+  BatchRun too_old(job(), rules());
+  too_old.onCarriedOver(leftBehind({2, 3}));
+  cr_assert_eq(too_old.progress(2).last_event, 0U);
+  cr_assert_eq(too_old.carriedGroups(), 1U, "it is waited for all the same");
+}
--- /dev/null
+++ b/tests/batch/carry_over_test.cpp
@@ -0,0 +1,40 @@
+#include "batch/carry_over.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using batch::BatchItem;
+using batch::BatchJob;
+using batch::ItemId;
+
+namespace {
+
+BatchJob jobOf(const std::vector<std::string>& items) {
+  BatchJob job;
+  for (const std::string& id : items) {
+    BatchItem item;
+    item.id = ItemId(id);
+    job.items.push_back(item);
+  }
+  return job;
+}
+
+}  // namespace
+
+Test(carry_over, of_several_earlier_jobs_the_longest_text_stays) {
+  batch::carry_over carried;
+  cr_assert(carried.empty());
+  carried.addJob(jobOf({"a", "b"}), {{1, 7, {2}, "seven"}});
+  carried.addJob(jobOf({"b", "c"}), {{0, 3, {3}, "three"}});
+  cr_assert(carried.contains(ItemId("a")));
+  cr_assert(carried.contains(ItemId("c")));
+  cr_assert_not(carried.contains(ItemId("d")));
+  cr_assert_eq(carried.textOf(ItemId("a")), nullptr);
+  cr_assert_eq(carried.textOf(ItemId("b"))->last_event, 7U);
+}
+
+Test(carry_over, text_of_an_item_that_the_job_has_not_is_left_out) {
+  batch::carry_over carried;
+  carried.addJob(jobOf({"a"}), {{5, 7, {2}, "seven"}});
+  cr_assert_eq(carried.textOf(ItemId("a")), nullptr);
+}
--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -195,6 +195,29 @@
   cr_assert(stopped);
 }
 
+GATEWAY_TEST(batch_jobs, items_that_come_again_in_a_later_job_are_gone_on_with, twoGateways(60)) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(10));
+  co_await fixture.call(0, fixture.jobRequest("first", 3));
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(250));
+  co_await fixture.call(1, endRequest("first"));
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(250));
+  // Handed in at a daemon that did not run the first job.
+  http::Request again = fixture.jobRequest("first", 3);
+  again.set("Request-Id", "second");
+  again.target("/jobs/second");
+  const auto accepted = co_await fixture.call(1, std::move(again));
+  cr_assert_eq(accepted.response.result_int(), 202U);
+  const std::string results = co_await fixture.readAll(0, "second");
+  checkResults(results, "first", 3, 60);
+  int resumed = 0;
+  for (std::size_t i = 0; i < 2; ++i) {
+    for (const auto& arrival : fixture.model(i).arrivals()) {
+      resumed += arrival.fields.contains("last-event-id") ? 1 : 0;
+    }
+  }
+  cr_assert(resumed >= 3, "only %d items were gone on with", resumed);
+}
+
 GATEWAY_TEST(batch_jobs, a_malformed_job_gets_every_finding, test::FixtureOptions{}) {
   http::Request request = fixture.jobRequest("job", 1);
   request.body() = R"({"minVersion":"x","requests":[{"path":1}]})";
