Gather a step's results until it is whole; let a job begin before its carried groups are known

A read that finds something new is answered at once, so the last group waited 0.5 to 1.0 s for the end; a read that waits at the daemon hears of it at once. Results were written up to 16 times a second a job for nobody's use. The begin of a job waited 70 to 80 ms for what earlier jobs left.

Change: listing_schedule holds finished items back for at most 1 s unless the step is whole, an item is given up, no groups are asked for, or results are due. Checkpoints keep finished texts that are not listed, marked so. A job begins at once; what earlier jobs left is adopted when it comes (runs that have less are stopped). Zones do not matter to the choice of an engine for an item.

--- a/src/batch/active_job.h
+++ b/src/batch/active_job.h
@@ -9,13 +9,16 @@
 #include <vector>
 
 #include "batch/batch_service.h"
+#include "batch/listing_schedule.h"
 
 namespace linenpier::batch {
 
 struct BatchService::Active {
-  Active(boost::asio::io_context& loop, JobRecord job_record, BatchJob job, RunRules rules)
+  Active(boost::asio::io_context& loop, JobRecord job_record, BatchJob job, RunRules rules,
+         Duration gather)
       : record(std::move(job_record)),
         run(std::move(job), rules),
+        schedule(steadyNow(), gather),
         finished(loop),
         listed_changed(loop) {}
 
@@ -31,7 +34,8 @@
   JobRecord record;
   Revision fence = 0;  ///< Revision of the job's row under which this daemon owns it.
   BatchRun run;
-  Instant give_up_at{};
+  listing_schedule schedule;
+  Instant accepted_at{};  ///< By this daemon's clock.
   std::vector<std::string> listed;  ///< Encoded, by position; all in the store.
   Pending pending;
   std::map<ItemIndex, std::shared_ptr<forward::EngineCall>> calls;  ///< By the item they run.
@@ -42,15 +46,16 @@
   bool stopped = false;
   Instant stopped_at{};
 
-  /// @return the text of unfinished items that is worth keeping.
+  /// @return the text of items that are not listed, as far as it is worth keeping.
   Checkpoint checkpoint() const {
     Checkpoint kept;
     for (ItemIndex item = 0; item < run.job().items.size(); ++item) {
       const ItemProgress& progress = run.progress(item);
-      const bool unfinished =
-          progress.state == ItemState::kRunning || progress.state == ItemState::kWaiting;
-      if (!unfinished || progress.last_event < kFewestEventsKept) continue;
-      kept.push_back({item, progress.last_event, progress.versions, progress.text});
+      const bool finished = progress.state == ItemState::kFinished;
+      if (progress.state == ItemState::kListed) continue;
+      if (finished && progress.outcome != ResultState::kCompleted) continue;
+      if (!finished && progress.last_event < kFewestEventsKept) continue;
+      kept.push_back({item, progress.last_event, progress.versions, progress.text, finished});
     }
     return kept;
   }
--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -132,10 +132,7 @@
   if (accepted.revision > mine.revision && !mine.activating && !mine.active) {
     mine.record = record;
     mine.revision = accepted.revision;
-    mine.activating = true;
-    const Instant give_up_at = received + route.queue_limit + std::chrono::seconds(1);
-    auto shared = std::make_shared<BatchJob>(std::move(*job));
-    spawn(deps_.loop, [this, id, shared, give_up_at] { return begin(id, shared, give_up_at); });
+    activate(id, std::move(*job), Inheritance{}, received);
   }
   co_await answer(writer, kAccepted);
 }
--- a/src/batch/batch_carry_over.cpp
+++ b/src/batch/batch_carry_over.cpp
@@ -2,6 +2,7 @@
 /// What a job takes over from earlier ones of the same route and model.
 
 #include <algorithm>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include "batch/active_job.h"
 #include "batch/batch_service.h"
@@ -30,7 +31,7 @@
     : boost::intrusive_ref_counter<carry_over_search, boost::thread_unsafe_counter> {
   explicit carry_over_search(boost::asio::io_context& loop) : changed(loop) {}
 
-  boost::intrusive_ptr<carry_over> found{new carry_over};
+  carry_over found;
   std::size_t unanswered = 0;
   Signal changed;
 };
@@ -40,20 +41,21 @@
   if (bytes) {
     const auto job = deps_.codec.parseJob(id, *bytes);
     const auto kept = co_await deps_.store.getCheckpoint(id);
-    if (job) search->found->addJob(*job, kept.value_or(Checkpoint{}));
+    if (job) search->found.addJob(*job, kept.value_or(Checkpoint{}));
   }
   --search->unanswered;
   search->changed.notifyAll();
 }
 
-Task<carry_over_ptr> BatchService::findCarryOver(JobRecord record) {
+Task<void> BatchService::carryOver(ActivePtr active) {
+  const std::vector<JobId> earlier = earlierJobs(active->record);
+  if (earlier.empty()) co_return;
   boost::intrusive_ptr<carry_over_search> search(new carry_over_search(deps_.loop));
   const Instant begun = steadyNow();
-  const std::vector<JobId> earlier = earlierJobs(record);
   for (const JobId& id : earlier) {
-    const ActivePtr active = jobs_.at(id).active;
-    if (active) {
-      search->found->addJob(active->run.job(), active->checkpoint());
+    const ActivePtr other = jobs_.at(id).active;
+    if (other) {
+      search->found.addJob(other->run.job(), other->checkpoint());
       continue;
     }
     ++search->unanswered;
@@ -64,27 +66,23 @@
   while (search->unanswered > 0 && steadyNow() < deadline) {
     co_await search->changed.waitFor(deadline - steadyNow());
   }
-  LogEvent("batch", "carry_over")
-      .text("batch", record.id.str())
+  if (active->stopped) co_return;
+  const std::vector<ItemIndex> obsolete = active->run.onCarriedOver(search->found);
+  for (const ItemIndex item : obsolete) {
+    if (const auto call = active->calls.find(item); call != active->calls.end()) {
+      call->second->abort();
+    }
+  }
+  LogEvent("batch", "carried_over")
+      .text("batch", active->record.id.str())
+      .number("groups", static_cast<std::int64_t>(active->run.carriedGroups()))
+      .number("runs_replaced", static_cast<std::int64_t>(obsolete.size()))
       .number("earlier_jobs", static_cast<std::int64_t>(earlier.size()))
       .number("asked", static_cast<std::int64_t>(asked))
       .number("unanswered", static_cast<std::int64_t>(search->unanswered))
       .milliseconds("took_ms", steadyNow() - begun);
-  co_return search->found;
-}
-
-Task<void> BatchService::begin(JobId id, std::shared_ptr<BatchJob> job, Instant give_up_at) {
-  Inheritance inheritance;
-  auto at = jobs_.find(id);
-  if (at == jobs_.end()) co_return;
-  const JobRecord record = at->second.record;
-  inheritance.carried = co_await findCarryOver(record);
-  at = jobs_.find(id);
-  if (at == jobs_.end()) co_return;
-  Job& mine = at->second;
-  mine.activating = false;
-  if (mine.record.ended || stopping_ || mine.record.owner != deps_.leases.own()) co_return;
-  activate(id, std::move(*job), inheritance, give_up_at);
+  active->finished.notifyAll();
+  pump();
 }
 
 }  // namespace linenpier::batch
--- a/src/batch/batch_listing.cpp
+++ b/src/batch/batch_listing.cpp
@@ -11,6 +11,10 @@
 
 using logging::LogEvent;
 
+namespace {
+constexpr Duration kIdleWait = std::chrono::seconds(1);  ///< While nothing is finished.
+}  // namespace
+
 // --- Checkpoints ------------------------------------------------------------------------------
 
 Task<void> BatchService::writeCheckpoint(ActivePtr active, CheckpointNeed need) {
@@ -46,9 +50,14 @@
 
 Task<void> BatchService::listLoop(ActivePtr active) {
   while (!active->stopped && !active->run.allListed()) {
-    if (active->pending.results.empty() && active->run.finished().empty()) {
-      co_await active->finished.waitFor(std::chrono::seconds(1));
-      continue;
+    if (active->pending.results.empty()) {
+      const Instant now = steadyNow();
+      Instant due = active->schedule.appendAt(now, active->run.listingUrgent());
+      if (active->run.finished().empty()) due = now + kIdleWait;
+      if (due > now) {
+        co_await active->finished.waitFor(due - now);
+        continue;
+      }
     }
     const bool done = co_await listPending(active);
     if (active->stopped) break;
@@ -98,6 +107,7 @@
     active->listed.push_back(std::move(pending.results[i].encoded));
   }
   pending = Active::Pending{};
+  active->schedule.onAppended(steadyNow());
   active->listed_changed.notifyAll();
   co_return true;
 }
--- a/src/batch/batch_run.cpp
+++ b/src/batch/batch_run.cpp
@@ -7,69 +7,87 @@
 
 BatchRun::BatchRun(BatchJob job, RunRules rules)
     : job_(std::move(job)), rules_(rules), progress_(job_.items.size()) {
+  findGroups();
   orderItems();
 }
 
-/// The trainer does not wait for all groups: those that are expected to be longest can be spared.
-/// It does wait for each group that comes again from an earlier job.
-std::set<GroupId> BatchRun::spareGroups() const {
-  std::map<GroupId, std::uint64_t> longest_of;
+void BatchRun::findGroups() {
+  std::map<GroupId, std::size_t> known;
+  group_of_.reserve(job_.items.size());
   for (const BatchItem& item : job_.items) {
-    std::uint64_t& longest = longest_of[item.group];
-    longest = std::max(longest, item.length_hint);
+    const auto [at, fresh] = known.try_emplace(item.group, groups_.size());
+    if (fresh) groups_.push_back({item.group, 0, false});
+    ++groups_[at->second].open;
+    group_of_.push_back(at->second);
   }
-  const std::size_t groups = longest_of.size();
-  std::size_t left_to_spare = job_.desired_groups == 0 || job_.desired_groups >= groups
-                                  ? 0
-                                  : groups - job_.desired_groups;
-  std::vector<std::pair<std::uint64_t, GroupId>> by_length;
-  for (const auto& [group, longest] : longest_of) {
-    if (!carried_groups_.contains(group)) by_length.emplace_back(longest, group);
-  }
-  std::sort(by_length.rbegin(), by_length.rend());
-  left_to_spare = std::min(left_to_spare, by_length.size());
-  std::set<GroupId> spare;
-  for (std::size_t i = 0; i < left_to_spare; ++i) spare.insert(by_length[i].second);
-  return spare;
 }
 
-/// The longest items begin first, since the step ends with them; what can be spared comes last.
+/// Groups that come again are waited for in any case. Among the others the longest items begin
+/// first, since the step ends with them.
 void BatchRun::orderItems() {
-  const std::set<GroupId> spare = spareGroups();
   order_.resize(job_.items.size());
   for (ItemIndex item = 0; item < order_.size(); ++item) order_[item] = item;
   std::stable_sort(order_.begin(), order_.end(), [&](ItemIndex one, ItemIndex other) {
-    const bool one_spare = spare.contains(job_.items[one].group);
-    const bool other_spare = spare.contains(job_.items[other].group);
-    if (one_spare != other_spare) return other_spare;
+    const bool one_carried = groups_[group_of_[one]].carried;
+    const bool other_carried = groups_[group_of_[other]].carried;
+    if (one_carried != other_carried) return one_carried;
     return job_.items[one].length_hint > job_.items[other].length_hint;
   });
 }
 
-void BatchRun::onCarriedOver(const carry_over& carried) {
+std::vector<ItemIndex> BatchRun::onCarriedOver(const carry_over& carried) {
+  std::vector<ItemIndex> obsolete;
   for (ItemIndex item = 0; item < job_.items.size(); ++item) {
     if (!carried.contains(job_.items[item].id)) continue;
-    carried_groups_.insert(job_.items[item].group);
+    groups_[group_of_[item]].carried = true;
     const ItemCheckpoint* kept = carried.textOf(job_.items[item].id);
-    if (kept != nullptr) onCheckpoint(item, kept->last_event, kept->versions, kept->text);
+    if (kept != nullptr && onCheckpoint(item, *kept)) obsolete.push_back(item);
   }
-  if (!carried_groups_.empty()) orderItems();
+  if (carriedGroups() > 0) orderItems();
+  return obsolete;
+}
+
+std::size_t BatchRun::carriedGroups() const {
+  return static_cast<std::size_t>(std::count_if(groups_.begin(), groups_.end(),
+                                                [](const Group& each) { return each.carried; }));
+}
+
+bool BatchRun::stepWhole() const {
+  std::size_t whole = 0;
+  for (const Group& group : groups_) {
+    if (group.open == 0) ++whole;
+    if (group.open > 0 && group.carried) return false;
+  }
+  const std::size_t wanted = job_.desired_groups == 0 ? groups_.size() : job_.desired_groups;
+  return whole >= std::min(wanted, groups_.size());
+}
+
+bool BatchRun::listingUrgent() const {
+  if (finished_.empty()) return false;
+  if (job_.desired_groups == 0 || stepWhole()) return true;
+  return std::any_of(finished_.begin(), finished_.end(), [this](ItemIndex item) {
+    return progress_[item].outcome == ResultState::kTerminated;
+  });
 }
 
 void BatchRun::onAlreadyListed(ItemIndex item) {
   if (progress_[item].state == ItemState::kListed) return;
   progress_[item].state = ItemState::kListed;
+  onItemClosed(item);
   ++listed_;
 }
 
-void BatchRun::onCheckpoint(ItemIndex item, std::uint64_t last_event,
-                            const std::set<WeightVersion>& versions, const std::string& text) {
+bool BatchRun::onCheckpoint(ItemIndex item, const ItemCheckpoint& kept) {
   ItemProgress& progress = progress_[item];
-  if (progress.state != ItemState::kWaiting || progress.last_event > 0 || versions.empty()) return;
-  if (*versions.begin() < job_.minimum_version || rules_.single_version) return;
-  progress.last_event = last_event;
-  progress.versions = versions;
-  progress.text = text;
+  const bool open = progress.state == ItemState::kWaiting || progress.state == ItemState::kRunning;
+  if (!open || kept.last_event <= progress.last_event || kept.versions.empty()) return false;
+  if (*kept.versions.begin() < job_.minimum_version || rules_.single_version) return false;
+  const bool running = progress.state == ItemState::kRunning;
+  progress.last_event = kept.last_event;
+  progress.versions = kept.versions;
+  progress.text = kept.text;
+  if (kept.finished) finish(item, ResultState::kCompleted);
+  return running;
 }
 
 std::optional<ItemIndex> BatchRun::nextToStart(Instant now) const {
@@ -122,6 +140,7 @@
   if (progress.state == ItemState::kFinished || progress.state == ItemState::kListed) return;
   progress.state = ItemState::kFinished;
   progress.outcome = outcome;
+  onItemClosed(item);
   finished_.push_back(item);
 }
 
--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -55,14 +55,19 @@
   /// An item that was listed before this daemon took the job over.
   void onAlreadyListed(ItemIndex item);
 
-  /// Text that an earlier owner kept; taken if its versions fit and the item has none yet.
-  void onCheckpoint(ItemIndex item, std::uint64_t last_event,
-                    const std::set<WeightVersion>& versions, const std::string& text);
+  /// Text that an earlier owner kept; taken if its versions fit and the item has less.
+  /// @return whether an attempt that runs is of no use any more: it must be stopped.
+  bool onCheckpoint(ItemIndex item, const ItemCheckpoint& kept);
 
   /// Groups that come again from earlier jobs are waited for in any case; what is kept of them is
   /// gone on with if its versions fit.
-  void onCarriedOver(const carry_over& carried);
-  std::size_t carriedGroups() const { return carried_groups_.size(); }
+  /// @return the items whose running attempts must be stopped.
+  std::vector<ItemIndex> onCarriedOver(const carry_over& carried);
+  std::size_t carriedGroups() const;
+  /// @return whether every group that the trainer waits for is whole.
+  bool stepWhole() const;
+  /// @return whether what is finished should be listed at once.
+  bool listingUrgent() const;
 
   /// @return the waiting item that should start next, if any may start now.
   std::optional<ItemIndex> nextToStart(Instant now) const;
@@ -96,14 +101,23 @@
   bool allListed() const { return listed_ == progress_.size(); }
 
  private:
+  /// Invariant: `open` is the number of its items that are neither finished nor listed.
+  struct Group {
+    GroupId id;
+    std::size_t open = 0;
+    bool carried = false;  ///< It comes again from an earlier job.
+  };
+
+  void findGroups();
   void orderItems();
-  std::set<GroupId> spareGroups() const;
+  void onItemClosed(ItemIndex item) { --groups_[group_of_[item]].open; }
   void finish(ItemIndex item, ResultState outcome);
 
   BatchJob job_;
   RunRules rules_;
   std::vector<ItemProgress> progress_;
-  std::set<GroupId> carried_groups_;
+  std::vector<Group> groups_;
+  std::vector<std::size_t> group_of_;  ///< Index into `groups_`, by item.
   std::vector<ItemIndex> order_;     ///< Most urgent first.
   std::vector<ItemIndex> finished_;  ///< Not listed yet.
   std::size_t listed_ = 0;
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -13,6 +13,7 @@
 namespace {
 constexpr Duration kTick = std::chrono::milliseconds(50);
 constexpr Duration kGiveUpSlack = std::chrono::milliseconds(1500);
+constexpr Duration kUsualQueueLimit = std::chrono::seconds(30);  ///< Without a route.
 
 }  // namespace
 
@@ -34,16 +35,24 @@
   return table ? table->find(record.host, record.path) : nullptr;
 }
 
-RunRules BatchService::rulesFor(const routing::Route* route, Instant give_up_at) const {
+RunRules BatchService::rulesFor(const routing::Route* route, Instant accepted_at) const {
   RunRules rules;
-  rules.give_up_at = give_up_at;
+  rules.give_up_at = accepted_at + kGiveUpSlack + kUsualQueueLimit;
   if (route != nullptr) {
+    rules.give_up_at = accepted_at + kGiveUpSlack + route->queue_limit;
     rules.max_failures = std::max(1, route->max_attempts);
     rules.single_version = route->single_version;
   }
   return rules;
 }
 
+void BatchService::applyRules(Active& active) const {
+  routing::RouteTablePtr table;
+  const routing::Route* route = routeOf(active.record, table);
+  active.run.setRules(rulesFor(route, active.accepted_at));
+  if (route != nullptr) active.schedule.setDue(active.accepted_at + route->target_finish);
+}
+
 // --- Rows ---------------------------------------------------------------------------------------
 
 void BatchService::onRecordRow(const JobId& id, const table::Row& row) {
@@ -156,23 +165,16 @@
              at->second.record.owner == deps_.leases.own();
     };
     if (!stillOwned()) break;
-    auto inheritance = co_await inherit(id);
-    at = jobs_.find(id);
+    const auto inheritance = co_await inherit(id);
     const bool whole = bytes.has_value() && inheritance.has_value();
-    if (whole && at != jobs_.end()) {
-      inheritance->carried = co_await findCarryOver(at->second.record);
-    }
     at = jobs_.find(id);
     if (!stillOwned()) break;
     if (whole) {
       auto job = deps_.codec.parseJob(id, *bytes);
       if (!job) break;
-      routing::RouteTablePtr table;
-      const routing::Route* route = routeOf(at->second.record, table);
-      const Duration limit = route != nullptr ? route->queue_limit : std::chrono::seconds(30);
       const Duration age =
           std::chrono::milliseconds(inheritance->clock_ms - at->second.record.accepted_ms);
-      activate(id, std::move(*job), *inheritance, steadyNow() + limit - age + kGiveUpSlack);
+      activate(id, std::move(*job), *inheritance, steadyNow() - age);
       break;
     }
     co_await sleepFor(deps_.loop, options_.store_pause);
@@ -197,14 +199,13 @@
 }
 
 void BatchService::activate(const JobId& id, BatchJob parsed, const Inheritance& inheritance,
-                            Instant give_up_at) {
+                            Instant accepted_at) {
   Job& job = jobs_[id];
-  routing::RouteTablePtr table;
-  const routing::Route* route = routeOf(job.record, table);
-  job.active = std::make_shared<Active>(deps_.loop, job.record, std::move(parsed),
-                                        rulesFor(route, give_up_at));
+  job.active = std::make_shared<Active>(deps_.loop, job.record, std::move(parsed), RunRules{},
+                                        options_.list_gather);
   job.active->fence = job.revision;
-  job.active->give_up_at = give_up_at;
+  job.active->accepted_at = accepted_at;
+  applyRules(*job.active);
   for (const StoredResult& each : inheritance.listed) {
     if (each.item_index < job.active->run.job().items.size()) {
       job.active->run.onAlreadyListed(each.item_index);
@@ -213,13 +214,11 @@
   }
   for (const ItemCheckpoint& kept : inheritance.checkpoint) {
     if (kept.item_index >= job.active->run.job().items.size()) continue;
-    job.active->run.onCheckpoint(kept.item_index, kept.last_event, kept.versions, kept.text);
+    job.active->run.onCheckpoint(kept.item_index, kept);
   }
-  if (inheritance.carried) job.active->run.onCarriedOver(*inheritance.carried);
   LogEvent("batch", "job_active")
       .text("batch", id.str())
       .number("fence", static_cast<std::int64_t>(job.active->fence))
-      .number("carried_groups", static_cast<std::int64_t>(job.active->run.carriedGroups()))
       .number("items", static_cast<std::int64_t>(job.record.total))
       .number("listed", static_cast<std::int64_t>(inheritance.listed.size()))
       .number("checkpoint", static_cast<std::int64_t>(inheritance.checkpoint.size()))
@@ -227,6 +226,7 @@
   const ActivePtr active = job.active;
   spawn(deps_.loop, [this, active] { return listLoop(active); });
   spawn(deps_.loop, [this, active] { return checkpointLoop(active); });
+  spawn(deps_.loop, [this, active] { return carryOver(active); });
   pump();
 }
 
@@ -237,8 +237,7 @@
     checkOwners(now);
     for (auto& [id, job] : jobs_) {
       if (!job.active || job.active->stopped) continue;
-      routing::RouteTablePtr table;
-      job.active->run.setRules(rulesFor(routeOf(job.record, table), job.active->give_up_at));
+      applyRules(*job.active);
       if (job.active->run.onTick(now)) job.active->finished.notifyAll();
     }
     moveSlowRuns(now);
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -10,6 +10,7 @@
 /// - items are run by the owner alone, as far as it knows; positions are given only under the
 /// fence.
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +34,7 @@
   Duration refused_pause = std::chrono::milliseconds(40);
   Duration broken_pause{};
   Duration list_gap = std::chrono::milliseconds(60);  ///< Between two writes of results.
+  Duration list_gather = std::chrono::seconds(1);     ///< Results that no step waits for.
   Duration checkpoint_gap = std::chrono::milliseconds(500);
   std::uint64_t checkpoint_events = 10;  ///< Fewer new ones are not worth a checkpoint.
   Duration store_pause = std::chrono::milliseconds(150);  ///< Before a write is sent again.
@@ -40,8 +42,8 @@
   Duration accept_time = std::chrono::milliseconds(2500);
   Duration end_time = std::chrono::milliseconds(3500);
   Duration keep_ended = std::chrono::seconds(3);  ///< Results of an ended job in memory.
-  /// How long a job's begin may wait for what earlier jobs left.
-  Duration carry_over_time = std::chrono::milliseconds(250);
+  /// What earlier jobs left is of little use to a job later.
+  Duration carry_over_time = std::chrono::seconds(2);
   /// Trainers ask for the next step while one or two are under way.
   std::size_t earlier_jobs = 3;
   double requests_per_slot = 1.0;
@@ -136,16 +138,14 @@
   struct Inheritance {
     std::vector<StoredResult> listed;
     Checkpoint checkpoint;
-    carry_over_ptr carried;  ///< Of earlier jobs; may be empty.
     std::int64_t clock_ms = 0;
   };
   Task<CallResult<Inheritance>> inherit(JobId id);
-  void activate(const JobId& id, BatchJob job, const Inheritance& inheritance, Instant give_up_at);
-  /// Begins a job that this daemon has just accepted.
-  Task<void> begin(JobId id, std::shared_ptr<BatchJob> job, Instant give_up_at);
+  void activate(const JobId& id, BatchJob job, const Inheritance& inheritance,
+                Instant accepted_at);
 
-  /// What earlier jobs left that a job may go on with, as far as it is known soon enough.
-  Task<carry_over_ptr> findCarryOver(JobRecord record);
+  /// Finds what earlier jobs left, and lets the job go on with it.
+  Task<void> carryOver(ActivePtr active);
   /// @return the newest jobs of the same route and model that were accepted before.
   std::vector<JobId> earlierJobs(const JobRecord& record) const;
   struct carry_over_search;
@@ -177,7 +177,8 @@
   Task<void> listLoop(ActivePtr active);
   Task<bool> listPending(ActivePtr active);
 
-  RunRules rulesFor(const routing::Route* route, Instant give_up_at) const;
+  RunRules rulesFor(const routing::Route* route, Instant accepted_at) const;
+  void applyRules(Active& active) const;
   const routing::Route* routeOf(const JobRecord& record, routing::RouteTablePtr& table) const;
   Task<void> answer(http::ResponseWriter& writer, unsigned status, std::string body = {}) const;
   Task<void> answerPage(http::ResponseWriter& writer, std::size_t total, std::size_t next,
--- a/src/batch/carry_over.h
+++ b/src/batch/carry_over.h
@@ -5,8 +5,6 @@
  * waits for every one of them, and what they had so far may be gone on with. Pure.
  */
 
-#include <boost/smart_ptr/intrusive_ptr.hpp>
-#include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <map>
 #include <set>
 
@@ -15,10 +13,8 @@
 
 namespace linenpier::batch {
 
-/** What earlier jobs of the same route and model left. One owner at a time fills it; then it is
- * only read.
- */
-class carry_over : public boost::intrusive_ref_counter<carry_over, boost::thread_unsafe_counter> {
+/** What earlier jobs of the same route and model left. */
+class carry_over {
  public:
   /** Adds an earlier job. Of two texts of one item the longer one stays.
    * @param kept text of its items that were not finished.
@@ -36,6 +32,4 @@
   std::map<ItemId, ItemCheckpoint> texts_;
 };
 
-using carry_over_ptr = boost::intrusive_ptr<const carry_over>;
-
 }  // namespace linenpier::batch
--- a/src/batch/checkpoint.cpp
+++ b/src/batch/checkpoint.cpp
@@ -12,7 +12,8 @@
     document.push_back({{"item", item.item_index},
                         {"last_event", item.last_event},
                         {"versions", item.versions},
-                        {"text", item.text}});
+                        {"text", item.text},
+                        {"finished", item.finished}});
   }
   const std::vector<std::uint8_t> bytes = json::to_cbor(document);
   return {bytes.begin(), bytes.end()};
@@ -29,6 +30,7 @@
       item.last_event = entry.at("last_event").get<std::uint64_t>();
       item.versions = entry.at("versions").get<std::set<WeightVersion>>();
       item.text = entry.at("text").get<std::string>();
+      item.finished = entry.value("finished", false);
       checkpoint.push_back(std::move(item));
     }
     return checkpoint;
--- a/src/batch/checkpoint.h
+++ b/src/batch/checkpoint.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** @file
- * Text of items that are not finished, for whoever goes on with them.
+ * Text of items that are not listed, for whoever goes on with them.
  */
 
 #include <optional>
@@ -17,6 +17,7 @@
   std::uint64_t last_event = 0;
   std::set<WeightVersion> versions;  ///< That made the text's events.
   std::string text;                  ///< Data of events 1 to `last_event`.
+  bool finished = false;             ///< The text is whole, but was not listed.
 
   bool operator==(const ItemCheckpoint&) const = default;
 };
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -170,7 +170,7 @@
   if (request.memory_tokens > 0 && engine.tokens + request.tokens > request.memory_tokens)
     wait *= 2;
   if (per_slot >= 1) wait *= 1 + per_slot;
-  if (engine.record.zone != zone_) wait *= options_.remote_factor;
+  if (engine.record.zone != zone_ && !request.batching) wait *= options_.remote_factor;
   if (now < engine.listed_at + engine.record.cold_for) wait *= 2;
   return wait;
 }
