Let moves of slow runs reserve the room they take

Change: moves_planned counts the moves of one go against the target's room; the runs expected to last longest move first.

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -195,35 +195,57 @@
       .milliseconds("took_ms", now - call.startedAt());
 }
 
+/// The runs that may move, those that are expected to last longest first.
+std::vector<ItemIndex> BatchService::movableRuns(Instant now, const Active& active) const {
+  std::vector<ItemIndex> runs;
+  for (const auto& [item, call] : active.calls) {
+    if (now - call->startedAt() < options_.move_after) continue;
+    if (deps_.engines.registry.slowness(now, call->engine()) >= options_.move_gain) {
+      runs.push_back(item);
+    }
+  }
+  std::sort(runs.begin(), runs.end(), [&active](ItemIndex one, ItemIndex other) {
+    return active.run.job().items[one].length_hint > active.run.job().items[other].length_hint;
+  });
+  return runs;
+}
+
 void BatchService::moveSlowRuns(Instant now) {
-  std::size_t moved = 0;
+  moves_planned moves(options_.moves_per_tick);
   for (auto& [id, job] : jobs_) {
     if (!job.active || job.active->stopped) continue;
     Active& active = *job.active;
     routing::RouteTablePtr table;
     const routing::Route* route = routeOf(active.record, table);
     if (route == nullptr || route->single_version || active.run.waiting() > 0) continue;
-    for (const auto& [item, call] : active.calls) {
-      if (moved >= options_.moves_per_tick) return;
-      if (now - call->startedAt() < options_.move_after) continue;
-      const double own_pace = deps_.engines.registry.slowness(now, call->engine());
-      if (own_pace < options_.move_gain) continue;
-      engines::PickRequest wanted = pickFor(active, item, *route);
-      wanted.excluded.insert(call->engine());
-      const engines::EngineState* better = deps_.engines.registry.pick(now, wanted);
-      if (better == nullptr) continue;
-      const double better_pace = deps_.engines.registry.slowness(now, better->record.id);
-      if (own_pace < options_.move_gain * better_pace) continue;
-      LogEvent("batch", "run_moved")
-          .text("item", active.run.job().items[item].id.str())
-          .text("from", call->engine().str())
-          .text("towards", better->record.id.str())
-          .real("slowness", own_pace)
-          .real("slowness_there", better_pace);
-      call->abort();
-      ++moved;
+    for (const ItemIndex item : movableRuns(now, active)) {
+      if (moves.exhausted()) return;
+      moveRun(now, active, item, *route, moves);
     }
   }
 }
 
+void BatchService::moveRun(Instant now, Active& active, ItemIndex item,
+                           const routing::Route& route, moves_planned& moves) {
+  const std::shared_ptr<forward::EngineCall>& call = active.calls.at(item);
+  const engines::EngineRegistry& registry = deps_.engines.registry;
+  const double pace = registry.slowness(now, call->engine());
+  engines::PickRequest wanted = pickFor(active, item, route);
+  wanted.excluded = moves.full();
+  wanted.excluded.insert(call->engine());
+  const engines::EngineState* better = deps_.engines.registry.pick(now, wanted);
+  if (better == nullptr) return;
+  const EngineId target = better->record.id;
+  const double pace_there = registry.slowness(now, target);
+  if (pace < options_.move_gain * pace_there) return;
+  LogEvent("batch", "run_moved")
+      .text("item", active.run.job().items[item].id.str())
+      .text("from", call->engine().str())
+      .text("towards", target.str())
+      .real("slowness", pace)
+      .real("slowness_there", pace_there);
+  moves.onMove(target, registry.room(now, target));
+  call->abort();
+}
+
 }  // namespace linenpier::batch
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -18,6 +18,7 @@
 #include "batch/batch_codec.h"
 #include "batch/batch_run.h"
 #include "batch/job_store.h"
+#include "batch/moves_planned.h"
 #include "forward/engine_call.h"
 #include "http/server.h"
 #include "lease/lease_keeper.h"
@@ -159,6 +160,9 @@
   void pump();
   /// Moves runs from slow engines to clearly faster ones that have room.
   void moveSlowRuns(Instant now);
+  std::vector<ItemIndex> movableRuns(Instant now, const Active& active) const;
+  void moveRun(Instant now, Active& active, ItemIndex item, const routing::Route& route,
+               moves_planned& moves);
   /// What an item asks of an engine.
   engines::PickRequest pickFor(const Active& active, ItemIndex item,
                                const routing::Route& route) const;
--- /dev/null
+++ b/src/batch/moves_planned.h
@@ -0,0 +1,34 @@
+#pragma once
+
+/** @file
+ * Moves of runs that were decided in one go: each takes room that the next ones do not have. Pure.
+ */
+
+#include <cstddef>
+#include <map>
+#include <set>
+
+#include "common/ids.h"
+
+namespace linenpier::batch {
+
+class moves_planned {
+ public:
+  explicit moves_planned(std::size_t most) : left_(most) {}
+
+  bool exhausted() const { return this->left_ == 0; }
+  /// @return engines that have no room beyond the moves planned.
+  const std::set<EngineId>& full() const { return this->full_; }
+  /** @param room slots that the target had before any of these moves. */
+  void onMove(const EngineId& target, double room) {
+    if (this->left_ > 0) --this->left_;
+    if (++this->planned_[target] + 1 > room) this->full_.insert(target);
+  }
+
+ private:
+  std::size_t left_;
+  std::map<EngineId, double> planned_;
+  std::set<EngineId> full_;
+};
+
+}  // namespace linenpier::batch
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -140,6 +140,11 @@
   return engine.in_flight + (fresh ? engine.others : 0);
 }
 
+double EngineRegistry::room(Instant now, const EngineId& id) const {
+  const EngineState* engine = find(id);
+  return engine == nullptr ? 0 : engine->record.slots - load(now, *engine);
+}
+
 double EngineRegistry::medianPace(Instant now, const routing::ServiceName& service) const {
   std::vector<double> paces;
   for (const auto& [id, engine] : engines_) {
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -129,6 +129,9 @@
   std::vector<const EngineState*> ofService(const routing::ServiceName& service) const;
   const std::map<EngineId, EngineState>& all() const { return engines_; }
   bool empty() const { return engines_.empty(); }
+  /// @return how many more requests the engine has slots for, counting those of others; below 0 if
+  ///     it is overfull.
+  double room(Instant now, const EngineId& id) const;
   /// @return the smoothed pace of the engine over the median of its service; 1 if unknown.
   double slowness(Instant now, const EngineId& id) const;
 
