Move a run only where the events that are left make up for it

Cause: moves were decided by the ratio of paces alone, so runs near their end moved too. Change: length_estimate learns events from hints and finished items; a move must save 0.25 s, at a ratio of 1.15 or more (1.22 before, for all).

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -168,6 +168,7 @@
     active.run.onFailed(now, item);
   } else if (verdict == AttemptVerdict::kAnswered && events > 0) {
     active.run.onCompleted(now, item);
+    lengths_.onFinished(active.run.job().items[item].length_hint, events);
   } else if (verdict == AttemptVerdict::kNotExecuted) {
     if (!model.empty()) deps_.engines.registry.onModelRefused(now, call.engine(), model);
     active.run.onInterrupted(now, item, options_.refused_pause);
@@ -238,10 +239,16 @@
   const EngineId target = better->record.id;
   const double pace_there = registry.slowness(now, target);
   if (pace < options_.move_gain * pace_there) return;
+  const double remaining = lengths_.remainingEvents(active.run.job().items[item].length_hint,
+                                                    active.run.progress(item).last_event);
+  const double seconds_an_event =
+      registry.expectedPace(now, call->engine()) - registry.expectedPace(now, target);
+  if (remaining * seconds_an_event < toSeconds(options_.move_saving)) return;
   LogEvent("batch", "run_moved")
       .text("item", active.run.job().items[item].id.str())
       .text("from", call->engine().str())
       .text("towards", target.str())
+      .real("events_left", remaining)
       .real("slowness", pace)
       .real("slowness_there", pace_there);
   moves.onMove(target, registry.room(now, target));
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -18,6 +18,7 @@
 #include "batch/batch_codec.h"
 #include "batch/batch_run.h"
 #include "batch/job_store.h"
+#include "batch/length_estimate.h"
 #include "batch/moves_planned.h"
 #include "forward/engine_call.h"
 #include "http/server.h"
@@ -48,7 +49,9 @@
   /// Trainers ask for the next step while one or two are under way.
   std::size_t earlier_jobs = 3;
   double requests_per_slot = 1.0;
-  double move_gain = 1.22;  ///< An engine must be this much faster for a run to move there.
+  double move_gain = 1.15;  ///< An engine must be this much faster for a run to move there.
+  /// A move must save more than this; reading a prompt and the text so far again costs less.
+  Duration move_saving = std::chrono::milliseconds(250);
   Duration move_after = std::chrono::milliseconds(350);  ///< Shorter runs stay.
   std::size_t moves_per_tick = 6;
   std::size_t page_bytes = 900 * 1024;
@@ -192,6 +195,7 @@
   BatchOptions options_;
   std::map<JobId, Job> jobs_;
   BatchCounts counts_;
+  length_estimate lengths_;
   bool stopping_ = false;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
 };
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -167,6 +167,11 @@
   return median > 0 ? std::min(engine->pace / median, kSlowestFactor) : 1;
 }
 
+double EngineRegistry::expectedPace(Instant now, const EngineId& id) const {
+  const EngineState* engine = find(id);
+  return engine == nullptr ? 0 : slowness(now, id) * medianPace(now, engine->record.service);
+}
+
 double EngineRegistry::expectedWait(Instant now, const EngineState& engine,
                                     const PickRequest& request) const {
   const double per_slot = load(now, engine) / std::max(1U, engine.record.slots);
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -134,6 +134,9 @@
   double room(Instant now, const EngineId& id) const;
   /// @return the smoothed pace of the engine over the median of its service; 1 if unknown.
   double slowness(Instant now, const EngineId& id) const;
+  /// @return the time per unit of work that is expected of the engine, in seconds; 0 if nothing is
+  ///     known of its service.
+  double expectedPace(Instant now, const EngineId& id) const;
 
  private:
   EngineState* mutableFind(const EngineId& id);
