Read leases now and then instead of telling every daemon of each renewal

Cause: each renewal of an owner ended the long poll of every daemon; at 340 daemons with 12 owners that made 4,250 calls a second against 2,000 (docs/CAPACITY.md). Change: leases lie in a table of their own. lease_watch reads it once a second a daemon, three times a second while an owner misses renewals; silence counts up to the last read. Rows of lives that are over are removed. The test that no feed tells of renewals failed before (the feed told of each). Worked out: 340 calls a second for 340 daemons however many owners.

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -76,7 +76,7 @@
         .number("bytes", static_cast<std::int64_t>(request.body().size()))
         .milliseconds("took_ms", steadyNow() - received);
   };
-  if (stopping_ || !deps_.leases.feedHealthy()) {
+  if (stopping_ || !deps_.leases.storeHealthy()) {
     ++counts_.refused;
     logOutcome(stopping_ ? "stopping" : "store_away", kUnavailable);
     co_await answer(writer, kUnavailable);
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -103,7 +103,7 @@
     }
     if (job.record.ended || stopping_ || job.activating) continue;
     if (job.active && !job.active->stopped) continue;
-    if (!deps_.leases.feedHealthy() || !deps_.leases.expired(now, job.record.owner)) continue;
+    if (!deps_.leases.storeHealthy() || !deps_.leases.expired(job.record.owner)) continue;
     if (job.orphaned_at == Instant{}) job.orphaned_at = now;
     const bool own = deps_.leases.isEarlierSelf(job.record.owner);
     const Duration delay = own ? Duration::zero() : deps_.leases.courtesy(now, id.str());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -47,6 +47,7 @@
       dealer_(seed),
       leases_(lease::makeLeaseId(settings.id.str(), Random(seed).hex16()), {}, steadyNow()),
       keeper_(loop, platform.table(), leases_),
+      lease_watch_(loop, platform.table(), leases_, keeper_, {}, seed + 1),
       job_store_(platform.table(), platform.objects(), settings.row_bytes - kRowOverhead),
       forwarder_(loop, {engine_pool, registry_, platform.fieldNames()}, dealer_, metrics, {}),
       batches_({loop,
@@ -93,6 +94,10 @@
   }
   watchTables();
   spawn(loop_, [this] { return peerLoop(); });
+  lease_watch_.start([this](bool answered) {
+    leases_answered_ = answered;
+    updateLeaseHealth();
+  });
   keeper_.start([this] { return batches_.ownsAny() || orders_.holdsAny(); });
   batches_.start();
   orders_.start();
@@ -138,13 +143,7 @@
     orders_.onTableRead();
   };
   coordination.on_change = [this](const table::RowChange& change) { onCoordinationRow(change); };
-  coordination.on_health = [this](bool healthy) {
-    if (healthy) {
-      leases_.onFeedRegained(steadyNow());
-    } else {
-      leases_.onFeedLost();
-    }
-  };
+  coordination.on_health = [this](bool) { updateLeaseHealth(); };
   coordination.on_clock = [this](std::int64_t clock_ms) {
     keeper_.onStoreClock(steadyNow(), clock_ms);
   };
@@ -159,6 +158,19 @@
   coordination_watcher_->start();
 }
 
+void Gateway::updateLeaseHealth() {
+  const bool healthy = leases_answered_ && coordination_watcher_->healthy();
+  if (healthy == leases_.storeHealthy()) return;
+  if (healthy) {
+    leases_.onStoreRegained(steadyNow());
+  } else {
+    leases_.onStoreLost();
+  }
+  LogEvent("lease", healthy ? "store_regained" : "store_lost")
+      .text("leases", leases_answered_ ? "read" : "not_read")
+      .text("feed", coordination_watcher_->healthy() ? "healthy" : "lost");
+}
+
 void Gateway::onOperatorRow(const table::Row& row) {
   const std::string key = keyWithoutTable(row);
   if (platform_.isConfiguration(key)) {
@@ -226,9 +238,6 @@
   if (key.starts_with(kJobPrefix)) {
     const batch::JobId id(tail(kJobPrefix));
     change.gone ? batches_.onRecordGone(id) : batches_.onRecordRow(id, change.row);
-  } else if (key.starts_with(kLeasePrefix)) {
-    const batch::LeaseId id(tail(kLeasePrefix));
-    change.gone ? leases_.onGone(id) : leases_.onRow(steadyNow(), id, change.row.revision);
   } else if (key.starts_with(kOrderPrefix)) {
     const routing::ServiceName service(tail(kOrderPrefix));
     change.gone ? orders_.onRightGone(service) : orders_.onRightRow(service, change.row);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/peer_snapshot.h"
 #include "gateway/platform_port.h"
+#include "lease/lease_watch.h"
 #include "metrics/gateway_metrics.h"
 #include "table/table_watcher.h"
 
@@ -47,6 +48,8 @@
   Task<void> stopInOrder();
   Task<void> sweepLoop();
   void watchTables();
+  /// Takeovers need both the leases and the feed of what is owned.
+  void updateLeaseHealth();
   void onOperatorRow(const table::Row& row);
   void onEngineRow(const table::RowChange& change);
   void onEngineSnapshot(const std::vector<table::Row>& rows);
@@ -63,6 +66,8 @@
   routing::WeightedDealer dealer_;
   lease::LeaseTable leases_;
   lease::LeaseKeeper keeper_;
+  lease::lease_watch lease_watch_;
+  bool leases_answered_ = false;  ///< Whether the last read of the leases was answered.
   batch::JobStore job_store_;
   forward::Forwarder forwarder_;
   batch::BatchService batches_;
--- a/src/gateway/store_keys.h
+++ b/src/gateway/store_keys.h
@@ -2,7 +2,8 @@
 
 /// @file
 /// Keys of what this product keeps in the store. One small table, watched whole by every daemon,
-/// holds rights and jobs; results lie in a table of their own that nobody watches.
+/// holds rights and jobs, which change seldom. Leases, which change all the time, and results lie in
+/// tables that nobody watches.
 
 #include <cstdio>
 #include <string>
@@ -13,17 +14,17 @@
 namespace linenpier::gateway {
 
 inline const std::string kCoordinationTable = "linenpier";
+inline const std::string kLeaseTable = "leases";
 inline const std::string kResultTable = "results";
 inline const std::string kCheckpointTable = "checkpoints";
 inline const std::string kJobPrefix = "job/";
-inline const std::string kLeasePrefix = "lease/";
 inline const std::string kOrderPrefix = "order/";
 
 inline std::string jobKey(const batch::JobId& id) {
   return kCoordinationTable + "/" + kJobPrefix + id.str();
 }
 inline std::string leaseKey(const batch::LeaseId& id) {
-  return kCoordinationTable + "/" + kLeasePrefix + id.str();
+  return kLeaseTable + "/" + id.str();
 }
 inline std::string orderKey(const routing::ServiceName& service) {
   return kCoordinationTable + "/" + kOrderPrefix + service.str();
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -25,8 +25,8 @@
 
 Task<bool> LeaseKeeper::confirmSilent(LeaseId lease) {
   if (lease.empty() || leases_.isEarlierSelf(lease)) co_return true;
-  const std::string key = gateway::kLeasePrefix + lease.str();
-  table::RowRange range{gateway::kCoordinationTable, key, key + '\x01', 1};
+  const std::string key = lease.str();
+  table::RowRange range{gateway::kLeaseTable, key, key + '\x01', 1};
   const auto page = co_await table_.read(range);
   if (!page) co_return false;
   if (page->rows.empty()) co_return true;
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -39,13 +39,38 @@
   return lease != own_ && daemonOf(lease) == daemonOf(own_);
 }
 
-bool LeaseTable::expired(Instant now, const LeaseId& lease) {
+void LeaseTable::onRead(Instant sent_at, Instant now, const std::map<LeaseId, Revision>& rows) {
+  // An absent row is kept while somebody asks for it: its silence counts.
+  for (const auto& [lease, revision] : rows) onRow(now, lease, revision);
+  std::erase_if(rows_, [&](const auto& each) {
+    return each.second.revision > 0 && !rows.contains(each.first);
+  });
+  read_at_ = std::max(read_at_, sent_at);
+}
+
+bool LeaseTable::expired(const LeaseId& lease) {
   if (lease == own_) return false;
   if (lease.empty() || isEarlierSelf(lease)) return true;
-  if (!feed_healthy_since_) return false;
-  const auto [at, fresh] = rows_.try_emplace(lease, Observation{0, now});
-  const Instant since = std::max(at->second.changed_at, *feed_healthy_since_);
-  return now - since > times_.expiry;
+  if (!store_healthy_since_) return false;
+  const auto [at, fresh] = rows_.try_emplace(lease, Observation{0, read_at_});
+  const Instant since = std::max(at->second.changed_at, *store_healthy_since_);
+  return read_at_ - since > times_.expiry;
+}
+
+bool LeaseTable::anySuspect(Instant now) const {
+  return std::any_of(rows_.begin(), rows_.end(), [&](const auto& each) {
+    const Duration silence = now - each.second.changed_at;
+    return each.first != own_ && silence > times_.suspicion && silence < 2 * times_.expiry;
+  });
+}
+
+std::vector<LeaseId> LeaseTable::forgotten(Instant now) const {
+  std::vector<LeaseId> found;
+  for (const auto& [lease, seen] : rows_) {
+    if (lease == own_ || seen.revision == 0) continue;
+    if (isEarlierSelf(lease) || now - seen.changed_at > times_.forget) found.push_back(lease);
+  }
+  return found;
 }
 
 Revision LeaseTable::seenRevision(const LeaseId& lease) const {
--- a/src/lease/lease_table.h
+++ b/src/lease/lease_table.h
@@ -2,7 +2,8 @@
 
 /// @file
 /// Who is alive, as told by lease rows in the store. An owner renews its row while it owns
-/// something; observers measure the silence by their own steady clocks. Pure.
+/// something; observers read the rows now and then and measure the silence by their own steady
+/// clocks. Pure.
 ///
 /// Leases only decide when others try to take over. That two owners never act under one right is
 /// decided by conditional writes on the row of what is owned.
@@ -26,6 +27,10 @@
   Duration validity = std::chrono::milliseconds(1000);
   /// Silence after which others may take over.
   Duration expiry = std::chrono::milliseconds(1500);
+  /// Silence that is unusual: a renewal or two were missed.
+  Duration suspicion = std::chrono::milliseconds(700);
+  /// Silence after which a row is of no use to anybody.
+  Duration forget = std::chrono::seconds(60);
 };
 
 /// @return the lease id of one life of a daemon.
@@ -44,15 +49,21 @@
   Duration courtesy(Instant now, const std::string& what) const;
 
   void onRow(Instant now, const LeaseId& lease, Revision revision);
-  void onGone(const LeaseId& lease) { rows_.erase(lease); }
-  /// The feed works from now on; silence before says nothing.
-  void onFeedRegained(Instant now) { feed_healthy_since_ = now; }
-  void onFeedLost() { feed_healthy_since_.reset(); }
-  bool feedHealthy() const { return feed_healthy_since_.has_value(); }
+  /// All rows were read: `rows`, as of a moment between `sent_at` and `now`.
+  void onRead(Instant sent_at, Instant now, const std::map<LeaseId, Revision>& rows);
+  /// The store answers from now on; silence before says nothing.
+  void onStoreRegained(Instant now) { store_healthy_since_ = now; }
+  void onStoreLost() { store_healthy_since_.reset(); }
+  bool storeHealthy() const { return store_healthy_since_.has_value(); }
 
   /// @return whether the owner has been silent for long enough, or is an earlier life of this
-  ///     daemon. Never for this life.
-  bool expired(Instant now, const LeaseId& lease);
+  ///     daemon. Never for this life. Silence counts up to the last read only.
+  bool expired(const LeaseId& lease);
+  /// @return whether an owner has been silent for longer than is usual, and not for so long that
+  ///     others must have taken over.
+  bool anySuspect(Instant now) const;
+  /// @return leases that nobody has renewed for so long that their rows may be removed.
+  std::vector<LeaseId> forgotten(Instant now) const;
   /// @return the revision of the lease's row as last seen; 0 if it was never seen.
   Revision seenRevision(const LeaseId& lease) const;
   /// @return whether the lease is of another life of the same daemon.
@@ -69,7 +80,8 @@
   LeaseTimes times_;
   Instant started_at_{};
   std::map<LeaseId, Observation> rows_;  ///< As last seen; an absent row counts from its asking.
-  std::optional<Instant> feed_healthy_since_;
+  Instant read_at_{};                    ///< When the last read that was answered was sent.
+  std::optional<Instant> store_healthy_since_;
 };
 
 }  // namespace linenpier::lease
--- /dev/null
+++ b/src/lease/lease_watch.cpp
@@ -0,0 +1,71 @@
+#include "lease/lease_watch.h"
+
+#include "gateway/store_keys.h"
+#include "logging/event_log.h"
+
+namespace linenpier::lease {
+
+namespace {
+constexpr std::uint64_t kSpreadSteps = 1000;
+/// Every daemon sees the rows that nobody needs; one in so many reads removes them.
+constexpr std::uint64_t kRemoveOneIn = 10;
+constexpr std::size_t kMostRemovedAtOnce = 50;
+}  // namespace
+
+void lease_watch::start(std::function<void(bool healthy)> on_health) {
+  this->on_health_ = std::move(on_health);
+  spawn(this->loop_, [this] { return this->run(); });
+}
+
+Duration lease_watch::nextPause(bool answered) {
+  const bool hurry = !answered || this->leases_.anySuspect(steadyNow());
+  const Duration period = hurry ? this->options_.suspect_period : this->options_.period;
+  const auto step = static_cast<std::int64_t>(this->random_.below(kSpreadSteps));
+  return period * 2 / 3 + period * 2 / 3 * step / static_cast<std::int64_t>(kSpreadSteps);
+}
+
+Task<void> lease_watch::run() {
+  for (;;) {
+    const bool answered = co_await this->readAll();
+    if (answered && this->random_.below(kRemoveOneIn) == 0) co_await this->removeForgotten();
+    const Duration pause = this->nextPause(answered);
+    co_await sleepFor(this->loop_, pause);
+  }
+}
+
+Task<bool> lease_watch::readAll() {
+  const Instant sent_at = steadyNow();
+  std::map<LeaseId, Revision> rows;
+  table::RowRange range{gateway::kLeaseTable, "", "", 0};
+  for (;;) {
+    auto page = co_await this->table_.read(range);
+    if (!page) {
+      // Too many calls of all daemons say nothing of this daemon's way to the store.
+      if (page.error().failure != CallFailure::kRateLimited) this->on_health_(false);
+      co_return false;
+    }
+    this->keeper_.onStoreClock(steadyNow(), page->clock_ms);
+    for (const table::Row& row : page->rows) {
+      rows[LeaseId(row.key.substr(gateway::kLeaseTable.size() + 1))] = row.revision;
+    }
+    if (!page->has_more || page->rows.empty()) break;
+    range.from = page->rows.back().key.substr(gateway::kLeaseTable.size() + 1) + '\x01';
+  }
+  this->leases_.onRead(sent_at, steadyNow(), rows);
+  this->on_health_(true);
+  co_return true;
+}
+
+Task<void> lease_watch::removeForgotten() {
+  std::vector<LeaseId> forgotten = this->leases_.forgotten(steadyNow());
+  if (forgotten.empty()) co_return;
+  if (forgotten.size() > kMostRemovedAtOnce) forgotten.resize(kMostRemovedAtOnce);
+  table::Write write;
+  for (const LeaseId& lease : forgotten) write.removes.push_back(gateway::leaseKey(lease));
+  const auto answer = co_await this->table_.write(std::move(write));
+  logging::LogEvent("lease", "forgotten_removed")
+      .number("rows", static_cast<std::int64_t>(forgotten.size()))
+      .text("outcome", answer ? "done" : "not_done");
+}
+
+}  // namespace linenpier::lease
--- /dev/null
+++ b/src/lease/lease_watch.h
@@ -0,0 +1,55 @@
+#pragma once
+
+/** @file
+ * Reads the leases of all owners now and then. Renewals are many and concern few, so they are read
+ * when it suits the reader, not told to every daemon one by one: one small read a daemon and second,
+ * however many owners there are.
+ */
+
+#include <functional>
+
+#include "common/random.h"
+#include "common/task.h"
+#include "lease/lease_keeper.h"
+#include "lease/lease_table.h"
+#include "table/async_table.h"
+
+namespace linenpier::lease {
+
+struct lease_watch_options {
+  Duration period = std::chrono::seconds(1);  ///< In the mean; spread by a third to both sides.
+  /// While an owner misses renewals, or the store did not answer.
+  Duration suspect_period = std::chrono::milliseconds(350);
+};
+
+/// Loop thread only.
+class lease_watch {
+ public:
+  lease_watch(boost::asio::io_context& loop, table::AsyncTable& table, LeaseTable& leases,
+              LeaseKeeper& keeper, lease_watch_options options, std::uint64_t seed)
+      : loop_(loop),
+        table_(table),
+        leases_(leases),
+        keeper_(keeper),
+        options_(options),
+        random_(seed) {}
+
+  /// @param on_health told after each read whether the store answered.
+  void start(std::function<void(bool healthy)> on_health);
+
+ private:
+  Task<void> run();
+  Task<bool> readAll();
+  Task<void> removeForgotten();
+  Duration nextPause(bool answered);
+
+  boost::asio::io_context& loop_;
+  table::AsyncTable& table_;
+  LeaseTable& leases_;
+  LeaseKeeper& keeper_;
+  lease_watch_options options_;
+  Random random_;
+  std::function<void(bool)> on_health_;
+};
+
+}  // namespace linenpier::lease
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -140,8 +140,8 @@
     }
     return;
   }
-  if (!table_read_ || right.acquiring || !deps_.leases.feedHealthy()) return;
-  const bool vacant = right.revision == 0 || deps_.leases.expired(now, right.owner);
+  if (!table_read_ || right.acquiring || !deps_.leases.storeHealthy()) return;
+  const bool vacant = right.revision == 0 || deps_.leases.expired(right.owner);
   if (!vacant) return;
   if (right.vacant_since == Instant{}) right.vacant_since = now;
   const bool own = deps_.leases.isEarlierSelf(right.owner);
--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -242,6 +242,17 @@
   cr_assert(record.find("\"owner\":\"d0#") != std::string::npos, "taken over: %s", record.c_str());
 }
 
+GATEWAY_TEST(batch_jobs, renewals_of_leases_are_not_told_to_every_daemon, twoGateways(200)) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(10));
+  co_await fixture.call(0, fixture.jobRequest("job", 2));
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(300));
+  const int before = fixture.store().feedAnswers("linenpier");
+  const std::uint64_t writes_before = fixture.store().writes();
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(1500));
+  cr_assert(fixture.store().writes() > writes_before, "nothing was renewed");
+  cr_assert_eq(fixture.store().feedAnswers("linenpier"), before);
+}
+
 GATEWAY_TEST(batch_jobs, an_owner_that_falls_silent_is_replaced_and_its_text_gone_on_with,
              twoGateways(90)) {
   for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(25));
--- a/tests/lease/lease_table_test.cpp
+++ b/tests/lease/lease_table_test.cpp
@@ -12,9 +12,16 @@
 const lease::LeaseId kOwn = makeLeaseId("d1", "b");
 const lease::LeaseId kOther = makeLeaseId("d2", "a");
 
+/// Reads the store, where `revision` stands for the lease of `kOther`, and asks for `lease`.
+bool expiredAfterRead(LeaseTable& table, Instant now, const lease::LeaseId& lease,
+                      Revision revision = 5) {
+  table.onRead(now, now, {{kOther, revision}});
+  return table.expired(lease);
+}
+
 LeaseTable watching() {
   LeaseTable table(kOwn, {}, kStart);
-  table.onFeedRegained(kStart);
+  table.onStoreRegained(kStart);
   table.onRow(kStart, kOther, 5);
   return table;
 }
@@ -23,38 +30,61 @@
 
 Test(lease_table, silence_longer_than_the_expiry_ends_a_lease) {
   LeaseTable table = watching();
-  cr_assert_not(table.expired(kStart + std::chrono::milliseconds(1400), kOther));
-  cr_assert(table.expired(kStart + std::chrono::milliseconds(1600), kOther));
+  cr_assert_not(expiredAfterRead(table, kStart + std::chrono::milliseconds(1400), kOther));
+  cr_assert(expiredAfterRead(table, kStart + std::chrono::milliseconds(1600), kOther));
   table.onRow(kStart + std::chrono::milliseconds(1600), kOther, 6);
-  cr_assert_not(table.expired(kStart + std::chrono::milliseconds(2000), kOther));
+  cr_assert_not(expiredAfterRead(table, kStart + std::chrono::milliseconds(2000), kOther, 6));
 }
 
 Test(lease_table, the_same_revision_again_is_no_renewal) {
   LeaseTable table = watching();
   table.onRow(kStart + std::chrono::seconds(1), kOther, 5);
-  cr_assert(table.expired(kStart + std::chrono::milliseconds(1600), kOther));
+  cr_assert(expiredAfterRead(table, kStart + std::chrono::milliseconds(1600), kOther));
+}
+
+Test(lease_table, silence_counts_up_to_the_last_read_only) {
+  LeaseTable table = watching();
+  table.onRead(kStart + std::chrono::seconds(1), kStart + std::chrono::seconds(1), {{kOther, 5}});
+  cr_assert_not(table.expired(kOther), "nothing was read since");
+  cr_assert(expiredAfterRead(table, kStart + std::chrono::seconds(2), kOther));
+}
+
+Test(lease_table, an_owner_that_misses_renewals_is_suspected_for_a_while) {
+  LeaseTable table = watching();
+  cr_assert_not(table.anySuspect(kStart + std::chrono::milliseconds(500)));
+  cr_assert(table.anySuspect(kStart + std::chrono::milliseconds(900)));
+  cr_assert_not(table.anySuspect(kStart + std::chrono::seconds(5)), "others have taken over");
+}
+
+Test(lease_table, rows_of_earlier_lives_and_of_long_silence_may_be_removed) {
+  LeaseTable table = watching();
+  const lease::LeaseId earlier = makeLeaseId("d1", "a");
+  table.onRead(kStart, kStart, {{kOther, 5}, {earlier, 3}, {kOwn, 9}});
+  cr_assert_eq(table.forgotten(kStart + std::chrono::seconds(1)).size(), 1U);
+  cr_assert_eq(table.forgotten(kStart + std::chrono::seconds(1)).front(), earlier);
+  cr_assert_eq(table.forgotten(kStart + std::chrono::seconds(61)).size(), 2U);
 }
 
 Test(lease_table, nothing_expires_while_the_feed_is_away_or_just_after) {
   LeaseTable table = watching();
-  table.onFeedLost();
-  cr_assert_not(table.expired(kStart + std::chrono::seconds(60), kOther));
-  table.onFeedRegained(kStart + std::chrono::seconds(60));
-  cr_assert_not(table.expired(kStart + std::chrono::milliseconds(61400), kOther));
-  cr_assert(table.expired(kStart + std::chrono::milliseconds(61600), kOther));
+  table.onStoreLost();
+  cr_assert_not(expiredAfterRead(table, kStart + std::chrono::seconds(60), kOther));
+  table.onStoreRegained(kStart + std::chrono::seconds(60));
+  cr_assert_not(expiredAfterRead(table, kStart + std::chrono::milliseconds(61400), kOther));
+  cr_assert(expiredAfterRead(table, kStart + std::chrono::milliseconds(61600), kOther));
 }
 
 Test(lease_table, an_earlier_life_of_this_daemon_has_ended_for_sure) {
   LeaseTable table = watching();
-  cr_assert(table.expired(kStart, makeLeaseId("d1", "a")));
-  cr_assert_not(table.expired(kStart + std::chrono::seconds(60), kOwn));
+  cr_assert(expiredAfterRead(table, kStart, makeLeaseId("d1", "a")));
+  cr_assert_not(expiredAfterRead(table, kStart + std::chrono::seconds(60), kOwn));
 }
 
 Test(lease_table, an_owner_whose_row_was_never_seen_gets_its_time) {
   LeaseTable table = watching();
   const lease::LeaseId unseen = makeLeaseId("d3", "x");
-  cr_assert_not(table.expired(kStart, unseen));
-  cr_assert(table.expired(kStart + std::chrono::milliseconds(1600), unseen));
+  cr_assert_not(expiredAfterRead(table, kStart, unseen));
+  cr_assert(expiredAfterRead(table, kStart + std::chrono::milliseconds(1600), unseen));
 }
 
 Test(lease_table, daemons_that_started_last_take_over_first) {
--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -167,6 +167,7 @@
     if (!changes.empty() || now >= until) {
       std::string rows;
       for (const auto& [order, row] : changes) rows += (rows.empty() ? "" : ",") + row;
+      if (!changes.empty()) ++feed_answers_[table];
       co_await reply(writer, 200,
                      "{\"rows\":[" + rows + "],\"ver\":" + std::to_string(version_) + "}");
       co_return;
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -38,6 +38,11 @@
   std::optional<std::string> get(const std::string& table, const std::string& key) const;
   std::vector<std::string> keys(const std::string& table) const;
   std::uint64_t writes() const { return writes_; }
+  /// @return how often a feed of the table told of changes.
+  int feedAnswers(const std::string& table) const {
+    const auto at = feed_answers_.find(table);
+    return at == feed_answers_.end() ? 0 : at->second;
+  }
 
  private:
   struct Row {
@@ -63,6 +68,7 @@
   StoreFaults faults_;
   std::map<Key, Row> rows_;  ///< Removed rows stay, marked gone.
   std::map<std::string, std::string> objects_;
+  std::map<std::string, int> feed_answers_;
   std::uint64_t version_ = 0;
   std::uint64_t writes_ = 0;
 };
