Remove what nobody may ask for any more; follow the settings file; load a share of large services at once

Cause: rows and objects of ended jobs and replaced checkpoints stayed for ever (two checkpoints a second a job: 400 MB, where the store refuses all objects, would be reached within some quarter of an hour). A settings file that changes without a signal went unnoticed.

Change: JobStore::removeJob (results, objects, checkpoints, the row last, each step repeatable) run by the owner after keep_seconds, by others 30 s later; checkpoints that were replaced are dropped at once. settings_watch reads the file again when it changes and applies what may change at run time. A fifth of the engines, at least two, load at once; 24 engines a tick are asked for their state. The feed of engines gathers for 150 ms.

Tests that failed first: nothing_of_a_job_stays_once_nobody_may_ask_for_it, a_file_that_changes_without_a_signal_is_read_again, a_large_service_loads_a_share_of_its_engines_at_once, only_some_engines_are_asked_for_their_state_at_a_time. ./scripts/run-tests: 226 of 226, three times.

--- a/apps/linenpier_gateway.cpp
+++ b/apps/linenpier_gateway.cpp
@@ -10,9 +10,9 @@
 
 #include "common/random.h"
 #include "gateway/gateway.h"
+#include "gateway/settings_watch.h"
 #include "logging/event_log.h"
 #include "platform.h"
-#include "settings/read_file.h"
 
 namespace {
 
@@ -35,12 +35,7 @@
 
 constexpr int kExitBadSettings = 2;
 constexpr int kExitCannotBind = 3;
-
-tl::expected<gateway::GatewaySettings, Findings> readSettings(const std::string& file) {
-  const auto text = settings::readFile(file);
-  if (!text) return tl::make_unexpected(text.error());
-  return gateway::parseGatewaySettings(file, *text);
-}
+constexpr Duration kSettingsPeriod = std::chrono::milliseconds(1500);
 
 std::string settingsFile(std::map<std::string, docopt::value>& arguments) {
   if (arguments["--settings"]) return arguments["--settings"].asString();
@@ -48,17 +43,6 @@
   return named == nullptr ? std::string() : std::string(named);
 }
 
-/// Takes over what may change while the daemon runs; a wrong file changes nothing.
-void reload(const std::string& file, platform_adapter::Platform& platform) {
-  const auto settings = readSettings(file);
-  logging::LogEvent event("settings", settings ? "reloaded" : "reload_refused");
-  if (!settings) {
-    event.text("findings", describe(settings.error()));
-    return;
-  }
-  platform.store().setAddress(settings->store);
-}
-
 int run(const std::string& file, const gateway::GatewaySettings& settings) {
   logging::startEventLog({settings.id.str(), settings.log_enabled, settings.log_text});
   boost::asio::io_context loop(1);
@@ -79,11 +63,17 @@
   stop_signals.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) daemon.stop();
   });
+  gateway::settings_watch settings_watch(loop, file, kSettingsPeriod,
+                                         [&](const gateway::GatewaySettings& changed) {
+                                           platform.store().setAddress(changed.store);
+                                           daemon.applySettings(changed);
+                                         });
+  settings_watch.start();
   boost::asio::signal_set reload_signal(loop, SIGHUP);
   std::function<void()> awaitReload = [&] {
     reload_signal.async_wait([&](const boost::system::error_code& error, int) {
       if (error) return;
-      reload(file, platform);
+      settings_watch.reload();
       awaitReload();
     });
   };
@@ -100,7 +90,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "linenpier-gateway 0.1.0");
   const std::string file = settingsFile(arguments);
-  const auto settings = readSettings(file);
+  const auto settings = gateway::readGatewaySettings(file);
   if (!settings) {
     std::cerr << describe(settings.error()) << "\n";
     return kExitBadSettings;
--- a/src/batch/active_job.h
+++ b/src/batch/active_job.h
@@ -35,13 +35,15 @@
   Revision fence = 0;  ///< Revision of the job's row under which this daemon owns it.
   BatchRun run;
   listing_schedule schedule;
-  Instant accepted_at{};  ///< By this daemon's clock.
+  Instant accepted_at{};            ///< By this daemon's clock.
   std::vector<std::string> listed;  ///< Encoded, by position; all in the store.
   Pending pending;
   std::map<ItemIndex, std::shared_ptr<forward::EngineCall>> calls;  ///< By the item they run.
-  Signal finished;                      ///< There is something to list, or the job stops.
-  Signal listed_changed;                ///< `listed` has grown, or the job stops.
-  std::uint64_t checkpoints = 0;        ///< Written under this fence, or tried.
+  Signal finished;                ///< There is something to list, or the job stops.
+  Signal listed_changed;          ///< `listed` has grown, or the job stops.
+  std::uint64_t checkpoints = 0;  ///< Written under this fence, or tried.
+  /// Fences and numbers of checkpoints whose objects may be in the store.
+  std::vector<std::pair<Revision, std::uint64_t>> kept_checkpoints;
   std::uint64_t checkpoint_events = 0;  ///< Events of unfinished items at the last one.
   bool stopped = false;
   Instant stopped_at{};
--- a/src/batch/batch_listing.cpp
+++ b/src/batch/batch_listing.cpp
@@ -27,10 +27,22 @@
   if (need == CheckpointNeed::kIfMuchIsNew && !much) co_return;
   active->checkpoint_events = events;
   const std::uint64_t number = ++active->checkpoints;
-  const FencedAnswer answer = co_await deps_.store.putCheckpoint(active->record.id, active->fence,
-                                                                 number, std::move(checkpoint));
+  const Revision fence = active->fence;
+  const FencedAnswer answer =
+      co_await deps_.store.putCheckpoint(active->record.id, fence, number, std::move(checkpoint));
   const bool done = answer.outcome == FencedOutcome::kDone;
-  if (!done) active->checkpoint_events = 0;
+  if (done) {
+    // The row names the new one: nobody reads those before it any more.
+    for (const auto& [old_fence, old_number] : active->kept_checkpoints) {
+      spawn(deps_.loop, [this, active, old_fence = old_fence, old_number = old_number] {
+        return deps_.store.dropCheckpoint(active->record.id, old_fence, old_number);
+      });
+    }
+    active->kept_checkpoints.clear();
+  } else {
+    active->checkpoint_events = 0;
+  }
+  active->kept_checkpoints.emplace_back(fence, number);
   LogEvent("batch", "checkpoint")
       .text("batch", active->record.id.str())
       .number("number", static_cast<std::int64_t>(number))
--- /dev/null
+++ b/src/batch/batch_removal.cpp
@@ -0,0 +1,41 @@
+/// @file
+/// Removal of jobs that have ended and that nobody may ask for any more.
+
+#include "batch/active_job.h"
+#include "batch/batch_service.h"
+#include "logging/event_log.h"
+
+namespace linenpier::batch {
+
+using logging::LogEvent;
+
+std::optional<JobId> BatchService::nextToRemove(Instant now) const {
+  const std::int64_t clock_ms = deps_.keeper.storeClock(now);
+  if (clock_ms == 0 || !deps_.leases.storeHealthy()) return std::nullopt;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.record.ended || job.active) continue;
+    const Duration age = std::chrono::milliseconds(clock_ms - job.record.accepted_ms);
+    const bool own = job.record.owner == deps_.leases.own();
+    if (age > options_.keep_jobs + (own ? Duration::zero() : options_.removal_courtesy)) return id;
+  }
+  return std::nullopt;
+}
+
+Task<void> BatchService::removalLoop() {
+  while (!stopping_) {
+    // Daemons that look at the same moment would do the same work.
+    const Duration courtesy = deps_.leases.courtesy(steadyNow(), "removal");
+    co_await sleepFor(deps_.loop, options_.removal_period + 5 * courtesy);
+    const auto id = nextToRemove(steadyNow());
+    if (!id) continue;
+    const Revision revision = jobs_.at(*id).revision;
+    const bool done = co_await deps_.store.removeJob(*id, revision);
+    if (done) jobs_.erase(*id);
+    LogEvent("batch", "job_removed")
+        .text("batch", id->str())
+        .number("revision", static_cast<std::int64_t>(revision))
+        .text("outcome", done ? "done" : "not_done");
+  }
+}
+
+}  // namespace linenpier::batch
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -21,6 +21,7 @@
 
 void BatchService::start() {
   spawn(deps_.loop, [this] { return tickLoop(); });
+  spawn(deps_.loop, [this] { return removalLoop(); });
 }
 
 bool BatchService::ownsAny() const {
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -44,6 +44,11 @@
   Duration accept_time = std::chrono::milliseconds(2500);
   Duration end_time = std::chrono::milliseconds(3500);
   Duration keep_ended = std::chrono::seconds(3);  ///< Results of an ended job in memory.
+  /// From a job's acceptance until it may be removed, if it has ended.
+  Duration keep_jobs = std::chrono::seconds(150);
+  /// Until daemons that did not own an ended job remove it.
+  Duration removal_courtesy = std::chrono::seconds(30);
+  Duration removal_period = std::chrono::seconds(2);  ///< Between two looks for such jobs.
   /// What earlier jobs left is of little use to a job later.
   Duration carry_over_time = std::chrono::seconds(2);
   /// Trainers ask for the next step while one or two are under way.
@@ -93,6 +98,7 @@
   ~BatchService();
 
   void start();
+  void setOptions(const BatchOptions& options) { options_ = options; }
 
   Task<void> submit(const routing::Route& route, const http::Request& request, Instant received,
                     http::ResponseWriter& writer);
@@ -145,8 +151,7 @@
     std::int64_t clock_ms = 0;
   };
   Task<CallResult<Inheritance>> inherit(JobId id);
-  void activate(const JobId& id, BatchJob job, const Inheritance& inheritance,
-                Instant accepted_at);
+  void activate(const JobId& id, BatchJob job, const Inheritance& inheritance, Instant accepted_at);
 
   /// Finds what earlier jobs left, and lets the job go on with it.
   Task<void> carryOver(ActivePtr active);
@@ -159,6 +164,9 @@
   void deactivate(Job& job, const char* reason);
   void checkOwners(Instant now);
   Task<void> tickLoop();
+  /// Removes jobs that nobody may ask for any more.
+  Task<void> removalLoop();
+  std::optional<JobId> nextToRemove(Instant now) const;
 
   void pump();
   /// Moves runs from slow engines to clearly faster ones that have room.
--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -19,13 +19,14 @@
 /// A result's row: the item's index, then the result itself or the name of the object it is in.
 constexpr char kInline = '=';
 constexpr char kObject = '@';
+constexpr std::size_t kMostRemovedAtOnce = 90;  ///< The store takes 100 entries a write.
 
 std::string resultRowKey(const JobId& id, std::size_t position) {
   return kResultTable + "/" + resultKey(id, position);
 }
 
 std::string largeResultName(const JobId& id, std::size_t position, Revision fence) {
-  return "result-" + id.str() + "-" + std::to_string(position) + "-" + std::to_string(fence);
+  return gateway::resultObjects(id) + std::to_string(position) + "-" + std::to_string(fence);
 }
 
 }  // namespace
@@ -148,6 +149,52 @@
   co_return judge(answer, jobKey(id), fence);
 }
 
+Task<void> JobStore::dropCheckpoint(JobId id, Revision fence, std::uint64_t number) {
+  co_await objects_.remove(gateway::checkpointObject(id, fence, number));
+}
+
+Task<bool> JobStore::removeObjects(std::string prefix) {
+  const auto names = co_await objects_.list(prefix);
+  if (!names) co_return false;
+  for (const std::string& name : *names) {
+    const auto removed = co_await objects_.remove(name);
+    if (!removed) co_return false;
+  }
+  co_return true;
+}
+
+Task<bool> JobStore::removeResults(JobId id, Revision fence) {
+  for (;;) {
+    table::RowRange range{kResultTable, resultKey(id, 0), resultEnd(id), kMostRemovedAtOnce};
+    const auto page = co_await table_.read(range);
+    if (!page) co_return false;
+    if (page->rows.empty()) co_return true;
+    table::Write write;
+    write.transaction.checks.push_back({jobKey(id), fence});
+    for (const table::Row& row : page->rows) write.removes.push_back(row.key);
+    const auto answer = co_await table_.write(std::move(write));
+    if (!answer || !answer->committed) co_return false;
+  }
+}
+
+Task<bool> JobStore::removeJob(JobId id, Revision fence) {
+  const bool results_gone = co_await removeResults(id, fence);
+  if (!results_gone) co_return false;
+  const bool large_gone = co_await removeObjects(gateway::resultObjects(id));
+  if (!large_gone) co_return false;
+  const bool checkpoints_gone = co_await removeObjects(gateway::checkpointObjects(id));
+  if (!checkpoints_gone) co_return false;
+  const auto job_gone = co_await objects_.remove(jobObject(id));
+  if (!job_gone) co_return false;
+  // The row goes last: until then anybody can go on with the removal.
+  table::Write write;
+  write.transaction.checks.push_back({jobKey(id), fence});
+  write.removes.push_back(jobKey(id));
+  write.removes.push_back(gateway::checkpointKey(id));
+  const auto answer = co_await table_.write(std::move(write));
+  co_return answer.has_value() && answer->committed;
+}
+
 Task<CallResult<Checkpoint>> JobStore::getCheckpoint(JobId id) {
   table::RowRange range{gateway::kCheckpointTable, id.str(), id.str() + '\x01', 1};
   const auto page = co_await table_.read(range);
--- a/src/batch/job_store.h
+++ b/src/batch/job_store.h
@@ -68,12 +68,19 @@
   /// @param number differs between the checkpoints of one owner.
   Task<FencedAnswer> putCheckpoint(JobId id, Revision fence, std::uint64_t number,
                                    Checkpoint checkpoint);
+  /// Removes the object of a checkpoint that a newer one has replaced.
+  Task<void> dropCheckpoint(JobId id, Revision fence, std::uint64_t number);
+  /// Removes everything of a job that has ended, its row last. May be repeated.
+  /// @return whether nothing is left.
+  Task<bool> removeJob(JobId id, Revision fence);
   /// @return the newest checkpoint; empty if there is none.
   Task<CallResult<Checkpoint>> getCheckpoint(JobId id);
   /// Reads results from `position` on, at most `limit` rows (0: as many as one answer holds).
   Task<CallResult<StoredResults>> results(JobId id, std::size_t position, std::size_t limit);
 
  private:
+  Task<bool> removeResults(JobId id, Revision fence);
+  Task<bool> removeObjects(std::string prefix);
   FencedAnswer judge(const CallResult<table::TransactionAnswer>& answer, const std::string& job_key,
                      Revision fence) const;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kStopSlack = std::chrono::milliseconds(900);
 constexpr Duration kPeerPeriod = std::chrono::milliseconds(300);
 constexpr Duration kPeerCallTime = std::chrono::milliseconds(300);
+/// Between two answers of the engines' feed while engines change one after the other.
+constexpr Duration kEngineChangesGap = std::chrono::milliseconds(150);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 /// Part of a row that its key and encoding may take.
 constexpr std::size_t kRowOverhead = 1024;
@@ -110,6 +112,21 @@
   return {};
 }
 
+void Gateway::applySettings(const GatewaySettings& changed) {
+  const bool restart_needed = changed.id != settings_.id || changed.zone != settings_.zone ||
+                              changed.requests != settings_.requests ||
+                              changed.readiness != settings_.readiness;
+  settings_.seeds = changed.seeds;
+  settings_.stop_limit = changed.stop_limit;
+  settings_.store = changed.store;
+  batches_.setOptions(changed.batch);
+  orders_.setOptions(orderOptions(changed));
+  LogEvent("settings", "applied")
+      .text("store", toString(changed.store))
+      .number("seeds", static_cast<std::int64_t>(changed.seeds.size()))
+      .text("restart_needed", restart_needed ? "yes" : "no");
+}
+
 bool Gateway::ready() const {
   return routes_ && engines_known_ && !stopping_;
 }
@@ -134,8 +151,10 @@
   };
   engine_listener.on_change = [this](const table::RowChange& change) { onEngineRow(change); };
   engine_listener.on_health = [](bool) {};
+  table::WatcherOptions engine_options;
+  engine_options.coalesce = kEngineChangesGap;
   engine_watcher_ = std::make_unique<table::TableWatcher>(
-      loop_, platform_.table(), platform_.engineTable(), table::WatcherOptions{}, engine_listener);
+      loop_, platform_.table(), platform_.engineTable(), engine_options, engine_listener);
 
   table::TableWatcher::Listener coordination;
   coordination.on_snapshot = [this](const std::vector<table::Row>& rows) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,8 @@
 
   /// Listens and begins to follow the store. @return what is wrong, if anything.
   Findings start();
+  /// Takes over what may change while the daemon runs; the rest needs a restart and is logged.
+  void applySettings(const GatewaySettings& changed);
   /// Begins a planned stop; the loop ends when it is over.
   void stop();
 
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Readers' clocks and the hand-in lie a little before and behind the store's.
+constexpr Duration kRemovalSlack = std::chrono::seconds(30);
+
 std::optional<versions::LoadMode> loadModeFromName(const std::string& name) {
   if (name == "auto") return std::nullopt;
   if (name == "wait") return versions::LoadMode::kWait;
@@ -69,6 +72,8 @@
   reader.readNumber("versions.quiet_share", settings.rollout.quiet_share, 0, 1);
   reader.readNumber("batch.move_gain", settings.batch.move_gain, 1, 1000);
   reader.readNumber("batch.requests_per_slot", settings.batch.requests_per_slot, 0.1, 10);
+  double keep_seconds = toSeconds(settings.batch.keep_jobs);
+  reader.readNumber("batch.keep_seconds", keep_seconds, 1, 1e6);
   const Findings findings = reader.finish();
   if (!findings.empty()) return tl::make_unexpected(findings);
   settings.id = DaemonId(id);
@@ -78,6 +83,7 @@
   settings.order_pause = fromSeconds(order_pause_ms / 1000);
   settings.rollout.patience = fromSeconds(patience_ms / 1000);
   settings.rollout.mode = loadModeFromName(mode);
+  settings.batch.keep_jobs = fromSeconds(keep_seconds) + kRemovalSlack;
   settings.log_text = format == "text";
   settings.log_enabled = output == "on";
   return settings;
--- /dev/null
+++ b/src/gateway/settings_watch.h
@@ -0,0 +1,54 @@
+#pragma once
+
+/** @file
+ * Follows the settings file of a running daemon. The platform changes it with a signal or without.
+ */
+
+#include <filesystem>
+#include <functional>
+#include <string>
+
+#include "common/task.h"
+#include "gateway/gateway_settings.h"
+
+namespace linenpier::gateway {
+
+/// @return the settings in the file, or every finding with file and key.
+tl::expected<GatewaySettings, Findings> readGatewaySettings(const std::string& file);
+
+/// Loop thread only.
+class settings_watch {
+ public:
+  /// Called with each version of the file that is right as a whole.
+  using on_settings = std::function<void(const GatewaySettings&)>;
+
+  settings_watch(boost::asio::io_context& loop, std::string file, Duration period,
+                 on_settings callback);
+
+  void start();
+  /** Reads the file now, as after a signal. A file with findings changes nothing: they are logged.
+   */
+  void reload();
+  std::uint64_t refused() const { return refused_; }
+
+ private:
+  /// What tells one version of the file from another without reading it.
+  struct stamp {
+    std::filesystem::file_time_type written_at{};
+    std::uintmax_t size = 0;
+
+    bool operator==(const stamp&) const = default;
+  };
+
+  stamp currentStamp() const;
+  Task<void> run();
+
+  boost::asio::io_context& loop_;
+  std::string file_;
+  Duration period_;
+  on_settings callback_;
+  stamp seen_;
+  std::uint64_t refused_ = 0;
+};
+
+}  // namespace linenpier::gateway
--- a/src/gateway/store_keys.h
+++ b/src/gateway/store_keys.h
@@ -2,8 +2,8 @@
 
 /// @file
 /// Keys of what this product keeps in the store. One small table, watched whole by every daemon,
-/// holds rights and jobs, which change seldom. Leases, which change all the time, and results lie in
-/// tables that nobody watches.
+/// holds rights and jobs, which change seldom. Leases, which change all the time, and results lie
+/// in tables that nobody watches.
 
 #include <cstdio>
 #include <string>
@@ -38,8 +38,16 @@
 inline std::string checkpointKey(const batch::JobId& id) {
   return kCheckpointTable + "/" + id.str();
 }
+/// @return what the names of all checkpoints of the job begin with.
+inline std::string checkpointObjects(const batch::JobId& id) {
+  return "checkpoint-" + id.str() + "-";
+}
 inline std::string checkpointObject(const batch::JobId& id, Revision fence, std::uint64_t number) {
-  return "checkpoint-" + id.str() + "-" + std::to_string(fence) + "-" + std::to_string(number);
+  return checkpointObjects(id) + std::to_string(fence) + "-" + std::to_string(number);
+}
+/// @return what the names of all results of the job begin with that are too large for a row.
+inline std::string resultObjects(const batch::JobId& id) {
+  return "result-" + id.str() + "-";
 }
 /// @return a key behind every result of the job.
 inline std::string resultEnd(const batch::JobId& id) {
--- a/src/table/async_table.h
+++ b/src/table/async_table.h
@@ -65,6 +65,8 @@
   /// @return the bytes; kRejected if there is no such object.
   virtual Task<CallResult<std::string>> get(std::string name) = 0;
   virtual Task<CallResult<bool>> remove(std::string name) = 0;
+  /// @return names that begin with `prefix`, ascending; as many as one answer holds.
+  virtual Task<CallResult<std::vector<std::string>>> list(std::string prefix) = 0;
 };
 
 }  // namespace linenpier::table
--- a/src/versions/order_service.h
+++ b/src/versions/order_service.h
@@ -55,6 +55,8 @@
       : deps_(std::move(dependencies)), options_(options) {}
 
   void start();
+  /// Rights that are held now go on under the options of before.
+  void setOptions(const OrderOptions& options) { options_ = options; }
   void onNamed(const ModelName& model, WeightVersion version);
   /// The row of a service's right, as the feed tells it.
   void onRightRow(const routing::ServiceName& service, const table::Row& row);
--- a/src/versions/version_rollout.cpp
+++ b/src/versions/version_rollout.cpp
@@ -1,6 +1,7 @@
 #include "versions/version_rollout.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace linenpier::versions {
 
@@ -72,10 +73,11 @@
     if (one.load != other.load) return one.load < other.load;
     return one.engine->record.id < other.engine->record.id;
   });
+  findReportsWanted(now, candidates);
   std::vector<VersionOrder> orders;
   std::map<ModelName, std::size_t> taken_out = loadingByModel(now);
   for (const Candidate& candidate : candidates) {
-    if (loading + orders.size() >= options_.at_once) break;
+    if (loading + orders.size() >= atOnce(engines.size())) break;
     const ModelName& model = candidate.model;
     if (candidate.urgency == Urgency::kLater) break;
     // The newest step needs some engines while others load.
@@ -98,6 +100,11 @@
   return orders;
 }
 
+std::size_t VersionRollout::atOnce(std::size_t engines) const {
+  const double share = options_.at_once_share * static_cast<double>(engines);
+  return std::max(options_.at_once, static_cast<std::size_t>(std::lround(share)));
+}
+
 LoadMode VersionRollout::modeFor(Instant now, const engines::EngineState& engine,
                                  const ModelName& model,
                                  const std::vector<const engines::EngineState*>& engines) const {
@@ -129,16 +136,11 @@
 std::vector<VersionRollout::Candidate> VersionRollout::findCandidates(
     Instant now, const std::vector<const engines::EngineState*>& engines) {
   std::vector<Candidate> candidates;
-  reports_wanted_.clear();
   for (const engines::EngineState* engine : engines) {
     Progress& progress = progress_[engine->record.id];
     if (progress.sending || now < progress.loading_until || now < progress.not_before) continue;
     for (const auto& [model, version] : named_) {
       if (!shares_.isFor(engine->record.id, model) || !isBehind(now, *engine, model)) continue;
-      const bool fresh = now - progress.reported_at < options_.report_period;
-      if (!fresh && now - progress.asked_at >= options_.report_period) {
-        reports_wanted_.push_back(engine);
-      }
       candidates.push_back({engine, model, urgencyOf(now, *engine, model),
                             std::max(progress.load, engine->in_flight)});
       break;
@@ -147,6 +149,17 @@
   return candidates;
 }
 
+void VersionRollout::findReportsWanted(Instant now, const std::vector<Candidate>& candidates) {
+  reports_wanted_.clear();
+  for (const Candidate& candidate : candidates) {
+    if (reports_wanted_.size() >= options_.reports_at_once) return;
+    const Progress& progress = progress_.at(candidate.engine->record.id);
+    const bool fresh = now - progress.reported_at < options_.report_period;
+    const bool asked = now - progress.asked_at < options_.report_period;
+    if (!fresh && !asked) reports_wanted_.push_back(candidate.engine);
+  }
+}
+
 void VersionRollout::onAnswer(Instant now, const VersionOrder& order, OrderAnswer answer) {
   Progress& progress = progress_[order.engine];
   progress.sending = false;
--- a/src/versions/version_rollout.h
+++ b/src/versions/version_rollout.h
@@ -50,13 +50,17 @@
   /// Runs that are reset go on elsewhere from what they have, which costs little where there is
   /// room; left where they are they stand still while the engine loads. Set: always this mode.
   std::optional<LoadMode> mode;
-  std::size_t at_once = 2;  ///< Engines that load; more at a time slow each other down.
+  /// Engines that load at once; more slow each other down. The platform bears more where it has
+  /// more engines.
+  std::size_t at_once = 2;
+  double at_once_share = 0.2;  ///< Of all engines, if that is more.
   /// An engine is changed while it has at most this share of its slots in use, since what it runs
   /// must go elsewhere …
   double quiet_share = 0.2;
   /// … or when its model's newest version was named this long ago.
   Duration patience = std::chrono::milliseconds(1500);
   Duration report_period = std::chrono::milliseconds(250);  ///< Between two reports of an engine.
+  std::size_t reports_at_once = 24;                         ///< That are asked for in one tick.
   Duration load_time = std::chrono::milliseconds(900);      ///< Of one change.
   Duration confirm_time = std::chrono::milliseconds(3500);  ///< Until discovery shows it.
   Duration busy_pause = std::chrono::milliseconds(250);
@@ -116,10 +120,13 @@
   };
   std::vector<Candidate> findCandidates(Instant now,
                                         const std::vector<const engines::EngineState*>& engines);
+  /// Chooses whom to ask next: those that would be changed first.
+  void findReportsWanted(Instant now, const std::vector<Candidate>& candidates);
   Urgency urgencyOf(Instant now, const engines::EngineState& engine, const ModelName& model) const;
   LoadMode modeFor(Instant now, const engines::EngineState& engine, const ModelName& model,
                    const std::vector<const engines::EngineState*>& engines) const;
   std::map<ModelName, std::size_t> loadingByModel(Instant now) const;
+  std::size_t atOnce(std::size_t engines) const;
   bool isBehind(Instant now, const engines::EngineState& engine, const ModelName& model) const;
 
   RolloutOptions options_;
--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -218,6 +218,40 @@
   cr_assert(resumed >= 3, "only %d items were gone on with", resumed);
 }
 
+namespace {
+
+test::FixtureOptions soonRemoved() {
+  test::FixtureOptions options = twoGateways(60);
+  options.keep_jobs = std::chrono::milliseconds(600);
+  return options;
+}
+
+/// @return whether the store holds nothing of the job.
+bool nothingLeft(test::StandinStore& store, const std::string& job) {
+  for (const char* table : {"linenpier", "results", "checkpoints"}) {
+    for (const std::string& key : store.keys(table)) {
+      if (key.find(job) != std::string::npos) return false;
+    }
+  }
+  return store.objectNames("job-" + job).empty() && store.objectNames("checkpoint-" + job).empty();
+}
+
+}  // namespace
+
+GATEWAY_TEST(batch_jobs, nothing_of_a_job_stays_once_nobody_may_ask_for_it, soonRemoved()) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(20));
+  co_await fixture.call(0, fixture.jobRequest("open", 2));
+  co_await fixture.call(0, fixture.jobRequest("ended", 120));
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(1300));
+  cr_assert(fixture.store().objectNames("checkpoint-ended").size() <= 2,
+            "checkpoints that were replaced are dropped");
+  co_await fixture.call(1, endRequest("ended"));
+  const bool removed = co_await fixture.waitFor(
+      [&fixture] { return nothingLeft(fixture.store(), "ended"); }, std::chrono::seconds(12));
+  cr_assert(removed);
+  cr_assert_not(nothingLeft(fixture.store(), "open"), "a job that is open stays");
+}
+
 GATEWAY_TEST(batch_jobs, a_malformed_job_gets_every_finding, test::FixtureOptions{}) {
   http::Request request = fixture.jobRequest("job", 1);
   request.body() = R"({"minVersion":"x","requests":[{"path":1}]})";
--- a/tests/gateway/peers_test.cpp
+++ b/tests/gateway/peers_test.cpp
@@ -22,7 +22,8 @@
              test::FixtureOptions{}) {
   fixture.store().faults().refuse = true;
   fixture.gateway(0).stop();
-  test::GatewayUnderTest alone(fixture.loop(), fixture.store().address(), "alone", {});
+  const auto settings = test::settingsOf(fixture.store().address(), "alone", {});
+  test::GatewayUnderTest alone(fixture.loop(), settings);
   co_await sleepFor(fixture.loop(), std::chrono::milliseconds(700));
   cr_assert_not(alone.gateway.ready());
   http::ConnectionPool pool(fixture.loop(), {});
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration kLongestTest = std::chrono::seconds(25);
 
+}  // namespace
+
 gateway::GatewaySettings settingsOf(Address store, const std::string& name,
                                     std::vector<Address> seeds) {
   gateway::GatewaySettings settings;
@@ -26,19 +28,16 @@
   return settings;
 }
 
-}  // namespace
-
-GatewayUnderTest::GatewayUnderTest(boost::asio::io_context& loop, Address store,
-                                   const std::string& name, std::vector<Address> seeds)
+GatewayUnderTest::GatewayUnderTest(boost::asio::io_context& loop,
+                                   const gateway::GatewaySettings& settings)
     : store_pool(loop, {}),
       engine_pool(loop, {}),
-      platform(store_pool, engine_pool, store),
-      gateway(loop, settingsOf(store, name, std::move(seeds)), platform, engine_pool, metrics,
-              Random::seedFromSystem()) {
+      platform(store_pool, engine_pool, settings.store),
+      gateway(loop, settings, platform, engine_pool, metrics, Random::seedFromSystem()) {
   cr_assert(gateway.start().empty());
 }
 
-GatewayFixture::GatewayFixture(FixtureOptions options) {
+GatewayFixture::GatewayFixture(FixtureOptions options) : options_(options) {
   store_ = std::make_unique<StandinStore>(loop_);
   for (int i = 0; i < options.lookup_samplers; ++i) {
     lookups_.push_back(std::make_unique<StandinSampler>(loop_, "look-" + std::to_string(i), 0));
@@ -55,8 +54,9 @@
 void GatewayFixture::addGateway(const std::string& name) {
   std::vector<Address> seeds;
   for (const auto& each : gateways_) seeds.push_back(each->gateway.peerAddress());
-  gateways_.push_back(
-      std::make_unique<GatewayUnderTest>(loop_, store_->address(), name, std::move(seeds)));
+  gateway::GatewaySettings settings = settingsOf(store_->address(), name, std::move(seeds));
+  if (options_.keep_jobs) settings.batch.keep_jobs = *options_.keep_jobs;
+  gateways_.push_back(std::make_unique<GatewayUnderTest>(loop_, settings));
 }
 
 void GatewayFixture::putConfiguration(std::uint64_t version, const std::string& more_routes) {
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -21,8 +21,7 @@
 
 /// A gateway with what belongs to it.
 struct GatewayUnderTest {
-  GatewayUnderTest(boost::asio::io_context& loop, Address store, const std::string& name,
-                   std::vector<Address> seeds);
+  GatewayUnderTest(boost::asio::io_context& loop, const gateway::GatewaySettings& settings);
 
   http::ConnectionPool store_pool;
   http::ConnectionPool engine_pool;
@@ -31,11 +30,16 @@
   gateway::Gateway gateway;
 };
 
+/// @return settings of a gateway on free ports of this host.
+gateway::GatewaySettings settingsOf(Address store, const std::string& name,
+                                    std::vector<Address> seeds);
+
 struct FixtureOptions {
   int gateways = 1;
   int lookup_samplers = 2;
   int model_samplers = 2;
-  int events = 10;  ///< Of a model sampler's stream.
+  int events = 10;                    ///< Of a model sampler's stream.
+  std::optional<Duration> keep_jobs;  ///< Until an ended job may be removed.
 };
 
 class GatewayFixture {
@@ -72,6 +76,7 @@
  private:
   boost::asio::io_context loop_{1};
   http::ConnectionPool client_pool_{loop_, {}};
+  FixtureOptions options_;
   std::unique_ptr<StandinStore> store_;
   std::vector<std::unique_ptr<StandinSampler>> lookups_;
   std::vector<std::unique_ptr<StandinSampler>> models_;
--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -67,6 +67,21 @@
   return found;
 }
 
+std::vector<std::string> StandinStore::objectNames(const std::string& prefix) const {
+  std::vector<std::string> found;
+  for (const auto& [name, bytes] : objects_) {
+    if (name.starts_with(prefix)) found.push_back(name);
+  }
+  return found;
+}
+
+std::int64_t StandinStore::clockMs() const {
+  constexpr std::int64_t kFirstMs = 1000;
+  const auto since =
+      std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - started_at_);
+  return kFirstMs + since.count();
+}
+
 std::uint64_t StandinStore::versionOf(const Key& key) const {
   const auto at = rows_.find(key);
   return at == rows_.end() || at->second.gone ? 0 : at->second.version;
@@ -113,7 +128,7 @@
     rows += (count++ > 0 ? "," : "") + rowJson(key, row);
   }
   return "{\"rows\":[" + rows + "],\"hasMore\":" + (more ? "true" : "false") +
-         ",\"ver\":" + std::to_string(version_) + ",\"now_ms\":1000}";
+         ",\"ver\":" + std::to_string(version_) + ",\"now_ms\":" + std::to_string(clockMs()) + "}";
 }
 
 std::pair<unsigned, std::string> StandinStore::transact(const std::string& body) {
@@ -139,7 +154,8 @@
   }
   for (const json& entry : document["remove"]) rows_[keyOf(entry)] = {"", version_, true};
   changed_.notifyAll();
-  return {200, "{\"ver\":" + std::to_string(version_) + ",\"now_ms\":1000}"};
+  return {200, "{\"ver\":" + std::to_string(version_) + ",\"now_ms\":" + std::to_string(clockMs()) +
+                   "}"};
 }
 
 Task<void> StandinStore::handleFeed(std::string target, http::ResponseWriter& writer) {
@@ -222,6 +238,13 @@
     const auto at = objects_.find(path.substr(20));
     std::string bytes = at == objects_.end() ? std::string() : at->second;
     co_await reply(writer, at == objects_.end() ? 404 : 200, std::move(bytes));
+  } else if (path.starts_with("/linenpier/blob-drop/")) {
+    const bool known = objects_.erase(path.substr(21)) > 0;
+    co_await reply(writer, known ? 200 : 404, "{}");
+  } else if (path == "/linenpier/blob-list") {
+    const std::vector<std::string> found = objectNames(parameter(target, "pathPrefix"));
+    const json document = {{"names", found}, {"hasMore", false}};
+    co_await reply(writer, 200, document.dump());
   } else {
     co_await reply(writer, 404, "{}");
   }
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -37,6 +37,8 @@
   /// @return the row's value, or nothing.
   std::optional<std::string> get(const std::string& table, const std::string& key) const;
   std::vector<std::string> keys(const std::string& table) const;
+  /// @return names of the objects that begin with `prefix`.
+  std::vector<std::string> objectNames(const std::string& prefix) const;
   std::uint64_t writes() const { return writes_; }
   /// @return how often a feed of the table told of changes.
   int feedAnswers(const std::string& table) const {
@@ -52,6 +54,7 @@
   };
   using Key = std::pair<std::string, std::string>;  ///< Table and key.
 
+  std::int64_t clockMs() const;
   Task<void> handle(http::Request& request, http::ResponseWriter& writer);
   Task<void> handleFeed(std::string target, http::ResponseWriter& writer);
   Task<void> reply(http::ResponseWriter& writer, unsigned status, std::string body);
@@ -63,6 +66,7 @@
   std::uint64_t versionOf(const Key& key) const;
 
   boost::asio::io_context& loop_;
+  Instant started_at_ = steadyNow();
   http::Server server_;
   Signal changed_;
   StoreFaults faults_;
--- a/tests/versions/version_rollout_test.cpp
+++ b/tests/versions/version_rollout_test.cpp
@@ -149,3 +149,23 @@
   cr_assert(shares.isFor(EngineId("e0"), kModel));
   cr_assert(shares.isFor(EngineId("e3"), kOtherModel));
 }
+
+Test(version_rollout, a_large_service_loads_a_share_of_its_engines_at_once) {
+  Fixture fixture(45);
+  fixture.rollout.onNamed(kStart, kModel, 3);
+  fixture.reportAll(kStart, 4);
+  cr_assert_eq(fixture.tick(kStart).size(), 9U);
+}
+
+Test(version_rollout, only_some_engines_are_asked_for_their_state_at_a_time) {
+  Fixture fixture(100);
+  fixture.rollout.onNamed(kStart, kModel, 2);
+  fixture.tick(kStart);
+  const std::size_t asked = fixture.rollout.reportsWanted().size();
+  cr_assert_eq(asked, 24U);
+  for (const EngineState* engine : fixture.rollout.reportsWanted()) {
+    fixture.rollout.onReportAsked(kStart, engine->record.id);
+  }
+  fixture.tick(kStart);
+  cr_assert_eq(fixture.rollout.reportsWanted().size(), 24U, "the next ones");
+}
