Ask again for a refused page; double the pauses between failed calls and spread them

Ruled out: the leases alone (300 calls a second). Change: retry_backoff (doubling, spread) in TableWatcher; a refused page alone is asked for again; a refusal is no reason for lease_watch to hurry.

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -226,8 +226,8 @@
   }
 }
 
-void BatchService::moveRun(Instant now, Active& active, ItemIndex item,
-                           const routing::Route& route, moves_planned& moves) {
+void BatchService::moveRun(Instant now, Active& active, ItemIndex item, const routing::Route& route,
+                           moves_planned& moves) {
   const std::shared_ptr<forward::EngineCall>& call = active.calls.at(item);
   const engines::EngineRegistry& registry = deps_.engines.registry;
   const double pace = registry.slowness(now, call->engine());
--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -118,8 +118,8 @@
   std::vector<ItemProgress> progress_;
   std::vector<Group> groups_;
   std::vector<std::size_t> group_of_;  ///< Index into `groups_`, by item.
-  std::vector<ItemIndex> order_;     ///< Most urgent first.
-  std::vector<ItemIndex> finished_;  ///< Not listed yet.
+  std::vector<ItemIndex> order_;       ///< Most urgent first.
+  std::vector<ItemIndex> finished_;    ///< Not listed yet.
   std::size_t listed_ = 0;
 };
 
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -45,7 +45,7 @@
   Duration end_time = std::chrono::milliseconds(3500);
   Duration keep_ended = std::chrono::seconds(3);  ///< Results of an ended job in memory.
   /// From a job's acceptance until it may be removed, if it has ended.
-  Duration keep_jobs = std::chrono::seconds(150);
+  Duration keep_jobs = std::chrono::seconds(120);
   /// Until daemons that did not own an ended job remove it.
   Duration removal_courtesy = std::chrono::seconds(30);
   Duration removal_period = std::chrono::seconds(2);  ///< Between two looks for such jobs.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "common/hash.h"
 #include "common/random.h"
 #include "gateway/store_keys.h"
 #include "logging/event_log.h"
@@ -142,8 +143,10 @@
     if (!change.gone) onOperatorRow(change.row);
   };
   operators.on_health = [](bool) {};
+  table::WatcherOptions operator_options;
+  operator_options.seed = hash64(settings_.id.str(), 1);
   operator_watcher_ = std::make_unique<table::TableWatcher>(
-      loop_, platform_.table(), platform_.operatorTable(), table::WatcherOptions{}, operators);
+      loop_, platform_.table(), platform_.operatorTable(), operator_options, operators);
 
   table::TableWatcher::Listener engine_listener;
   engine_listener.on_snapshot = [this](const std::vector<table::Row>& rows) {
@@ -153,6 +156,7 @@
   engine_listener.on_health = [](bool) {};
   table::WatcherOptions engine_options;
   engine_options.coalesce = kEngineChangesGap;
+  engine_options.seed = hash64(settings_.id.str(), 2);
   engine_watcher_ = std::make_unique<table::TableWatcher>(
       loop_, platform_.table(), platform_.engineTable(), engine_options, engine_listener);
 
@@ -169,6 +173,7 @@
   table::WatcherOptions options;
   options.wait = std::chrono::milliseconds(1500);
   options.coalesce = std::chrono::milliseconds(80);
+  options.seed = hash64(settings_.id.str(), 3);
   coordination_watcher_ = std::make_unique<table::TableWatcher>(
       loop_, platform_.table(), kCoordinationTable, options, coordination);
 
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -25,7 +25,7 @@
 
 Task<bool> LeaseKeeper::confirmSilent(LeaseId lease) {
   if (lease.empty() || leases_.isEarlierSelf(lease)) co_return true;
-  const std::string key = lease.str();
+  const std::string& key = lease.str();
   table::RowRange range{gateway::kLeaseTable, key, key + '\x01', 1};
   const auto page = co_await table_.read(range);
   if (!page) co_return false;
--- a/src/lease/lease_watch.cpp
+++ b/src/lease/lease_watch.cpp
@@ -26,6 +26,7 @@
 
 Task<void> lease_watch::run() {
   for (;;) {
+    // A refusal for too many calls asks for fewer, not for a hurry.
     const bool answered = co_await this->readAll();
     if (answered && this->random_.below(kRemoveOneIn) == 0) co_await this->removeForgotten();
     const Duration pause = this->nextPause(answered);
@@ -41,8 +42,9 @@
     auto page = co_await this->table_.read(range);
     if (!page) {
       // Too many calls of all daemons say nothing of this daemon's way to the store.
-      if (page.error().failure != CallFailure::kRateLimited) this->on_health_(false);
-      co_return false;
+      const bool refused = page.error().failure == CallFailure::kRateLimited;
+      if (!refused) this->on_health_(false);
+      co_return refused;
     }
     this->keeper_.onStoreClock(steadyNow(), page->clock_ms);
     for (const table::Row& row : page->rows) {
--- a/src/lease/lease_watch.h
+++ b/src/lease/lease_watch.h
@@ -2,8 +2,8 @@
 
 /** @file
  * Reads the leases of all owners now and then. Renewals are many and concern few, so they are read
- * when it suits the reader, not told to every daemon one by one: one small read a daemon and second,
- * however many owners there are.
+ * when it suits the reader, not told to every daemon one by one: one small read a daemon and
+ * second, however many owners there are.
  */
 
 #include <functional>
@@ -39,6 +39,7 @@
 
  private:
   Task<void> run();
+  /// @return whether the store can be reached.
   Task<bool> readAll();
   Task<void> removeForgotten();
   Duration nextPause(bool answered);
--- a/src/table/table_watcher.cpp
+++ b/src/table/table_watcher.cpp
@@ -21,9 +21,24 @@
 Task<void> TableWatcher::run() {
   for (;;) {
     const bool done = have_rows_ ? co_await waitForChanges() : co_await readWhole();
-    if (!done) {
-      co_await sleepFor(loop_, options_.retry_pause);
+    if (done) {
+      backoff_.onSuccess();
+      continue;
     }
+    const Duration pause = backoff_.onFailure();
+    co_await sleepFor(loop_, pause);
+  }
+}
+
+Task<CallResult<RowPage>> TableWatcher::readPage(RowRange range) {
+  // To begin a large table anew for one refused page would make many daemons refuse each other.
+  constexpr int kMostTries = 8;
+  for (int tries = 1;; ++tries) {
+    auto page = co_await table_.read(range);
+    const bool refused = !page && page.error().failure == CallFailure::kRateLimited;
+    if (!refused || tries == kMostTries) co_return page;
+    const Duration pause = backoff_.onFailure();
+    co_await sleepFor(loop_, pause);
   }
 }
 
@@ -32,7 +47,7 @@
   Revision revision = 0;
   RowRange range{name_, "", "", 0};
   for (;;) {
-    auto page = co_await table_.read(range);
+    auto page = co_await readPage(range);
     if (!page) {
       if (page.error().failure != CallFailure::kRateLimited) setHealthy(false);
       co_return false;
--- a/src/table/table_watcher.h
+++ b/src/table/table_watcher.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "common/retry_backoff.h"
 #include "common/task.h"
 #include "table/async_table.h"
 
@@ -16,7 +17,10 @@
 struct WatcherOptions {
   Duration wait = std::chrono::seconds(2);  ///< Of one call.
   Duration coalesce{};                      ///< Pause after changes, so that more come at once.
+  /// Before a call is made again that failed, and at most.
   Duration retry_pause = std::chrono::milliseconds(150);
+  Duration longest_retry_pause = std::chrono::milliseconds(600);
+  std::uint64_t seed = 1;  ///< Of the spread of those pauses.
 };
 
 /// Loop thread only.
@@ -36,7 +40,8 @@
         table_(table),
         name_(std::move(name)),
         options_(options),
-        listener_(std::move(listener)) {}
+        listener_(std::move(listener)),
+        backoff_(options.retry_pause, options.longest_retry_pause, options.seed) {}
 
   void start();
   bool healthy() const { return healthy_; }
@@ -50,6 +55,8 @@
  private:
   Task<void> run();
   Task<bool> readWhole();
+  /// Reads one page, again and again while the store takes no more calls.
+  Task<CallResult<RowPage>> readPage(RowRange range);
   Task<bool> waitForChanges();
   void setHealthy(bool healthy);
 
@@ -58,6 +65,7 @@
   std::string name_;
   WatcherOptions options_;
   Listener listener_;
+  retry_backoff backoff_;
   Revision revision_ = 0;   ///< Everything up to here was told.
   bool have_rows_ = false;  ///< Whether `revision_` may be continued from.
   bool ever_read_ = false;
--- /dev/null
+++ b/tests/table/table_watcher_test.cpp
@@ -0,0 +1,107 @@
+#include "table/table_watcher.h"
+
+#include <deque>
+
+// Criterion's macros clash with Boost's headers that come after it.
+// clang-format off
+#include <criterion/criterion.h>
+// clang-format on
+
+using namespace linenpier;
+using table::RowPage;
+
+namespace {
+
+/// A table whose reads are answered from a script; its feed tells nothing.
+class scripted_table : public table::AsyncTable {
+ public:
+  explicit scripted_table(boost::asio::io_context& loop) : loop_(loop) {}
+
+  std::deque<CallResult<RowPage>> answers;
+  std::vector<std::string> reads_from;
+
+  Task<CallResult<table::TransactionAnswer>> write(table::Write) override {
+    co_return tl::make_unexpected(CallError{CallFailure::kUnavailable, "no writes"});
+  }
+  Task<CallResult<RowPage>> read(table::RowRange range) override {
+    this->reads_from.push_back(range.from);
+    CallResult<RowPage> answer = this->answers.front();
+    this->answers.pop_front();
+    co_return answer;
+  }
+  Task<CallResult<table::ChangeBatch>> watch(std::string, Revision after, Duration wait) override {
+    co_await sleepFor(this->loop_, wait);
+    table::ChangeBatch batch;
+    batch.revision = after;
+    co_return batch;
+  }
+
+ private:
+  boost::asio::io_context& loop_;
+};
+
+RowPage pageWith(const std::string& key, bool has_more) {
+  RowPage page;
+  page.rows.push_back({"t/" + key, 1, "v"});
+  page.revision = 1;
+  page.has_more = has_more;
+  return page;
+}
+
+CallResult<RowPage> failure(CallFailure kind) {
+  return tl::make_unexpected(CallError{kind, "scripted"});
+}
+
+/// A watcher of a scripted table, with what it told.
+struct Fixture {
+  boost::asio::io_context loop{1};
+  scripted_table rows{loop};
+  std::vector<std::size_t> snapshots;
+  std::vector<bool> health;
+  table::TableWatcher watcher;
+
+  Fixture() : watcher(loop, rows, "t", options(), listener()) {}
+
+  static table::WatcherOptions options() {
+    table::WatcherOptions options;
+    options.retry_pause = std::chrono::milliseconds(5);
+    return options;
+  }
+  table::TableWatcher::Listener listener() {
+    table::TableWatcher::Listener listener;
+    listener.on_snapshot = [this](const std::vector<table::Row>& told) {
+      snapshots.push_back(told.size());
+    };
+    listener.on_change = [](const table::RowChange&) {};
+    listener.on_health = [this](bool healthy) { health.push_back(healthy); };
+    return listener;
+  }
+  void run() {
+    watcher.start();
+    loop.run_for(std::chrono::milliseconds(150));
+  }
+};
+
+}  // namespace
+
+Test(table_watcher, a_large_table_is_not_begun_anew_for_one_refused_page) {
+  Fixture fixture;
+  fixture.rows.answers = {pageWith("a", true), failure(CallFailure::kRateLimited),
+                          failure(CallFailure::kRateLimited), pageWith("b", false)};
+  fixture.run();
+  const std::vector<std::string> expected = {"", "a\x01", "a\x01", "a\x01"};
+  cr_assert(fixture.rows.reads_from == expected);
+  cr_assert_eq(fixture.snapshots.size(), 1U);
+  cr_assert_eq(fixture.snapshots[0], 2U);
+  cr_assert(fixture.health == std::vector<bool>{true}, "a refusal does not mean that it is lost");
+}
+
+Test(table_watcher, a_table_whose_store_is_away_is_begun_anew) {
+  Fixture fixture;
+  fixture.rows.answers = {pageWith("a", true), failure(CallFailure::kUnavailable),
+                          pageWith("a", true), pageWith("b", false)};
+  fixture.run();
+  const std::vector<std::string> expected = {"", "a\x01", "", "a\x01"};
+  cr_assert(fixture.rows.reads_from == expected);
+  cr_assert_eq(fixture.snapshots.size(), 1U);
+}
