Bring a version to as many engines as work needs while it is new

Ruled out: pace alone (two at a time never reaches all of a large service, the users' target asks for all within 29 s). Change: load_demand counts the items of open jobs (a peak of 10 s, a quarter more, 24 engines at least); a version that is 8 s old is brought to the others too. Tests failed first: a_large_service_brings_a_new_version_to_as_many_engines_as_work_needs.

--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -257,12 +257,12 @@
   return work;
 }
 
-std::set<ModelName> BatchService::modelsInUse() const {
-  std::set<ModelName> models;
+std::map<ModelName, std::size_t> BatchService::openItems() const {
+  std::map<ModelName, std::size_t> items;
   for (const auto& [id, job] : jobs_) {
-    if (!job.record.ended && !job.record.model.empty()) models.insert(job.record.model);
+    if (!job.record.ended && !job.record.model.empty()) items[job.record.model] += job.record.total;
   }
-  return models;
+  return items;
 }
 
 Task<void> BatchService::handOver() {
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -113,8 +113,8 @@
 
   /// @return whether this daemon owns jobs that are not wholly listed.
   bool ownsAny() const;
-  /// @return the models that jobs under way ask for, at any daemon.
-  std::set<ModelName> modelsInUse() const;
+  /// @return the items of jobs under way at any daemon, by model.
+  std::map<ModelName, std::size_t> openItems() const;
   /// Gives up every owned job so that others take it at once.
   Task<void> handOver();
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,10 +61,10 @@
                 platform.batchCodec(),
                 [this] { return routes_; }},
                settings.batch),
-      orders_({loop, registry_, platform.table(), leases_, keeper_, platform.orders(),
-               [this] { return routes_; }, [this] { return batches_.modelsInUse(); },
-               settings.id.str()},
-              orderOptions(settings)),
+      orders_(
+          {loop, registry_, platform.table(), leases_, keeper_, platform.orders(),
+           [this] { return routes_; }, [this] { return batches_.openItems(); }, settings.id.str()},
+          orderOptions(settings)),
       requests_(loop,
                 [this](http::Request& request, Instant received, http::ResponseWriter& writer) {
                   return handle(request, received, writer);
--- /dev/null
+++ b/src/versions/load_demand.cpp
@@ -0,0 +1,24 @@
+#include "versions/load_demand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace linenpier::versions {
+
+void load_demand::onOpenItems(Instant now, const std::map<ModelName, std::size_t>& items) {
+  for (const auto& [model, count] : items) {
+    peak& known = this->peaks_[model];
+    if (count < known.items && now - known.at < this->options_.memory) continue;
+    known = {count, now};
+  }
+}
+
+std::size_t load_demand::enginesFor(const ModelName& model, std::uint32_t slots) const {
+  const auto at = this->peaks_.find(model);
+  if (at == this->peaks_.end()) return this->options_.always;
+  const double filled = static_cast<double>(at->second.items) / std::max(1U, slots);
+  const auto needed = static_cast<std::size_t>(std::ceil(filled * this->options_.headroom));
+  return std::max(this->options_.always, needed);
+}
+
+}  // namespace linenpier::versions
--- /dev/null
+++ b/src/versions/load_demand.h
@@ -0,0 +1,46 @@
+#pragma once
+
+/** @file
+ * How many engines the work for a model needs, so that a large service does not bring each version
+ * to engines that the next version finds unused. Pure.
+ */
+
+#include <cstdint>
+#include <map>
+
+#include "common/ids.h"
+#include "common/time.h"
+
+namespace linenpier::versions {
+
+struct demand_options {
+  /// Services with no more engines than this for a model bring each version to all of them.
+  std::size_t always = 24;
+  double headroom = 1.25;  ///< Engines per engine that the open items fill.
+  /// Steps follow each other: what was open this long ago will be open again.
+  Duration memory = std::chrono::seconds(10);
+};
+
+class load_demand {
+ public:
+  explicit load_demand(demand_options options) : options_(options) {}
+
+  /** @param items of open jobs, by model. */
+  void onOpenItems(Instant now, const std::map<ModelName, std::size_t>& items);
+
+  /** @param slots requests that one engine works on at once.
+   * @return engines that should hold the model's newest version soon.
+   */
+  std::size_t enginesFor(const ModelName& model, std::uint32_t slots) const;
+
+ private:
+  struct peak {
+    std::size_t items = 0;
+    Instant at{};
+  };
+
+  demand_options options_;
+  std::map<ModelName, peak> peaks_;
+};
+
+}  // namespace linenpier::versions
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -127,9 +127,9 @@
   if (held(right)) {
     if (now < right.may_order_at || !deps_.keeper.valid(now)) return;
     const auto engines = deps_.registry.ofService(service);
-    std::set<ModelName> models = deps_.models_in_use();
-    for (const auto& [model, version] : named_) models.insert(model);
-    for (VersionOrder& order : right.rollout.onTick(now, engines, models)) {
+    std::map<ModelName, std::size_t> open_items = deps_.open_items();
+    for (const auto& [model, version] : named_) open_items.try_emplace(model, 0);
+    for (VersionOrder& order : right.rollout.onTick(now, engines, open_items)) {
       spawn(deps_.loop, [this, service, order] { return sendOrder(service, order); });
     }
     for (const engines::EngineState* engine : right.rollout.reportsWanted()) {
--- a/src/versions/order_service.h
+++ b/src/versions/order_service.h
@@ -48,8 +48,8 @@
     lease::LeaseKeeper& keeper;
     EngineOrders& orders;
     std::function<routing::RouteTablePtr()> routes;
-    std::function<std::set<ModelName>()> models_in_use;  ///< That jobs under way ask for.
-    std::string holder;                                  ///< Name that orders carry.
+    std::function<std::map<ModelName, std::size_t>()> open_items;  ///< Of jobs under way, by model.
+    std::string holder;                                            ///< Name that orders carry.
   };
   OrderService(Dependencies dependencies, OrderOptions options)
       : deps_(std::move(dependencies)), options_(options) {}
--- a/src/versions/version_rollout.cpp
+++ b/src/versions/version_rollout.cpp
@@ -61,8 +61,11 @@
 
 std::vector<VersionOrder> VersionRollout::onTick(
     Instant now, const std::vector<const engines::EngineState*>& engines,
-    const std::set<ModelName>& models) {
+    const std::map<ModelName, std::size_t>& open_items) {
+  std::set<ModelName> models;
+  for (const auto& [model, items] : open_items) models.insert(model);
   shares_.update(engines, models, named_);
+  demand_.onOpenItems(now, open_items);
   std::size_t loading = 0;
   for (const auto& [id, progress] : progress_) {
     if (progress.sending || now < progress.loading_until) ++loading;
@@ -73,6 +76,13 @@
     if (one.load != other.load) return one.load < other.load;
     return one.engine->record.id < other.engine->record.id;
   });
+  std::map<ModelName, std::size_t> missing = enginesMissing(now, engines);
+  std::erase_if(candidates, [&missing](const Candidate& candidate) {
+    std::size_t& left = missing[candidate.model];
+    if (left == 0) return true;
+    --left;
+    return false;
+  });
   findReportsWanted(now, candidates);
   std::vector<VersionOrder> orders;
   std::map<ModelName, std::size_t> taken_out = loadingByModel(now);
@@ -149,6 +159,29 @@
   return candidates;
 }
 
+std::map<ModelName, std::size_t> VersionRollout::enginesMissing(
+    Instant now, const std::vector<const engines::EngineState*>& engines) const {
+  std::map<ModelName, std::size_t> up_to_date;
+  std::map<ModelName, std::uint32_t> slots;
+  for (const engines::EngineState* engine : engines) {
+    const auto progress = progress_.find(engine->record.id);
+    const bool sending = progress != progress_.end() && progress->second.sending;
+    for (const auto& [model, version] : named_) {
+      if (!shares_.isFor(engine->record.id, model)) continue;
+      slots[model] = engine->record.slots;
+      if (sending || !isBehind(now, *engine, model)) ++up_to_date[model];
+    }
+  }
+  std::map<ModelName, std::size_t> missing;
+  for (const auto& [model, named_at] : named_at_) {
+    const std::size_t wanted = now - named_at >= options_.settled
+                                   ? engines.size()
+                                   : demand_.enginesFor(model, slots[model]);
+    missing[model] = wanted - std::min(wanted, up_to_date[model]);
+  }
+  return missing;
+}
+
 void VersionRollout::findReportsWanted(Instant now, const std::vector<Candidate>& candidates) {
   reports_wanted_.clear();
   for (const Candidate& candidate : candidates) {
--- a/src/versions/version_rollout.h
+++ b/src/versions/version_rollout.h
@@ -10,6 +10,7 @@
 
 #include "engines/engine_registry.h"
 #include "versions/engine_shares.h"
+#include "versions/load_demand.h"
 
 namespace linenpier::versions {
 
@@ -59,6 +60,9 @@
   double quiet_share = 0.2;
   /// … or when its model's newest version was named this long ago.
   Duration patience = std::chrono::milliseconds(1500);
+  /// A version that is this old is brought to engines beyond the demand, too.
+  Duration settled = std::chrono::seconds(8);
+  demand_options demand;
   Duration report_period = std::chrono::milliseconds(250);  ///< Between two reports of an engine.
   std::size_t reports_at_once = 24;                         ///< That are asked for in one tick.
   Duration load_time = std::chrono::milliseconds(900);      ///< Of one change.
@@ -70,7 +74,7 @@
 
 class VersionRollout {
  public:
-  explicit VersionRollout(RolloutOptions options) : options_(options) {}
+  explicit VersionRollout(RolloutOptions options) : options_(options), demand_(options.demand) {}
 
   void onNamed(Instant now, const ModelName& model, WeightVersion version);
   WeightVersion named(const ModelName& model) const;
@@ -78,10 +82,10 @@
 
   /// @param engines those of the service that are not draining.
   /// @return the orders to send now. Each counts as being sent until it is answered.
-  /// @param models those that need engines now.
+  /// @param open_items of jobs under way, by each model that needs engines now.
   std::vector<VersionOrder> onTick(Instant now,
                                    const std::vector<const engines::EngineState*>& engines,
-                                   const std::set<ModelName>& models);
+                                   const std::map<ModelName, std::size_t>& open_items);
   void onAnswer(Instant now, const VersionOrder& order, OrderAnswer answer);
   /// @return the engines that must tell of themselves before they may be changed.
   const std::vector<const engines::EngineState*>& reportsWanted() const { return reports_wanted_; }
@@ -127,10 +131,14 @@
                    const std::vector<const engines::EngineState*>& engines) const;
   std::map<ModelName, std::size_t> loadingByModel(Instant now) const;
   std::size_t atOnce(std::size_t engines) const;
+  /// @return how many more engines each model's newest version should be brought to soon.
+  std::map<ModelName, std::size_t> enginesMissing(
+      Instant now, const std::vector<const engines::EngineState*>& engines) const;
   bool isBehind(Instant now, const engines::EngineState& engine, const ModelName& model) const;
 
   RolloutOptions options_;
   EngineShares shares_;
+  load_demand demand_;
   std::map<ModelName, WeightVersion> named_;
   std::map<ModelName, Instant> named_at_;
   std::map<EngineId, Progress> progress_;
--- /dev/null
+++ b/tests/versions/load_demand_test.cpp
@@ -0,0 +1,28 @@
+#include "versions/load_demand.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using versions::load_demand;
+
+namespace {
+const ModelName kModel("m");
+constexpr Instant kStart{std::chrono::seconds(100)};
+constexpr std::uint32_t kSlots = 10;
+}  // namespace
+
+Test(load_demand, open_items_ask_for_engines_with_some_headroom) {
+  load_demand demand({});
+  cr_assert_eq(demand.enginesFor(kModel, kSlots), 24U, "nothing is known");
+  demand.onOpenItems(kStart, {{kModel, 400}});
+  cr_assert_eq(demand.enginesFor(kModel, kSlots), 50U);
+  demand.onOpenItems(kStart, {{kModel, 10}});
+  cr_assert_eq(demand.enginesFor(kModel, kSlots), 50U, "the next step comes soon");
+}
+
+Test(load_demand, what_was_open_long_ago_is_forgotten) {
+  load_demand demand({});
+  demand.onOpenItems(kStart, {{kModel, 400}});
+  demand.onOpenItems(kStart + std::chrono::seconds(11), {{kModel, 300}});
+  cr_assert_eq(demand.enginesFor(kModel, kSlots), 38U);
+}
--- a/tests/versions/version_rollout_test.cpp
+++ b/tests/versions/version_rollout_test.cpp
@@ -30,10 +30,13 @@
       states.push_back(state);
     }
   }
-  std::vector<VersionOrder> tick(Instant now, const std::set<ModelName>& models = {kModel}) {
+  std::vector<VersionOrder> tick(Instant now, const std::set<ModelName>& models = {kModel},
+                                 std::size_t open_items = 1000) {
+    std::map<ModelName, std::size_t> items;
+    for (const ModelName& model : models) items[model] = open_items;
     std::vector<const EngineState*> engines;
     for (const EngineState& state : states) engines.push_back(&state);
-    return rollout.onTick(now, engines, models);
+    return rollout.onTick(now, engines, items);
   }
   void reportAll(Instant now, std::uint32_t load = 0) {
     for (const EngineState& state : states)
@@ -169,3 +172,14 @@
   fixture.tick(kStart);
   cr_assert_eq(fixture.rollout.reportsWanted().size(), 24U, "the next ones");
 }
+
+Test(version_rollout, a_large_service_brings_a_new_version_to_as_many_engines_as_work_needs) {
+  Fixture fixture(200);
+  fixture.rollout.onNamed(kStart, kModel, 3);
+  fixture.reportAll(kStart, 4);
+  cr_assert_eq(fixture.tick(kStart, {kModel}, 20).size(), 24U);
+  const Instant settled = kStart + std::chrono::seconds(9);
+  fixture.reportAll(settled, 4);
+  cr_assert_eq(fixture.tick(settled, {kModel}, 20).size(), 16U,
+               "in the end to all of them, 40 at once");
+}
