Count the memory that others fill; let a run stay a second before it moves

Change: others' requests count as much memory as one's own in the mean; an engine costs more from seven tenths of its memory on, instead of twice beyond all of it; a run moves after 1 s on an engine at the earliest (0.35 s). The test of the registry failed first (the full engine was taken).

--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -57,7 +57,7 @@
   double move_gain = 1.15;  ///< An engine must be this much faster for a run to move there.
   /// A move must save more than this; reading a prompt and the text so far again costs less.
   Duration move_saving = std::chrono::milliseconds(250);
-  Duration move_after = std::chrono::milliseconds(350);  ///< Shorter runs stay.
+  Duration move_after = std::chrono::milliseconds(1000);  ///< Shorter runs stay.
   std::size_t moves_per_tick = 6;
   std::size_t page_bytes = 900 * 1024;
   std::size_t write_bytes = 480 * 1024;
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -5,7 +5,9 @@
 namespace linenpier::engines {
 
 namespace {
-constexpr double kLoadWeight = 0.5;    ///< Of a request already there, in units of its own.
+constexpr double kLoadWeight = 0.5;   ///< Of a request already there, in units of its own.
+constexpr double kTightMemory = 0.7;  ///< Part of an engine's memory; beyond it requests cost more.
+constexpr double kMostMemoryFactor = 4;
 constexpr double kBatchWeight = 0.12;  ///< Slowing of a batch that is full.
 constexpr double kSlowestFactor = 8;   ///< Slower engines count as this slow.
 constexpr int kLongestBackoffSteps = 4;
@@ -172,13 +174,34 @@
   return engine == nullptr ? 0 : slowness(now, id) * medianPace(now, engine->record.service);
 }
 
+double EngineRegistry::typicalTokens() const {
+  double tokens = 0;
+  double requests = 0;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.tokens <= 0) continue;
+    tokens += engine.tokens;
+    requests += engine.in_flight;
+  }
+  return requests > 0 ? tokens / requests : 0;
+}
+
+/// An engine whose memory runs out puts requests back, which then wait and are read anew.
+double EngineRegistry::memoryFactor(Instant now, const EngineState& engine,
+                                    const PickRequest& request) const {
+  if (request.memory_tokens <= 0) return 1;
+  // What others run there is not told; it is likely to be of the same kind.
+  const double others = std::max(0.0, load(now, engine) - engine.in_flight) * typicalTokens();
+  const double used = (engine.tokens + others + request.tokens) / request.memory_tokens;
+  if (used <= kTightMemory) return 1;
+  return std::min(kMostMemoryFactor, 1 + (used - kTightMemory) / (1 - kTightMemory));
+}
+
 double EngineRegistry::expectedWait(Instant now, const EngineState& engine,
                                     const PickRequest& request) const {
   const double per_slot = load(now, engine) / std::max(1U, engine.record.slots);
   const double weight = request.batching ? kBatchWeight : kLoadWeight * engine.record.slots;
   double wait = (1 + weight * per_slot) * slowness(now, engine.record.id);
-  if (request.memory_tokens > 0 && engine.tokens + request.tokens > request.memory_tokens)
-    wait *= 2;
+  wait *= memoryFactor(now, engine, request);
   if (per_slot >= 1) wait *= 1 + per_slot;
   if (engine.record.zone != zone_ && !request.batching) wait *= options_.remote_factor;
   if (now < engine.listed_at + engine.record.cold_for) wait *= 2;
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -142,6 +142,9 @@
   EngineState* mutableFind(const EngineId& id);
   bool fits(Instant now, const EngineState& engine, const PickRequest& request) const;
   double load(Instant now, const EngineState& engine) const;
+  /// @return memory that one of this daemon's requests is expected to need, in the mean.
+  double typicalTokens() const;
+  double memoryFactor(Instant now, const EngineState& engine, const PickRequest& request) const;
   double expectedWait(Instant now, const EngineState& engine, const PickRequest& request) const;
   double medianPace(Instant now, const routing::ServiceName& service) const;
 
--- a/tests/engines/engine_registry_test.cpp
+++ b/tests/engines/engine_registry_test.cpp
@@ -141,3 +141,22 @@
   }
   cr_assert_null(registry.pick(kStart, request));
 }
+
+Test(engine_registry, memory_that_others_fill_is_counted_too) {
+  EngineRegistry registry = registryOf({record("slow"), record("full")});
+  registry.onPace(kStart, EngineId("slow"), std::chrono::milliseconds(120));
+  registry.onPace(kStart, EngineId("full"), std::chrono::milliseconds(100));
+  registry.onAttemptStarted(EngineId("slow"));
+  registry.onTokens(EngineId("slow"), 100);
+  PickRequest request = any();
+  request.batching = true;
+  request.tokens = 100;
+  request.memory_tokens = 420;
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(registry.pick(kStart, request)->record.id.str(), "full", "it is empty yet");
+  }
+  registry.onLoad(kStart, EngineId("full"), {3, 0, 4});
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(registry.pick(kStart, request)->record.id.str(), "slow");
+  }
+}
