Know at once that a feed is back

Test failed first: a_feed_that_was_lost_is_known_to_be_back_at_once. The age of an engine's load is logged only if it ever told one (it read as hours).

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -339,10 +339,11 @@
       .text("verdict", toText(verdict))
       .milliseconds("took_ms", steadyNow() - call.startedAt());
   if (engine != nullptr) {
-    event.number("in_flight", engine->in_flight)
-        .real("others", engine->others)
-        .milliseconds("load_age_ms", steadyNow() - engine->load_at)
-        .number("failures", engine->failures);
+    event.number("in_flight", engine->in_flight).number("failures", engine->failures);
+    if (engine->load_at != Instant{}) {
+      event.real("others", engine->others)
+          .milliseconds("load_age_ms", steadyNow() - engine->load_at);
+    }
   }
 }
 
--- a/src/table/table_watcher.cpp
+++ b/src/table/table_watcher.cpp
@@ -69,7 +69,8 @@
 }
 
 Task<bool> TableWatcher::waitForChanges() {
-  auto batch = co_await table_.watch(name_, revision_, options_.wait);
+  const Duration wait = healthy_ ? options_.wait : options_.wait_while_lost;
+  auto batch = co_await table_.watch(name_, revision_, wait);
   if (!batch) {
     if (batch.error().failure != CallFailure::kRateLimited) setHealthy(false);
     co_return false;
--- a/tests/table/table_watcher_test.cpp
+++ b/tests/table/table_watcher_test.cpp
@@ -19,6 +19,8 @@
 
   std::deque<CallResult<RowPage>> answers;
   std::vector<std::string> reads_from;
+  std::vector<Duration> waits;
+  std::size_t failing_watch = 0;  ///< Which call of the feed fails, from 1; 0: none.
 
   Task<CallResult<table::TransactionAnswer>> write(table::Write) override {
     co_return tl::make_unexpected(CallError{CallFailure::kUnavailable, "no writes"});
@@ -30,6 +32,10 @@
     co_return answer;
   }
   Task<CallResult<table::ChangeBatch>> watch(std::string, Revision after, Duration wait) override {
+    this->waits.push_back(wait);
+    if (this->waits.size() == this->failing_watch) {
+      co_return tl::make_unexpected(CallError{CallFailure::kUnavailable, "scripted"});
+    }
     co_await sleepFor(this->loop_, wait);
     table::ChangeBatch batch;
     batch.revision = after;
@@ -105,3 +111,15 @@
   cr_assert(fixture.rows.reads_from == expected);
   cr_assert_eq(fixture.snapshots.size(), 1U);
 }
+
+Test(table_watcher, a_feed_that_was_lost_is_known_to_be_back_at_once) {
+  Fixture fixture;
+  fixture.rows.answers = {pageWith("a", false)};
+  fixture.rows.failing_watch = 1;
+  fixture.run();
+  const std::vector<bool> expected = {true, false, true};
+  cr_assert(fixture.health == expected);
+  cr_assert(fixture.rows.waits.at(0) == std::chrono::seconds(2));
+  cr_assert(fixture.rows.waits.at(1) < std::chrono::milliseconds(100));
+  cr_assert(fixture.rows.waits.at(2) == std::chrono::seconds(2));
+}
