Let one daemon run the jobs of a model while it lives

Cause: each job of a trainer was owned by the daemon that happened to take it in. Change: the daemon that accepts a job names the owner of the model's newest job, if its lease is alive and it has fewer than 600 open items; the owner learns of it by the feed. A row says whether an owner has begun, so that nothing is read for a new job but its body.

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -44,10 +44,11 @@
 Task<FencedAnswer> BatchService::acceptRecord(JobRecord record, Instant deadline) {
   for (;;) {
     const Instant sent_at = steadyNow();
+    const bool own = record.owner == deps_.leases.own();
     std::vector<table::Put> renewal;
-    renewal.push_back(deps_.keeper.renewal());
+    if (own) renewal.push_back(deps_.keeper.renewal());
     const FencedAnswer answer = co_await deps_.store.putRecord(record, 0, std::move(renewal));
-    if (answer.outcome == FencedOutcome::kDone) deps_.keeper.onRenewed(sent_at);
+    if (own && answer.outcome == FencedOutcome::kDone) deps_.keeper.onRenewed(sent_at);
     if (answer.outcome != FencedOutcome::kUnknown) co_return answer;
     // It may be done yet. Only a row that is there settles it; the same write may follow.
     if (steadyNow() + options_.store_pause >= deadline) co_return answer;
@@ -102,12 +103,12 @@
   }
   JobRecord record;
   record.id = id;
-  record.owner = deps_.leases.own();
   record.host = http::fieldText(request, "Host");
   record.path = std::string(request.target().substr(0, request.target().find('?')));
   record.total = job->items.size();
   if (!job->items.empty()) record.model = job->items.front().model;
   record.accepted_ms = deps_.keeper.storeClock(steadyNow());
+  record.owner = chooseOwner(steadyNow(), record);
   const FencedAnswer accepted = co_await acceptRecord(record, deadline);
   if (accepted.outcome == FencedOutcome::kNotDone) {
     ++counts_.refused;
@@ -132,7 +133,7 @@
   if (accepted.revision > mine.revision && !mine.activating && !mine.active) {
     mine.record = record;
     mine.revision = accepted.revision;
-    activate(id, std::move(*job), Inheritance{}, received);
+    if (record.owner == deps_.leases.own()) activate(id, std::move(*job), Inheritance{}, received);
   }
   co_await answer(writer, kAccepted);
 }
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -131,6 +131,7 @@
   const Revision fence = at->second.revision;
   const std::string from = record.owner.str();
   record.owner = deps_.leases.own();
+  record.begun = true;
   const Instant sent_at = steadyNow();
   std::vector<table::Put> renewal;
   renewal.push_back(deps_.keeper.renewal());
@@ -166,7 +167,7 @@
              at->second.record.owner == deps_.leases.own();
     };
     if (!stillOwned()) break;
-    const auto inheritance = co_await inherit(id);
+    const auto inheritance = co_await inherit(at->second.record);
     const bool whole = bytes.has_value() && inheritance.has_value();
     at = jobs_.find(id);
     if (!stillOwned()) break;
@@ -175,7 +176,7 @@
       if (!job) break;
       const Duration age =
           std::chrono::milliseconds(inheritance->clock_ms - at->second.record.accepted_ms);
-      activate(id, std::move(*job), *inheritance, steadyNow() - age);
+      activate(id, std::move(*job), *inheritance, steadyNow() - std::max(age, Duration::zero()));
       break;
     }
     co_await sleepFor(deps_.loop, options_.store_pause);
@@ -184,8 +185,13 @@
   if (at != jobs_.end()) at->second.activating = false;
 }
 
-Task<CallResult<BatchService::Inheritance>> BatchService::inherit(JobId id) {
+Task<CallResult<BatchService::Inheritance>> BatchService::inherit(JobRecord record) {
   Inheritance inheritance;
+  if (!record.begun) {
+    inheritance.clock_ms = deps_.keeper.storeClock(steadyNow());
+    co_return inheritance;
+  }
+  const JobId id = record.id;
   for (;;) {
     auto page = co_await deps_.store.results(id, inheritance.listed.size(), 0);
     if (!page) co_return tl::make_unexpected(page.error());
@@ -276,6 +282,7 @@
     if (at == jobs_.end() || at->second.record.owner != deps_.leases.own()) continue;
     JobRecord record = at->second.record;
     record.owner = LeaseId();
+    record.begun = true;
     const Revision fence = at->second.revision;
     const ActivePtr active = at->second.active;
     if (active && !active->stopped) {
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -53,6 +53,8 @@
   Duration carry_over_time = std::chrono::seconds(2);
   /// Trainers ask for the next step while one or two are under way.
   std::size_t earlier_jobs = 3;
+  /// Items of open jobs that one daemon is given.
+  std::size_t most_open_items = 600;
   double requests_per_slot = 1.0;
   double move_gain = 1.15;  ///< An engine must be this much faster for a run to move there.
   /// A move must save more than this; reading a prompt and the text so far again costs less.
@@ -150,9 +152,12 @@
     Checkpoint checkpoint;
     std::int64_t clock_ms = 0;
   };
-  Task<CallResult<Inheritance>> inherit(JobId id);
+  Task<CallResult<Inheritance>> inherit(JobRecord record);
   void activate(const JobId& id, BatchJob job, const Inheritance& inheritance, Instant accepted_at);
 
+  /// @return who should run a job: the owner of its model's newest job, who has connections to the
+  ///     engines, knows what it runs there and what is kept; else this daemon.
+  LeaseId chooseOwner(Instant now, const JobRecord& record) const;
   /// Finds what earlier jobs left, and lets the job go on with it.
   Task<void> carryOver(ActivePtr active);
   /// @return the newest jobs of the same route and model that were accepted before.
--- a/src/batch/batch_types.h
+++ b/src/batch/batch_types.h
@@ -59,6 +59,7 @@
   ModelName model;  ///< Of its items; empty if none is named.
   std::size_t total = 0;
   bool ended = false;
+  bool begun = false;            ///< An owner may have listed or kept something already.
   std::int64_t accepted_ms = 0;  ///< By the store's clock.
 };
 
--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -32,10 +32,10 @@
 }  // namespace
 
 std::string encodeRecord(const JobRecord& record) {
-  const json document = {
-      {"owner", record.owner.str()},      {"host", record.host},   {"path", record.path},
-      {"model", record.model.str()},      {"total", record.total}, {"ended", record.ended},
-      {"accepted_ms", record.accepted_ms}};
+  const json document = {{"owner", record.owner.str()}, {"host", record.host},
+                         {"path", record.path},         {"model", record.model.str()},
+                         {"total", record.total},       {"ended", record.ended},
+                         {"begun", record.begun},       {"accepted_ms", record.accepted_ms}};
   return document.dump();
 }
 
@@ -51,6 +51,7 @@
     record.model = ModelName(document.value("model", ""));
     record.total = document.at("total").get<std::size_t>();
     record.ended = document.at("ended").get<bool>();
+    record.begun = document.value("begun", true);
     record.accepted_ms = document.at("accepted_ms").get<std::int64_t>();
     return record;
   } catch (const json::exception&) {
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -64,6 +64,13 @@
   });
 }
 
+bool LeaseTable::alive(Instant now, const LeaseId& lease) const {
+  if (lease == own_) return true;
+  const auto at = rows_.find(lease);
+  if (at == rows_.end() || at->second.revision == 0 || !store_healthy_since_) return false;
+  return now - at->second.changed_at < times_.expiry;
+}
+
 std::vector<LeaseId> LeaseTable::forgotten(Instant now) const {
   std::vector<LeaseId> found;
   for (const auto& [lease, seen] : rows_) {
--- a/src/lease/lease_table.h
+++ b/src/lease/lease_table.h
@@ -62,6 +62,8 @@
   /// @return whether an owner has been silent for longer than is usual, and not for so long that
   ///     others must have taken over.
   bool anySuspect(Instant now) const;
+  /// @return whether the owner's row was seen to be renewed lately, or it is this life.
+  bool alive(Instant now, const LeaseId& lease) const;
   /// @return leases that nobody has renewed for so long that their rows may be removed.
   std::vector<LeaseId> forgotten(Instant now) const;
   /// @return the revision of the lease's row as last seen; 0 if it was never seen.
--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -276,6 +276,24 @@
   cr_assert(record.find("\"owner\":\"d0#") != std::string::npos, "taken over: %s", record.c_str());
 }
 
+GATEWAY_TEST(batch_jobs, the_jobs_of_a_model_are_run_by_one_daemon_while_it_lives,
+             twoGateways(80)) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(10));
+  co_await fixture.call(0, fixture.jobRequest("first", 2));
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(1500));
+  const auto accepted = co_await fixture.call(1, fixture.jobRequest("second", 2));
+  cr_assert_eq(accepted.response.result_int(), 202U);
+  std::string record = fixture.store().get("linenpier", "job/second").value_or("");
+  cr_assert(record.find("\"owner\":\"d0#") != std::string::npos, "%s", record.c_str());
+  const std::string results = co_await fixture.readAll(1, "second");
+  checkResults(results, "second", 2, 80);
+  fixture.cutFromStore(0);
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(3500));
+  co_await fixture.call(1, fixture.jobRequest("third", 2));
+  record = fixture.store().get("linenpier", "job/third").value_or("");
+  cr_assert(record.find("\"owner\":\"d1#") != std::string::npos, "%s", record.c_str());
+}
+
 GATEWAY_TEST(batch_jobs, renewals_of_leases_are_not_told_to_every_daemon, twoGateways(200)) {
   for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(10));
   co_await fixture.call(0, fixture.jobRequest("job", 2));
