--- a/src/batch/batch_carry_over.cpp
+++ b/src/batch/batch_carry_over.cpp
@@ -22,6 +22,7 @@
   std::sort(earlier.rbegin(), earlier.rend());
   if (earlier.size() > options_.earlier_jobs) earlier.resize(options_.earlier_jobs);
   std::vector<JobId> ids;
+  ids.reserve(earlier.size());
   for (const auto& [accepted_ms, id] : earlier) ids.push_back(id);
   return ids;
 }
--- /dev/null
+++ b/src/gateway/gateway_metrics_page.cpp
@@ -0,0 +1,58 @@
+/// @file
+/// The gateway's metrics at the moment of a scrape.
+
+#include "gateway/gateway.h"
+#include "logging/event_log.h"
+
+namespace linenpier::gateway {
+
+metrics::GatewayState Gateway::state() const {
+  metrics::GatewayState state;
+  const Instant now = steadyNow();
+  state.config_version = routes_ ? routes_->version : 0;
+  const std::map<std::string, const table::TableWatcher*> watchers = {
+      {"operator", operator_watcher_.get()},
+      {"engines", engine_watcher_.get()},
+      {"coordination", coordination_watcher_.get()}};
+  for (const auto& [name, watcher] : watchers) {
+    state.feeds_healthy[name] = watcher->healthy();
+    state.feed_ages[name] = watcher->read() ? toSeconds(now - watcher->lastAnswer()) : -1;
+  }
+  for (const auto& [id, engine] : registry_.all()) {
+    auto& states = state.engines[engine.record.service.str()];
+    const char* name = engine.record.draining       ? "draining"
+                       : now < engine.ejected_until ? "ejected"
+                                                    : "usable";
+    ++states[name];
+  }
+  const batch::BatchService::Work work = batches_.work();
+  state.jobs_known = batches_.jobCount();
+  state.jobs_owned = work.jobs;
+  state.items_waiting = work.waiting;
+  state.items_running = work.running;
+  state.client_connections = requests_.connections();
+  state.requests_in_progress = requests_.busy();
+  state.engine_connections_opened = engine_pool_.opened();
+  state.log_lines_dropped = logging::droppedLines();
+  state.lease_valid = keeper_.valid(now);
+  state.order_rights_held = orders_.rightsHeld();
+  state.orders_sent = orders_.counts().sent;
+  state.orders_unanswered = orders_.counts().unanswered;
+  const batch::BatchCounts& counts = batches_.counts();
+  state.items_completed = counts.completed;
+  state.items_terminated = counts.terminated;
+  state.item_attempts = counts.attempts;
+  state.jobs_accepted = counts.accepted;
+  state.jobs_refused = counts.refused;
+  state.jobs_taken_over = counts.taken_over;
+  return state;
+}
+
+Task<void> Gateway::handleMetrics(http::ResponseWriter& writer) {
+  http::Response response;
+  response.set(boost::beast::http::field::content_type, "text/plain; version=0.0.4");
+  response.body() = metrics_.render(state());
+  co_await writer.send(std::move(response));
+}
+
+}  // namespace linenpier::gateway
--- /dev/null
+++ b/src/gateway/gateway_tables.cpp
@@ -0,0 +1,158 @@
+/// @file
+/// What the store tells a gateway: configuration, engines, jobs and rights, leases.
+
+#include "common/hash.h"
+#include "gateway/gateway.h"
+#include "gateway/store_keys.h"
+#include "logging/event_log.h"
+
+namespace linenpier::gateway {
+
+using logging::LogEvent;
+
+namespace {
+
+/// Between two answers of the engines' feed while engines change one after the other.
+constexpr Duration kEngineChangesGap = std::chrono::milliseconds(150);
+
+std::string keyWithoutTable(const table::Row& row) {
+  return row.key.substr(row.key.find('/') + 1);
+}
+
+}  // namespace
+
+void Gateway::watchTables() {
+  table::TableWatcher::Listener operators;
+  operators.on_snapshot = [this](const std::vector<table::Row>& rows) {
+    for (const table::Row& row : rows) onOperatorRow(row);
+  };
+  operators.on_change = [this](const table::RowChange& change) {
+    if (!change.gone) onOperatorRow(change.row);
+  };
+  operators.on_health = [](bool) {};
+  table::WatcherOptions operator_options;
+  operator_options.seed = hash64(settings_.id.str(), 1);
+  operator_watcher_ = std::make_unique<table::TableWatcher>(
+      loop_, platform_.table(), platform_.operatorTable(), operator_options, operators);
+
+  table::TableWatcher::Listener engine_listener;
+  engine_listener.on_snapshot = [this](const std::vector<table::Row>& rows) {
+    onEngineSnapshot(rows);
+  };
+  engine_listener.on_change = [this](const table::RowChange& change) { onEngineRow(change); };
+  engine_listener.on_health = [](bool) {};
+  table::WatcherOptions engine_options;
+  engine_options.coalesce = kEngineChangesGap;
+  engine_options.seed = hash64(settings_.id.str(), 2);
+  engine_watcher_ = std::make_unique<table::TableWatcher>(
+      loop_, platform_.table(), platform_.engineTable(), engine_options, engine_listener);
+
+  table::TableWatcher::Listener coordination;
+  coordination.on_snapshot = [this](const std::vector<table::Row>& rows) {
+    for (const table::Row& row : rows) onCoordinationRow({row, false});
+    orders_.onTableRead();
+  };
+  coordination.on_change = [this](const table::RowChange& change) { onCoordinationRow(change); };
+  coordination.on_health = [this](bool) { updateLeaseHealth(); };
+  coordination.on_clock = [this](std::int64_t clock_ms) {
+    keeper_.onStoreClock(steadyNow(), clock_ms);
+  };
+  table::WatcherOptions options;
+  options.wait = std::chrono::milliseconds(1500);
+  options.coalesce = std::chrono::milliseconds(80);
+  options.seed = hash64(settings_.id.str(), 3);
+  coordination_watcher_ = std::make_unique<table::TableWatcher>(
+      loop_, platform_.table(), kCoordinationTable, options, coordination);
+
+  operator_watcher_->start();
+  engine_watcher_->start();
+  coordination_watcher_->start();
+}
+
+void Gateway::updateLeaseHealth() {
+  const bool healthy = leases_answered_ && coordination_watcher_->healthy();
+  if (healthy == leases_.storeHealthy()) return;
+  if (healthy) {
+    leases_.onStoreRegained(steadyNow());
+  } else {
+    leases_.onStoreLost();
+  }
+  LogEvent("lease", healthy ? "store_regained" : "store_lost")
+      .text("leases", leases_answered_ ? "read" : "not_read")
+      .text("feed", coordination_watcher_->healthy() ? "healthy" : "lost");
+}
+
+void Gateway::onOperatorRow(const table::Row& row) {
+  const std::string key = keyWithoutTable(row);
+  if (platform_.isConfiguration(key)) {
+    onConfiguration(row.value);
+  } else if (const auto named = platform_.parseNamedVersion(key, row.value)) {
+    orders_.onNamed(named->model, named->version);
+  }
+}
+
+void Gateway::onConfiguration(const std::string& value) {
+  auto parsed = platform_.parseConfiguration(value);
+  if (!parsed) {
+    LogEvent("config", "rejected").text("findings", describe(parsed.error()));
+    return;
+  }
+  // A configuration never goes back within a process's life.
+  if (routes_ && parsed->version <= routes_->version) return;
+  LogEvent("config", "in_force")
+      .number("version", static_cast<std::int64_t>(parsed->version))
+      .number("before", routes_ ? static_cast<std::int64_t>(routes_->version) : 0)
+      .number("routes", static_cast<std::int64_t>(parsed->routes.size()));
+  snapshot_.config_version = parsed->version;
+  snapshot_.configuration = value;
+  routes_ = std::make_shared<const routing::RouteTable>(std::move(*parsed));
+  requests_.setLimits(routes_->limits);
+}
+
+void Gateway::onEngineSnapshot(const std::vector<table::Row>& rows) {
+  std::vector<engines::EngineRecord> records;
+  for (const table::Row& row : rows) {
+    auto record = platform_.parseEngine(keyWithoutTable(row), row.value);
+    if (record) records.push_back(std::move(*record));
+  }
+  engines_known_ = true;
+  snapshot_.engines = rows;
+  LogEvent("engines", "listed").number("count", static_cast<std::int64_t>(records.size()));
+  for (const Address& gone : registry_.onList(steadyNow(), records)) engine_pool_.forget(gone);
+}
+
+void Gateway::onEngineRow(const table::RowChange& change) {
+  const std::string key = keyWithoutTable(change.row);
+  std::erase_if(snapshot_.engines,
+                [&](const table::Row& row) { return row.key == change.row.key; });
+  if (!change.gone) snapshot_.engines.push_back(change.row);
+  if (change.gone) {
+    if (const auto address = registry_.onGone(EngineId(key))) engine_pool_.forget(*address);
+    LogEvent("engines", "gone").text("engine", key);
+    return;
+  }
+  const auto record = platform_.parseEngine(key, change.row.value);
+  if (!record) {
+    LogEvent("engines", "bad_record").text("engine", key);
+    return;
+  }
+  registry_.onRecord(steadyNow(), *record);
+  LogEvent("engines", record->draining ? "draining" : "changed")
+      .text("engine", key)
+      .text("service", record->service.str())
+      .number("revision", static_cast<std::int64_t>(change.row.revision));
+}
+
+void Gateway::onCoordinationRow(const table::RowChange& change) {
+  const std::string key = keyWithoutTable(change.row);
+  const auto tail = [&key](const std::string& prefix) { return key.substr(prefix.size()); };
+  if (key.starts_with(kJobPrefix)) {
+    const batch::JobId id(tail(kJobPrefix));
+    change.gone ? batches_.onRecordGone(id) : batches_.onRecordRow(id, change.row);
+  } else if (key.starts_with(kOrderPrefix)) {
+    const routing::ServiceName service(tail(kOrderPrefix));
+    change.gone ? orders_.onRightGone(service) : orders_.onRightRow(service, change.row);
+  }
+}
+
+}  // namespace linenpier::gateway
