Let a text of one version go on at that version; leave its engines until they are of no use

Change: such an item goes on at an engine that still holds its version, else it begins anew; it begins at engines with the newest version; engines with such work are changed when quiet or when the newest step has no use for them; a kept text of one version is taken. Tests failed first: a_text_of_one_version_goes_on_where_that_version_is, engines_that_make_texts_of_one_version_are_left_until_they_are_of_no_use, a_kept_text_of_one_version_fits_a_single_version_route.

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -66,6 +66,11 @@
   wanted.most_per_slot = options_.requests_per_slot;
   wanted.tokens = expectedTokens(each);
   wanted.batching = !each.model.empty();
+  wanted.prefer_newest = route.single_version && !each.model.empty();
+  const ItemProgress& progress = active.run.progress(item);
+  if (route.single_version && progress.last_event > 0) {
+    wanted.exact_version = *progress.versions.begin();
+  }
   const routing::RouteTablePtr table = deps_.routes();
   const auto service = table->services.find(wanted.service);
   if (service != table->services.end()) wanted.memory_tokens = service->second.memory_tokens;
@@ -85,6 +90,12 @@
     wanted.excluded.clear();
     engine = deps_.engines.registry.pick(now, wanted);
   }
+  if (engine == nullptr && wanted.exact_version) {
+    // No engine can go on with the text: it is begun anew.
+    active->run.discardText(item);
+    wanted.exact_version.reset();
+    engine = deps_.engines.registry.pick(now, wanted);
+  }
   if (engine == nullptr) return false;
   const auto call =
       std::make_shared<forward::EngineCall>(deps_.engines, *engine, itemRequest(*active, item));
@@ -176,9 +187,6 @@
     if (verdict == AttemptVerdict::kBroken && !model.empty()) {
       deps_.engines.registry.onModelReset(now, call.engine(), model);
     }
-    routing::RouteTablePtr table;
-    const routing::Route* route = routeOf(active.record, table);
-    if (route != nullptr && route->single_version) active.run.discardText(item);
     active.run.onInterrupted(now, item, options_.broken_pause);
   }
   const ItemState state = active.run.progress(item).state;
--- a/src/batch/batch_run.cpp
+++ b/src/batch/batch_run.cpp
@@ -81,7 +81,8 @@
   ItemProgress& progress = progress_[item];
   const bool open = progress.state == ItemState::kWaiting || progress.state == ItemState::kRunning;
   if (!open || kept.last_event <= progress.last_event || kept.versions.empty()) return false;
-  if (*kept.versions.begin() < job_.minimum_version || rules_.single_version) return false;
+  if (*kept.versions.begin() < job_.minimum_version) return false;
+  if (rules_.single_version && kept.versions.size() > 1) return false;
   const bool running = progress.state == ItemState::kRunning;
   progress.last_event = kept.last_event;
   progress.versions = kept.versions;
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -263,12 +263,17 @@
   return work;
 }
 
-std::map<ModelName, std::size_t> BatchService::openItems() const {
-  std::map<ModelName, std::size_t> items;
+versions::open_work_by_model BatchService::openWork() const {
+  versions::open_work_by_model work;
   for (const auto& [id, job] : jobs_) {
-    if (!job.record.ended && !job.record.model.empty()) items[job.record.model] += job.record.total;
+    if (job.record.ended || job.record.model.empty()) continue;
+    versions::open_work& open = work[job.record.model];
+    open.items += job.record.total;
+    routing::RouteTablePtr table;
+    const routing::Route* route = routeOf(job.record, table);
+    if (route != nullptr && route->single_version) open.single_version = true;
   }
-  return items;
+  return work;
 }
 
 Task<void> BatchService::handOver() {
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -25,6 +25,7 @@
 #include "lease/lease_keeper.h"
 #include "lease/lease_table.h"
 #include "logging/success_sampler.h"
+#include "versions/load_demand.h"
 
 namespace linenpier::batch {
 
@@ -115,8 +116,8 @@
 
   /// @return whether this daemon owns jobs that are not wholly listed.
   bool ownsAny() const;
-  /// @return the items of jobs under way at any daemon, by model.
-  std::map<ModelName, std::size_t> openItems() const;
+  /// @return the work of jobs under way at any daemon.
+  versions::open_work_by_model openWork() const;
   /// Gives up every owned job so that others take it at once.
   Task<void> handOver();
 
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -8,6 +8,7 @@
 constexpr double kLoadWeight = 0.5;   ///< Of a request already there, in units of its own.
 constexpr double kTightMemory = 0.7;  ///< Part of an engine's memory; beyond it requests cost more.
 constexpr double kMostMemoryFactor = 4;
+constexpr double kOlderVersionFactor = 1.5;
 constexpr double kBatchWeight = 0.12;  ///< Slowing of a batch that is full.
 constexpr double kSlowestFactor = 8;   ///< Slower engines count as this slow.
 constexpr int kLongestBackoffSteps = 4;
@@ -212,7 +213,9 @@
                           const PickRequest& request) const {
   if (engine.record.service != request.service || engine.record.draining) return false;
   if (!request.model.empty()) {
-    if (engine.versionOf(request.model) < request.minimum_version) return false;
+    const WeightVersion version = engine.versionOf(request.model);
+    if (version < request.minimum_version) return false;
+    if (request.exact_version && version != *request.exact_version) return false;
     const auto loading = engine.loading_until.find(request.model);
     if (loading != engine.loading_until.end() && now < loading->second) return false;
   }
@@ -224,13 +227,25 @@
   return now >= engine.ejected_until && !request.excluded.contains(engine.record.id);
 }
 
+WeightVersion EngineRegistry::newestHeld(const routing::ServiceName& service,
+                                         const ModelName& model) const {
+  WeightVersion newest = 0;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.record.service == service) newest = std::max(newest, engine.versionOf(model));
+  }
+  return newest;
+}
+
 const EngineState* EngineRegistry::pick(Instant now, const PickRequest& request) {
+  const WeightVersion newest =
+      request.prefer_newest ? newestHeld(request.service, request.model) : 0;
   const EngineState* best = nullptr;
   double best_wait = 0;
   for (const auto& [id, engine] : engines_) {
     if (!fits(now, engine, request)) continue;
     const double jitter = 1 + static_cast<double>(random_.below(kTieBreak)) / (20 * kTieBreak);
     double wait = expectedWait(now, engine, request) * jitter;
+    if (engine.versionOf(request.model) < newest) wait *= kOlderVersionFactor;
     if (request.desperate && request.excluded.contains(id)) wait *= kSlowestFactor;
     if (request.desperate && now < engine.ejected_until) wait *= kSlowestFactor;
     if (best == nullptr || wait < best_wait) {
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -86,6 +86,10 @@
   std::set<EngineId> excluded;
   ModelName model;  ///< Empty: any.
   WeightVersion minimum_version = 0;
+  /// Only engines with this version: a text that one version must make goes on there.
+  std::optional<WeightVersion> exact_version;
+  /// Engines with the newest version keep it longest: a text that one version must make ends there.
+  bool prefer_newest = false;
   double tokens = 0;         ///< Memory that the request is expected to need.
   double memory_tokens = 0;  ///< Memory of an engine; 0: not bounded.
   /// The engines work in batches: one more request slows the others by little.
@@ -144,6 +148,8 @@
   double load(Instant now, const EngineState& engine) const;
   /// @return memory that one of this daemon's requests is expected to need, in the mean.
   double typicalTokens() const;
+  /// @return the newest version of the model that an engine of the service holds.
+  WeightVersion newestHeld(const routing::ServiceName& service, const ModelName& model) const;
   double memoryFactor(Instant now, const EngineState& engine, const PickRequest& request) const;
   double expectedWait(Instant now, const EngineState& engine, const PickRequest& request) const;
   double medianPace(Instant now, const routing::ServiceName& service) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,7 +53,7 @@
                settings.batch),
       orders_(
           {loop, registry_, platform.table(), leases_, keeper_, platform.orders(),
-           [this] { return routes_; }, [this] { return batches_.openItems(); }, settings.id.str()},
+           [this] { return routes_; }, [this] { return batches_.openWork(); }, settings.id.str()},
           orderOptions(settings)),
       requests_(loop,
                 [this](http::Request& request, Instant received, http::ResponseWriter& writer) {
--- a/src/lease/lease_watch.cpp
+++ b/src/lease/lease_watch.cpp
@@ -28,7 +28,9 @@
   for (;;) {
     // A refusal for too many calls asks for fewer, not for a hurry.
     const bool answered = co_await this->readAll();
-    if (answered && this->random_.below(kRemoveOneIn) == 0) co_await this->removeForgotten();
+    if (answered && this->random_.below(kRemoveOneIn) == 0) {
+      co_await this->removeForgotten();
+    }
     const Duration pause = this->nextPause(answered);
     co_await sleepFor(this->loop_, pause);
   }
--- a/src/versions/load_demand.cpp
+++ b/src/versions/load_demand.cpp
@@ -5,11 +5,11 @@
 
 namespace linenpier::versions {
 
-void load_demand::onOpenItems(Instant now, const std::map<ModelName, std::size_t>& items) {
-  for (const auto& [model, count] : items) {
+void load_demand::onOpenWork(Instant now, const open_work_by_model& work) {
+  for (const auto& [model, open] : work) {
     peak& known = this->peaks_[model];
-    if (count < known.items && now - known.at < this->options_.memory) continue;
-    known = {count, now};
+    if (open.items < known.items && now - known.at < this->options_.memory) continue;
+    known = {open.items, now};
   }
 }
 
--- a/src/versions/load_demand.h
+++ b/src/versions/load_demand.h
@@ -21,12 +21,22 @@
   Duration memory = std::chrono::seconds(10);
 };
 
+/** Work that jobs under way have for a model. */
+struct open_work {
+  std::size_t items = 0;
+  /// Texts must come from one version: what an engine runs is lost when its version changes.
+  bool single_version = false;
+
+  bool operator==(const open_work&) const = default;
+};
+
+using open_work_by_model = std::map<ModelName, open_work>;
+
 class load_demand {
  public:
   explicit load_demand(demand_options options) : options_(options) {}
 
-  /** @param items of open jobs, by model. */
-  void onOpenItems(Instant now, const std::map<ModelName, std::size_t>& items);
+  void onOpenWork(Instant now, const open_work_by_model& work);
 
   /** @param slots requests that one engine works on at once.
    * @return engines that should hold the model's newest version soon.
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -127,9 +127,9 @@
   if (held(right)) {
     if (now < right.may_order_at || !deps_.keeper.valid(now)) return;
     const auto engines = deps_.registry.ofService(service);
-    std::map<ModelName, std::size_t> open_items = deps_.open_items();
-    for (const auto& [model, version] : named_) open_items.try_emplace(model, 0);
-    for (VersionOrder& order : right.rollout.onTick(now, engines, open_items)) {
+    open_work_by_model work = deps_.open_work();
+    for (const auto& [model, version] : named_) work.try_emplace(model);
+    for (VersionOrder& order : right.rollout.onTick(now, engines, work)) {
       spawn(deps_.loop, [this, service, order] { return sendOrder(service, order); });
     }
     for (const engines::EngineState* engine : right.rollout.reportsWanted()) {
--- a/src/versions/order_service.h
+++ b/src/versions/order_service.h
@@ -48,8 +48,8 @@
     lease::LeaseKeeper& keeper;
     EngineOrders& orders;
     std::function<routing::RouteTablePtr()> routes;
-    std::function<std::map<ModelName, std::size_t>()> open_items;  ///< Of jobs under way, by model.
-    std::string holder;                                            ///< Name that orders carry.
+    std::function<open_work_by_model()> open_work;  ///< Of jobs under way.
+    std::string holder;                             ///< Name that orders carry.
   };
   OrderService(Dependencies dependencies, OrderOptions options)
       : deps_(std::move(dependencies)), options_(options) {}
--- a/src/versions/version_rollout.cpp
+++ b/src/versions/version_rollout.cpp
@@ -38,6 +38,7 @@
   const Progress& progress = progress_.at(engine.record.id);
   const double load = std::max(progress.load, engine.in_flight);
   if (load <= options_.quiet_share * engine.record.slots) return Urgency::kSoon;
+  if (single_version_.contains(model)) return Urgency::kLater;
   const auto named_at = named_at_.find(model);
   const bool patient = named_at != named_at_.end() && now - named_at->second < options_.patience;
   return patient ? Urgency::kLater : Urgency::kSoon;
@@ -61,11 +62,15 @@
 
 std::vector<VersionOrder> VersionRollout::onTick(
     Instant now, const std::vector<const engines::EngineState*>& engines,
-    const std::map<ModelName, std::size_t>& open_items) {
+    const open_work_by_model& work) {
   std::set<ModelName> models;
-  for (const auto& [model, items] : open_items) models.insert(model);
+  for (const auto& [model, open] : work) {
+    models.insert(model);
+    if (open.single_version) single_version_.insert(model);
+    if (!open.single_version && open.items > 0) single_version_.erase(model);
+  }
   shares_.update(engines, models, named_);
-  demand_.onOpenItems(now, open_items);
+  demand_.onOpenWork(now, work);
   std::size_t loading = 0;
   for (const auto& [id, progress] : progress_) {
     if (progress.sending || now < progress.loading_until) ++loading;
--- a/src/versions/version_rollout.h
+++ b/src/versions/version_rollout.h
@@ -82,10 +82,10 @@
 
   /// @param engines those of the service that are not draining.
   /// @return the orders to send now. Each counts as being sent until it is answered.
-  /// @param open_items of jobs under way, by each model that needs engines now.
+  /// @param work of jobs under way, by each model that needs engines now.
   std::vector<VersionOrder> onTick(Instant now,
                                    const std::vector<const engines::EngineState*>& engines,
-                                   const std::map<ModelName, std::size_t>& open_items);
+                                   const open_work_by_model& work);
   void onAnswer(Instant now, const VersionOrder& order, OrderAnswer answer);
   /// @return the engines that must tell of themselves before they may be changed.
   const std::vector<const engines::EngineState*>& reportsWanted() const { return reports_wanted_; }
@@ -139,6 +139,7 @@
   RolloutOptions options_;
   EngineShares shares_;
   load_demand demand_;
+  std::set<ModelName> single_version_;  ///< Models whose texts must come from one version.
   std::map<ModelName, WeightVersion> named_;
   std::map<ModelName, Instant> named_at_;
   std::map<EngineId, Progress> progress_;
--- a/tests/batch/batch_run_test.cpp
+++ b/tests/batch/batch_run_test.cpp
@@ -213,3 +213,13 @@
   finishItem(without_step, 0);
   cr_assert(without_step.listingUrgent(), "nobody waits for groups");
 }
+
+Test(batch_run, a_kept_text_of_one_version_fits_a_single_version_route) {
+  batch::RunRules single = rules();
+  single.single_version = true;
+  BatchRun run(job(), single);
+  run.onCheckpoint(0, {0, 2, {3}, "one\ntwo"});
+  run.onCheckpoint(1, {1, 2, {3, 4}, "of\ntwo"});
+  cr_assert_eq(run.progress(0).last_event, 2U);
+  cr_assert_eq(run.progress(1).last_event, 0U);
+}
--- a/tests/engines/engine_registry_test.cpp
+++ b/tests/engines/engine_registry_test.cpp
@@ -160,3 +160,18 @@
     cr_assert_eq(registry.pick(kStart, request)->record.id.str(), "slow");
   }
 }
+
+Test(engine_registry, a_text_of_one_version_goes_on_where_that_version_is) {
+  EngineRegistry registry = registryOf({record("old", 3), record("new", 4)});
+  PickRequest request = any();
+  request.model = kModel;
+  request.exact_version = 3;
+  cr_assert_eq(registry.pick(kStart, request)->record.id.str(), "old");
+  request.exact_version = 2;
+  cr_assert_null(registry.pick(kStart, request));
+  request.exact_version.reset();
+  request.prefer_newest = true;
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(registry.pick(kStart, request)->record.id.str(), "new");
+  }
+}
--- a/tests/versions/load_demand_test.cpp
+++ b/tests/versions/load_demand_test.cpp
@@ -14,15 +14,15 @@
 Test(load_demand, open_items_ask_for_engines_with_some_headroom) {
   load_demand demand({});
   cr_assert_eq(demand.enginesFor(kModel, kSlots), 24U, "nothing is known");
-  demand.onOpenItems(kStart, {{kModel, 400}});
+  demand.onOpenWork(kStart, {{kModel, {400, false}}});
   cr_assert_eq(demand.enginesFor(kModel, kSlots), 50U);
-  demand.onOpenItems(kStart, {{kModel, 10}});
+  demand.onOpenWork(kStart, {{kModel, {10, false}}});
   cr_assert_eq(demand.enginesFor(kModel, kSlots), 50U, "the next step comes soon");
 }
 
 Test(load_demand, what_was_open_long_ago_is_forgotten) {
   load_demand demand({});
-  demand.onOpenItems(kStart, {{kModel, 400}});
-  demand.onOpenItems(kStart + std::chrono::seconds(11), {{kModel, 300}});
+  demand.onOpenWork(kStart, {{kModel, {400, false}}});
+  demand.onOpenWork(kStart + std::chrono::seconds(11), {{kModel, {300, false}}});
   cr_assert_eq(demand.enginesFor(kModel, kSlots), 38U);
 }
--- a/tests/versions/version_rollout_test.cpp
+++ b/tests/versions/version_rollout_test.cpp
@@ -31,12 +31,12 @@
     }
   }
   std::vector<VersionOrder> tick(Instant now, const std::set<ModelName>& models = {kModel},
-                                 std::size_t open_items = 1000) {
-    std::map<ModelName, std::size_t> items;
-    for (const ModelName& model : models) items[model] = open_items;
+                                 std::size_t open_items = 1000, bool single_version = false) {
+    versions::open_work_by_model work;
+    for (const ModelName& model : models) work[model] = {open_items, single_version};
     std::vector<const EngineState*> engines;
     for (const EngineState& state : states) engines.push_back(&state);
-    return rollout.onTick(now, engines, items);
+    return rollout.onTick(now, engines, work);
   }
   void reportAll(Instant now, std::uint32_t load = 0) {
     for (const EngineState& state : states)
@@ -183,3 +183,17 @@
   cr_assert_eq(fixture.tick(settled, {kModel}, 20).size(), 16U,
                "in the end to all of them, 40 at once");
 }
+
+Test(version_rollout, engines_that_make_texts_of_one_version_are_left_until_they_are_of_no_use) {
+  Fixture fixture(3);
+  fixture.rollout.onNamed(kStart, kModel, 2);
+  const Instant later = kStart + std::chrono::seconds(3);
+  fixture.reportAll(later, 4);
+  cr_assert(fixture.tick(later, {kModel}, 100, true).empty(), "busy, and still of use");
+  fixture.reportAll(later, 0);
+  cr_assert_eq(fixture.tick(later, {kModel}, 100, true).size(), 1U, "quiet");
+  Fixture of_no_use(3);
+  of_no_use.rollout.onNamed(kStart, kModel, 3);
+  of_no_use.reportAll(kStart, 4);
+  cr_assert_eq(of_no_use.tick(kStart, {kModel}, 100, true).size(), 2U);
+}
