Drop a group's id that nothing reads

Found on reading the whole change again: BatchRun::Group kept the group's id, which only findGroups needs, and there it is the key of a map. Behaviour is the same. Tests before and after: 239 of 239; format and linter clean on the file.

--- a/src/batch/batch_run.cpp
+++ b/src/batch/batch_run.cpp
@@ -16,7 +16,7 @@
   group_of_.reserve(job_.items.size());
   for (const BatchItem& item : job_.items) {
     const auto [at, fresh] = known.try_emplace(item.group, groups_.size());
-    if (fresh) groups_.push_back({item.group, 0, false});
+    if (fresh) groups_.emplace_back();
     ++groups_[at->second].open;
     group_of_.push_back(at->second);
   }
--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -103,7 +103,6 @@
  private:
   /// Invariant: `open` is the number of its items that are neither finished nor listed.
   struct Group {
-    GroupId id;
     std::size_t open = 0;
     bool carried = false;  ///< It comes again from an earlier job.
   };
