Score whole texts by reward calls before they are listed

Nothing of a reward call existed. Ruled out: a second sending path of the batch service (it would repeat choice of engines, attempts, hedging and checks); calls without a bound beside lookups (the customer's complaint). Change: an item's scorer is a typed value, read with findings by place. A whole text waits as kWhole, is scored, then finished; checkpoints keep the score with its text and the id of the request that earned it. Reward calls leave a third of an engine's slots to callers for their first 0.3 s. Logs, metrics, pages.

--- a/src/batch/active_job.h
+++ b/src/batch/active_job.h
@@ -38,7 +38,8 @@
   Instant accepted_at{};            ///< By this daemon's clock.
   std::vector<std::string> listed;  ///< Encoded, by position; all in the store.
   Pending pending;
-  std::map<ItemIndex, std::shared_ptr<forward::EngineCall>> calls;  ///< By the item they run.
+  std::map<ItemIndex, std::shared_ptr<forward::EngineCall>> calls;    ///< By the item they run.
+  std::map<ItemIndex, std::shared_ptr<http::Cancellation>> scorings;  ///< Reward requests.
   Signal finished;                ///< There is something to list, or the job stops.
   Signal listed_changed;          ///< `listed` has grown, or the job stops.
   std::uint64_t checkpoints = 0;  ///< Written under this fence, or tried.
@@ -54,10 +55,18 @@
     for (ItemIndex item = 0; item < run.job().items.size(); ++item) {
       const ItemProgress& progress = run.progress(item);
       const bool finished = progress.state == ItemState::kFinished;
+      const bool unscored =
+          progress.state == ItemState::kWhole || progress.state == ItemState::kScoring;
       if (progress.state == ItemState::kListed) continue;
       if (finished && progress.outcome != ResultState::kCompleted) continue;
-      if (!finished && progress.last_event < kFewestEventsKept) continue;
-      kept.push_back({item, progress.last_event, progress.versions, progress.text, finished});
+      const bool whole = finished || unscored;
+      if (!whole && progress.last_event < kFewestEventsKept) continue;
+      ItemCheckpoint text{item,  progress.last_event, progress.versions, progress.text,
+                          whole, std::nullopt};
+      if (!progress.score.empty()) {
+        text.score = reward_score{run.job().items[item].scorer->id, progress.score};
+      }
+      kept.push_back(std::move(text));
     }
     return kept;
   }
@@ -67,6 +76,7 @@
     stopped = true;
     stopped_at = now;
     for (const auto& [item, call] : calls) call->abort();
+    for (const auto& [item, cancellation] : scorings) cancellation->request();
     finished.notifyAll();
     listed_changed.notifyAll();
   }
--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -31,6 +31,7 @@
   std::sort(active.begin(), active.end(), [](const ActivePtr& one, const ActivePtr& other) {
     return one->record.accepted_ms < other->record.accepted_ms;
   });
+  for (const ActivePtr& each : active) startScorings(each);
   for (const ActivePtr& each : active) {
     routing::RouteTablePtr table;
     const routing::Route* route = routeOf(each->record, table);
--- a/src/batch/batch_run.cpp
+++ b/src/batch/batch_run.cpp
@@ -87,7 +87,10 @@
   progress.last_event = kept.last_event;
   progress.versions = kept.versions;
   progress.text = kept.text;
-  if (kept.finished) finish(item, ResultState::kCompleted);
+  const std::optional<reward_request>& scorer = job_.items[item].scorer;
+  const bool score_fits = kept.score && scorer && kept.score->request_id == scorer->id;
+  if (kept.finished && score_fits) progress.score = kept.score->signature;
+  if (kept.finished) onTextWhole(item);
   return running;
 }
 
@@ -99,16 +102,22 @@
   return std::nullopt;
 }
 
-std::size_t BatchRun::waiting() const {
+std::size_t BatchRun::countIn(ItemState state) const {
   return static_cast<std::size_t>(
       std::count_if(progress_.begin(), progress_.end(),
-                    [](const ItemProgress& each) { return each.state == ItemState::kWaiting; }));
+                    [state](const ItemProgress& each) { return each.state == state; }));
+}
+
+std::size_t BatchRun::waiting() const {
+  return countIn(ItemState::kWaiting);
 }
 
 std::size_t BatchRun::running() const {
-  return static_cast<std::size_t>(
-      std::count_if(progress_.begin(), progress_.end(),
-                    [](const ItemProgress& each) { return each.state == ItemState::kRunning; }));
+  return countIn(ItemState::kRunning);
+}
+
+std::size_t BatchRun::unscored() const {
+  return countIn(ItemState::kWhole) + countIn(ItemState::kScoring);
 }
 
 void BatchRun::onStarted(Instant now, ItemIndex item, const EngineId& engine) {
@@ -148,9 +157,53 @@
 void BatchRun::onCompleted(Instant now, ItemIndex item) {
   progress_[item].last_progress = now;
   --progress_[item].attempts_running;
+  onTextWhole(item);
+}
+
+void BatchRun::onTextWhole(ItemIndex item) {
+  ItemProgress& progress = progress_[item];
+  const bool open = progress.state == ItemState::kWaiting || progress.state == ItemState::kRunning;
+  if (!open) return;
+  if (!job_.items[item].scorer || !progress.score.empty()) {
+    finish(item, ResultState::kCompleted);
+    return;
+  }
+  progress.state = ItemState::kWhole;
+  progress.not_before = Instant{};
+}
+
+std::optional<ItemIndex> BatchRun::nextToScore(Instant now) const {
+  for (const ItemIndex item : order_) {
+    const ItemProgress& progress = progress_[item];
+    if (progress.state == ItemState::kWhole && now >= progress.not_before) return item;
+  }
+  return std::nullopt;
+}
+
+void BatchRun::onScoringStarted(ItemIndex item) {
+  progress_[item].state = ItemState::kScoring;
+}
+
+void BatchRun::onScored(ItemIndex item, std::string score) {
+  ItemProgress& progress = progress_[item];
+  if (progress.state != ItemState::kScoring) return;
+  progress.score = std::move(score);
   finish(item, ResultState::kCompleted);
 }
 
+void BatchRun::onNotScored(Instant now, ItemIndex item, int failures, int most_failures,
+                           Duration pause) {
+  ItemProgress& progress = progress_[item];
+  if (progress.state != ItemState::kScoring) return;
+  progress.score_failures += failures;
+  if (most_failures > 0 && progress.score_failures >= most_failures) {
+    finish(item, ResultState::kTerminated);
+    return;
+  }
+  progress.state = ItemState::kWhole;
+  progress.not_before = now + pause;
+}
+
 void BatchRun::onInterrupted(Instant now, ItemIndex item, Duration pause) {
   ItemProgress& progress = progress_[item];
   --progress.attempts_running;
@@ -178,7 +231,7 @@
 
 void BatchRun::discardText(ItemIndex item) {
   ItemProgress& progress = progress_[item];
-  if (progress.state == ItemState::kFinished || progress.state == ItemState::kListed) return;
+  if (progress.state != ItemState::kWaiting && progress.state != ItemState::kRunning) return;
   progress.text.clear();
   progress.versions.clear();
   progress.last_event = 0;
@@ -203,6 +256,7 @@
   if (progress.outcome == ResultState::kCompleted) {
     result.text = progress.text;
     result.versions = progress.versions;
+    result.score = progress.score;
   }
   return result;
 }
--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -21,10 +21,18 @@
   Instant give_up_at{};         ///< Items that are not finished then are given up.
 };
 
-enum class ItemState { kWaiting, kRunning, kFinished, kListed };
+enum class ItemState {
+  kWaiting,
+  kRunning,
+  kWhole,    ///< All of its text is there; its score is not.
+  kScoring,  ///< The same, and its reward request is under way.
+  kFinished,
+  kListed,
+};
 
 /// Invariant: `text` holds exactly the data of events 1 to `last_event`, each once, made under
-/// `versions`, none below the job's minimum.
+/// `versions`, none below the job's minimum. `score` is set only for a whole text, and a completed
+/// item with a scorer has one.
 struct ItemProgress {
   ItemState state = ItemState::kWaiting;
   int attempts_running = 0;
@@ -32,6 +40,8 @@
   std::string text;
   std::set<WeightVersion> versions;
   int failures = 0;
+  std::string score;
+  int score_failures = 0;
   Instant not_before{};
   Instant last_progress{};
   EngineId last_engine;
@@ -78,8 +88,19 @@
   /// @param version that made the event.
   EventVerdict onEvent(Instant now, ItemIndex item, std::uint64_t event, const std::string& data,
                        WeightVersion version);
-  /// The attempt brought the item's end.
+  /// The attempt brought the item's end. The item is finished, or waits for its score.
   void onCompleted(Instant now, ItemIndex item);
+
+  /// @return a whole text whose reward request should be sent now, if any.
+  std::optional<ItemIndex> nextToScore(Instant now) const;
+  void onScoringStarted(ItemIndex item);
+  void onScored(ItemIndex item, std::string score);
+  /// No score came.
+  /// @param failures answers to this request that said that scoring failed.
+  /// @param most_failures of all its requests after which the item is given up; 0: never.
+  void onNotScored(Instant now, ItemIndex item, int failures, int most_failures, Duration pause);
+  std::size_t unscored() const;
+
   /// The attempt ended without it; the item goes on from what it has.
   void onInterrupted(Instant now, ItemIndex item, Duration pause);
   /// The engine ran the item and failed.
@@ -108,6 +129,8 @@
   };
 
   void findGroups();
+  void onTextWhole(ItemIndex item);
+  std::size_t countIn(ItemState state) const;
   void orderItems();
   void onItemClosed(ItemIndex item) { --groups_[group_of_[item]].open; }
   void finish(ItemIndex item, ResultState outcome);
--- /dev/null
+++ b/src/batch/batch_scoring.cpp
@@ -0,0 +1,109 @@
+/// @file
+/// Reward requests: a text that is whole is scored before it is listed.
+
+#include "batch/active_job.h"
+#include "batch/batch_service.h"
+#include "logging/event_log.h"
+
+namespace linenpier::batch {
+
+using logging::LogEvent;
+
+namespace {
+/// A reward request may be repeated: one that takes longer is better sent anew.
+constexpr Duration kRewardTime = std::chrono::milliseconds(1500);
+constexpr std::size_t kMostScorings = 64;  ///< That one daemon has under way.
+/// Share of an engine's slots that reward requests may fill, so that callers find room …
+constexpr double kUsualShare = 0.67;
+/// … unless one has waited for this long.
+constexpr Duration kPatience = std::chrono::milliseconds(300);
+constexpr double kWholeShare = 1.0;
+constexpr Duration kFullPause = std::chrono::milliseconds(20);  ///< No engine had room.
+constexpr Duration kFailurePause = std::chrono::milliseconds(60);
+
+bool isSuccess(const forward::own_request_outcome& outcome) {
+  return outcome.status >= 200 && outcome.status < 300 && !outcome.signature.empty();
+}
+}  // namespace
+
+void BatchService::startScorings(const ActivePtr& active) {
+  const Instant now = steadyNow();
+  while (scorings_ < kMostScorings) {
+    const auto item = active->run.nextToScore(now);
+    if (!item) return;
+    active->run.onScoringStarted(*item);
+    const auto cancellation = std::make_shared<http::Cancellation>();
+    active->scorings[*item] = cancellation;
+    ++scorings_;
+    const ItemIndex index = *item;
+    spawn(deps_.loop,
+          [this, active, index, cancellation] { return scoreItem(active, index, cancellation); });
+  }
+}
+
+http::Request BatchService::rewardRequest(const reward_request& scorer) const {
+  http::Request request(boost::beast::http::verb::post, scorer.path, 11);
+  request.set(boost::beast::http::field::host, scorer.host);
+  request.set(deps_.engines.names.request_id, scorer.id);
+  request.body() = scorer.body;
+  request.prepare_payload();
+  return request;
+}
+
+Task<void> BatchService::scoreItem(ActivePtr active, ItemIndex item,
+                                   std::shared_ptr<http::Cancellation> cancellation) {
+  const Instant begun = steadyNow();
+  const reward_request& scorer = *active->run.job().items[item].scorer;
+  forward::own_request request;
+  request.table = deps_.routes();
+  const std::string path = scorer.path.substr(0, scorer.path.find('?'));
+  request.route = request.table ? request.table->find(scorer.host, path) : nullptr;
+  request.message = rewardRequest(scorer);
+  request.limit = kRewardTime;
+  const bool patient = begun - active->run.progress(item).last_progress < kPatience;
+  request.most_per_slot = patient ? kUsualShare : kWholeShare;
+  request.cancellation = cancellation;
+  const bool routed = request.route != nullptr;
+  int most_failures = 0;
+  forward::own_request_outcome outcome;
+  if (routed) {
+    most_failures = request.route->max_attempts;
+    outcome = co_await deps_.rewards.send(std::move(request));
+  }
+  --scorings_;
+  active->scorings.erase(item);
+  if (active->stopped) co_return;
+  settleScoring(*active, item, outcome, most_failures);
+  const char* result = isSuccess(outcome)      ? "scored"
+                       : !routed               ? "no_route"
+                       : outcome.status > 0    ? "failed"
+                       : outcome.attempts == 0 ? "no_engine"
+                                               : "no_answer";
+  if (!isSuccess(outcome) || sampler_.admit(begun)) {
+    LogEvent("batch", "scoring_ended")
+        .text("batch", active->record.id.str())
+        .text("item", active->run.job().items[item].id.str())
+        .text("request", scorer.id)
+        .text("outcome", result)
+        .number("status", outcome.status)
+        .number("attempts", outcome.attempts)
+        .number("failures", active->run.progress(item).score_failures)
+        .milliseconds("took_ms", steadyNow() - begun);
+  }
+  pump();
+}
+
+void BatchService::settleScoring(Active& active, ItemIndex item,
+                                 const forward::own_request_outcome& outcome, int most_failures) {
+  if (isSuccess(outcome)) {
+    active.run.onScored(item, outcome.signature);
+    ++counts_.scored;
+  } else {
+    const Duration pause = outcome.attempts == 0 ? kFullPause : kFailurePause;
+    active.run.onNotScored(steadyNow(), item, outcome.failures, most_failures, pause);
+    ++counts_.scorings_failed;
+  }
+  if (active.run.progress(item).state == ItemState::kFinished) active.finished.notifyAll();
+}
+
+}  // namespace linenpier::batch
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -99,7 +99,7 @@
 void BatchService::checkOwners(Instant now) {
   for (auto& [id, job] : jobs_) {
     if (job.active && job.active->stopped && job.active->calls.empty() &&
-        now - job.active->stopped_at > options_.keep_ended) {
+        job.active->scorings.empty() && now - job.active->stopped_at > options_.keep_ended) {
       job.active.reset();
     }
     if (job.record.ended || stopping_ || job.activating) continue;
@@ -259,6 +259,7 @@
     ++work.jobs;
     work.waiting += job.active->run.waiting();
     work.running += job.active->run.running();
+    work.unscored += job.active->run.unscored();
   }
   return work;
 }
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -21,6 +21,7 @@
 #include "batch/length_estimate.h"
 #include "batch/moves_planned.h"
 #include "forward/engine_call.h"
+#include "forward/own_requests.h"
 #include "http/server.h"
 #include "lease/lease_keeper.h"
 #include "lease/lease_table.h"
@@ -81,6 +82,8 @@
   std::uint64_t completed = 0;
   std::uint64_t terminated = 0;
   std::uint64_t attempts = 0;
+  std::uint64_t scored = 0;
+  std::uint64_t scorings_failed = 0;  ///< Reward requests that brought no score.
 };
 
 /// Loop thread only.
@@ -93,6 +96,7 @@
     lease::LeaseTable& leases;
     lease::LeaseKeeper& keeper;
     const BatchCodec& codec;
+    forward::own_requests& rewards;
     std::function<routing::RouteTablePtr()> routes;  ///< The newest table; empty before the first.
   };
 
@@ -128,6 +132,7 @@
     std::size_t jobs = 0;
     std::size_t waiting = 0;
     std::size_t running = 0;
+    std::size_t unscored = 0;
   };
   Work work() const;
 
@@ -192,6 +197,14 @@
                   forward::AttemptVerdict verdict, const ModelName& model);
   http::Request itemRequest(const Active& active, ItemIndex item) const;
 
+  void startScorings(const ActivePtr& active);
+  Task<void> scoreItem(ActivePtr active, ItemIndex item,
+                       std::shared_ptr<http::Cancellation> cancellation);
+  /// @param most_failures answers of 500 after which the item is given up.
+  void settleScoring(Active& active, ItemIndex item, const forward::own_request_outcome& outcome,
+                     int most_failures);
+  http::Request rewardRequest(const reward_request& scorer) const;
+
   Task<void> checkpointLoop(ActivePtr active);
   enum class CheckpointNeed { kAlways, kIfMuchIsNew };
   Task<void> writeCheckpoint(ActivePtr active, CheckpointNeed need);
@@ -210,6 +223,7 @@
   std::map<JobId, Job> jobs_;
   BatchCounts counts_;
   length_estimate lengths_;
+  std::size_t scorings_ = 0;  ///< Reward requests under way.
   bool stopping_ = false;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
 };
--- a/src/batch/batch_types.h
+++ b/src/batch/batch_types.h
@@ -21,15 +21,34 @@
 using GroupId = Id<struct GroupIdTag>;
 using LeaseId = Id<struct LeaseIdTag>;  ///< One life of one daemon, as an owner.
 
+/** The request that scores an item's text once it is whole. */
+struct reward_request {
+  std::string id;
+  std::string host;
+  std::string path;
+  std::string body;
+
+  bool operator==(const reward_request&) const = default;
+};
+
+/** A score, and the request that earned it. */
+struct reward_score {
+  std::string request_id;
+  std::string signature;  ///< Of the answer; what a trainer is given.
+
+  bool operator==(const reward_score&) const = default;
+};
+
 struct BatchItem {
   ItemId id;
   std::string path;
   std::vector<std::pair<std::string, std::string>> fields;  ///< HTTP fields, in order.
   std::string body;
   GroupId group;
-  ModelName model;                ///< Empty: none named.
-  double tokens = 0;              ///< Of the prompt, plus the most that may come out.
-  std::uint64_t length_hint = 0;  ///< Expected tokens out; 0: not told.
+  ModelName model;                       ///< Empty: none named.
+  double tokens = 0;                     ///< Of the prompt, plus the most that may come out.
+  std::uint64_t length_hint = 0;         ///< Expected tokens out; 0: not told.
+  std::optional<reward_request> scorer;  ///< Absent: the text needs no score.
 };
 
 /// A job as it was handed in.
@@ -48,6 +67,7 @@
   ResultState state = ResultState::kCompleted;
   std::string text;
   std::set<WeightVersion> versions;
+  std::string score;  ///< Empty where the item has no scorer.
 };
 
 /// What every daemon knows of a job: the row that stands for it.
--- a/src/batch/checkpoint.cpp
+++ b/src/batch/checkpoint.cpp
@@ -9,11 +9,16 @@
 std::string encodeCheckpoint(const Checkpoint& checkpoint) {
   json document = json::array();
   for (const ItemCheckpoint& item : checkpoint) {
-    document.push_back({{"item", item.item_index},
-                        {"last_event", item.last_event},
-                        {"versions", item.versions},
-                        {"text", item.text},
-                        {"finished", item.finished}});
+    json entry = {{"item", item.item_index},
+                  {"last_event", item.last_event},
+                  {"versions", item.versions},
+                  {"text", item.text},
+                  {"finished", item.finished}};
+    if (item.score) {
+      entry["scored_by"] = item.score->request_id;
+      entry["score"] = item.score->signature;
+    }
+    document.push_back(std::move(entry));
   }
   const std::vector<std::uint8_t> bytes = json::to_cbor(document);
   return {bytes.begin(), bytes.end()};
@@ -31,6 +36,10 @@
       item.versions = entry.at("versions").get<std::set<WeightVersion>>();
       item.text = entry.at("text").get<std::string>();
       item.finished = entry.value("finished", false);
+      if (entry.contains("score")) {
+        item.score = reward_score{entry.at("scored_by").get<std::string>(),
+                                  entry.at("score").get<std::string>()};
+      }
       checkpoint.push_back(std::move(item));
     }
     return checkpoint;
--- /dev/null
+++ b/src/forward/own_requests.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/** @file
+ * Requests that the system itself sends to services, as a client's request would be sent: by the
+ * same choice of engines, attempts and checks of answers.
+ */
+
+#include <memory>
+#include <string>
+
+#include "common/task.h"
+#include "http/http_types.h"
+#include "routing/route_table.h"
+
+namespace linenpier::forward {
+
+struct own_request {
+  routing::RouteTablePtr table;
+  const routing::Route* route = nullptr;  ///< Of that table.
+  http::Request message;
+  Duration limit{};          ///< Until it is given up; the route may set a shorter one.
+  double most_per_slot = 0;  ///< Engines that are fuller are left to clients; 0: no limit.
+  std::shared_ptr<http::Cancellation> cancellation;  ///< Ends the request.
+};
+
+struct own_request_outcome {
+  unsigned status = 0;    ///< Of a whole, signed answer; 0: there was none.
+  std::string signature;  ///< Of that answer.
+  int failures = 0;       ///< Attempts that engines answered with 500.
+  int attempts = 0;
+
+  bool operator==(const own_request_outcome&) const = default;
+};
+
+class own_requests {
+ public:
+  virtual ~own_requests() = default;
+
+  virtual Task<own_request_outcome> send(own_request request) = 0;
+};
+
+}  // namespace linenpier::forward
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -49,6 +49,7 @@
                 leases_,
                 keeper_,
                 platform.batchCodec(),
+                forwarder_,
                 [this] { return routes_; }},
                settings.batch),
       orders_(
--- a/src/gateway/gateway_metrics_page.cpp
+++ b/src/gateway/gateway_metrics_page.cpp
@@ -30,6 +30,7 @@
   state.jobs_owned = work.jobs;
   state.items_waiting = work.waiting;
   state.items_running = work.running;
+  state.items_unscored = work.unscored;
   state.client_connections = requests_.connections();
   state.requests_in_progress = requests_.busy();
   state.engine_connections_opened = engine_pool_.opened();
@@ -42,6 +43,8 @@
   state.items_completed = counts.completed;
   state.items_terminated = counts.terminated;
   state.item_attempts = counts.attempts;
+  state.items_scored = counts.scored;
+  state.scorings_failed = counts.scorings_failed;
   state.jobs_accepted = counts.accepted;
   state.jobs_refused = counts.refused;
   state.jobs_taken_over = counts.taken_over;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -122,6 +122,9 @@
   set("orders_sent", "Orders sent to engines, ever.", number(state.orders_sent));
   set("orders_unanswered", "Orders without an answer, ever.", number(state.orders_unanswered));
   set("items_completed", "Results listed as completed, ever.", number(state.items_completed));
+  set("items_unscored", "Whole texts that wait for their score.", number(state.items_unscored));
+  set("items_scored", "Scores received, ever.", number(state.items_scored));
+  set("scorings_failed", "Reward requests without a score, ever.", number(state.scorings_failed));
   set("items_terminated", "Results listed as terminated, ever.", number(state.items_terminated));
   set("item_attempts", "Attempts for items, ever.", number(state.item_attempts));
   set("jobs_accepted", "Jobs accepted, ever.", number(state.jobs_accepted));
--- a/src/metrics/gateway_metrics.h
+++ b/src/metrics/gateway_metrics.h
@@ -25,6 +25,7 @@
   std::size_t jobs_owned = 0;
   std::size_t items_waiting = 0;
   std::size_t items_running = 0;
+  std::size_t items_unscored = 0;
   std::size_t client_connections = 0;
   std::size_t requests_in_progress = 0;
   std::uint64_t engine_connections_opened = 0;
@@ -39,6 +40,8 @@
   std::uint64_t jobs_refused = 0;
   std::uint64_t jobs_taken_over = 0;
   std::uint64_t item_attempts = 0;
+  std::uint64_t items_scored = 0;
+  std::uint64_t scorings_failed = 0;
 };
 
 /// Loop thread only.
--- a/tests/batch/batch_run_test.cpp
+++ b/tests/batch/batch_run_test.cpp
@@ -223,3 +223,92 @@
   cr_assert_eq(run.progress(0).last_event, 2U);
   cr_assert_eq(run.progress(1).last_event, 0U);
 }
+
+namespace {
+
+BatchJob scoredJob() {
+  BatchJob made = job();
+  for (BatchItem& each : made.items) {
+    each.scorer = batch::reward_request{"r-" + each.id.str(), "h", "/reward/", ""};
+  }
+  return made;
+}
+
+/// A run of `scoredJob` whose item 0 has its whole text.
+BatchRun runWithWholeText() {
+  BatchRun run(scoredJob(), rules());
+  run.onStarted(kStart, 0, kEngine);
+  run.onEvent(kStart, 0, 1, "one", 3);
+  run.onCompleted(kStart, 0);
+  return run;
+}
+
+}  // namespace
+
+Test(batch_run, a_whole_text_is_finished_only_with_its_score) {
+  BatchRun run = runWithWholeText();
+  cr_assert(run.finished().empty());
+  cr_assert(run.progress(0).state == ItemState::kWhole);
+  cr_assert_eq(*run.nextToScore(kStart), 0U);
+  run.onScoringStarted(0);
+  cr_assert_not(run.nextToScore(kStart).has_value());
+  run.onScored(0, "signature");
+  cr_assert_eq(run.finished().size(), 1U);
+  cr_assert_eq(run.result(0).score, "signature");
+  cr_assert_eq(run.result(0).text, "one");
+}
+
+Test(batch_run, scoring_is_given_up_only_after_as_many_failures_as_the_route_allows) {
+  BatchRun run = runWithWholeText();
+  const Duration pause = std::chrono::milliseconds(50);
+  run.onScoringStarted(0);
+  run.onNotScored(kStart, 0, 0, 3, pause);
+  cr_assert_not(run.nextToScore(kStart).has_value(), "not before the pause is over");
+  cr_assert_eq(*run.nextToScore(kStart + pause), 0U);
+  run.onScoringStarted(0);
+  run.onNotScored(kStart, 0, 2, 3, pause);
+  cr_assert(run.finished().empty());
+  run.onScoringStarted(0);
+  run.onNotScored(kStart, 0, 1, 3, pause);
+  cr_assert_eq(run.result(0).state, ResultState::kTerminated);
+  cr_assert(run.result(0).text.empty());
+  cr_assert(run.result(0).score.empty());
+}
+
+Test(batch_run, a_score_that_comes_after_the_item_was_given_up_changes_nothing) {
+  BatchRun run = runWithWholeText();
+  run.onScoringStarted(0);
+  run.giveUpAll();
+  run.onScored(0, "late");
+  cr_assert_eq(run.result(0).state, ResultState::kTerminated);
+  cr_assert(run.result(0).score.empty());
+}
+
+Test(batch_run, a_kept_whole_text_is_not_made_again_and_a_kept_score_not_asked_again) {
+  BatchRun run(scoredJob(), rules());
+  run.onCheckpoint(0, {0, 2, {3}, "one\ntwo", true});
+  cr_assert(run.progress(0).state == ItemState::kWhole);
+  cr_assert_eq(*run.nextToScore(kStart), 0U);
+  run.onCheckpoint(1, {1, 1, {3}, "one", true, batch::reward_score{"r-b", "kept"}});
+  cr_assert(run.progress(1).state == ItemState::kFinished);
+  cr_assert_eq(run.result(1).score, "kept");
+  run.onCheckpoint(2, {2, 1, {3}, "one", true, batch::reward_score{"other", "kept"}});
+  cr_assert(run.progress(2).state == ItemState::kWhole, "another request earned that score");
+  run.onCheckpoint(3, {3, 1, {2}, "old", true, batch::reward_score{"r-d", "kept"}});
+  cr_assert(run.progress(3).state == ItemState::kWaiting, "its text is too old");
+  cr_assert(run.progress(3).score.empty());
+}
+
+Test(batch_run, a_text_that_lacks_its_score_keeps_its_group_open) {
+  BatchJob one_group = scoredJob();
+  one_group.items.resize(1);
+  one_group.desired_groups = 1;
+  BatchRun run(one_group, rules());
+  run.onStarted(kStart, 0, kEngine);
+  run.onEvent(kStart, 0, 1, "one", 3);
+  run.onCompleted(kStart, 0);
+  cr_assert_not(run.stepWhole());
+  run.onScoringStarted(0);
+  run.onScored(0, "signature");
+  cr_assert(run.stepWhole());
+}
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -109,6 +109,29 @@
   cr_assert_not(documents.parseJob(batch::JobId("j"), "\xff\xfe").has_value());
 }
 
+Test(documents, the_request_that_scores_an_item_is_read_with_it) {
+  const BatchDocuments documents;
+  const auto job = documents.parseJob(batch::JobId("j"), R"({"requests":[
+      {"id":"a","path":"/x/1","scorer":{"id":"s","host":"h","path":"/y/2","body":"aGk="}},
+      {"id":"b","path":"/x/2"}]})");
+  cr_assert(job.has_value());
+  const batch::reward_request expected{"s", "h", "/y/2", "hi"};
+  cr_assert(job->items[0].scorer == expected);
+  cr_assert_not(job->items[1].scorer.has_value());
+}
+
+Test(documents, every_fault_of_a_scorer_is_reported_with_its_place) {
+  const BatchDocuments documents;
+  const auto job = documents.parseJob(batch::JobId("j"), R"({"requests":[
+      {"id":"a","path":"/x/1","scorer":"s"},
+      {"id":"b","path":"/x/2","scorer":{"id":7,"host":"h","body":"?"}}]})");
+  cr_assert_not(job.has_value());
+  cr_assert(mentions(job.error(), "requests[0].scorer"));
+  cr_assert(mentions(job.error(), "requests[1].scorer.id"));
+  cr_assert(mentions(job.error(), "requests[1].scorer.path"));
+  cr_assert(mentions(job.error(), "requests[1].scorer.body"));
+}
+
 Test(documents, results_are_written_as_readers_expect_them) {
   const BatchDocuments documents;
   batch::BatchResult result;
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -65,6 +65,8 @@
           "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
          {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent",
           "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
+         {"name":"reward","host":"h.example","pathPrefix":"/reward/","kind":"idempotent",
+          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":3},
          {"name":"talk","host":"h.example","pathPrefix":"/talk/","kind":"streaming","resumable":true,
           "timeoutMs":5000,"targetLatencyMs":150,"service":"models","maxAttempts":3},
          {"name":"say","host":"h.example","pathPrefix":"/say/","kind":"streaming",
@@ -131,6 +133,21 @@
   return request;
 }
 
+http::Request GatewayFixture::scoredJobRequest(const std::string& id, int items) const {
+  http::Request request = jobRequest(id, items);
+  json document = json::parse(request.body());
+  for (json& item : document["requests"]) {
+    const std::string item_id = item["id"];
+    item["scorer"] = {{"id", "r-" + item_id},
+                      {"host", "h.example"},
+                      {"path", "/reward/" + item_id},
+                      {"body", platform_adapter::encodeBase64("score " + item_id)}};
+  }
+  request.body() = document.dump();
+  request.prepare_payload();
+  return request;
+}
+
 Task<std::string> GatewayFixture::readAll(std::size_t gateway, std::string id) {
   std::string all;
   std::size_t next = 0;
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -68,6 +68,8 @@
   http::Request lookupRequest(const std::string& id, const std::string& path = "/look/1") const;
   /// @return the request that hands in a job of `items` items.
   http::Request jobRequest(const std::string& id, int items) const;
+  /// @return the same, each item with a scorer whose id is the item's after "r-".
+  http::Request scoredJobRequest(const std::string& id, int items) const;
   /// Reads a job's results until all are listed.
   Task<std::string> readAll(std::size_t gateway, std::string id);
   Task<bool> waitReady(std::size_t gateway);
