Print the way of a trainer's steps from the logs of any deployment

Cause: where a step's time goes was pieced together by hand from single lines. Change: lines for a job's first event, for the step being whole and listed, and for pages read; `linenpierctl steps` prints a line a job.

--- a/apps/linenpierctl.cpp
+++ b/apps/linenpierctl.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config/documents.h"
+#include "logging/step_table.h"
 #include "logging/trace_reader.h"
 #include "platform/http_call.h"
 #include "settings/settings.h"
@@ -29,6 +30,7 @@
   linenpierctl [options] explain REQUEST
   linenpierctl [options] check FILE
   linenpierctl [options] trace ID [FILE...]
+  linenpierctl [options] steps [FILE...]
   linenpierctl --help
 
 Options:
@@ -38,7 +40,8 @@
   --json            Print JSON.
 
 trace reads log files (or standard input) of many daemons and prints the way of one request, item or
-batch job in time order. It asks no daemon.
+batch job in time order. steps prints a line for each batch job: when it was handed in, accepted,
+begun, whole, listed, read and ended, in seconds. Neither asks a daemon.
 
 Exit codes: 0 done, 1 refused (the daemon says why), 2 the file or arguments are wrong, 3 the daemon
 does not answer, 4 the edit conflicts with another one, 5 the outcome is unknown.
@@ -165,19 +168,36 @@
   return findings.empty() ? 0 : kExitWrong;
 }
 
-/// Prints the way of one id through the logs of many daemons.
-int trace(Arguments& arguments) {
-  logging::TraceReader reader;
+/// Reads the log files that the command names, or standard input.
+/// @return whether all could be read.
+bool readLogs(Arguments& arguments, logging::TraceReader& reader) {
   const std::vector<std::string> files = arguments["FILE"].asStringList();
   if (files.empty()) reader.read(std::cin);
   for (const std::string& file : files) {
     std::ifstream input(file);
     if (!input) {
       std::cerr << file << " cannot be read.\n";
-      return kExitWrong;
+      return false;
     }
     reader.read(input);
   }
+  return true;
+}
+
+/// Prints the way of a trainer's steps through the logs of many daemons.
+int steps(Arguments& arguments) {
+  logging::TraceReader reader;
+  if (!readLogs(arguments, reader)) return kExitWrong;
+  const logging::Trace all = reader.all();
+  if (all.lines.empty()) return kExitRefused;
+  std::cout << logging::toTable(logging::stepsOf(all), all.lines.front().time_ms);
+  return 0;
+}
+
+/// Prints the way of one id through the logs of many daemons.
+int trace(Arguments& arguments) {
+  logging::TraceReader reader;
+  if (!readLogs(arguments, reader)) return kExitWrong;
   const logging::Trace found = reader.about(arguments["ID"].asString());
   std::cout << (arguments["--json"].asBool() ? logging::toJson(found) : logging::toText(found));
   return found.lines.empty() ? kExitRefused : 0;
@@ -190,6 +210,7 @@
 
 int run(Arguments& arguments) {
   if (arguments["trace"].asBool()) return trace(arguments);
+  if (arguments["steps"].asBool()) return steps(arguments);
   if (arguments["check"].asBool()) return checkFile(onlyFile(arguments));
   const auto address = parseAddress(arguments["--daemon"].asString());
   if (!address) {
--- a/src/batch/active_job.h
+++ b/src/batch/active_job.h
@@ -10,6 +10,7 @@
 
 #include "batch/batch_service.h"
 #include "batch/listing_schedule.h"
+#include "logging/event_log.h"
 
 namespace linenpier::batch {
 
@@ -46,6 +47,9 @@
   /// Fences and numbers of checkpoints whose objects may be in the store.
   std::vector<std::pair<Revision, std::uint64_t>> kept_checkpoints;
   std::uint64_t checkpoint_events = 0;  ///< Events of unfinished items at the last one.
+  bool first_event_told = false;        ///< Lines that are written once a job and owner.
+  bool whole_told = false;
+  bool listed_told = false;
   bool stopped = false;
   Instant stopped_at{};
 
@@ -71,6 +75,35 @@
     return kept;
   }
 
+  void noteFirstEvent() {
+    if (first_event_told) return;
+    first_event_told = true;
+    logging::LogEvent("batch", "first_event").text("batch", record.id.str());
+  }
+
+  /// @param item that was finished last.
+  void noteWhole(ItemIndex item) {
+    if (whole_told || !run.stepWhole()) return;
+    whole_told = true;
+    logging::LogEvent("batch", "step_whole")
+        .text("batch", record.id.str())
+        .text("item", run.job().items[item].id.str())
+        .text("engine", run.progress(item).last_engine.str())
+        .number("events", static_cast<std::int64_t>(run.progress(item).last_event))
+        .number("running", static_cast<std::int64_t>(run.running()))
+        .number("waiting", static_cast<std::int64_t>(run.waiting()))
+        .milliseconds("took_ms", steadyNow() - accepted_at);
+  }
+
+  void noteListed() {
+    if (listed_told || !run.stepWhole() || !run.finished().empty()) return;
+    listed_told = true;
+    logging::LogEvent("batch", "step_listed")
+        .text("batch", record.id.str())
+        .number("results", static_cast<std::int64_t>(listed.size()))
+        .milliseconds("took_ms", steadyNow() - accepted_at);
+  }
+
   void stop(Instant now) {
     if (stopped) return;
     stopped = true;
--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -203,6 +203,13 @@
     const bool whole = position + page.size() >= record->total;
     if (!page.empty() || whole || now >= deadline || stopping_ ||
         writer.cancellation().requested()) {
+      if (!page.empty()) {
+        LogEvent("batch", "page_read")
+            .text("batch", id.str())
+            .number("position", static_cast<std::int64_t>(position))
+            .number("results", static_cast<std::int64_t>(page.size()))
+            .text("from", active ? "memory" : "store");
+      }
       co_await answerPage(writer, record->total, position + page.size(), page);
       co_return;
     }
--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -151,6 +151,7 @@
       }
       const EventVerdict taken =
           active.run.onEvent(now, item, event.id.value_or(0), event.data, version);
+      if (taken == EventVerdict::kTaken) active.noteFirstEvent();
       if (taken == EventVerdict::kUnfit) {
         call.abort();
         co_return AttemptVerdict::kBroken;
@@ -192,6 +193,7 @@
   }
   const ItemState state = active.run.progress(item).state;
   if (state == ItemState::kFinished) active.finished.notifyAll();
+  active.noteWhole(item);
   const bool success = verdict == AttemptVerdict::kAnswered && status < 300;
   if (success && !sampler_.admit(now)) return;
   LogEvent("batch", "attempt_ended")
--- a/src/batch/batch_listing.cpp
+++ b/src/batch/batch_listing.cpp
@@ -119,6 +119,7 @@
     active->listed.push_back(std::move(pending.results[i].encoded));
   }
   pending = Active::Pending{};
+  active->noteListed();
   active->schedule.onAppended(steadyNow());
   active->listed_changed.notifyAll();
   co_return true;
--- a/src/batch/batch_scoring.cpp
+++ b/src/batch/batch_scoring.cpp
@@ -104,6 +104,7 @@
     ++counts_.scorings_failed;
   }
   if (active.run.progress(item).state == ItemState::kFinished) active.finished.notifyAll();
+  active.noteWhole(item);
 }
 
 }  // namespace linenpier::batch
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -225,6 +225,9 @@
   }
   LogEvent("batch", "job_active")
       .text("batch", id.str())
+      .text("model", job.record.model.str())
+      .number("step", static_cast<std::int64_t>(job.active->run.job().step.value_or(0)))
+      .number("desired_groups", static_cast<std::int64_t>(job.active->run.job().desired_groups))
       .number("fence", static_cast<std::int64_t>(job.active->fence))
       .number("items", static_cast<std::int64_t>(job.record.total))
       .number("listed", static_cast<std::int64_t>(inheritance.listed.size()))
--- a/src/batch/checkpoint.h
+++ b/src/batch/checkpoint.h
@@ -15,9 +15,9 @@
 struct ItemCheckpoint {
   std::size_t item_index = 0;  ///< In the job that it was kept of.
   std::uint64_t last_event = 0;
-  std::set<WeightVersion> versions;   ///< That made the text's events.
-  std::string text;                   ///< Data of events 1 to `last_event`.
-  bool finished = false;              ///< The text is whole, but was not listed.
+  std::set<WeightVersion> versions;        ///< That made the text's events.
+  std::string text;                        ///< Data of events 1 to `last_event`.
+  bool finished = false;                   ///< The text is whole, but was not listed.
   std::optional<reward_score> score = {};  ///< Of a whole text.
 
   bool operator==(const ItemCheckpoint&) const = default;
--- /dev/null
+++ b/src/logging/step_table.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/** @file
+ * The way of a trainer's steps, from the logs of many daemons: when each was handed in, accepted,
+ * begun, whole, listed, read and ended, and when the next version was named. Tells where the time
+ * between two steps goes. Pure.
+ */
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "logging/trace_reader.h"
+
+namespace linenpier::logging {
+
+/** Moments of one batch job in milliseconds; absent where no line tells of them. */
+struct step_times {
+  std::string batch;
+  std::string model;
+  std::string owner;  ///< Daemon that ran it last.
+  std::optional<double> step;
+  std::optional<double> handed_in;  ///< The first try.
+  std::optional<double> accepted;
+  std::optional<double> active;       ///< At its first owner.
+  std::optional<double> first_event;  ///< Of any of its items.
+  std::optional<double> whole;        ///< Every group that the trainer waits for.
+  std::optional<double> listed;       ///< The same, in the store.
+  std::optional<double> read;         ///< The first read after that.
+  std::optional<double> ended;
+  std::optional<double> next_named;     ///< The next version of its model.
+  std::optional<double> engines_ready;  ///< The last engine took that version before the next.
+  int owners = 0;
+
+  bool operator==(const step_times&) const = default;
+};
+
+/** @return the jobs in the order in which they were handed in. */
+std::vector<step_times> stepsOf(const Trace& trace);
+
+/** @return a table with a line a step, in seconds since the trace's first line. */
+std::string toTable(const std::vector<step_times>& steps, double begin_ms);
+
+}  // namespace linenpier::logging
--- a/src/logging/trace_reader.cpp
+++ b/src/logging/trace_reader.cpp
@@ -73,6 +73,14 @@
   return trace;
 }
 
+Trace TraceReader::all() const {
+  Trace trace{lines_, foreign_};
+  std::stable_sort(
+      trace.lines.begin(), trace.lines.end(),
+      [](const TraceLine& one, const TraceLine& other) { return one.time_ms < other.time_ms; });
+  return trace;
+}
+
 std::string toText(const Trace& trace) {
   std::string text;
   double before = trace.lines.empty() ? 0 : trace.lines.front().time_ms;
--- a/src/logging/trace_reader.h
+++ b/src/logging/trace_reader.h
@@ -31,6 +31,8 @@
   void read(std::istream& input);
   /// @param id of a request, an item or a batch job. For an item, what befell its job is included.
   Trace about(const std::string& id) const;
+  /// @return every line.
+  Trace all() const;
 
  private:
   void readLine(const std::string& line);
