List a step's last results by one write, and hold them until it is whole

Cause: a trainer that reads a part of its results comes again half a second later, or a whole one if that read is answered at once. What is given up is still listed at once.

--- a/src/batch/batch_listing.cpp
+++ b/src/batch/batch_listing.cpp
@@ -60,11 +60,16 @@
 
 // --- Listing ------------------------------------------------------------------------------------
 
+bool BatchService::listsAtOnce(const BatchRun& run) const {
+  return run.listingUrgent() || run.finished().size() >= options_.write_rows ||
+         run.finishedBytes() >= options_.write_bytes;
+}
+
 Task<void> BatchService::listLoop(ActivePtr active) {
   while (!active->stopped && !active->run.allListed()) {
     if (active->pending.results.empty()) {
       const Instant now = steadyNow();
-      Instant due = active->schedule.appendAt(now, active->run.listingUrgent());
+      Instant due = active->schedule.appendAt(now, listsAtOnce(active->run));
       if (active->run.finished().empty()) due = now + kIdleWait;
       if (due > now) {
         co_await active->finished.waitFor(due - now);
--- a/src/batch/batch_run.cpp
+++ b/src/batch/batch_run.cpp
@@ -70,6 +70,12 @@
   });
 }
 
+std::size_t BatchRun::finishedBytes() const {
+  std::size_t bytes = 0;
+  for (const ItemIndex item : finished_) bytes += progress_[item].text.size();
+  return bytes;
+}
+
 void BatchRun::onAlreadyListed(ItemIndex item) {
   if (progress_[item].state == ItemState::kListed) return;
   progress_[item].state = ItemState::kListed;
--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -78,6 +78,8 @@
   bool stepWhole() const;
   /// @return whether what is finished should be listed at once.
   bool listingUrgent() const;
+  /// @return bytes of the texts that are finished and not listed.
+  std::size_t finishedBytes() const;
 
   /// @return the waiting item that should start next, if any may start now.
   std::optional<ItemIndex> nextToStart(Instant now) const;
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 constexpr Duration kTick = std::chrono::milliseconds(50);
+/// Results that are read this long after they are due count as in time (the users allow 0.7 s, of
+/// which the way to the reader takes a part). A step that is whole by then is read in one piece.
+constexpr Duration kDueGrace = std::chrono::milliseconds(450);
 constexpr Duration kGiveUpSlack = std::chrono::milliseconds(1500);
 constexpr Duration kUsualQueueLimit = std::chrono::seconds(30);  ///< Without a route.
 
@@ -51,7 +54,8 @@
   routing::RouteTablePtr table;
   const routing::Route* route = routeOf(active.record, table);
   active.run.setRules(rulesFor(route, active.accepted_at));
-  if (route != nullptr) active.schedule.setDue(active.accepted_at + route->target_finish);
+  if (route != nullptr)
+    active.schedule.setDue(active.accepted_at + route->target_finish + kDueGrace);
 }
 
 // --- Rows ---------------------------------------------------------------------------------------
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -38,7 +38,7 @@
   Duration refused_pause = std::chrono::milliseconds(40);
   Duration broken_pause{};
   Duration list_gap = std::chrono::milliseconds(60);  ///< Between two writes of results.
-  Duration list_gather = std::chrono::seconds(1);     ///< Results that no step waits for.
+  Duration list_gather = std::chrono::seconds(1);     ///< Results that are overdue.
   Duration checkpoint_gap = std::chrono::milliseconds(500);
   std::uint64_t checkpoint_events = 10;  ///< Fewer new ones are not worth a checkpoint.
   Duration store_pause = std::chrono::milliseconds(150);  ///< Before a write is sent again.
@@ -64,9 +64,9 @@
   Duration move_after = std::chrono::milliseconds(1000);  ///< Shorter runs stay.
   std::size_t moves_per_tick = 6;
   std::size_t page_bytes = 900 * 1024;
-  std::size_t write_bytes = 480 * 1024;
-  /// The store takes 100 entries a write: a condition and a value each, and the job's row.
-  std::size_t write_rows = 48;
+  std::size_t write_bytes = 640 * 1024;
+  /// The store takes 100 entries a write: the condition on the job's row, and a value each.
+  std::size_t write_rows = 96;
 };
 
 /// Lines about finished items that a daemon writes in full each second, and one in how many then.
@@ -208,6 +208,7 @@
   Task<void> checkpointLoop(ActivePtr active);
   enum class CheckpointNeed { kAlways, kIfMuchIsNew };
   Task<void> writeCheckpoint(ActivePtr active, CheckpointNeed need);
+  bool listsAtOnce(const BatchRun& run) const;
   Task<void> listLoop(ActivePtr active);
   Task<bool> listPending(ActivePtr active);
 
--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -89,9 +89,7 @@
     judged.outcome = FencedOutcome::kFenceLost;
     return judged;
   }
-  // The fence holds, so what stands at the positions is this owner's own earlier write.
-  judged.outcome = FencedOutcome::kDone;
-  judged.revision = current;
+  judged.outcome = FencedOutcome::kNotDone;
   return judged;
 }
 
@@ -130,7 +128,6 @@
       value += kObject + name;
     }
     const std::string key = resultRowKey(id, position);
-    write.transaction.checks.push_back({key, 0});
     write.transaction.puts.push_back({key, std::move(value)});
     ++position;
   }
--- a/src/batch/listing_schedule.cpp
+++ b/src/batch/listing_schedule.cpp
@@ -4,11 +4,10 @@
 
 namespace linenpier::batch {
 
-Instant listing_schedule::appendAt(Instant now, bool urgent) const {
-  if (urgent) return now;
-  Instant at = this->appended_at_ + this->gather_;
+Instant listing_schedule::appendAt(Instant now, bool at_once) const {
+  if (at_once) return now;
   const bool due_is_ahead = this->appended_at_ < this->due_at_;
-  if (due_is_ahead) at = std::min(at, this->due_at_);
+  const Instant at = due_is_ahead ? this->due_at_ : this->appended_at_ + this->gather_;
   return std::max(now, at);
 }
 
