Start the item that is latest first, of whichever job

Change: the next item is the one whose latest start (due time less expected duration, by hints and pace as observed) comes first.

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -23,22 +23,54 @@
 }
 }  // namespace
 
+/// A job with items that wait, while engines are dealt out.
+struct BatchService::Startable {
+  ActivePtr active;
+  routing::RouteTablePtr table;
+  const routing::Route* route = nullptr;
+  ItemIndex item = 0;
+  Instant latest_start{};  ///< Of that item, if its job is to be whole when it is due.
+};
+
+std::vector<BatchService::Startable> BatchService::startableJobs() {
+  std::vector<Startable> jobs;
+  for (auto& [id, job] : jobs_) {
+    if (!job.active || job.active->stopped) continue;
+    Startable each;
+    each.active = job.active;
+    each.route = routeOf(job.active->record, each.table);
+    if (each.route != nullptr && findNext(each)) jobs.push_back(std::move(each));
+  }
+  return jobs;
+}
+
+bool BatchService::findNext(Startable& job) const {
+  const Instant now = steadyNow();
+  const auto item = job.active->run.nextToStart(now);
+  if (!item) return false;
+  const BatchItem& each = job.active->run.job().items[*item];
+  const double events =
+      lengths_.remainingEvents(each.length_hint, job.active->run.progress(*item).last_event);
+  const double pace = deps_.engines.registry.medianPace(now, job.route->services.front().service);
+  job.item = *item;
+  job.latest_start =
+      job.active->accepted_at + job.route->target_finish - fromSeconds(events * pace);
+  return true;
+}
+
 void BatchService::pump() {
-  std::vector<ActivePtr> active;
   for (auto& [id, job] : jobs_) {
-    if (job.active && !job.active->stopped) active.push_back(job.active);
+    if (job.active && !job.active->stopped) startScorings(job.active);
   }
-  std::sort(active.begin(), active.end(), [](const ActivePtr& one, const ActivePtr& other) {
-    return one->record.accepted_ms < other->record.accepted_ms;
-  });
-  for (const ActivePtr& each : active) startScorings(each);
-  for (const ActivePtr& each : active) {
-    routing::RouteTablePtr table;
-    const routing::Route* route = routeOf(each->record, table);
-    if (route == nullptr) continue;
-    while (const auto item = each->run.nextToStart(steadyNow())) {
-      if (!startItem(each, *item, *route)) break;
-    }
+  std::vector<Startable> jobs = startableJobs();
+  // The item that is latest begins first, of whichever job: a long text decides when its step ends.
+  while (!jobs.empty()) {
+    const auto next = std::min_element(jobs.begin(), jobs.end(),
+                                       [](const Startable& one, const Startable& other) {
+                                         return one.latest_start < other.latest_start;
+                                       });
+    const bool started = startItem(next->active, next->item, *next->route);
+    if (!started || !findNext(*next)) jobs.erase(next);
   }
 }
 
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -179,7 +179,12 @@
   Task<void> removalLoop();
   std::optional<JobId> nextToRemove(Instant now) const;
 
+  struct Startable;
+  /// Starts reward requests and items, as far as engines have room.
   void pump();
+  std::vector<Startable> startableJobs();
+  /// @return whether the job has an item that may start; it is then set.
+  bool findNext(Startable& job) const;
   /// Moves runs from slow engines to clearly faster ones that have room.
   void moveSlowRuns(Instant now);
   std::vector<ItemIndex> movableRuns(Instant now, const Active& active) const;
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -141,6 +141,8 @@
   /// @return the time per unit of work that is expected of the engine, in seconds; 0 if nothing is
   ///     known of its service.
   double expectedPace(Instant now, const EngineId& id) const;
+  /// @return the median of the paces that are known of the service's engines; 0: none is.
+  double medianPace(Instant now, const routing::ServiceName& service) const;
 
  private:
   EngineState* mutableFind(const EngineId& id);
@@ -152,8 +154,6 @@
   WeightVersion newestHeld(const routing::ServiceName& service, const ModelName& model) const;
   double memoryFactor(Instant now, const EngineState& engine, const PickRequest& request) const;
   double expectedWait(Instant now, const EngineState& engine, const PickRequest& request) const;
-  double medianPace(Instant now, const routing::ServiceName& service) const;
-
   ZoneName zone_;
   RegistryOptions options_;
   Random random_;
