Leave engines that the newest step can use for ten seconds

Change: the patience with busy engines that are one version behind is 10 s instead of 1.5 s. Where versions come every few minutes nothing changes. Orders tell their mode in the log. The test takes the patience from the options and checks both sides of it.

--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -38,6 +38,18 @@
   return value;
 }
 
+const char* toText(LoadMode mode) {
+  switch (mode) {
+    case LoadMode::kWait:
+      return "wait";
+    case LoadMode::kCancel:
+      return "cancel";
+    case LoadMode::kRetain:
+      return "retain";
+  }
+  return "unknown";
+}
+
 const char* toText(OrderAnswer answer) {
   switch (answer) {
     case OrderAnswer::kUnderWay:
@@ -262,6 +274,7 @@
       .text("engine", order.engine.str())
       .text("model", order.model.str())
       .number("version", static_cast<std::int64_t>(order.version))
+      .text("mode", toText(order.mode))
       .number("token", static_cast<std::int64_t>(token))
       .number("sequence", static_cast<std::int64_t>(order.expected_sequence.value_or(0)))
       .text("outcome", toText(answer));
--- a/src/versions/version_rollout.h
+++ b/src/versions/version_rollout.h
@@ -58,8 +58,10 @@
   /// An engine is changed while it has at most this share of its slots in use, since what it runs
   /// must go elsewhere …
   double quiet_share = 0.2;
-  /// … or when its model's newest version was named this long ago.
-  Duration patience = std::chrono::milliseconds(1500);
+  /// … or when its model's newest version was named this long ago. Versions that follow each other
+  /// sooner are skipped by engines that are of use to the newest step: each load stops or moves all
+  /// that an engine runs.
+  Duration patience = std::chrono::seconds(10);
   /// A version that is this old is brought to engines beyond the demand, too.
   Duration settled = std::chrono::seconds(8);
   demand_options demand;
--- a/tests/versions/version_rollout_test.cpp
+++ b/tests/versions/version_rollout_test.cpp
@@ -14,6 +14,7 @@
 const ModelName kModel("m");
 const ModelName kOtherModel("n");
 constexpr Instant kStart{std::chrono::seconds(100)};
+constexpr Duration kMoment = std::chrono::milliseconds(10);
 
 /// Engines of one service as the holder of its right sees them.
 struct Fixture {
@@ -70,7 +71,9 @@
   fixture.rollout.onNamed(kStart, kModel, 2);
   fixture.reportAll(kStart, 4);
   cr_assert(fixture.tick(kStart).empty());
-  const Instant later = kStart + std::chrono::seconds(2);
+  const Instant later = kStart + versions::RolloutOptions{}.patience;
+  fixture.reportAll(later - kMoment, 4);
+  cr_assert(fixture.tick(later - kMoment).empty(), "still new");
   fixture.reportAll(later, 4);
   cr_assert_eq(fixture.tick(later).size(), 1U);
 }
