Ask the store again on every feed once any of them hears of it

Cause: after an outage each feed waited out a pause of its own, up to 0.9 s, though another feed or the read of the leases had its answer already; versions, jobs and engines were learnt late. Change: a feed that comes back, or leases that are read again, wake the feeds that wait. Test: table_watcher, fails before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -89,6 +89,7 @@
   watchTables();
   spawn(loop_, [this] { return peerLoop(); });
   lease_watch_.start([this](bool answered) {
+    if (answered && !leases_answered_) onStoreHeard();
     leases_answered_ = answered;
     updateLeaseHealth();
   });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,6 +52,8 @@
   void watchTables();
   /// Takeovers need both the leases and the feed of what is owned.
   void updateLeaseHealth();
+  /// The store has answered after a while: every feed that waits asks it again.
+  void onStoreHeard();
   void onOperatorRow(const table::Row& row);
   void onEngineRow(const table::RowChange& change);
   void onEngineSnapshot(const std::vector<table::Row>& rows);
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -29,7 +29,9 @@
   operators.on_change = [this](const table::RowChange& change) {
     if (!change.gone) onOperatorRow(change.row);
   };
-  operators.on_health = [](bool) {};
+  operators.on_health = [this](bool healthy) {
+    if (healthy) onStoreHeard();
+  };
   table::WatcherOptions operator_options;
   operator_options.seed = hash64(settings_.id.str(), 1);
   operator_watcher_ = std::make_unique<table::TableWatcher>(
@@ -40,7 +42,9 @@
     onEngineSnapshot(rows);
   };
   engine_listener.on_change = [this](const table::RowChange& change) { onEngineRow(change); };
-  engine_listener.on_health = [](bool) {};
+  engine_listener.on_health = [this](bool healthy) {
+    if (healthy) onStoreHeard();
+  };
   table::WatcherOptions engine_options;
   engine_options.coalesce = kEngineChangesGap;
   engine_options.seed = hash64(settings_.id.str(), 2);
@@ -53,7 +57,10 @@
     orders_.onTableRead();
   };
   coordination.on_change = [this](const table::RowChange& change) { onCoordinationRow(change); };
-  coordination.on_health = [this](bool) { updateLeaseHealth(); };
+  coordination.on_health = [this](bool healthy) {
+    if (healthy) onStoreHeard();
+    updateLeaseHealth();
+  };
   coordination.on_clock = [this](std::int64_t clock_ms) {
     keeper_.onStoreClock(steadyNow(), clock_ms);
   };
@@ -69,6 +76,13 @@
   coordination_watcher_->start();
 }
 
+void Gateway::onStoreHeard() {
+  for (auto* watcher :
+       {operator_watcher_.get(), engine_watcher_.get(), coordination_watcher_.get()}) {
+    if (!watcher->healthy()) watcher->retryNow();
+  }
+}
+
 void Gateway::updateLeaseHealth() {
   const bool healthy = leases_answered_ && coordination_watcher_->healthy();
   if (healthy == leases_.storeHealthy()) return;
--- a/src/table/table_watcher.cpp
+++ b/src/table/table_watcher.cpp
@@ -26,7 +26,7 @@
       continue;
     }
     const Duration pause = backoff_.onFailure();
-    co_await sleepFor(loop_, pause);
+    co_await retry_now_.waitFor(pause);
   }
 }
 
--- a/src/table/table_watcher.h
+++ b/src/table/table_watcher.h
@@ -43,9 +43,12 @@
         name_(std::move(name)),
         options_(options),
         listener_(std::move(listener)),
-        backoff_(options.retry_pause, options.longest_retry_pause, options.seed) {}
+        backoff_(options.retry_pause, options.longest_retry_pause, options.seed),
+        retry_now_(loop) {}
 
   void start();
+  /// The store was heard of elsewhere: a call that waits to be made again is made now.
+  void retryNow() { retry_now_.notifyAll(); }
   bool healthy() const { return healthy_; }
   /// @return whether the table was ever read.
   bool read() const { return ever_read_; }
@@ -68,6 +71,7 @@
   WatcherOptions options_;
   Listener listener_;
   retry_backoff backoff_;
+  Signal retry_now_;
   Revision revision_ = 0;   ///< Everything up to here was told.
   bool have_rows_ = false;  ///< Whether `revision_` may be continued from.
   bool ever_read_ = false;
--- a/tests/table/table_watcher_test.cpp
+++ b/tests/table/table_watcher_test.cpp
@@ -66,11 +66,12 @@
   std::vector<bool> health;
   table::TableWatcher watcher;
 
-  Fixture() : watcher(loop, rows, "t", options(), listener()) {}
+  explicit Fixture(Duration retry_pause = std::chrono::milliseconds(5))
+      : watcher(loop, rows, "t", options(retry_pause), listener()) {}
 
-  static table::WatcherOptions options() {
+  static table::WatcherOptions options(Duration retry_pause) {
     table::WatcherOptions options;
-    options.retry_pause = std::chrono::milliseconds(5);
+    options.retry_pause = retry_pause;
     return options;
   }
   table::TableWatcher::Listener listener() {
@@ -123,3 +124,15 @@
   cr_assert(fixture.rows.waits.at(1) < std::chrono::milliseconds(100));
   cr_assert(fixture.rows.waits.at(2) == std::chrono::seconds(2));
 }
+
+Test(table_watcher, a_store_that_was_heard_of_elsewhere_is_asked_again_at_once) {
+  Fixture fixture(std::chrono::seconds(10));
+  fixture.rows.answers = {failure(CallFailure::kUnavailable), pageWith("a", false)};
+  fixture.run();
+  cr_assert_eq(fixture.rows.reads_from.size(), 1U, "its pause is long");
+  fixture.watcher.retryNow();
+  fixture.loop.restart();
+  fixture.loop.run_for(std::chrono::milliseconds(50));
+  cr_assert_eq(fixture.rows.reads_from.size(), 2U);
+  cr_assert(fixture.watcher.healthy());
+}
