Let texts that one version must make end before their engine loads

Cause: on single-version routes an engine that loads loses every text it runs, whichever way it does: reset or retained, the text cannot go on at another version. Versions come every four seconds, texts last up to six. Change: orders for such models carry the mode that lets runs end first. Test in version_rollout, fails before.

--- a/src/versions/version_rollout.cpp
+++ b/src/versions/version_rollout.cpp
@@ -124,6 +124,8 @@
                                  const ModelName& model,
                                  const std::vector<const engines::EngineState*>& engines) const {
   if (options_.mode) return *options_.mode;
+  // A text that one version must make would be lost with its engine's version.
+  if (single_version_.contains(model)) return LoadMode::kWait;
   double room = 0;
   double displaced = 0;
   for (const engines::EngineState* each : engines) {
--- a/src/versions/version_rollout.h
+++ b/src/versions/version_rollout.h
@@ -49,7 +49,8 @@
 
 struct RolloutOptions {
   /// Runs that are reset go on elsewhere from what they have, which costs little where there is
-  /// room; left where they are they stand still while the engine loads. Set: always this mode.
+  /// room; left where they are they stand still while the engine loads. Texts that one version must
+  /// make end first. Set: always this mode.
   std::optional<LoadMode> mode;
   /// Engines that load at once; more slow each other down. The platform bears more where it has
   /// more engines.
--- a/tests/versions/version_rollout_test.cpp
+++ b/tests/versions/version_rollout_test.cpp
@@ -200,3 +200,12 @@
   of_no_use.reportAll(kStart, 4);
   cr_assert_eq(of_no_use.tick(kStart, {kModel}, 100, true).size(), 2U);
 }
+
+Test(version_rollout, texts_that_one_version_must_make_end_before_their_engine_loads) {
+  Fixture fixture(4);
+  fixture.rollout.onNamed(kStart, kModel, 3);
+  fixture.reportAll(kStart, 4);
+  const auto orders = fixture.tick(kStart, {kModel}, 1000, true);
+  cr_assert_eq(orders.size(), 2U, "they are of no use to the newest step");
+  for (const VersionOrder& order : orders) cr_assert(order.mode == LoadMode::kWait);
+}
