Judge silence by how late the store answers; rest between slow checkpoints

Cause: while the store is slow (answers take 60 times as long, a part takes a few writes a second), renewals wait behind other writes. Change: an observer allows an owner as much more silence as six times the delay of its own reads beyond 20 ms, 3 s at most, halved at each quick read. An owner rests between two checkpoints for three times what the last one took.

--- a/src/batch/batch_listing.cpp
+++ b/src/batch/batch_listing.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 constexpr Duration kIdleWait = std::chrono::seconds(1);  ///< While nothing is finished.
+constexpr int kCheckpointRest = 3;  ///< Pause between two, in times that the last one took.
 }  // namespace
 
 // --- Checkpoints ------------------------------------------------------------------------------
@@ -51,10 +52,14 @@
 }
 
 Task<void> BatchService::checkpointLoop(ActivePtr active) {
+  Duration pause = options_.checkpoint_gap;
   for (;;) {
-    co_await sleepFor(deps_.loop, options_.checkpoint_gap);
+    co_await sleepFor(deps_.loop, pause);
     if (active->stopped || active->run.allListed()) co_return;
+    const Instant begun = steadyNow();
     co_await writeCheckpoint(active, CheckpointNeed::kIfMuchIsNew);
+    // A store that is slow has results and renewals to take first.
+    pause = std::max<Duration>(options_.checkpoint_gap, kCheckpointRest * (steadyNow() - begun));
   }
 }
 
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -46,6 +46,10 @@
     return each.second.revision > 0 && !rows.contains(each.first);
   });
   read_at_ = std::max(read_at_, sent_at);
+  const Duration excess = std::max(now - sent_at - times_.usual_delay, Duration::zero());
+  const Duration wanted = std::min(excess * times_.delays_allowed, times_.longest_allowance);
+  // One quick answer among slow ones does not make the store quick.
+  allowance_ = std::max(wanted, allowance_ / 2);
 }
 
 bool LeaseTable::expired(const LeaseId& lease) {
@@ -54,7 +58,7 @@
   if (!store_healthy_since_) return false;
   const auto [at, fresh] = rows_.try_emplace(lease, Observation{0, read_at_});
   const Instant since = std::max(at->second.changed_at, *store_healthy_since_);
-  return read_at_ - since > times_.expiry;
+  return read_at_ - since > times_.expiry + allowance_;
 }
 
 bool LeaseTable::anySuspect(Instant now) const {
--- a/src/lease/lease_table.h
+++ b/src/lease/lease_table.h
@@ -27,6 +27,13 @@
   Duration validity = std::chrono::milliseconds(1000);
   /// Silence after which others may take over.
   Duration expiry = std::chrono::milliseconds(1500);
+  /// A store that answers late takes renewals late, too: silence is judged by this many times the
+  /// delay of the observer's own reads more …
+  int delays_allowed = 6;
+  /// … unless they take no longer than this …
+  Duration usual_delay = std::chrono::milliseconds(20);
+  /// … and by no more than this.
+  Duration longest_allowance = std::chrono::seconds(3);
   /// Silence that is unusual: a renewal or two were missed.
   Duration suspicion = std::chrono::milliseconds(700);
   /// Silence after which a row is of no use to anybody.
@@ -49,7 +56,8 @@
   Duration courtesy(Instant now, const std::string& what) const;
 
   void onRow(Instant now, const LeaseId& lease, Revision revision);
-  /// All rows were read: `rows`, as of a moment between `sent_at` and `now`.
+  /// All rows were read: `rows`, as of a moment between `sent_at` and `now`. How long that took
+  /// tells how late renewals may be.
   void onRead(Instant sent_at, Instant now, const std::map<LeaseId, Revision>& rows);
   /// The store answers from now on; silence before says nothing.
   void onStoreRegained(Instant now) { store_healthy_since_ = now; }
@@ -70,6 +78,8 @@
   Revision seenRevision(const LeaseId& lease) const;
   /// @return whether the lease is of another life of the same daemon.
   bool isEarlierSelf(const LeaseId& lease) const;
+  /// @return how much longer than usual an owner may be silent, as the store answers now.
+  Duration allowance() const { return allowance_; }
   const LeaseId& own() const { return own_; }
   const LeaseTimes& times() const { return times_; }
 
@@ -82,7 +92,8 @@
   LeaseTimes times_;
   Instant started_at_{};
   std::map<LeaseId, Observation> rows_;  ///< As last seen; an absent row counts from its asking.
-  Instant read_at_{};                    ///< When the last read that was answered was sent.
+  Duration allowance_{};
+  Instant read_at_{};  ///< When the last read that was answered was sent.
   std::optional<Instant> store_healthy_since_;
 };
 
