--- a/tests/lease/lease_table_test.cpp
+++ b/tests/lease/lease_table_test.cpp
@@ -3,59 +3,155 @@
 #include <criterion/criterion.h>
 
 using namespace linenpier;
-using lease::LeaseId;
 using lease::LeaseTable;
+using lease::makeLeaseId;
 
 namespace {
 
 constexpr Instant kStart{std::chrono::seconds(100)};
+const lease::LeaseId kOwn = makeLeaseId("d1", "b");
+const lease::LeaseId kOther = makeLeaseId("d2", "a");
+
+/// Reads the store, where `revision` stands for the lease of `kOther`, and asks for `lease`.
+bool expiredAfterRead(LeaseTable& table, Instant now, const lease::LeaseId& lease,
+                      Revision revision = 5) {
+  table.onRead(now, now, {{kOther, revision}});
+  return table.expired(lease);
+}
+
+LeaseTable watching() {
+  LeaseTable table(kOwn, {}, kStart);
+  table.onStoreRegained(kStart);
+  table.onRow(kStart, kOther, 5);
+  return table;
+}
+
+}  // namespace
+
+Test(lease_table, silence_longer_than_the_expiry_ends_a_lease) {
+  LeaseTable table = watching();
+  cr_assert_not(expiredAfterRead(table, kStart + std::chrono::milliseconds(1400), kOther));
+  cr_assert(expiredAfterRead(table, kStart + std::chrono::milliseconds(1600), kOther));
+  table.onRow(kStart + std::chrono::milliseconds(1600), kOther, 6);
+  cr_assert_not(expiredAfterRead(table, kStart + std::chrono::milliseconds(2000), kOther, 6));
+}
+
+Test(lease_table, the_same_revision_again_is_no_renewal) {
+  LeaseTable table = watching();
+  table.onRow(kStart + std::chrono::seconds(1), kOther, 5);
+  cr_assert(expiredAfterRead(table, kStart + std::chrono::milliseconds(1600), kOther));
+}
+
+Test(lease_table, silence_counts_up_to_the_last_read_only) {
+  LeaseTable table = watching();
+  table.onRead(kStart + std::chrono::seconds(1), kStart + std::chrono::seconds(1), {{kOther, 5}});
+  cr_assert_not(table.expired(kOther), "nothing was read since");
+  cr_assert(expiredAfterRead(table, kStart + std::chrono::seconds(2), kOther));
+}
+
+Test(lease_table, an_owner_that_misses_renewals_is_suspected_for_a_while) {
+  LeaseTable table = watching();
+  cr_assert_not(table.anySuspect(kStart + std::chrono::milliseconds(500)));
+  cr_assert(table.anySuspect(kStart + std::chrono::milliseconds(900)));
+  cr_assert_not(table.anySuspect(kStart + std::chrono::seconds(5)), "others have taken over");
+}
+
+Test(lease_table, rows_of_earlier_lives_and_of_long_silence_may_be_removed) {
+  LeaseTable table = watching();
+  const lease::LeaseId earlier = makeLeaseId("d1", "a");
+  table.onRead(kStart, kStart, {{kOther, 5}, {earlier, 3}, {kOwn, 9}});
+  cr_assert_eq(table.forgotten(kStart + std::chrono::seconds(1)).size(), 1U);
+  cr_assert_eq(table.forgotten(kStart + std::chrono::seconds(1)).front(), earlier);
+  cr_assert_eq(table.forgotten(kStart + std::chrono::seconds(61)).size(), 2U);
+}
+
+Test(lease_table, nothing_expires_while_the_feed_is_away_or_just_after) {
+  LeaseTable table = watching();
+  table.onStoreLost();
+  cr_assert_not(expiredAfterRead(table, kStart + std::chrono::seconds(60), kOther));
+  table.onStoreRegained(kStart + std::chrono::seconds(60));
+  cr_assert_not(expiredAfterRead(table, kStart + std::chrono::milliseconds(61400), kOther));
+  cr_assert(expiredAfterRead(table, kStart + std::chrono::milliseconds(61600), kOther));
+}
+
+Test(lease_table, an_earlier_life_of_this_daemon_has_ended_for_sure) {
+  LeaseTable table = watching();
+  cr_assert(expiredAfterRead(table, kStart, makeLeaseId("d1", "a")));
+  cr_assert_not(expiredAfterRead(table, kStart + std::chrono::seconds(60), kOwn));
+}
+
+Test(lease_table, an_owner_whose_row_was_never_seen_gets_its_time) {
+  LeaseTable table = watching();
+  const lease::LeaseId unseen = makeLeaseId("d3", "x");
+  cr_assert_not(expiredAfterRead(table, kStart, unseen));
+  cr_assert(expiredAfterRead(table, kStart + std::chrono::milliseconds(1600), unseen));
+}
+
+Test(lease_table, daemons_that_started_last_take_over_first) {
+  const LeaseTable old(kOwn, {}, kStart);
+  const LeaseTable young(makeLeaseId("d4", "a"), {}, kStart + std::chrono::seconds(50));
+  const Instant now = kStart + std::chrono::seconds(55);
+  cr_assert(young.courtesy(now, "job") < old.courtesy(now, "job"));
+}
+
+Test(lease_table, an_owner_stops_before_others_may_start) {
+  const lease::LeaseTimes times;
+  cr_assert(times.renewal * 2 <= times.validity);
+  cr_assert(times.validity < times.expiry);
+}
+
+namespace {
+
 constexpr Duration kQuick = std::chrono::milliseconds(5);
 constexpr Duration kSlow = std::chrono::milliseconds(300);
-const LeaseId kOther("other#1");
+constexpr Instant kHealthySince{std::chrono::seconds(100)};
+const lease::LeaseId kSlowOwner("other#1");
 
-LeaseTable healthyTable() {
-  LeaseTable table(LeaseId("own#1"), {}, kStart);
-  table.onStoreRegained(kStart);
+lease::LeaseTable tableOfHealthyStore() {
+  lease::LeaseTable table(lease::LeaseId("own#1"), {}, kHealthySince);
+  table.onStoreRegained(kHealthySince);
   return table;
 }
 
-/// Reads the other's row, unchanged, at `sent`.
-void readAt(LeaseTable& table, Instant sent, Duration delay) {
-  table.onRead(sent, sent + delay, {{kOther, 1}});
+/// Reads the owner's row, unchanged, at `sent`.
+void readUnchanged(lease::LeaseTable& table, Instant sent, Duration delay) {
+  table.onRead(sent, sent + delay, {{kSlowOwner, 1}});
 }
 
 }  // namespace
 
 Test(lease_table, an_owner_whose_row_stays_as_it_is_is_gone_after_the_expiry) {
-  LeaseTable table = healthyTable();
-  readAt(table, kStart, kQuick);
-  readAt(table, kStart + std::chrono::milliseconds(1400), kQuick);
-  cr_assert_not(table.expired(kOther));
-  readAt(table, kStart + std::chrono::milliseconds(1600), kQuick);
-  cr_assert(table.expired(kOther));
+  lease::LeaseTable table = tableOfHealthyStore();
+  readUnchanged(table, kHealthySince, kQuick);
+  readUnchanged(table, kHealthySince + std::chrono::milliseconds(1400), kQuick);
+  cr_assert_not(table.expired(kSlowOwner));
+  readUnchanged(table, kHealthySince + std::chrono::milliseconds(1600), kQuick);
+  cr_assert(table.expired(kSlowOwner));
 }
 
 Test(lease_table, a_store_that_answers_late_explains_more_silence) {
-  LeaseTable table = healthyTable();
-  readAt(table, kStart, kSlow);
-  readAt(table, kStart + std::chrono::milliseconds(2500), kSlow);
-  cr_assert_not(table.expired(kOther), "its renewals wait in the same store");
-  readAt(table, kStart + std::chrono::milliseconds(4000), kSlow);
-  cr_assert(table.expired(kOther), "but not for ever");
+  lease::LeaseTable table = tableOfHealthyStore();
+  readUnchanged(table, kHealthySince, kSlow);
+  readUnchanged(table, kHealthySince + std::chrono::milliseconds(2500), kSlow);
+  cr_assert_not(table.expired(kSlowOwner), "its renewals wait in the same store");
+  readUnchanged(table, kHealthySince + std::chrono::milliseconds(4000), kSlow);
+  cr_assert(table.expired(kSlowOwner), "but not for ever");
 }
 
 Test(lease_table, a_store_that_is_quick_again_explains_little) {
-  LeaseTable table = healthyTable();
-  readAt(table, kStart, kSlow);
+  lease::LeaseTable table = tableOfHealthyStore();
+  readUnchanged(table, kHealthySince, kSlow);
   cr_assert(table.allowance() > std::chrono::seconds(1));
-  for (int i = 1; i <= 5; ++i) readAt(table, kStart + i * std::chrono::seconds(1), kQuick);
+  for (int i = 1; i <= 5; ++i) {
+    readUnchanged(table, kHealthySince + i * std::chrono::seconds(1), kQuick);
+  }
   cr_assert(table.allowance() < std::chrono::milliseconds(100));
-  cr_assert(table.expired(kOther));
+  cr_assert(table.expired(kSlowOwner));
 }
 
 Test(lease_table, this_life_never_expires_and_an_earlier_one_always_has) {
-  LeaseTable table = healthyTable();
-  cr_assert_not(table.expired(LeaseId("own#1")));
-  cr_assert(table.expired(LeaseId("own#0")));
-  cr_assert(table.expired(LeaseId("")));
+  lease::LeaseTable table = tableOfHealthyStore();
+  cr_assert_not(table.expired(lease::LeaseId("own#1")));
+  cr_assert(table.expired(lease::LeaseId("own#0")));
+  cr_assert(table.expired(lease::LeaseId("")));
 }
