Name the system's own requests internal, and mend what the linter found

Cause: "own request" needed explaining; new nested types were in camel case against the house rule; the linter found a loop without reserve and a statement without braces. Change: names only, and those two places. Requests of kind `internal` are named on the metrics' page.

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -24,7 +24,7 @@
 }  // namespace
 
 /// A job with items that wait, while engines are dealt out.
-struct BatchService::Startable {
+struct BatchService::startable_item {
   ActivePtr active;
   routing::RouteTablePtr table;
   const routing::Route* route = nullptr;
@@ -32,11 +32,11 @@
   Instant latest_start{};  ///< Of that item, if its job is to be whole when it is due.
 };
 
-std::vector<BatchService::Startable> BatchService::startableJobs() {
-  std::vector<Startable> jobs;
+std::vector<BatchService::startable_item> BatchService::startableItems() {
+  std::vector<startable_item> jobs;
   for (auto& [id, job] : jobs_) {
     if (!job.active || job.active->stopped) continue;
-    Startable each;
+    startable_item each;
     each.active = job.active;
     each.route = routeOf(job.active->record, each.table);
     if (each.route != nullptr && findNext(each)) jobs.push_back(std::move(each));
@@ -44,7 +44,7 @@
   return jobs;
 }
 
-bool BatchService::findNext(Startable& job) const {
+bool BatchService::findNext(startable_item& job) const {
   const Instant now = steadyNow();
   const auto item = job.active->run.nextToStart(now);
   if (!item) return false;
@@ -62,11 +62,11 @@
   for (auto& [id, job] : jobs_) {
     if (job.active && !job.active->stopped) startScorings(job.active);
   }
-  std::vector<Startable> jobs = startableJobs();
+  std::vector<startable_item> jobs = startableItems();
   // The item that is latest begins first, of whichever job: a long text decides when its step ends.
   while (!jobs.empty()) {
     const auto next = std::min_element(jobs.begin(), jobs.end(),
-                                       [](const Startable& one, const Startable& other) {
+                                       [](const startable_item& one, const startable_item& other) {
                                          return one.latest_start < other.latest_start;
                                        });
     const bool started = startItem(next->active, next->item, *next->route);
--- a/src/batch/batch_scoring.cpp
+++ b/src/batch/batch_scoring.cpp
@@ -21,7 +21,7 @@
 constexpr Duration kFullPause = std::chrono::milliseconds(20);  ///< No engine had room.
 constexpr Duration kFailurePause = std::chrono::milliseconds(60);
 
-bool isSuccess(const forward::own_request_outcome& outcome) {
+bool isSuccess(const forward::internal_outcome& outcome) {
   return outcome.status >= 200 && outcome.status < 300 && !outcome.signature.empty();
 }
 }  // namespace
@@ -54,7 +54,7 @@
                                    std::shared_ptr<http::Cancellation> cancellation) {
   const Instant begun = steadyNow();
   const reward_request& scorer = *active->run.job().items[item].scorer;
-  forward::own_request request;
+  forward::internal_request request;
   request.table = deps_.routes();
   const std::string path = scorer.path.substr(0, scorer.path.find('?'));
   request.route = request.table ? request.table->find(scorer.host, path) : nullptr;
@@ -65,7 +65,7 @@
   request.cancellation = cancellation;
   const bool routed = request.route != nullptr;
   int most_failures = 0;
-  forward::own_request_outcome outcome;
+  forward::internal_outcome outcome;
   if (routed) {
     most_failures = request.route->max_attempts;
     outcome = co_await deps_.rewards.send(std::move(request));
@@ -94,7 +94,7 @@
 }
 
 void BatchService::settleScoring(Active& active, ItemIndex item,
-                                 const forward::own_request_outcome& outcome, int most_failures) {
+                                 const forward::internal_outcome& outcome, int most_failures) {
   if (isSuccess(outcome)) {
     active.run.onScored(item, outcome.signature);
     ++counts_.scored;
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -21,7 +21,7 @@
 #include "batch/length_estimate.h"
 #include "batch/moves_planned.h"
 #include "forward/engine_call.h"
-#include "forward/own_requests.h"
+#include "forward/internal_requests.h"
 #include "http/server.h"
 #include "lease/lease_keeper.h"
 #include "lease/lease_table.h"
@@ -96,7 +96,7 @@
     lease::LeaseTable& leases;
     lease::LeaseKeeper& keeper;
     const BatchCodec& codec;
-    forward::own_requests& rewards;
+    forward::internal_requests& rewards;
     std::function<routing::RouteTablePtr()> routes;  ///< The newest table; empty before the first.
   };
 
@@ -179,12 +179,12 @@
   Task<void> removalLoop();
   std::optional<JobId> nextToRemove(Instant now) const;
 
-  struct Startable;
+  struct startable_item;
   /// Starts reward requests and items, as far as engines have room.
   void pump();
-  std::vector<Startable> startableJobs();
+  std::vector<startable_item> startableItems();
   /// @return whether the job has an item that may start; it is then set.
-  bool findNext(Startable& job) const;
+  bool findNext(startable_item& job) const;
   /// Moves runs from slow engines to clearly faster ones that have room.
   void moveSlowRuns(Instant now);
   std::vector<ItemIndex> movableRuns(Instant now, const Active& active) const;
@@ -206,7 +206,7 @@
   Task<void> scoreItem(ActivePtr active, ItemIndex item,
                        std::shared_ptr<http::Cancellation> cancellation);
   /// @param most_failures answers of 500 after which the item is given up.
-  void settleScoring(Active& active, ItemIndex item, const forward::own_request_outcome& outcome,
+  void settleScoring(Active& active, ItemIndex item, const forward::internal_outcome& outcome,
                      int most_failures);
   http::Request rewardRequest(const reward_request& scorer) const;
 
--- a/src/forward/forward_plain.cpp
+++ b/src/forward/forward_plain.cpp
@@ -64,12 +64,12 @@
   return true;
 }
 
-Task<Forwarder::PlainOutcome> Forwarder::runAttempts(std::shared_ptr<ForwardedRequest> forwarded,
-                                                     AttemptPolicy& policy,
-                                                     http::Cancellation& cancellation) {
+Task<Forwarder::plain_outcome> Forwarder::runAttempts(std::shared_ptr<ForwardedRequest> forwarded,
+                                                      AttemptPolicy& policy,
+                                                      http::Cancellation& cancellation) {
   const auto race = std::make_shared<Race>(loop_);
   cancellation.onRequest([race] { race->changed.notifyAll(); });
-  PlainOutcome outcome;
+  plain_outcome outcome;
   while (!outcome.answer && !cancellation.requested()) {
     std::vector<Race::Result> results = std::move(race->results);
     race->results.clear();
@@ -103,7 +103,7 @@
 Task<void> Forwarder::servePlain(std::shared_ptr<ForwardedRequest> forwarded,
                                  http::ResponseWriter& writer) {
   AttemptPolicy policy(*forwarded->route, forwarded->deadline);
-  PlainOutcome outcome = co_await runAttempts(forwarded, policy, writer.cancellation());
+  plain_outcome outcome = co_await runAttempts(forwarded, policy, writer.cancellation());
   if (writer.cancellation().requested()) {
     logEnd(*forwarded, "client_gone", 0, policy);
     co_return;
@@ -118,7 +118,7 @@
   co_await writer.send(std::move(*outcome.answer));
 }
 
-Task<own_request_outcome> Forwarder::send(own_request request) {
+Task<internal_outcome> Forwarder::send(internal_request request) {
   const auto forwarded = std::make_shared<ForwardedRequest>();
   forwarded->table = request.table;
   forwarded->route = request.route;
@@ -128,10 +128,10 @@
   forwarded->deadline =
       forwarded->received + std::min<Duration>(request.limit, request.route->timeout);
   forwarded->most_per_slot = request.most_per_slot;
-  forwarded->own = true;
+  forwarded->internal = true;
   AttemptPolicy policy(*request.route, forwarded->deadline);
-  PlainOutcome plain = co_await runAttempts(forwarded, policy, *request.cancellation);
-  own_request_outcome outcome;
+  plain_outcome plain = co_await runAttempts(forwarded, policy, *request.cancellation);
+  internal_outcome outcome;
   outcome.failures = plain.failures;
   outcome.attempts = policy.started();
   if (plain.answer) {
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -137,7 +137,7 @@
                        const AttemptPolicy& policy) {
   const Instant now = steadyNow();
   const Duration took = now - forwarded.received;
-  const char* kind = forwarded.own ? "own" : routing::toText(forwarded.route->kind);
+  const char* kind = forwarded.internal ? "internal" : routing::toText(forwarded.route->kind);
   metrics_.onRequestEnded(kind, forwarded.route->services.front().service.str(), outcome,
                           policy.started(), took);
   const bool success = status >= 200 && status < 300;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -4,7 +4,7 @@
 /// Serves one client request by attempts at engines. Bytes pass unchanged in both directions.
 
 #include "forward/attempt_policy.h"
-#include "forward/own_requests.h"
+#include "forward/internal_requests.h"
 #include "http/server.h"
 #include "logging/event_log.h"
 #include "logging/success_sampler.h"
@@ -34,11 +34,11 @@
   Instant received{};
   Instant deadline{};
   double most_per_slot = 0;  ///< Engines that are fuller are left alone; 0: no limit.
-  bool own = false;          ///< The system itself sends it, not a client.
+  bool internal = false;     ///< The system itself sends it, not a client.
 };
 
 /// Loop thread only.
-class Forwarder : public own_requests {
+class Forwarder : public internal_requests {
  public:
   Forwarder(boost::asio::io_context& loop, EngineCallContext context,
             routing::WeightedDealer& dealer, metrics::GatewayMetrics& metrics,
@@ -48,7 +48,7 @@
   /// Answers the request in every case, unless the client is gone.
   Task<void> serve(routing::RouteTablePtr table, const routing::Route& route,
                    const http::Request& request, Instant received, http::ResponseWriter& writer);
-  Task<own_request_outcome> send(own_request request) override;
+  Task<internal_outcome> send(internal_request request) override;
   /// @return an answer of this daemon's own.
   http::Response ownAnswer(unsigned status, const std::string& id) const;
 
@@ -57,14 +57,14 @@
   struct StreamState;
 
   /// What the attempts of one request came to.
-  struct PlainOutcome {
+  struct plain_outcome {
     std::optional<http::Response> answer;  ///< Whole and signed.
     int failures = 0;                      ///< Attempts that engines answered with 500.
   };
 
   Task<void> servePlain(std::shared_ptr<ForwardedRequest> forwarded, http::ResponseWriter& writer);
-  Task<PlainOutcome> runAttempts(std::shared_ptr<ForwardedRequest> forwarded, AttemptPolicy& policy,
-                                 http::Cancellation& cancellation);
+  Task<plain_outcome> runAttempts(std::shared_ptr<ForwardedRequest> forwarded,
+                                  AttemptPolicy& policy, http::Cancellation& cancellation);
   Task<void> runAttempt(std::shared_ptr<Race> race, std::shared_ptr<EngineCall> call,
                         std::shared_ptr<ForwardedRequest> forwarded);
   /// @return whether there was an engine for it.
--- a/src/forward/internal_requests.h
+++ b/src/forward/internal_requests.h
@@ -14,7 +14,7 @@
 
 namespace linenpier::forward {
 
-struct own_request {
+struct internal_request {
   routing::RouteTablePtr table;
   const routing::Route* route = nullptr;  ///< Of that table.
   http::Request message;
@@ -23,20 +23,20 @@
   std::shared_ptr<http::Cancellation> cancellation;  ///< Ends the request.
 };
 
-struct own_request_outcome {
+struct internal_outcome {
   unsigned status = 0;    ///< Of a whole, signed answer; 0: there was none.
   std::string signature;  ///< Of that answer.
   int failures = 0;       ///< Attempts that engines answered with 500.
   int attempts = 0;
 
-  bool operator==(const own_request_outcome&) const = default;
+  bool operator==(const internal_outcome&) const = default;
 };
 
-class own_requests {
+class internal_requests {
  public:
-  virtual ~own_requests() = default;
+  virtual ~internal_requests() = default;
 
-  virtual Task<own_request_outcome> send(own_request request) = 0;
+  virtual Task<internal_outcome> send(internal_request request) = 0;
 };
 
 }  // namespace linenpier::forward
--- a/src/logging/step_table.cpp
+++ b/src/logging/step_table.cpp
@@ -70,6 +70,7 @@
     }
   }
   std::vector<version_times> versions;
+  versions.reserve(found.size());
   for (const auto& [key, times] : found) versions.push_back(times);
   return versions;
 }
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -193,7 +193,9 @@
                                   [&key](const table::Row& each) { return each.key == key; });
     if (row != answer->conflicts.end()) onRightRow(service, *row);
   }
-  if (!answer) co_await sleepFor(deps_.loop, kProofPause);
+  if (!answer) {
+    co_await sleepFor(deps_.loop, kProofPause);
+  }
   right.confirming = false;
 }
 
