Share what two test files wrote twice

Cause: the options of two gateways and the request that ends a job stood in two test files. Change: both stand in the fixture; no test or assertion changes, the names of all tests are the same.

--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -7,24 +7,13 @@
 
 using namespace linenpier;
 using nlohmann::json;
+using test::endRequest;
 using test::GatewayFixture;
 using test::SamplerAct;
+using test::twoGateways;
 
 namespace {
 
-test::FixtureOptions twoGateways(int events) {
-  test::FixtureOptions options;
-  options.gateways = 2;
-  options.events = events;
-  return options;
-}
-
-http::Request endRequest(const std::string& id) {
-  http::Request request(boost::beast::http::verb::delete_, "/linenpier/lots/" + id, 11);
-  request.set("Host", "h.example");
-  return request;
-}
-
 std::string wholeText(const std::string& item, int events) {
   std::string text;
   for (int i = 1; i <= events; ++i) text += (i > 1 ? "\n" : "") + item + "." + std::to_string(i);
--- a/tests/gateway/scoring_test.cpp
+++ b/tests/gateway/scoring_test.cpp
@@ -8,24 +8,13 @@
 
 using namespace linenpier;
 using nlohmann::json;
+using test::endRequest;
 using test::GatewayFixture;
 using test::SamplerAct;
+using test::twoGateways;
 
 namespace {
 
-test::FixtureOptions twoGateways(int events) {
-  test::FixtureOptions options;
-  options.gateways = 2;
-  options.events = events;
-  return options;
-}
-
-http::Request endRequest(const std::string& id) {
-  http::Request request(boost::beast::http::verb::delete_, "/linenpier/lots/" + id, 11);
-  request.set("Host", "h.example");
-  return request;
-}
-
 std::vector<json> parseLines(const std::string& results) {
   std::vector<json> parsed;
   std::size_t begin = 0;
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -28,6 +28,19 @@
   return settings;
 }
 
+FixtureOptions twoGateways(int events) {
+  FixtureOptions options;
+  options.gateways = 2;
+  options.events = events;
+  return options;
+}
+
+http::Request endRequest(const std::string& id) {
+  http::Request request(boost::beast::http::verb::delete_, "/linenpier/lots/" + id, 11);
+  request.set("Host", "h.example");
+  return request;
+}
+
 GatewayUnderTest::GatewayUnderTest(boost::asio::io_context& loop,
                                    const gateway::GatewaySettings& settings)
     : store_pool(loop, {}),
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -42,6 +42,11 @@
   std::optional<Duration> keep_jobs;  ///< Until an ended job may be removed.
 };
 
+/// @return options for two gateways before samplers whose streams have so many events.
+FixtureOptions twoGateways(int events);
+/// @return the request that ends a job.
+http::Request endRequest(const std::string& id);
+
 class GatewayFixture {
  public:
   explicit GatewayFixture(FixtureOptions options = {});
