Say that a renewed lease gives no right, and why no own write conflicts

Change: comments only. Seen and left: tests/gateway/batch_test.cpp and scoring_test.cpp each cut results into lines.

--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -89,6 +89,7 @@
     judged.outcome = FencedOutcome::kFenceLost;
     return judged;
   }
+  // The row is the only condition: a conflict under its own revision was not this write's.
   judged.outcome = FencedOutcome::kNotDone;
   return judged;
 }
--- a/src/lease/lease_keeper.h
+++ b/src/lease/lease_keeper.h
@@ -26,7 +26,8 @@
   table::Put renewal() const;
   /// A write with the renewal, sent at `sent_at`, was done.
   void onRenewed(Instant sent_at);
-  /// @return whether this daemon may act under what it owns without asking the store first.
+  /// @return whether the lease was renewed lately. For the metrics only: a renewal has no
+  ///     condition, so it tells of the way to the store and gives no right.
   bool valid(Instant now) const { return now - renewed_at_ < leases_.times().validity; }
   /// @return the store's steady clock, estimated from what its answers said; 0 if none came yet.
   std::int64_t storeClock(Instant now) const;
