Take in changes of engines as often as the daemon needs, and log few

Each daemon also asked the feed anew every 150 ms, kept a copy of the list that was searched row by row for each change, and told it whole.

Ruled out: leaving the parse away, since a daemon learns of a draining engine from the same rows.

Change: the pause between two answers of a feed is asked for after each one. Daemons that own jobs or rights take in engines every 150 ms and jobs every 20 ms, all others every 500 ms and 80 ms. A line is written where an engine is new, drains or goes; the others are counted and told once in ten seconds. The rows for peers are kept by key. A feed that is lost or regained tells how long it was silent.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration kSweepPeriod = std::chrono::seconds(1);
+constexpr std::uint64_t kSweepsPerSummary = 10;  ///< A line on left out changes each ten seconds.
 /// Until the platform has seen that this daemon is not ready and sends nobody new.
 constexpr Duration kLeaveNotice = std::chrono::milliseconds(3200);
 constexpr Duration kStopSlack = std::chrono::milliseconds(900);
@@ -93,7 +94,7 @@
     leases_answered_ = answered;
     updateLeaseHealth();
   });
-  keeper_.start([this] { return batches_.ownsAny() || orders_.holdsAny(); });
+  keeper_.start([this] { return ownsWork(); });
   batches_.start();
   orders_.start();
   spawn(loop_, [this] { return sweepLoop(); });
@@ -180,9 +181,10 @@
 // --- Housekeeping -------------------------------------------------------------------------------
 
 Task<void> Gateway::sweepLoop() {
-  for (;;) {
+  for (std::uint64_t sweeps = 1;; ++sweeps) {
     co_await sleepFor(loop_, kSweepPeriod);
     engine_pool_.sweep(steadyNow());
+    if (sweeps % kSweepsPerSummary == 0) summarizeEngineUpdates();
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,6 +56,10 @@
   void onStoreHeard();
   void onOperatorRow(const table::Row& row);
   void onEngineRow(const table::RowChange& change);
+  /// Writes how many changes of engines were left out of the log.
+  void summarizeEngineUpdates();
+  /// @return whether this daemon owns jobs or the right to order engines.
+  bool ownsWork() const;
   void onEngineSnapshot(const std::vector<table::Row>& rows);
   void onCoordinationRow(const table::RowChange& change);
   void onConfiguration(const std::string& value);
@@ -80,7 +84,10 @@
   http::Server readiness_;
   http::Server metrics_server_;
   http::Server peer_server_;
-  PeerSnapshot snapshot_;  ///< What this daemon acts on, as rows, to be told to others.
+  /// What this daemon acts on, as rows, to be told to others; without the engines.
+  PeerSnapshot snapshot_;
+  std::map<std::string, table::Row> engine_rows_;  ///< The engines of that, by key.
+  std::uint64_t engine_updates_ = 0;               ///< Changes that no line was written about.
   std::unique_ptr<table::TableWatcher> operator_watcher_;
   std::unique_ptr<table::TableWatcher> engine_watcher_;
   std::unique_ptr<table::TableWatcher> coordination_watcher_;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -20,7 +20,9 @@
   http::Response response;
   if (routes_ && engines_known_) {
     snapshot_.engines_revision = std::max(snapshot_.engines_revision, engine_watcher_->revision());
-    response.body() = encodeSnapshot(snapshot_);
+    PeerSnapshot told = snapshot_;
+    for (const auto& [key, row] : engine_rows_) told.engines.push_back(row);
+    response.body() = encodeSnapshot(told);
   } else {
     response.result(kUnavailable);
   }
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -12,8 +12,15 @@
 
 namespace {
 
-/// Between two answers of the engines' feed while engines change one after the other.
+/// Between two answers of the engines' feed at a daemon that runs items or orders engines.
 constexpr Duration kEngineChangesGap = std::chrono::milliseconds(150);
+/// The same at daemons that only forward requests: they need to know who is draining, for which
+/// the platform allows two seconds, not each change of weights.
+constexpr Duration kIdleEngineChangesGap = std::chrono::milliseconds(500);
+/// Between two answers of the feed of jobs and rights, at a daemon that may be given a job …
+constexpr Duration kJobChangesGap = std::chrono::milliseconds(20);
+/// … and at one that only tells readers of them.
+constexpr Duration kIdleJobChangesGap = std::chrono::milliseconds(80);
 
 std::string keyWithoutTable(const table::Row& row) {
   return row.key.substr(row.key.find('/') + 1);
@@ -46,7 +53,9 @@
     if (healthy) onStoreHeard();
   };
   table::WatcherOptions engine_options;
-  engine_options.coalesce = kEngineChangesGap;
+  engine_options.coalesce = [this] {
+    return ownsWork() ? kEngineChangesGap : kIdleEngineChangesGap;
+  };
   engine_options.seed = hash64(settings_.id.str(), 2);
   engine_watcher_ = std::make_unique<table::TableWatcher>(
       loop_, platform_.table(), platform_.engineTable(), engine_options, engine_listener);
@@ -66,7 +75,7 @@
   };
   table::WatcherOptions options;
   options.wait = std::chrono::milliseconds(1500);
-  options.coalesce = std::chrono::milliseconds(80);
+  options.coalesce = [this] { return ownsWork() ? kJobChangesGap : kIdleJobChangesGap; };
   options.seed = hash64(settings_.id.str(), 3);
   coordination_watcher_ = std::make_unique<table::TableWatcher>(
       loop_, platform_.table(), kCoordinationTable, options, coordination);
@@ -130,33 +139,52 @@
     if (record) records.push_back(std::move(*record));
   }
   engines_known_ = true;
-  snapshot_.engines = rows;
+  engine_rows_.clear();
+  for (const table::Row& row : rows) engine_rows_[row.key] = row;
   LogEvent("engines", "listed").number("count", static_cast<std::int64_t>(records.size()));
   for (const Address& gone : registry_.onList(steadyNow(), records)) engine_pool_.forget(gone);
 }
 
 void Gateway::onEngineRow(const table::RowChange& change) {
   const std::string key = keyWithoutTable(change.row);
-  std::erase_if(snapshot_.engines,
-                [&](const table::Row& row) { return row.key == change.row.key; });
-  if (!change.gone) snapshot_.engines.push_back(change.row);
+  const Instant now = steadyNow();
   if (change.gone) {
-    if (const auto address = registry_.onGone(EngineId(key))) engine_pool_.forget(*address);
+    engine_rows_.erase(change.row.key);
+    const auto address = registry_.onGone(EngineId(key));
+    if (address) engine_pool_.forget(*address);
     LogEvent("engines", "gone").text("engine", key);
     return;
   }
+  engine_rows_[change.row.key] = change.row;
   const auto record = platform_.parseEngine(key, change.row.value);
   if (!record) {
     LogEvent("engines", "bad_record").text("engine", key);
     return;
   }
-  registry_.onRecord(steadyNow(), *record);
-  LogEvent("engines", record->draining ? "draining" : "changed")
+  const engines::EngineState* known = registry_.find(record->id);
+  const bool told = known == nullptr || known->record.draining != record->draining;
+  registry_.onRecord(now, *record);
+  if (!told) {
+    // Weights and the like change many times a second in a large fleet.
+    ++engine_updates_;
+    return;
+  }
+  LogEvent("engines", record->draining ? "draining" : "added")
       .text("engine", key)
       .text("service", record->service.str())
       .number("revision", static_cast<std::int64_t>(change.row.revision));
 }
 
+void Gateway::summarizeEngineUpdates() {
+  if (engine_updates_ == 0) return;
+  LogEvent("engines", "updated").number("entries", static_cast<std::int64_t>(engine_updates_));
+  engine_updates_ = 0;
+}
+
+bool Gateway::ownsWork() const {
+  return batches_.ownsAny() || orders_.holdsAny();
+}
+
 void Gateway::onCoordinationRow(const table::RowChange& change) {
   const std::string key = keyWithoutTable(change.row);
   const auto tail = [&key](const std::string& prefix) { return key.substr(prefix.size()); };
--- a/src/table/table_watcher.cpp
+++ b/src/table/table_watcher.cpp
@@ -9,12 +9,15 @@
 }
 
 void TableWatcher::setHealthy(bool healthy) {
-  if (healthy) last_answer_ = steadyNow();
+  const Instant now = steadyNow();
+  const Duration silent = ever_read_ ? now - last_answer_ : Duration::zero();
+  if (healthy) last_answer_ = now;
   if (healthy == healthy_) return;
   healthy_ = healthy;
   logging::LogEvent("store", healthy ? "feed_regained" : "feed_lost")
       .text("table", name_)
-      .number("revision", static_cast<std::int64_t>(revision_));
+      .number("revision", static_cast<std::int64_t>(revision_))
+      .milliseconds("silent_ms", silent);
   listener_.on_health(healthy);
 }
 
@@ -62,9 +65,9 @@
   if (revision < revision_) co_return false;
   revision_ = revision;
   have_rows_ = true;
+  setHealthy(true);
   ever_read_ = true;
   listener_.on_snapshot(rows);
-  setHealthy(true);
   co_return true;
 }
 
@@ -82,9 +85,9 @@
   setHealthy(true);
   for (const RowChange& change : batch->changes) listener_.on_change(change);
   revision_ = std::max(revision_, batch->revision);
-  if (!batch->changes.empty() && options_.coalesce > Duration::zero()) {
-    co_await sleepFor(loop_, options_.coalesce);
-  }
+  if (batch->changes.empty() || !options_.coalesce) co_return true;
+  const Duration pause = options_.coalesce();
+  if (pause > Duration::zero()) co_await sleepFor(loop_, pause);
   co_return true;
 }
 
--- a/src/table/table_watcher.h
+++ b/src/table/table_watcher.h
@@ -18,7 +18,9 @@
   Duration wait = std::chrono::seconds(2);  ///< Of one call.
   /// Of a call while the feed counts as lost: its answer shows that the store is back.
   Duration wait_while_lost = std::chrono::milliseconds(20);
-  Duration coalesce{};  ///< Pause after changes, so that more come at once.
+  /// Pause after changes, so that more come at once; empty: none. Asked after each answer, since
+  /// what the daemon does decides how fresh it must be.
+  std::function<Duration()> coalesce = {};
   /// Before a call is made again that failed, and at most.
   Duration retry_pause = std::chrono::milliseconds(150);
   Duration longest_retry_pause = std::chrono::milliseconds(600);
