Let the daemons that can carry most own the jobs

Cause: whoever receives a model's first job kept all of that model's jobs.

Ruled out: choosing by a configured class of machine, since machines turn slow; an announcement of every daemon, which costs a row and a renewal for each of 295.

Change: a few daemons offer themselves (one a trained model and two more). They renew a lease while they own nothing, and its row tells what they can carry: processors given, bounded by the link, less for timers that run late. All daemons rank the leases alike, so that the pool settles on the best without anybody who decides; a daemon that becomes slow falls behind and out. A job goes to the owner of its model's last job while that lives and carries half of what the best one does, else to a member that owns no other model's jobs, by the model's position so that first jobs which are handed in at the same moment spread. Members take over first and read the leases three times a second; one daemon takes all jobs of a model.

Tests: seven of the pool, six of the choice; the first of the latter fails with the former choice. Limits of a machine come from the settings file ([machine], checked).

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -5,6 +5,7 @@
 
 #include "batch/active_job.h"
 #include "batch/batch_service.h"
+#include "batch/owner_choice.h"
 #include "logging/event_log.h"
 
 namespace linenpier::batch {
@@ -56,6 +57,38 @@
   }
 }
 
+LeaseId BatchService::ownerFor(Instant now, const JobRecord& record) const {
+  OwnerChoice choice;
+  choice.candidates = deps_.pool.ranked(now);
+  choice.items = record.total;
+  choice.most_open_items = options_.most_open_items;
+  const std::vector<JobId> earlier = earlierJobs(record);
+  if (!earlier.empty()) {
+    const LeaseId& owner = jobs_.at(earlier.front()).record.owner;
+    if (!owner.empty() && deps_.leases.alive(now, owner)) choice.previous = owner;
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (job.record.ended) continue;
+    if (job.record.owner == choice.previous) choice.previous_items += job.record.total;
+    if (job.record.model != record.model) choice.busy.insert(job.record.owner);
+  }
+  choice.model_index = modelIndex(record);
+  return chooseOwner(choice, deps_.leases.own());
+}
+
+std::size_t BatchService::modelIndex(const JobRecord& record) const {
+  const routing::RouteTablePtr table = deps_.routes();
+  std::size_t index = 0;
+  if (!table) return index;
+  for (const auto& [name, service] : table->services) {
+    for (const ModelName& model : service.models) {
+      if (model == record.model) return index;
+      ++index;
+    }
+  }
+  return index;
+}
+
 Task<void> BatchService::submit(const routing::Route& route, const http::Request& request,
                                 Instant received, http::ResponseWriter& writer) {
   const JobId id(http::fieldText(request, deps_.engines.names.request_id));
@@ -68,12 +101,14 @@
     co_await answer(writer, kAccepted);
     co_return;
   }
+  LeaseId owner;
   const auto logOutcome = [&](const char* outcome, unsigned status) {
     LogEvent("batch", "submitted")
         .text("batch", id.str())
         .text("route", route.name.str())
         .text("outcome", outcome)
         .number("status", status)
+        .text("owner", owner.str())
         .number("bytes", static_cast<std::int64_t>(request.body().size()))
         .milliseconds("took_ms", steadyNow() - received);
   };
@@ -108,7 +143,8 @@
   record.total = job->items.size();
   if (!job->items.empty()) record.model = job->items.front().model;
   record.accepted_ms = deps_.keeper.storeClock(steadyNow());
-  record.owner = chooseOwner(steadyNow(), record);
+  record.owner = ownerFor(steadyNow(), record);
+  owner = record.owner;
   const FencedAnswer accepted = co_await acceptRecord(record, deadline);
   if (accepted.outcome == FencedOutcome::kNotDone) {
     ++counts_.refused;
--- a/src/batch/batch_carry_over.cpp
+++ b/src/batch/batch_carry_over.cpp
@@ -27,19 +27,6 @@
   return ids;
 }
 
-LeaseId BatchService::chooseOwner(Instant now, const JobRecord& record) const {
-  const LeaseId& own = deps_.leases.own();
-  const std::vector<JobId> earlier = earlierJobs(record);
-  if (earlier.empty()) return own;
-  const LeaseId& owner = jobs_.at(earlier.front()).record.owner;
-  if (owner.empty() || !deps_.leases.alive(now, owner)) return own;
-  std::size_t open_items = record.total;
-  for (const auto& [id, job] : jobs_) {
-    if (!job.record.ended && job.record.owner == owner) open_items += job.record.total;
-  }
-  return open_items <= options_.most_open_items ? owner : own;
-}
-
 /** Reads under way of what earlier jobs left. */
 struct BatchService::carry_over_search
     : boost::intrusive_ref_counter<carry_over_search, boost::thread_unsafe_counter> {
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -111,7 +111,9 @@
     if (!deps_.leases.storeHealthy() || !deps_.leases.expired(job.record.owner)) continue;
     if (job.orphaned_at == Instant{}) job.orphaned_at = now;
     const bool own = deps_.leases.isEarlierSelf(job.record.owner);
-    const Duration delay = own ? Duration::zero() : deps_.leases.courtesy(now, id.str());
+    // One daemon takes all jobs of a model.
+    const std::string& what = job.record.model.empty() ? id.str() : job.record.model.str();
+    const Duration delay = own ? Duration::zero() : deps_.pool.courtesy(now, what);
     if (now - job.orphaned_at < delay) continue;
     job.activating = true;
     job.orphaned_at = Instant{};
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -25,6 +25,7 @@
 #include "http/server.h"
 #include "lease/lease_keeper.h"
 #include "lease/lease_table.h"
+#include "lease/owner_pool.h"
 #include "logging/success_sampler.h"
 #include "versions/load_demand.h"
 
@@ -55,8 +56,9 @@
   Duration carry_over_time = std::chrono::seconds(2);
   /// Trainers ask for the next step while one or two are under way.
   std::size_t earlier_jobs = 3;
-  /// Items of open jobs that one daemon is given.
-  std::size_t most_open_items = 600;
+  /// Items of open jobs that one daemon is given: four steps of the largest deployments' trainers.
+  /// Beyond that the events of all of them would take more than a small machine's processor.
+  std::size_t most_open_items = 1000;
   double requests_per_slot = 1.0;
   double move_gain = 1.15;  ///< An engine must be this much faster for a run to move there.
   /// A move must save more than this; reading a prompt and the text so far again costs less.
@@ -95,6 +97,7 @@
     JobStore& store;
     lease::LeaseTable& leases;
     lease::LeaseKeeper& keeper;
+    const lease::OwnerPool& pool;
     const BatchCodec& codec;
     forward::internal_requests& rewards;
     std::function<routing::RouteTablePtr()> routes;  ///< The newest table; empty before the first.
@@ -161,9 +164,10 @@
   Task<CallResult<Inheritance>> inherit(JobRecord record);
   void activate(const JobId& id, BatchJob job, const Inheritance& inheritance, Instant accepted_at);
 
-  /// @return who should run a job: the owner of its model's newest job, who has connections to the
-  ///     engines, knows what it runs there and what is kept; else this daemon.
-  LeaseId chooseOwner(Instant now, const JobRecord& record) const;
+  /// @return who should run a job that is handed in here.
+  LeaseId ownerFor(Instant now, const JobRecord& record) const;
+  /// @return the position of the job's model among those of the configuration.
+  std::size_t modelIndex(const JobRecord& record) const;
   /// Finds what earlier jobs left, and lets the job go on with it.
   Task<void> carryOver(ActivePtr active);
   /// @return the newest jobs of the same route and model that were accepted before.
--- /dev/null
+++ b/src/batch/owner_choice.h
@@ -0,0 +1,30 @@
+#pragma once
+
+/// @file
+/// Which daemon is to own a job that is handed in. Pure.
+
+#include <set>
+#include <vector>
+
+#include "batch/batch_types.h"
+#include "lease/lease_table.h"
+
+namespace linenpier::batch {
+
+struct OwnerChoice {
+  /// Live daemons that told what they can carry, best first.
+  std::vector<lease::OwnerCandidate> candidates;
+  /// Owner of the model's newest job, if it lives: it has connections to the engines, and knows
+  /// what it runs there and what is kept. Empty: there is none.
+  LeaseId previous;
+  std::size_t previous_items = 0;   ///< Items of open jobs that `previous` owns.
+  std::size_t items = 0;            ///< Of the new job.
+  std::set<LeaseId> busy;           ///< Owners of open jobs of other models.
+  std::size_t model_index = 0;      ///< Position among the models that are trained.
+  std::size_t most_open_items = 0;  ///< That one daemon is given.
+};
+
+/// @return the owner; `own` where nobody offers.
+LeaseId chooseOwner(const OwnerChoice& choice, const LeaseId& own);
+
+}  // namespace linenpier::batch
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,8 +40,9 @@
       registry_(settings.zone, {}, seed),
       dealer_(seed),
       leases_(lease::makeLeaseId(settings.id.str(), Random(seed).hex16()), {}, steadyNow()),
-      keeper_(loop, platform.table(), leases_),
-      lease_watch_(loop, platform.table(), leases_, keeper_, {}, seed + 1),
+      owner_pool_(leases_, settings.machine),
+      keeper_(loop, platform.table(), leases_, owner_pool_),
+      lease_watch_(loop, platform.table(), leases_, keeper_, owner_pool_, {}, seed + 1),
       job_store_(platform.table(), platform.objects(), settings.row_bytes - kRowOverhead),
       forwarder_(loop, {engine_pool, registry_, platform.fieldNames()}, dealer_, metrics, {}),
       batches_({loop,
@@ -49,12 +50,13 @@
                 job_store_,
                 leases_,
                 keeper_,
+                owner_pool_,
                 platform.batchCodec(),
                 forwarder_,
                 [this] { return routes_; }},
                settings.batch),
       orders_(
-          {loop, registry_, platform.table(), leases_, keeper_, platform.orders(),
+          {loop, registry_, platform.table(), leases_, keeper_, owner_pool_, platform.orders(),
            [this] { return routes_; }, [this] { return batches_.openWork(); }, settings.id.str()},
           orderOptions(settings)),
       requests_(loop,
@@ -89,11 +91,7 @@
   }
   watchTables();
   spawn(loop_, [this] { return peerLoop(); });
-  lease_watch_.start([this](bool answered) {
-    if (answered && !leases_answered_) onStoreHeard();
-    leases_answered_ = answered;
-    updateLeaseHealth();
-  });
+  lease_watch_.start([this](bool answered) { onLeasesRead(answered); });
   keeper_.start([this] { return ownsWork(); });
   batches_.start();
   orders_.start();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,8 +60,10 @@
   Task<void> dropLapsedEngines();
   /// Writes how many changes of engines were left out of the log.
   void summarizeEngineUpdates();
-  /// @return whether this daemon owns jobs or the right to order engines.
+  /// @return whether this daemon owns jobs or the right to order engines, or offers to.
   bool ownsWork() const;
+  /// The leases were read, or could not be.
+  void onLeasesRead(bool answered);
   void onEngineSnapshot(const std::vector<table::Row>& rows);
   void onCoordinationRow(const table::RowChange& change);
   void onConfiguration(const std::string& value);
@@ -75,6 +77,7 @@
   routing::RouteTablePtr routes_;  ///< The newest seen in this life; empty before the first.
   routing::WeightedDealer dealer_;
   lease::LeaseTable leases_;
+  lease::OwnerPool owner_pool_;
   lease::LeaseKeeper keeper_;
   lease::lease_watch lease_watch_;
   bool leases_answered_ = false;  ///< Whether the last read of the leases was answered.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -61,6 +61,11 @@
   if (metrics.port != 0) settings.metrics = metrics;
   reader.readAddress("store.address", settings.store, true);
   reader.readInteger("store.row_bytes", row_bytes, 1024, 64 * 1024 * 1024);
+  double processor_share = 1;
+  double cores = 1;
+  reader.readNumber("machine.processor_share", processor_share, 0.001, 1024);
+  reader.readNumber("machine.cores", cores, 0.001, 1024);
+  reader.readNumber("machine.link_mbps", settings.machine.link_mbps, 0.001, 1e7);
   reader.readNumber("stop.seconds", stop_seconds, 1, 3600);
   reader.readNumber("orders.pause_ms", order_pause_ms, 0, 600000);
   reader.readChoice("log.format", format, {"json", "text"});
@@ -78,6 +83,7 @@
   if (!findings.empty()) return tl::make_unexpected(findings);
   settings.id = DaemonId(id);
   settings.zone = ZoneName(zone);
+  settings.machine.processors = processor_share * cores;
   settings.row_bytes = static_cast<std::size_t>(row_bytes);
   settings.stop_limit = fromSeconds(stop_seconds);
   settings.order_pause = fromSeconds(order_pause_ms / 1000);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -12,6 +12,7 @@
 #include "common/error.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "lease/own_capacity.h"
 #include "versions/version_rollout.h"
 
 namespace linenpier::gateway {
@@ -25,6 +26,7 @@
   std::optional<Address> peers;    ///< Where other daemons ask; absent: nowhere.
   std::vector<Address> seeds;      ///< Some daemons' addresses for that; may be stale.
   Address store;
+  lease::MachineLimits machine;
   std::size_t row_bytes = 65536;                   ///< Largest value of a row.
   Duration stop_limit = std::chrono::seconds(8);   ///< From the signal to the end.
   Duration order_pause = std::chrono::seconds(3);  ///< Between the orders of two holders.
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -21,6 +21,9 @@
 constexpr Duration kJobChangesGap = std::chrono::milliseconds(20);
 /// … and at one that only tells readers of them.
 constexpr Duration kIdleJobChangesGap = std::chrono::milliseconds(80);
+/// Daemons that offer to own work beyond one a model: one for the right to order, one that can take
+/// over at once.
+constexpr std::size_t kSpareOwners = 2;
 
 std::string keyWithoutTable(const table::Row& row) {
   return row.key.substr(row.key.find('/') + 1);
@@ -193,7 +196,22 @@
 }
 
 bool Gateway::ownsWork() const {
-  return batches_.ownsAny() || orders_.holdsAny();
+  return owner_pool_.offers() || batches_.ownsAny() || orders_.holdsAny();
+}
+
+void Gateway::onLeasesRead(bool answered) {
+  if (answered && !leases_answered_) onStoreHeard();
+  leases_answered_ = answered;
+  updateLeaseHealth();
+  if (!answered || stopping_) return;
+  std::size_t models = 0;
+  if (routes_) {
+    for (const auto& [name, service] : routes_->services) models += service.models.size();
+  }
+  if (!owner_pool_.onLeasesRead(steadyNow(), models + kSpareOwners)) return;
+  LogEvent("lease", owner_pool_.offers() ? "offers_to_own" : "offers_no_more")
+      .real("capacity", owner_pool_.capacity())
+      .number("wanted", static_cast<std::int64_t>(models + kSpareOwners));
 }
 
 void Gateway::onCoordinationRow(const table::RowChange& change) {
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -10,7 +10,7 @@
 }
 
 table::Put LeaseKeeper::renewal() const {
-  return {gateway::leaseKey(leases_.own()), "renewed"};
+  return {gateway::leaseKey(leases_.own()), encodeCapacity(pool_.capacity())};
 }
 
 void LeaseKeeper::onRenewed(Instant sent_at) {
@@ -57,7 +57,9 @@
     } else if (now < due) {
       pause = due - now;
     }
+    const Instant wake_at = steadyNow() + pause;
     co_await sleepFor(loop_, pause);
+    pool_.onTimer(steadyNow() - wake_at);
   }
 }
 
--- a/src/lease/lease_keeper.h
+++ b/src/lease/lease_keeper.h
@@ -1,12 +1,13 @@
 #pragma once
 
 /// @file
-/// Renews this daemon's lease row while it owns anything.
+/// Renews this daemon's lease row while it owns anything or offers to.
 
 #include <functional>
 
 #include "common/task.h"
 #include "lease/lease_table.h"
+#include "lease/owner_pool.h"
 #include "table/async_table.h"
 
 namespace linenpier::lease {
@@ -14,10 +15,11 @@
 /// Loop thread only.
 class LeaseKeeper {
  public:
-  LeaseKeeper(boost::asio::io_context& loop, table::AsyncTable& table, LeaseTable& leases)
-      : loop_(loop), table_(table), leases_(leases) {}
+  LeaseKeeper(boost::asio::io_context& loop, table::AsyncTable& table, LeaseTable& leases,
+              OwnerPool& pool)
+      : loop_(loop), table_(table), leases_(leases), pool_(pool) {}
 
-  /// @param needed tells whether anything is owned now.
+  /// @param needed tells whether a lease is needed now.
   void start(std::function<bool()> needed);
   /// Ends the renewals. The row is removed if possible.
   Task<void> stop();
@@ -48,6 +50,7 @@
   boost::asio::io_context& loop_;
   table::AsyncTable& table_;
   LeaseTable& leases_;
+  OwnerPool& pool_;
   std::function<bool()> needed_;
   Instant renewed_at_{};       ///< When the last successful renewal was sent.
   std::int64_t clock_ms_ = 0;  ///< The store's clock as last read.
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -14,6 +14,14 @@
 constexpr std::int64_t kJitterSteps = 100;
 }  // namespace
 
+std::string encodeCapacity(double capacity) {
+  return std::to_string(capacity);
+}
+
+double decodeCapacity(const std::string& value) {
+  return std::max(0.0, std::strtod(value.c_str(), nullptr));
+}
+
 LeaseId makeLeaseId(const std::string& daemon, const std::string& incarnation) {
   return LeaseId(daemon + kSeparator + incarnation);
 }
@@ -39,9 +47,12 @@
   return lease != own_ && daemonOf(lease) == daemonOf(own_);
 }
 
-void LeaseTable::onRead(Instant sent_at, Instant now, const std::map<LeaseId, Revision>& rows) {
+void LeaseTable::onRead(Instant sent_at, Instant now, const std::map<LeaseId, LeaseRow>& rows) {
   // An absent row is kept while somebody asks for it: its silence counts.
-  for (const auto& [lease, revision] : rows) onRow(now, lease, revision);
+  for (const auto& [lease, row] : rows) {
+    onRow(now, lease, row.revision);
+    rows_[lease].capacity = row.capacity;
+  }
   std::erase_if(rows_, [&](const auto& each) {
     return each.second.revision > 0 && !rows.contains(each.first);
   });
@@ -75,6 +86,15 @@
   return now - at->second.changed_at < times_.expiry;
 }
 
+std::vector<OwnerCandidate> LeaseTable::candidates(Instant now) const {
+  std::vector<OwnerCandidate> found;
+  for (const auto& [lease, seen] : rows_) {
+    const bool other = lease != own_ && !isEarlierSelf(lease);
+    if (other && seen.capacity > 0 && alive(now, lease)) found.push_back({lease, seen.capacity});
+  }
+  return found;
+}
+
 std::vector<LeaseId> LeaseTable::forgotten(Instant now) const {
   std::vector<LeaseId> found;
   for (const auto& [lease, seen] : rows_) {
--- a/src/lease/lease_table.h
+++ b/src/lease/lease_table.h
@@ -40,6 +40,29 @@
   Duration forget = std::chrono::seconds(60);
 };
 
+/// A lease as its row tells.
+struct LeaseRow {
+  // Not explicit: a row without a capacity is its revision.
+  LeaseRow(Revision row_revision = 0, double told_capacity = 0)
+      : revision(row_revision), capacity(told_capacity) {}
+
+  Revision revision;
+  double capacity;  ///< See OwnCapacity::value; 0: not told.
+};
+
+/// @return the value of a lease's row.
+std::string encodeCapacity(double capacity);
+/// @return 0 if the value tells none.
+double decodeCapacity(const std::string& value);
+
+/// A live daemon that told what it can carry.
+struct OwnerCandidate {
+  LeaseId lease;
+  double capacity = 0;
+
+  bool operator==(const OwnerCandidate&) const = default;
+};
+
 /// @return the lease id of one life of a daemon.
 LeaseId makeLeaseId(const std::string& daemon, const std::string& incarnation);
 /// @return the daemon that the lease belongs to.
@@ -58,7 +81,7 @@
   void onRow(Instant now, const LeaseId& lease, Revision revision);
   /// All rows were read: `rows`, as of a moment between `sent_at` and `now`. How long that took
   /// tells how late renewals may be.
-  void onRead(Instant sent_at, Instant now, const std::map<LeaseId, Revision>& rows);
+  void onRead(Instant sent_at, Instant now, const std::map<LeaseId, LeaseRow>& rows);
   /// The store answers from now on; silence before says nothing.
   void onStoreRegained(Instant now) { store_healthy_since_ = now; }
   void onStoreLost() { store_healthy_since_.reset(); }
@@ -72,6 +95,8 @@
   bool anySuspect(Instant now) const;
   /// @return whether the owner's row was seen to be renewed lately, or it is this life.
   bool alive(Instant now, const LeaseId& lease) const;
+  /// @return the other daemons that live and told their capacity.
+  std::vector<OwnerCandidate> candidates(Instant now) const;
   /// @return leases that nobody has renewed for so long that their rows may be removed.
   std::vector<LeaseId> forgotten(Instant now) const;
   /// @return the revision of the lease's row as last seen; 0 if it was never seen.
@@ -87,6 +112,7 @@
   struct Observation {
     Revision revision = 0;
     Instant changed_at{};
+    double capacity = 0;
   };
   LeaseId own_;
   LeaseTimes times_;
--- a/src/lease/lease_watch.cpp
+++ b/src/lease/lease_watch.cpp
@@ -18,7 +18,7 @@
 }
 
 Duration lease_watch::nextPause(bool answered) {
-  const bool hurry = !answered || this->leases_.anySuspect(steadyNow());
+  const bool hurry = !answered || this->pool_.offers() || this->leases_.anySuspect(steadyNow());
   const Duration period = hurry ? this->options_.suspect_period : this->options_.period;
   const auto step = static_cast<std::int64_t>(this->random_.below(kSpreadSteps));
   return period * 2 / 3 + period * 2 / 3 * step / static_cast<std::int64_t>(kSpreadSteps);
@@ -38,7 +38,7 @@
 
 Task<bool> lease_watch::readAll() {
   const Instant sent_at = steadyNow();
-  std::map<LeaseId, Revision> rows;
+  std::map<LeaseId, LeaseRow> rows;
   table::RowRange range{gateway::kLeaseTable, "", "", 0};
   for (;;) {
     auto page = co_await this->table_.read(range);
@@ -50,7 +50,8 @@
     }
     this->keeper_.onStoreClock(steadyNow(), page->clock_ms);
     for (const table::Row& row : page->rows) {
-      rows[LeaseId(row.key.substr(gateway::kLeaseTable.size() + 1))] = row.revision;
+      const LeaseId lease(row.key.substr(gateway::kLeaseTable.size() + 1));
+      rows[lease] = LeaseRow(row.revision, decodeCapacity(row.value));
     }
     if (!page->has_more || page->rows.empty()) break;
     range.from = page->rows.back().key.substr(gateway::kLeaseTable.size() + 1) + '\x01';
--- a/src/lease/lease_watch.h
+++ b/src/lease/lease_watch.h
@@ -18,7 +18,8 @@
 
 struct lease_watch_options {
   Duration period = std::chrono::seconds(1);  ///< In the mean; spread by a third to both sides.
-  /// While an owner misses renewals, or the store did not answer.
+  /// While an owner misses renewals, or the store did not answer; and always at a daemon that
+  /// offers to own what a lost owner leaves.
   Duration suspect_period = std::chrono::milliseconds(350);
 };
 
@@ -26,11 +27,13 @@
 class lease_watch {
  public:
   lease_watch(boost::asio::io_context& loop, table::AsyncTable& table, LeaseTable& leases,
-              LeaseKeeper& keeper, lease_watch_options options, std::uint64_t seed)
+              LeaseKeeper& keeper, const OwnerPool& pool, lease_watch_options options,
+              std::uint64_t seed)
       : loop_(loop),
         table_(table),
         leases_(leases),
         keeper_(keeper),
+        pool_(pool),
         options_(options),
         random_(seed) {}
 
@@ -48,6 +51,7 @@
   table::AsyncTable& table_;
   LeaseTable& leases_;
   LeaseKeeper& keeper_;
+  const OwnerPool& pool_;
   lease_watch_options options_;
   Random random_;
   std::function<void(bool)> on_health_;
--- /dev/null
+++ b/src/lease/owner_pool.cpp
@@ -0,0 +1,57 @@
+#include "lease/owner_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "common/hash.h"
+
+namespace linenpier::lease {
+
+namespace {
+
+/// Daemons outside the pool wait this much longer before they take something over: twice the spread
+/// of the pool's own delays, so that they only come when nobody of the pool does.
+constexpr Duration kOutsiderDelay = std::chrono::milliseconds(600);
+/// Capacities are told apart by steps of this power of two. A timer's jitter must not change ranks.
+constexpr double kStepsPerDoubling = 2;
+
+long capacityStep(double capacity) {
+  return std::lround(kStepsPerDoubling * std::log2(std::max(capacity, 1e-6)));
+}
+
+}  // namespace
+
+bool betterOwner(const OwnerCandidate& one, const OwnerCandidate& other) {
+  const long step = capacityStep(one.capacity);
+  const long other_step = capacityStep(other.capacity);
+  if (step != other_step) return step > other_step;
+  const std::string name = daemonOf(one.lease);
+  const std::string other_name = daemonOf(other.lease);
+  const std::uint64_t hash = hash64(name);
+  const std::uint64_t other_hash = hash64(other_name);
+  return hash != other_hash ? hash < other_hash : name < other_name;
+}
+
+std::vector<OwnerCandidate> OwnerPool::ranked(Instant now) const {
+  std::vector<OwnerCandidate> candidates = leases_.candidates(now);
+  if (offers_) candidates.push_back({leases_.own(), capacity()});
+  std::sort(candidates.begin(), candidates.end(), betterOwner);
+  return candidates;
+}
+
+bool OwnerPool::onLeasesRead(Instant now, std::size_t wanted) {
+  const OwnerCandidate self{leases_.own(), capacity()};
+  const std::vector<OwnerCandidate> others = leases_.candidates(now);
+  const auto better = static_cast<std::size_t>(
+      std::count_if(others.begin(), others.end(),
+                    [&self](const OwnerCandidate& each) { return betterOwner(each, self); }));
+  const bool before = offers_;
+  offers_ = better < wanted;
+  return offers_ != before;
+}
+
+Duration OwnerPool::courtesy(Instant now, const std::string& what) const {
+  return leases_.courtesy(now, what) + (offers_ ? Duration::zero() : kOutsiderDelay);
+}
+
+}  // namespace linenpier::lease
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -170,7 +170,7 @@
   if (!vacant) return;
   if (right.vacant_since == Instant{}) right.vacant_since = now;
   const bool own = deps_.leases.isEarlierSelf(right.owner);
-  if (!own && now - right.vacant_since < deps_.leases.courtesy(now, service.str())) return;
+  if (!own && now - right.vacant_since < deps_.pool.courtesy(now, service.str())) return;
   right.acquiring = true;
   spawn(deps_.loop, [this, service] { return acquire(service); });
 }
--- a/src/versions/order_service.h
+++ b/src/versions/order_service.h
@@ -52,6 +52,7 @@
     table::AsyncTable& table;
     lease::LeaseTable& leases;
     lease::LeaseKeeper& keeper;
+    const lease::OwnerPool& pool;
     EngineOrders& orders;
     std::function<routing::RouteTablePtr()> routes;
     std::function<open_work_by_model()> open_work;  ///< Of jobs under way.
--- /dev/null
+++ b/tests/batch/owner_choice_test.cpp
@@ -0,0 +1,61 @@
+#include "batch/owner_choice.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using batch::chooseOwner;
+using batch::LeaseId;
+using batch::OwnerChoice;
+
+namespace {
+
+const LeaseId kOwn("slow#1");
+const LeaseId kFast("fast#1");
+const LeaseId kOther("other#1");
+
+OwnerChoice choiceOf(std::vector<lease::OwnerCandidate> candidates) {
+  OwnerChoice choice;
+  choice.candidates = std::move(candidates);
+  choice.items = 200;
+  choice.most_open_items = 1000;
+  return choice;
+}
+
+}  // namespace
+
+Test(owner_choice, a_job_handed_in_at_a_slow_machine_is_owned_by_a_fast_one) {
+  cr_assert_eq(chooseOwner(choiceOf({{kFast, 0.5}, {kOwn, 0.06}}), kOwn), kFast);
+}
+
+Test(owner_choice, where_nobody_offers_the_daemon_keeps_the_job) {
+  cr_assert_eq(chooseOwner(choiceOf({}), kOwn), kOwn);
+}
+
+Test(owner_choice, jobs_of_a_model_stay_with_their_owner_while_it_can_carry_them) {
+  OwnerChoice choice = choiceOf({{kFast, 0.5}, {kOther, 0.4}});
+  choice.previous = kOther;
+  cr_assert_eq(chooseOwner(choice, kOwn), kOther);
+  choice.previous_items = 900;
+  cr_assert_eq(chooseOwner(choice, kOwn), kFast, "it has enough to do");
+}
+
+Test(owner_choice, an_owner_that_became_slow_is_left) {
+  OwnerChoice choice = choiceOf({{kFast, 0.5}, {kOther, 0.2}});
+  choice.previous = kOther;
+  cr_assert_eq(chooseOwner(choice, kOwn), kFast);
+}
+
+Test(owner_choice, owners_of_other_models_are_spared_while_there_are_others) {
+  OwnerChoice choice = choiceOf({{kFast, 0.5}, {kOther, 0.45}});
+  choice.busy = {kFast};
+  cr_assert_eq(chooseOwner(choice, kOwn), kOther);
+  choice.busy = {kFast, kOther};
+  cr_assert_eq(chooseOwner(choice, kOwn), kFast);
+}
+
+Test(owner_choice, first_jobs_of_several_models_take_different_owners) {
+  OwnerChoice choice = choiceOf({{kFast, 0.5}, {kOther, 0.5}});
+  const LeaseId first = chooseOwner(choice, kOwn);
+  choice.model_index = 1;
+  cr_assert_neq(chooseOwner(choice, kOwn), first);
+}
--- /dev/null
+++ b/tests/lease/owner_pool_test.cpp
@@ -0,0 +1,88 @@
+#include "lease/owner_pool.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using lease::LeaseRow;
+using lease::LeaseTable;
+using lease::makeLeaseId;
+using lease::OwnerPool;
+
+namespace {
+
+constexpr Instant kStart{std::chrono::seconds(100)};
+const lease::LeaseId kOwn = makeLeaseId("own", "a");
+const lease::MachineLimits kSmall{0.12, 60};
+const lease::MachineLimits kLarge{0.5, 600};
+
+LeaseTable tableWith(const std::map<lease::LeaseId, LeaseRow>& rows) {
+  LeaseTable table(kOwn, {}, kStart);
+  table.onStoreRegained(kStart);
+  table.onRead(kStart, kStart, rows);
+  return table;
+}
+
+}  // namespace
+
+Test(owner_pool, a_daemon_offers_itself_only_while_too_few_better_ones_do) {
+  const LeaseTable empty = tableWith({});
+  OwnerPool first(empty, kSmall);
+  cr_assert(first.onLeasesRead(kStart, 2));
+  cr_assert(first.offers());
+  const LeaseTable full = tableWith(
+      {{makeLeaseId("x", "1"), LeaseRow(3, 0.5)}, {makeLeaseId("y", "1"), LeaseRow(4, 0.5)}});
+  OwnerPool small(full, kSmall);
+  small.onLeasesRead(kStart, 2);
+  cr_assert_not(small.offers(), "two faster machines offer themselves");
+  cr_assert_eq(small.ranked(kStart).size(), 2U);
+  small.onLeasesRead(kStart, 3);
+  cr_assert(small.offers());
+  cr_assert_eq(small.ranked(kStart).back().lease, kOwn);
+}
+
+Test(owner_pool, a_faster_machine_displaces_a_slower_one) {
+  const LeaseTable table = tableWith({{makeLeaseId("x", "1"), LeaseRow(3, 0.06)}});
+  OwnerPool large(table, kLarge);
+  large.onLeasesRead(kStart, 1);
+  cr_assert(large.offers());
+  cr_assert_eq(large.ranked(kStart).front().lease, kOwn);
+}
+
+Test(owner_pool, owners_that_told_no_capacity_or_fell_silent_are_no_candidates) {
+  LeaseTable table =
+      tableWith({{makeLeaseId("x", "1"), LeaseRow(3, 0.5)}, {makeLeaseId("y", "1"), LeaseRow(4)}});
+  cr_assert_eq(table.candidates(kStart).size(), 1U);
+  cr_assert(table.candidates(kStart + std::chrono::seconds(2)).empty());
+}
+
+Test(owner_pool, a_machine_whose_timers_run_late_counts_less) {
+  lease::OwnCapacity capacity(kLarge);
+  const double calm = capacity.value();
+  capacity.onTimer(std::chrono::milliseconds(2));
+  cr_assert_float_eq(capacity.value(), calm, 1e-9, "timers are always a little late");
+  for (int i = 0; i < 20; ++i) capacity.onTimer(std::chrono::milliseconds(100));
+  cr_assert_lt(capacity.value(), 0.3 * calm);
+  for (int i = 0; i < 30; ++i) capacity.onTimer(Duration::zero());
+  cr_assert_gt(capacity.value(), 0.9 * calm);
+}
+
+Test(owner_pool, a_slow_link_counts_as_a_slow_machine) {
+  const lease::OwnCapacity capacity(lease::MachineLimits{0.5, 60});
+  cr_assert_float_eq(capacity.value(), 0.06, 1e-9);
+}
+
+Test(owner_pool, daemons_outside_the_pool_let_its_members_take_over_first) {
+  const LeaseTable table = tableWith(
+      {{makeLeaseId("x", "1"), LeaseRow(3, 0.5)}, {makeLeaseId("y", "1"), LeaseRow(4, 0.5)}});
+  OwnerPool outside(table, kSmall);
+  outside.onLeasesRead(kStart, 1);
+  OwnerPool inside(table, kLarge);
+  inside.onLeasesRead(kStart, 3);
+  cr_assert(outside.courtesy(kStart, "m") > inside.courtesy(kStart, "m"));
+}
+
+Test(owner_pool, what_is_told_of_a_capacity_is_understood) {
+  cr_assert_float_eq(lease::decodeCapacity(lease::encodeCapacity(0.25)), 0.25, 1e-6);
+  cr_assert_eq(lease::decodeCapacity("renewed"), 0);
+  cr_assert_eq(lease::decodeCapacity("-3"), 0);
+}
