Work out the median pace once a choice, not once an engine

Cause: each choice of an engine worked out the median pace of all engines and the usual memory of a request for each engine that it compared: the work grows with the square of the fleet.

Ruled out: keeping the median between choices, since each event changes it; one a choice is cheap enough.

Change: what is the same for all engines of a choice is worked out before it, as is the median before slow runs are looked for. What is chosen does not change: the tests of the choice are as they were.

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -240,13 +240,17 @@
 }
 
 /// The runs that may move, those that are expected to last longest first.
-std::vector<ItemIndex> BatchService::movableRuns(Instant now, const Active& active) const {
+std::vector<ItemIndex> BatchService::movableRuns(Instant now, const Active& active,
+                                                 const routing::Route& route) const {
+  const engines::EngineRegistry& registry = deps_.engines.registry;
+  const double median = registry.medianPace(now, route.services.front().service);
   std::vector<ItemIndex> runs;
   for (const auto& [item, call] : active.calls) {
     if (now - call->startedAt() < options_.move_after) continue;
-    if (deps_.engines.registry.slowness(now, call->engine()) >= options_.move_gain) {
-      runs.push_back(item);
-    }
+    const engines::EngineState* engine = registry.find(call->engine());
+    const bool slow =
+        engine != nullptr && registry.slowness(now, *engine, median) >= options_.move_gain;
+    if (slow) runs.push_back(item);
   }
   std::sort(runs.begin(), runs.end(), [&active](ItemIndex one, ItemIndex other) {
     return active.run.job().items[one].length_hint > active.run.job().items[other].length_hint;
@@ -262,7 +266,7 @@
     routing::RouteTablePtr table;
     const routing::Route* route = routeOf(active.record, table);
     if (route == nullptr || route->single_version || active.run.waiting() > 0) continue;
-    for (const ItemIndex item : movableRuns(now, active)) {
+    for (const ItemIndex item : movableRuns(now, active, *route)) {
       if (moves.exhausted()) return;
       moveRun(now, active, item, *route, moves);
     }
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -191,7 +191,8 @@
   bool findNext(startable_item& job) const;
   /// Moves runs from slow engines to clearly faster ones that have room.
   void moveSlowRuns(Instant now);
-  std::vector<ItemIndex> movableRuns(Instant now, const Active& active) const;
+  std::vector<ItemIndex> movableRuns(Instant now, const Active& active,
+                                     const routing::Route& route) const;
   void moveRun(Instant now, Active& active, ItemIndex item, const routing::Route& route,
                moves_planned& moves);
   /// What an item asks of an engine.
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -186,17 +186,23 @@
   return *middle;
 }
 
+double EngineRegistry::slowness(Instant now, const EngineState& engine, double median_pace) const {
+  const bool known = engine.pace > 0 && now - engine.pace_at < options_.pace_lifetime;
+  if (!known || median_pace <= 0) return 1;
+  return std::min(engine.pace / median_pace, kSlowestFactor);
+}
+
 double EngineRegistry::slowness(Instant now, const EngineId& id) const {
   const EngineState* engine = find(id);
   if (engine == nullptr || engine->pace <= 0) return 1;
-  if (now - engine->pace_at >= options_.pace_lifetime) return 1;
-  const double median = medianPace(now, engine->record.service);
-  return median > 0 ? std::min(engine->pace / median, kSlowestFactor) : 1;
+  return slowness(now, *engine, medianPace(now, engine->record.service));
 }
 
 double EngineRegistry::expectedPace(Instant now, const EngineId& id) const {
   const EngineState* engine = find(id);
-  return engine == nullptr ? 0 : slowness(now, id) * medianPace(now, engine->record.service);
+  if (engine == nullptr) return 0;
+  const double median = medianPace(now, engine->record.service);
+  return slowness(now, *engine, median) * median;
 }
 
 double EngineRegistry::typicalTokens() const {
@@ -212,21 +218,21 @@
 
 /// An engine whose memory runs out puts requests back, which then wait and are read anew.
 double EngineRegistry::memoryFactor(Instant now, const EngineState& engine,
-                                    const PickRequest& request) const {
+                                    const PickRequest& request, const Comparison& all) const {
   if (request.memory_tokens <= 0) return 1;
   // What others run there is not told; it is likely to be of the same kind.
-  const double others = std::max(0.0, load(now, engine) - engine.in_flight) * typicalTokens();
+  const double others = std::max(0.0, load(now, engine) - engine.in_flight) * all.typical_tokens;
   const double used = (engine.tokens + others + request.tokens) / request.memory_tokens;
   if (used <= kTightMemory) return 1;
   return std::min(kMostMemoryFactor, 1 + (used - kTightMemory) / (1 - kTightMemory));
 }
 
 double EngineRegistry::expectedWait(Instant now, const EngineState& engine,
-                                    const PickRequest& request) const {
+                                    const PickRequest& request, const Comparison& all) const {
   const double per_slot = load(now, engine) / std::max(1U, engine.record.slots);
   const double weight = request.batching ? kBatchWeight : kLoadWeight * engine.record.slots;
-  double wait = (1 + weight * per_slot) * slowness(now, engine.record.id);
-  wait *= memoryFactor(now, engine, request);
+  double wait = (1 + weight * per_slot) * slowness(now, engine, all.median_pace);
+  wait *= memoryFactor(now, engine, request, all);
   if (per_slot >= 1) wait *= 1 + per_slot;
   if (engine.record.zone != zone_ && !request.batching) wait *= options_.remote_factor;
   if (now < engine.listed_at + engine.record.cold_for) wait *= 2;
@@ -260,16 +266,24 @@
   return newest;
 }
 
+EngineRegistry::Comparison EngineRegistry::compareFor(Instant now,
+                                                      const PickRequest& request) const {
+  Comparison all;
+  all.median_pace = medianPace(now, request.service);
+  if (request.memory_tokens > 0) all.typical_tokens = typicalTokens();
+  if (request.prefer_newest) all.newest = newestHeld(request.service, request.model);
+  return all;
+}
+
 const EngineState* EngineRegistry::pick(Instant now, const PickRequest& request) {
-  const WeightVersion newest =
-      request.prefer_newest ? newestHeld(request.service, request.model) : 0;
+  const Comparison all = compareFor(now, request);
   const EngineState* best = nullptr;
   double best_wait = 0;
   for (const auto& [id, engine] : engines_) {
     if (!fits(now, engine, request)) continue;
     const double jitter = 1 + static_cast<double>(random_.below(kTieBreak)) / (20 * kTieBreak);
-    double wait = expectedWait(now, engine, request) * jitter;
-    if (engine.versionOf(request.model) < newest) wait *= kOlderVersionFactor;
+    double wait = expectedWait(now, engine, request, all) * jitter;
+    if (engine.versionOf(request.model) < all.newest) wait *= kOlderVersionFactor;
     if (request.desperate && request.excluded.contains(id)) wait *= kSlowestFactor;
     if (request.desperate && now < engine.ejected_until) wait *= kSlowestFactor;
     if (best == nullptr || wait < best_wait) {
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -156,6 +156,8 @@
   double room(Instant now, const EngineId& id) const;
   /// @return the smoothed pace of the engine over the median of its service; 1 if unknown.
   double slowness(Instant now, const EngineId& id) const;
+  /// The same where the median is known, as for many engines in a row.
+  double slowness(Instant now, const EngineState& engine, double median_pace) const;
   /// @return the time per unit of work that is expected of the engine, in seconds; 0 if nothing is
   ///     known of its service.
   double expectedPace(Instant now, const EngineId& id) const;
@@ -163,15 +165,25 @@
   double medianPace(Instant now, const routing::ServiceName& service) const;
 
  private:
+  /// What is the same for all engines that a choice compares.
+  struct Comparison {
+    double median_pace = 0;     ///< Of the service's engines; 0: none is known.
+    double typical_tokens = 0;  ///< See `typicalTokens`; 0 where memory does not matter.
+    WeightVersion newest = 0;   ///< That an engine holds; 0 where it does not matter.
+  };
+
   EngineState* mutableFind(const EngineId& id);
+  Comparison compareFor(Instant now, const PickRequest& request) const;
   bool fits(Instant now, const EngineState& engine, const PickRequest& request) const;
   double load(Instant now, const EngineState& engine) const;
   /// @return memory that one of this daemon's requests is expected to need, in the mean.
   double typicalTokens() const;
   /// @return the newest version of the model that an engine of the service holds.
   WeightVersion newestHeld(const routing::ServiceName& service, const ModelName& model) const;
-  double memoryFactor(Instant now, const EngineState& engine, const PickRequest& request) const;
-  double expectedWait(Instant now, const EngineState& engine, const PickRequest& request) const;
+  double memoryFactor(Instant now, const EngineState& engine, const PickRequest& request,
+                      const Comparison& all) const;
+  double expectedWait(Instant now, const EngineState& engine, const PickRequest& request,
+                      const Comparison& all) const;
   ZoneName zone_;
   RegistryOptions options_;
   Random random_;
