--- a/src/batch/active_job.h
+++ b/src/batch/active_job.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "batch/batch_service.h"
+#include "batch/checkpoint_log.h"
 #include "batch/listing_schedule.h"
 #include "logging/event_log.h"
 
@@ -16,65 +17,46 @@
 
 struct BatchService::Active {
   Active(boost::asio::io_context& loop, JobRecord job_record, BatchJob job, RunRules rules,
-         Duration gather)
+         listing_times times)
       : record(std::move(job_record)),
         run(std::move(job), rules),
-        schedule(steadyNow(), gather),
+        schedule(steadyNow(), times),
         finished(loop),
-        listed_changed(loop) {}
-
-  static constexpr std::uint64_t kFewestEventsKept = 5;
+        released_changed(loop) {}
 
   /// An append that was sent; it stays as it is until the store has settled it.
   struct Pending {
     std::size_t position = 0;
     std::vector<ItemIndex> items;
     std::vector<StoredResult> results;
+    std::optional<std::size_t> release;  ///< Results that readers are shown then.
+
+    bool empty() const { return results.empty() && !release; }
   };
 
   JobRecord record;
   Revision fence = 0;  ///< Revision of the job's row under which this daemon owns it.
   BatchRun run;
   listing_schedule schedule;
-  Instant accepted_at{};            ///< By this daemon's clock.
-  std::vector<std::string> listed;  ///< Encoded, by position; all in the store.
+  Instant accepted_at{};             ///< By this daemon's clock.
+  std::vector<StoredResult> listed;  ///< By position; all in the store.
+  std::size_t released = 0;          ///< Those of them that readers are shown.
+  std::size_t held_back_bytes = 0;   ///< Of those that they are not.
   Pending pending;
   std::map<ItemIndex, std::shared_ptr<forward::EngineCall>> calls;    ///< By the item they run.
   std::map<ItemIndex, std::shared_ptr<http::Cancellation>> scorings;  ///< Reward requests.
-  Signal finished;                ///< There is something to list, or the job stops.
-  Signal listed_changed;          ///< `listed` has grown, or the job stops.
-  std::uint64_t checkpoints = 0;  ///< Written under this fence, or tried.
-  /// Fences and numbers of checkpoints whose objects may be in the store.
-  std::vector<std::pair<Revision, std::uint64_t>> kept_checkpoints;
-  std::uint64_t checkpoint_events = 0;  ///< Events of unfinished items at the last one.
-  bool first_event_told = false;        ///< Lines that are written once a job and owner.
+  Signal finished;          ///< There is something to list, or the job stops.
+  Signal released_changed;  ///< `released` has grown, or the job stops.
+  checkpoint_log kept_texts;
+  std::size_t checkpoint_first_row = 0;  ///< Of the last whole part, or of what was inherited.
+  std::size_t checkpoint_next_row = 0;
+  bool checkpoint_in_progress = false;
+  bool first_event_told = false;  ///< Lines that are written once a job and owner.
   bool whole_told = false;
   bool listed_told = false;
   bool stopped = false;
   Instant stopped_at{};
 
-  /// @return the text of items that are not listed, as far as it is worth keeping.
-  Checkpoint checkpoint() const {
-    Checkpoint kept;
-    for (ItemIndex item = 0; item < run.job().items.size(); ++item) {
-      const ItemProgress& progress = run.progress(item);
-      const bool finished = progress.state == ItemState::kFinished;
-      const bool unscored =
-          progress.state == ItemState::kWhole || progress.state == ItemState::kScoring;
-      if (progress.state == ItemState::kListed) continue;
-      if (finished && progress.outcome != ResultState::kCompleted) continue;
-      const bool whole = finished || unscored;
-      if (!whole && progress.last_event < kFewestEventsKept) continue;
-      ItemCheckpoint text{item,  progress.last_event, progress.versions, progress.text,
-                          whole, std::nullopt};
-      if (!progress.score.empty()) {
-        text.score = reward_score{run.job().items[item].scorer->id, progress.score};
-      }
-      kept.push_back(std::move(text));
-    }
-    return kept;
-  }
-
   void noteFirstEvent() {
     if (first_event_told) return;
     first_event_told = true;
@@ -95,12 +77,12 @@
         .milliseconds("took_ms", steadyNow() - accepted_at);
   }
 
-  void noteListed() {
-    if (listed_told || !run.stepWhole() || !run.finished().empty()) return;
+  void noteReleased() {
+    if (listed_told || !run.stepWhole()) return;
     listed_told = true;
     logging::LogEvent("batch", "step_listed")
         .text("batch", record.id.str())
-        .number("results", static_cast<std::int64_t>(listed.size()))
+        .number("results", static_cast<std::int64_t>(released))
         .milliseconds("took_ms", steadyNow() - accepted_at);
   }
 
@@ -111,7 +93,7 @@
     for (const auto& [item, call] : calls) call->abort();
     for (const auto& [item, cancellation] : scorings) cancellation->request();
     finished.notifyAll();
-    listed_changed.notifyAll();
+    released_changed.notifyAll();
   }
 };
 
--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -199,6 +199,73 @@
   co_await writer.send(std::move(response));
 }
 
+/// Results that a reader may get with its answer, from the position that it asked for on.
+struct BatchService::ReadAhead {
+  std::size_t position = 0;
+  std::vector<StoredResult> results;
+  std::size_t bytes = 0;
+
+  std::size_t next() const { return position + results.size(); }
+  void add(StoredResult result) {
+    bytes += result.encoded.size();
+    results.push_back(std::move(result));
+  }
+};
+
+const BatchService::Job* BatchService::find(const JobId& id) const {
+  const auto at = jobs_.find(id);
+  return at == jobs_.end() ? nullptr : &at->second;
+}
+
+bool BatchService::readFromMemory(const JobId& id, ReadAhead& page) const {
+  const Job* job = find(id);
+  if (job == nullptr || !job->active) return false;
+  const Active& active = *job->active;
+  const std::size_t released = releasedOf(id);
+  // A job that was taken by another daemon may have more results than are known here.
+  if (active.listed.size() < released) return false;
+  for (std::size_t i = page.next(); i < released && page.bytes < options_.page_bytes; ++i) {
+    page.add(active.listed[i]);
+  }
+  return true;
+}
+
+Task<bool> BatchService::readFromStore(const JobId& id, ReadAhead& page) {
+  if (page.bytes >= options_.page_bytes) co_return true;
+  auto stored = co_await deps_.store.results(id, page.next(), 0);
+  if (!stored) co_return false;
+  for (StoredResult& each : stored->results) page.add(std::move(each));
+  co_return true;
+}
+
+std::size_t BatchService::releasedOf(const JobId& id) const {
+  const Job* job = find(id);
+  if (job == nullptr) return 0;
+  // The feed may tell of a release before the answer to its write does.
+  if (job->active && !job->active->stopped) return job->active->released;
+  return job->record.released;
+}
+
+Task<void> BatchService::waitForRelease(JobId id, Duration limit) {
+  const auto at = jobs_.find(id);
+  if (at == jobs_.end()) {
+    co_await sleepFor(deps_.loop, std::min(limit, options_.poll_gap));
+    co_return;
+  }
+  Job& job = at->second;
+  if (job.active && !job.active->stopped) {
+    co_await job.active->released_changed.waitFor(limit);
+    co_return;
+  }
+  if (!job.changed) job.changed = std::make_shared<Signal>(deps_.loop);
+  const std::shared_ptr<Signal> changed = job.changed;
+  const bool told = deps_.leases.storeHealthy();
+  co_await changed->waitFor(std::min(limit, told ? options_.read_ahead_gap : options_.poll_gap));
+  if (told) co_return;
+  const auto row = co_await deps_.store.getRecord(id);
+  if (row && row->revision > 0) onRecordRow(id, *row);
+}
+
 Task<void> BatchService::readResults(JobId id, std::size_t position, Duration wait,
                                      http::ResponseWriter& writer) {
   const Instant deadline = steadyNow() + wait;
@@ -211,50 +278,47 @@
     co_await answer(writer, sure ? kNotFound : kUnavailable);
     co_return;
   }
+  ReadAhead page{position, {}, 0};
   for (;;) {
-    std::vector<std::string> page;
-    std::size_t bytes = 0;
-    const auto at = jobs_.find(id);
-    const ActivePtr active = at == jobs_.end() ? nullptr : at->second.active;
-    if (active && (position < active->listed.size() || !active->stopped)) {
-      for (std::size_t i = position; i < active->listed.size() && bytes < options_.page_bytes;
-           ++i) {
-        bytes += active->listed[i].size();
-        if (!page.empty() && bytes >= options_.page_bytes) break;
-        page.push_back(active->listed[i]);
-      }
-    } else {
-      auto stored = co_await deps_.store.results(id, position, 0);
-      if (!stored) {
+    const std::size_t released = find(id) == nullptr ? record->released : releasedOf(id);
+    const bool from_memory = readFromMemory(id, page);
+    if (!from_memory && page.next() < record->total) {
+      const bool read = co_await readFromStore(id, page);
+      if (!read && position < released) {
         co_await answer(writer, kUnavailable);
         co_return;
       }
-      for (StoredResult& each : stored->results) {
-        bytes += each.encoded.size();
-        if (!page.empty() && bytes >= options_.page_bytes) break;
-        page.push_back(std::move(each.encoded));
-      }
     }
     const Instant now = steadyNow();
-    const bool whole = position + page.size() >= record->total;
-    if (!page.empty() || whole || now >= deadline || stopping_ ||
-        writer.cancellation().requested()) {
-      if (!page.empty()) {
-        LogEvent("batch", "page_read")
-            .text("batch", id.str())
-            .number("position", static_cast<std::int64_t>(position))
-            .number("results", static_cast<std::int64_t>(page.size()))
-            .text("from", active ? "memory" : "store");
-      }
-      co_await answerPage(writer, record->total, position + page.size(), page);
+    const bool more = position < released;
+    const bool over = position >= record->total || now >= deadline;
+    if (more || over || stopping_ || writer.cancellation().requested()) {
+      co_await answerRead(writer, id, page, {record->total, released, from_memory});
       co_return;
     }
-    if (active && !active->stopped) {
-      co_await active->listed_changed.waitFor(deadline - now);
-    } else {
-      co_await sleepFor(deps_.loop, std::min<Duration>(options_.poll_gap, deadline - now));
-    }
+    co_await waitForRelease(id, deadline - now);
+  }
+}
+
+Task<void> BatchService::answerRead(http::ResponseWriter& writer, const JobId& id,
+                                    const ReadAhead& page, ReadState state) const {
+  std::vector<std::string> shown;
+  std::size_t bytes = 0;
+  const std::size_t end = std::min(page.next(), state.released);
+  for (std::size_t i = page.position; i < end; ++i) {
+    const std::string& result = page.results[i - page.position].encoded;
+    bytes += result.size();
+    if (!shown.empty() && bytes >= options_.page_bytes) break;
+    shown.push_back(result);
+  }
+  if (!shown.empty()) {
+    LogEvent("batch", "page_read")
+        .text("batch", id.str())
+        .number("position", static_cast<std::int64_t>(page.position))
+        .number("results", static_cast<std::int64_t>(shown.size()))
+        .text("from", state.from_memory ? "memory" : "store");
   }
+  co_await answerPage(writer, state.total, page.position + shown.size(), shown);
 }
 
 Task<void> BatchService::readItem(JobId id, ItemId item, http::ResponseWriter& writer) {
--- a/src/batch/batch_carry_over.cpp
+++ b/src/batch/batch_carry_over.cpp
@@ -27,11 +27,56 @@
   return ids;
 }
 
+namespace {
+
+/// @return the text that a completed result has.
+ItemCheckpoint toCheckpoint(std::size_t index, const BatchItem& item, const BatchResult& result) {
+  ItemCheckpoint kept;
+  kept.item_index = index;
+  // The data of an event may have line feeds of its own: never fewer events than there were.
+  kept.last_event =
+      1 + static_cast<std::uint64_t>(std::count(result.text.begin(), result.text.end(), '\n'));
+  kept.versions = result.versions;
+  kept.text = result.text;
+  kept.finished = true;
+  if (item.scorer && !result.score.empty()) {
+    kept.score = reward_score{item.scorer->id, result.score};
+  }
+  return kept;
+}
+
+}  // namespace
+
 /** Reads under way of what earlier jobs left. */
 struct BatchService::carry_over_search
     : boost::intrusive_ref_counter<carry_over_search, boost::thread_unsafe_counter> {
-  explicit carry_over_search(boost::asio::io_context& loop) : changed(loop) {}
+  carry_over_search(boost::asio::io_context& loop, const BatchJob& job) : changed(loop) {
+    for (const BatchItem& item : job.items) wanted.insert(item.id);
+  }
 
+  bool sharesItems(const BatchJob& earlier) const {
+    return std::any_of(earlier.items.begin(), earlier.items.end(),
+                       [this](const BatchItem& item) { return wanted.contains(item.id); });
+  }
+
+  /** @param texts of the earlier job's items that are not listed.
+   * @param listed its results; those of wanted items count as texts, too.
+   */
+  void add(const BatchJob& earlier, Checkpoint texts, const std::vector<StoredResult>& listed,
+           const BatchCodec& codec) {
+    for (const StoredResult& result : listed) {
+      if (result.item_index >= earlier.items.size()) continue;
+      const BatchItem& item = earlier.items[result.item_index];
+      if (!wanted.contains(item.id)) continue;
+      const auto decoded = codec.decodeResult(result.encoded);
+      if (decoded && decoded->state == ResultState::kCompleted) {
+        texts.push_back(toCheckpoint(result.item_index, item, *decoded));
+      }
+    }
+    found.addJob(earlier, texts);
+  }
+
+  std::set<ItemId> wanted;  ///< Of the job that looks for texts.
   carry_over found;
   std::size_t unanswered = 0;
   Signal changed;
@@ -41,8 +86,10 @@
   const auto bytes = co_await deps_.store.getJob(id);
   if (bytes) {
     const auto job = deps_.codec.parseJob(id, *bytes);
-    const auto kept = co_await deps_.store.getCheckpoint(id);
-    if (job) search->found.addJob(*job, kept.value_or(Checkpoint{}));
+    if (job && search->sharesItems(*job)) {
+      const auto stored = co_await inheritTexts(id);
+      if (stored) search->add(*job, stored->checkpoint.texts, stored->listed, deps_.codec);
+    }
   }
   --search->unanswered;
   search->changed.notifyAll();
@@ -51,12 +98,15 @@
 Task<void> BatchService::carryOver(ActivePtr active) {
   const std::vector<JobId> earlier = earlierJobs(active->record);
   if (earlier.empty()) co_return;
-  boost::intrusive_ptr<carry_over_search> search(new carry_over_search(deps_.loop));
+  boost::intrusive_ptr<carry_over_search> search(
+      new carry_over_search(deps_.loop, active->run.job()));
   const Instant begun = steadyNow();
   for (const JobId& id : earlier) {
     const ActivePtr other = jobs_.at(id).active;
     if (other) {
-      search->found.addJob(other->run.job(), other->checkpoint());
+      const BatchJob& job = other->run.job();
+      const Checkpoint texts = checkpoint_log{}.next(other->run).texts;
+      if (search->sharesItems(job)) search->add(job, texts, other->listed, deps_.codec);
       continue;
     }
     ++search->unanswered;
--- a/src/batch/batch_codec.h
+++ b/src/batch/batch_codec.h
@@ -4,6 +4,7 @@
 /// How batch jobs look to those who hand them in and read them. Implemented where the product meets
 /// its platform.
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,8 @@
   virtual tl::expected<BatchJob, Findings> parseJob(const JobId& id,
                                                     std::string_view bytes) const = 0;
   virtual std::string encodeResult(const BatchResult& result) const = 0;
+  /// @return nothing if the text is no result.
+  virtual std::optional<BatchResult> decodeResult(std::string_view encoded) const = 0;
   /// @param results encoded, those at `next - results.size()` and on.
   virtual std::string encodePage(std::size_t total, std::size_t next,
                                  const std::vector<std::string>& results) const = 0;
--- a/src/batch/batch_run.cpp
+++ b/src/batch/batch_run.cpp
@@ -62,9 +62,8 @@
   return whole >= std::min(wanted, groups_.size());
 }
 
-bool BatchRun::listingUrgent() const {
-  if (finished_.empty()) return false;
-  if (job_.desired_groups == 0 || stepWhole()) return true;
+bool BatchRun::releaseUrgent() const {
+  if (job_.desired_groups == 0 || stepWhole() || allListed()) return true;
   return std::any_of(finished_.begin(), finished_.end(), [this](ItemIndex item) {
     return progress_[item].outcome == ResultState::kTerminated;
   });
@@ -93,6 +92,7 @@
   progress.last_event = kept.last_event;
   progress.versions = kept.versions;
   progress.text = kept.text;
+  ++progress.text_revision;
   const std::optional<reward_request>& scorer = job_.items[item].scorer;
   const bool score_fits = kept.score && scorer && kept.score->request_id == scorer->id;
   if (kept.finished && score_fits) progress.score = kept.score->signature;
@@ -239,6 +239,7 @@
   ItemProgress& progress = progress_[item];
   if (progress.state != ItemState::kWaiting && progress.state != ItemState::kRunning) return;
   progress.text.clear();
+  ++progress.text_revision;
   progress.versions.clear();
   progress.last_event = 0;
 }
--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -38,6 +38,8 @@
   int attempts_running = 0;
   std::uint64_t last_event = 0;
   std::string text;
+  /// Changes when the text is replaced; while it stays, the text only grows.
+  std::uint32_t text_revision = 0;
   std::set<WeightVersion> versions;
   int failures = 0;
   std::string score;
@@ -76,8 +78,8 @@
   std::size_t carriedGroups() const;
   /// @return whether every group that the trainer waits for is whole.
   bool stepWhole() const;
-  /// @return whether what is finished should be listed at once.
-  bool listingUrgent() const;
+  /// @return whether readers should be shown at once what there is.
+  bool releaseUrgent() const;
   /// @return bytes of the texts that are finished and not listed.
   std::size_t finishedBytes() const;
 
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -71,6 +71,7 @@
   job.record = *record;
   job.revision = row.revision;
   job.orphaned_at = Instant{};
+  if (job.changed) job.changed->notifyAll();
   if (job.active && (record->ended || record->owner != deps_.leases.own())) {
     deactivate(job, record->ended ? "ended" : "taken_by_another");
   } else if (job.active && job.active->fence != row.revision) {
@@ -197,7 +198,11 @@
     inheritance.clock_ms = deps_.keeper.storeClock(steadyNow());
     co_return inheritance;
   }
-  const JobId id = record.id;
+  co_return co_await inheritTexts(record.id);
+}
+
+Task<CallResult<BatchService::Inheritance>> BatchService::inheritTexts(JobId id) {
+  Inheritance inheritance;
   for (;;) {
     auto page = co_await deps_.store.results(id, inheritance.listed.size(), 0);
     if (!page) co_return tl::make_unexpected(page.error());
@@ -215,7 +220,7 @@
                             Instant accepted_at) {
   Job& job = jobs_[id];
   job.active = std::make_shared<Active>(deps_.loop, job.record, std::move(parsed), RunRules{},
-                                        options_.list_gather);
+                                        options_.listing);
   job.active->fence = job.revision;
   job.active->accepted_at = accepted_at;
   applyRules(*job.active);
@@ -223,9 +228,15 @@
     if (each.item_index < job.active->run.job().items.size()) {
       job.active->run.onAlreadyListed(each.item_index);
     }
-    job.active->listed.push_back(each.encoded);
+    job.active->listed.push_back(each);
+  }
+  job.active->released = std::min(job.record.released, job.active->listed.size());
+  for (std::size_t i = job.active->released; i < job.active->listed.size(); ++i) {
+    job.active->held_back_bytes += job.active->listed[i].encoded.size();
   }
-  for (const ItemCheckpoint& kept : inheritance.checkpoint) {
+  job.active->checkpoint_first_row = inheritance.checkpoint.first_row;
+  job.active->checkpoint_next_row = inheritance.checkpoint.next_row;
+  for (const ItemCheckpoint& kept : inheritance.checkpoint.texts) {
     if (kept.item_index >= job.active->run.job().items.size()) continue;
     job.active->run.onCheckpoint(kept.item_index, kept);
   }
@@ -237,7 +248,7 @@
       .number("fence", static_cast<std::int64_t>(job.active->fence))
       .number("items", static_cast<std::int64_t>(job.record.total))
       .number("listed", static_cast<std::int64_t>(inheritance.listed.size()))
-      .number("checkpoint", static_cast<std::int64_t>(inheritance.checkpoint.size()))
+      .number("checkpoint", static_cast<std::int64_t>(inheritance.checkpoint.texts.size()))
       .number("minimum_version", static_cast<std::int64_t>(job.active->run.job().minimum_version));
   const ActivePtr active = job.active;
   spawn(deps_.loop, [this, active] { return listLoop(active); });
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -19,6 +19,7 @@
 #include "batch/batch_run.h"
 #include "batch/job_store.h"
 #include "batch/length_estimate.h"
+#include "batch/listing_schedule.h"
 #include "batch/moves_planned.h"
 #include "forward/engine_call.h"
 #include "forward/internal_requests.h"
@@ -38,15 +39,20 @@
   Duration event_gap = std::chrono::milliseconds(1200);  ///< Between two events.
   Duration refused_pause = std::chrono::milliseconds(40);
   Duration broken_pause{};
-  Duration list_gap = std::chrono::milliseconds(60);  ///< Between two writes of results.
-  Duration list_gather = std::chrono::seconds(1);     ///< Results that are overdue.
+  listing_times listing;
   Duration checkpoint_gap = std::chrono::milliseconds(500);
   std::uint64_t checkpoint_events = 10;  ///< Fewer new ones are not worth a checkpoint.
   Duration store_pause = std::chrono::milliseconds(150);  ///< Before a write is sent again.
-  Duration poll_gap = std::chrono::milliseconds(100);     ///< Of a reader that waits for results.
+  /// Of a reader that waits while the feed of jobs does not say what is released.
+  Duration poll_gap = std::chrono::milliseconds(100);
+  /// Of a reader that waits elsewhere than at the owner: it reads what is held back in the
+  /// meantime, so that little is left to read when it is released.
+  Duration read_ahead_gap = std::chrono::milliseconds(300);
   Duration accept_time = std::chrono::milliseconds(2500);
   Duration end_time = std::chrono::milliseconds(3500);
-  Duration keep_ended = std::chrono::seconds(3);  ///< Results of an ended job in memory.
+  /// Results of an ended job in memory. A trainer's next but one step, asked for some eight seconds
+  /// later, may hold groups of it.
+  Duration keep_ended = std::chrono::seconds(10);
   /// From a job's acceptance until it may be removed, if it has ended.
   Duration keep_jobs = std::chrono::seconds(120);
   /// Until daemons that did not own an ended job remove it.
@@ -67,6 +73,9 @@
   std::size_t moves_per_tick = 6;
   std::size_t page_bytes = 900 * 1024;
   std::size_t write_bytes = 640 * 1024;
+  /// Results that are held back for longer are more than one page, which a trainer reads half a
+  /// second apart.
+  std::size_t release_bytes = 640 * 1024;
   /// The store takes 100 entries a write: the condition on the job's row, and a value each.
   std::size_t write_rows = 96;
 };
@@ -149,7 +158,8 @@
     Revision revision = 0;
     ActivePtr active;  ///< Set while this daemon owns and runs it.
     bool activating = false;
-    Instant orphaned_at{};  ///< When its owner was first seen to be gone.
+    Instant orphaned_at{};            ///< When its owner was first seen to be gone.
+    std::shared_ptr<Signal> changed;  ///< The row has changed; set while readers wait.
   };
 
   Task<bool> knows(JobId id, std::optional<JobRecord>& record);
@@ -158,10 +168,12 @@
   /// What an earlier owner left of a job.
   struct Inheritance {
     std::vector<StoredResult> listed;
-    Checkpoint checkpoint;
+    StoredCheckpoint checkpoint;
     std::int64_t clock_ms = 0;
   };
   Task<CallResult<Inheritance>> inherit(JobRecord record);
+  /// Reads the results and the checkpoint of a job.
+  Task<CallResult<Inheritance>> inheritTexts(JobId id);
   void activate(const JobId& id, BatchJob job, const Inheritance& inheritance, Instant accepted_at);
 
   /// @return who should run a job that is handed in here.
@@ -218,13 +230,42 @@
   Task<void> checkpointLoop(ActivePtr active);
   enum class CheckpointNeed { kAlways, kIfMuchIsNew };
   Task<void> writeCheckpoint(ActivePtr active, CheckpointNeed need);
-  bool listsAtOnce(const BatchRun& run) const;
+  /// @return whether what is finished fills an append.
+  bool fillsAppend(const BatchRun& run) const;
+  bool releaseUrgent(const Active& active) const;
+  /// @return when readers should be shown what there is; when to look again, if all is shown.
+  Instant nextReleaseAt(const Active& active, Instant now) const;
+  Instant nextAppendAt(const Active& active, Instant now) const;
   Task<void> listLoop(ActivePtr active);
-  Task<bool> listPending(ActivePtr active);
+  /// Chooses what the next append writes and releases. It stays as it is until the store settles
+  /// it.
+  void preparePending(Active& active, Instant now) const;
+  Task<bool> writePending(ActivePtr active);
+  /// @return whether an earlier try of the pending write, which was not answered, was done.
+  bool releasedBefore(const FencedAnswer& answer, const Active& active) const;
+  void onPendingWritten(Active& active);
 
   RunRules rulesFor(const routing::Route* route, Instant accepted_at) const;
   void applyRules(Active& active) const;
   const routing::Route* routeOf(const JobRecord& record, routing::RouteTablePtr& table) const;
+  struct ReadAhead;
+  /// What a reader's answer is made under.
+  struct ReadState {
+    std::size_t total = 0;
+    std::size_t released = 0;
+    bool from_memory = false;
+  };
+  /// @return the job, or nullptr if it is not known here.
+  const Job* find(const JobId& id) const;
+  std::size_t releasedOf(const JobId& id) const;
+  /// Adds released results from this daemon's memory. @return whether it has them.
+  bool readFromMemory(const JobId& id, ReadAhead& page) const;
+  /// Adds results from the store, also such as are not released yet.
+  Task<bool> readFromStore(const JobId& id, ReadAhead& page);
+  /// Waits until more may be released.
+  Task<void> waitForRelease(JobId id, Duration limit);
+  Task<void> answerRead(http::ResponseWriter& writer, const JobId& id, const ReadAhead& page,
+                        ReadState state) const;
   Task<void> answer(http::ResponseWriter& writer, unsigned status, std::string body = {}) const;
   Task<void> answerPage(http::ResponseWriter& writer, std::size_t total, std::size_t next,
                         const std::vector<std::string>& results) const;
--- a/src/batch/batch_types.h
+++ b/src/batch/batch_types.h
@@ -78,6 +78,7 @@
   std::string path;
   ModelName model;  ///< Of its items; empty if none is named.
   std::size_t total = 0;
+  std::size_t released = 0;  ///< Results that readers are shown; those behind are kept back.
   bool ended = false;
   bool begun = false;            ///< An owner may have listed or kept something already.
   std::int64_t accepted_ms = 0;  ///< By the store's clock.
--- a/src/batch/checkpoint.cpp
+++ b/src/batch/checkpoint.cpp
@@ -1,11 +1,33 @@
 #include "batch/checkpoint.h"
 
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace linenpier::batch {
 
 using nlohmann::json;
 
+Checkpoint mergeParts(const std::vector<Checkpoint>& parts) {
+  std::map<std::size_t, ItemCheckpoint> texts;
+  for (const Checkpoint& part : parts) {
+    for (const ItemCheckpoint& added : part) {
+      if (added.after_event == 0) {
+        texts[added.item_index] = added;
+        continue;
+      }
+      const auto at = texts.find(added.item_index);
+      if (at == texts.end() || at->second.last_event != added.after_event) continue;
+      ItemCheckpoint whole = added;
+      whole.text = at->second.text + added.text;
+      whole.after_event = 0;
+      at->second = std::move(whole);
+    }
+  }
+  Checkpoint merged;
+  for (auto& [item, text] : texts) merged.push_back(std::move(text));
+  return merged;
+}
+
 std::string encodeCheckpoint(const Checkpoint& checkpoint) {
   json document = json::array();
   for (const ItemCheckpoint& item : checkpoint) {
@@ -14,6 +36,7 @@
                   {"versions", item.versions},
                   {"text", item.text},
                   {"finished", item.finished}};
+    if (item.after_event > 0) entry["after_event"] = item.after_event;
     if (item.score) {
       entry["scored_by"] = item.score->request_id;
       entry["score"] = item.score->signature;
@@ -36,6 +59,7 @@
       item.versions = entry.at("versions").get<std::set<WeightVersion>>();
       item.text = entry.at("text").get<std::string>();
       item.finished = entry.value("finished", false);
+      item.after_event = entry.value("after_event", std::uint64_t{0});
       if (entry.contains("score")) {
         item.score = reward_score{entry.at("scored_by").get<std::string>(),
                                   entry.at("score").get<std::string>()};
--- a/src/batch/checkpoint.h
+++ b/src/batch/checkpoint.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** @file
- * Text of items that are not listed, for whoever goes on with them.
+ * Text of items that are not listed, for whoever goes on with them. It is kept in parts: each holds
+ * what was added since the one before, so that a long text is not written again and again.
  */
 
 #include <optional>
@@ -16,15 +17,22 @@
   std::size_t item_index = 0;  ///< In the job that it was kept of.
   std::uint64_t last_event = 0;
   std::set<WeightVersion> versions;        ///< That made the text's events.
-  std::string text;                        ///< Data of events 1 to `last_event`.
+  std::string text;                        ///< Data of the events up to `last_event`.
   bool finished = false;                   ///< The text is whole, but was not listed.
   std::optional<reward_score> score = {};  ///< Of a whole text.
+  /// The text begins behind this event, as an addition to what an earlier part has; 0: it is all.
+  std::uint64_t after_event = 0;
 
   bool operator==(const ItemCheckpoint&) const = default;
 };
 
 using Checkpoint = std::vector<ItemCheckpoint>;
 
+/// @param parts in the order in which they were written. An addition to a text that no part before
+///     has is left out: that part was never written, and a later one has all of the text.
+/// @return each item once, with all of its text that the parts have.
+Checkpoint mergeParts(const std::vector<Checkpoint>& parts);
+
 std::string encodeCheckpoint(const Checkpoint& checkpoint);
 /// @return nothing if the bytes are no checkpoint.
 std::optional<Checkpoint> decodeCheckpoint(const std::string& bytes);
--- /dev/null
+++ b/src/batch/checkpoint_log.cpp
@@ -0,0 +1,86 @@
+#include "batch/checkpoint_log.h"
+
+namespace linenpier::batch {
+
+namespace {
+
+/// Shorter texts are made again as soon as they are read.
+constexpr std::uint64_t kFewestEventsKept = 5;
+/// A step of eight seconds writes as many at two a second: in the usual case it has one whole part
+/// at its begin, where texts are short.
+constexpr std::size_t kMostParts = 16;
+
+bool isWhole(const ItemProgress& progress) {
+  return progress.state == ItemState::kFinished || progress.state == ItemState::kWhole ||
+         progress.state == ItemState::kScoring;
+}
+
+bool isWorthKeeping(const ItemProgress& progress) {
+  if (progress.state == ItemState::kListed) return false;
+  if (isWhole(progress)) return progress.outcome == ResultState::kCompleted;
+  return progress.last_event >= kFewestEventsKept;
+}
+
+}  // namespace
+
+std::optional<ItemCheckpoint> checkpoint_log::addition(const BatchRun& run, ItemIndex item,
+                                                       bool whole) const {
+  const ItemProgress& progress = run.progress(item);
+  if (!isWorthKeeping(progress)) return std::nullopt;
+  ItemCheckpoint added;
+  added.item_index = item;
+  added.last_event = progress.last_event;
+  added.versions = progress.versions;
+  added.finished = isWhole(progress);
+  const std::optional<reward_request>& scorer = run.job().items[item].scorer;
+  if (!progress.score.empty() && scorer) added.score = reward_score{scorer->id, progress.score};
+  std::size_t from = 0;
+  if (!whole) {
+    const auto at = this->kept_->find(item);
+    const bool grows = at != this->kept_->end() && at->second.revision == progress.text_revision;
+    if (grows) {
+      const kept_text& kept = at->second;
+      const bool news = kept.last_event < progress.last_event || kept.finished != added.finished ||
+                        kept.scored != added.score.has_value();
+      if (!news) return std::nullopt;
+      added.after_event = kept.last_event;
+      from = kept.bytes;
+    }
+  }
+  added.text = progress.text.substr(from);
+  return added;
+}
+
+checkpoint_part checkpoint_log::next(const BatchRun& run) const {
+  checkpoint_part part;
+  part.whole = !this->kept_ || this->parts_ >= kMostParts;
+  for (ItemIndex item = 0; item < run.job().items.size(); ++item) {
+    auto added = this->addition(run, item, part.whole);
+    if (!added) continue;
+    part.events += added->last_event - added->after_event;
+    part.texts.push_back(std::move(*added));
+    part.revisions.push_back(run.progress(item).text_revision);
+  }
+  return part;
+}
+
+void checkpoint_log::onWritten(const checkpoint_part& part) {
+  if (part.whole) {
+    this->kept_ = kept_texts{};
+    this->parts_ = 0;
+  }
+  if (!this->kept_) return;
+  ++this->parts_;
+  for (std::size_t i = 0; i < part.texts.size(); ++i) {
+    const ItemCheckpoint& each = part.texts[i];
+    kept_text& kept = (*this->kept_)[each.item_index];
+    const std::size_t before = each.after_event == 0 ? 0 : kept.bytes;
+    kept.last_event = each.last_event;
+    kept.bytes = before + each.text.size();
+    kept.finished = each.finished;
+    kept.scored = each.score.has_value();
+    kept.revision = part.revisions[i];
+  }
+}
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/checkpoint_log.h
@@ -0,0 +1,55 @@
+#pragma once
+
+/** @file
+ * What of a job's texts was kept already, so that each part of its checkpoint holds only what is
+ * new. Pure; at the job's owner.
+ */
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "batch/batch_run.h"
+#include "batch/checkpoint.h"
+
+namespace linenpier::batch {
+
+/** A part that should be written now. */
+struct checkpoint_part {
+  Checkpoint texts;
+  std::vector<std::uint32_t> revisions;  ///< Of each text, see ItemProgress::text_revision.
+  /// It has all of each text: parts before it are of no use once it is written.
+  bool whole = false;
+  std::uint64_t events = 0;  ///< That it adds to what was kept.
+};
+
+class checkpoint_log {
+ public:
+  /** @return what the texts of items that are not listed have gained; all of them in the first part
+   * and, now and then, later, since whoever reads them reads all parts from the last whole one on.
+   */
+  checkpoint_part next(const BatchRun& run) const;
+
+  /** The part was written: the next one is added to it. */
+  void onWritten(const checkpoint_part& part);
+  /** It may or may not be written: the next one must be whole. */
+  void onUnsettled() { this->kept_.reset(); }
+
+ private:
+  /// Of one item's text.
+  struct kept_text {
+    std::uint64_t last_event = 0;
+    std::size_t bytes = 0;
+    std::uint32_t revision = 0;  ///< See ItemProgress::text_revision.
+    bool finished = false;
+    bool scored = false;
+  };
+  using kept_texts = std::map<ItemIndex, kept_text>;
+
+  std::optional<ItemCheckpoint> addition(const BatchRun& run, ItemIndex item, bool whole) const;
+
+  std::optional<kept_texts> kept_;  ///< Absent: nothing is known to be kept.
+  std::size_t parts_ = 0;           ///< Written since the last whole one, with it.
+};
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/checkpoint_rows.cpp
@@ -0,0 +1,71 @@
+#include "batch/checkpoint_rows.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace linenpier::batch {
+
+namespace {
+
+constexpr char kOf = '/';
+constexpr char kEnd = ':';
+constexpr std::size_t kHeaderBytes = 32;  ///< "PIECE/PIECES:" takes no more.
+
+/// A row's value: which piece of how many, and its bytes.
+struct Piece {
+  std::size_t number = 0;  ///< From 1 on; 0: the value is no piece.
+  std::size_t of = 0;
+  std::string bytes;
+};
+
+Piece parsePiece(const std::string& value) {
+  const std::size_t slash = value.find(kOf);
+  const std::size_t colon = value.find(kEnd);
+  if (slash == std::string::npos || colon == std::string::npos || colon < slash) return {};
+  Piece piece;
+  piece.number = std::strtoull(value.c_str(), nullptr, 10);
+  piece.of = std::strtoull(value.c_str() + slash + 1, nullptr, 10);
+  piece.bytes = value.substr(colon + 1);
+  return piece;
+}
+
+}  // namespace
+
+std::vector<std::string> toRows(const Checkpoint& part, std::size_t most) {
+  const std::string bytes = encodeCheckpoint(part);
+  const std::size_t room = most - kHeaderBytes;
+  const std::size_t pieces = std::max<std::size_t>(1, (bytes.size() + room - 1) / room);
+  std::vector<std::string> rows;
+  rows.reserve(pieces);
+  for (std::size_t i = 0; i < pieces; ++i) {
+    std::string row = std::to_string(i + 1) + kOf + std::to_string(pieces) + kEnd;
+    row.append(bytes, i * room, room);
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+std::vector<Checkpoint> partsFromRows(const std::vector<std::string>& values) {
+  std::vector<Checkpoint> parts;
+  std::string bytes;
+  std::size_t next = 1;
+  for (const std::string& value : values) {
+    Piece piece = parsePiece(value);
+    if (piece.number == 1) {
+      bytes.clear();
+      next = 1;
+    }
+    if (piece.number != next || piece.number == 0) {
+      next = 0;
+      continue;
+    }
+    bytes += piece.bytes;
+    ++next;
+    if (piece.number < piece.of) continue;
+    if (auto part = decodeCheckpoint(bytes)) parts.push_back(std::move(*part));
+    next = 0;
+  }
+  return parts;
+}
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/checkpoint_rows.h
@@ -0,0 +1,24 @@
+#pragma once
+
+/** @file
+ * How a part of a checkpoint lies in rows: its bytes, cut into pieces that fit. Pure.
+ */
+
+#include <string>
+#include <vector>
+
+#include "batch/checkpoint.h"
+
+namespace linenpier::batch {
+
+/** @param most bytes of a row's value.
+ * @return the values of consecutive rows; at least one.
+ */
+std::vector<std::string> toRows(const Checkpoint& part, std::size_t most);
+
+/** @param values of consecutive rows of one job. Parts that are cut off or spoilt are left out.
+ * @return the parts, in order.
+ */
+std::vector<Checkpoint> partsFromRows(const std::vector<std::string>& values);
+
+}  // namespace linenpier::batch
--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "batch/checkpoint_rows.h"
 #include "gateway/store_keys.h"
 
 namespace linenpier::batch {
@@ -10,8 +11,8 @@
 using gateway::jobKey;
 using gateway::jobObject;
 using gateway::kResultTable;
-using gateway::resultEnd;
-using gateway::resultKey;
+using gateway::numberedEnd;
+using gateway::numberedKey;
 using nlohmann::json;
 
 namespace {
@@ -20,9 +21,18 @@
 constexpr char kInline = '=';
 constexpr char kObject = '@';
 constexpr std::size_t kMostRemovedAtOnce = 90;  ///< The store takes 100 entries a write.
+/// Removed beside a part of a checkpoint, which takes some twenty entries.
+constexpr std::size_t kMostRemovedWithPart = 60;
+/// Of one write's rows: the store takes 1 MB, and they grow by a third on their way.
+constexpr std::size_t kMostWriteBytes = 600 * 1024;
 
 std::string resultRowKey(const JobId& id, std::size_t position) {
-  return kResultTable + "/" + resultKey(id, position);
+  return kResultTable + "/" + numberedKey(id, position);
+}
+
+/// @return the number at the end of a row's key.
+std::size_t numberOf(const std::string& key) {
+  return std::strtoull(key.c_str() + key.rfind('/') + 1, nullptr, 10);
 }
 
 std::string largeResultName(const JobId& id, std::size_t position, Revision fence) {
@@ -32,10 +42,10 @@
 }  // namespace
 
 std::string encodeRecord(const JobRecord& record) {
-  const json document = {{"owner", record.owner.str()}, {"host", record.host},
-                         {"path", record.path},         {"model", record.model.str()},
-                         {"total", record.total},       {"ended", record.ended},
-                         {"begun", record.begun},       {"accepted_ms", record.accepted_ms}};
+  const json document = {
+      {"owner", record.owner.str()}, {"host", record.host},   {"path", record.path},
+      {"model", record.model.str()}, {"total", record.total}, {"released", record.released},
+      {"ended", record.ended},       {"begun", record.begun}, {"accepted_ms", record.accepted_ms}};
   return document.dump();
 }
 
@@ -50,6 +60,7 @@
     record.path = document.at("path").get<std::string>();
     record.model = ModelName(document.value("model", ""));
     record.total = document.at("total").get<std::size_t>();
+    record.released = document.value("released", std::size_t{0});
     record.ended = document.at("ended").get<bool>();
     record.begun = document.value("begun", true);
     record.accepted_ms = document.at("accepted_ms").get<std::int64_t>();
@@ -114,10 +125,12 @@
 }
 
 Task<FencedAnswer> JobStore::append(JobId id, Revision fence, std::size_t position,
-                                    std::vector<StoredResult> results) {
+                                    std::vector<StoredResult> results,
+                                    std::optional<JobRecord> release) {
   const std::string job_key = jobKey(id);
   table::Write write;
   write.transaction.checks.push_back({job_key, fence});
+  if (release) write.transaction.puts.push_back({job_key, encodeRecord(*release)});
   for (const StoredResult& result : results) {
     std::string value = std::to_string(result.item_index);
     if (result.encoded.size() + value.size() + 1 <= row_bytes_) {
@@ -136,20 +149,33 @@
   co_return judge(answer, job_key, fence);
 }
 
-Task<FencedAnswer> JobStore::putCheckpoint(JobId id, Revision fence, std::uint64_t number,
-                                           Checkpoint checkpoint) {
-  const std::string name = gateway::checkpointObject(id, fence, number);
-  const auto put = co_await objects_.put(name, encodeCheckpoint(checkpoint));
-  if (!put) co_return FencedAnswer{FencedOutcome::kNotDone, 0, std::nullopt};
+Task<FencedAnswer> JobStore::putCheckpoint(JobId id, Revision fence, CheckpointWrite part) {
+  const std::string job_key = jobKey(id);
+  const std::string prefix = gateway::kCheckpointTable + "/";
   table::Write write;
-  write.transaction.checks.push_back({jobKey(id), fence});
-  write.transaction.puts.push_back({gateway::checkpointKey(id), name});
+  write.transaction.checks.push_back({job_key, fence});
+  std::size_t bytes = 0;
+  std::size_t number = part.first_row;
+  for (std::string& row : part.rows) {
+    if (bytes > 0 && bytes + row.size() > kMostWriteBytes) {
+      // A part that is cut off counts for nothing until its last row is there.
+      const auto begun = co_await table_.write(std::move(write));
+      const FencedAnswer judged = judge(begun, job_key, fence);
+      if (judged.outcome != FencedOutcome::kDone) co_return judged;
+      write = table::Write{};
+      write.transaction.checks.push_back({job_key, fence});
+      bytes = 0;
+    }
+    bytes += row.size();
+    write.transaction.puts.push_back({prefix + numberedKey(id, number), std::move(row)});
+    ++number;
+  }
+  for (std::size_t old = part.obsolete_from; old < part.first_row; ++old) {
+    if (write.removes.size() >= kMostRemovedWithPart) break;
+    write.removes.push_back(prefix + numberedKey(id, old));
+  }
   const auto answer = co_await table_.write(std::move(write));
-  co_return judge(answer, jobKey(id), fence);
-}
-
-Task<void> JobStore::dropCheckpoint(JobId id, Revision fence, std::uint64_t number) {
-  co_await objects_.remove(gateway::checkpointObject(id, fence, number));
+  co_return judge(answer, job_key, fence);
 }
 
 Task<bool> JobStore::removeObjects(std::string prefix) {
@@ -162,9 +188,9 @@
   co_return true;
 }
 
-Task<bool> JobStore::removeResults(JobId id, Revision fence) {
+Task<bool> JobStore::removeRows(std::string table, JobId id, Revision fence) {
   for (;;) {
-    table::RowRange range{kResultTable, resultKey(id, 0), resultEnd(id), kMostRemovedAtOnce};
+    table::RowRange range{table, numberedKey(id, 0), numberedEnd(id), kMostRemovedAtOnce};
     const auto page = co_await table_.read(range);
     if (!page) co_return false;
     if (page->rows.empty()) co_return true;
@@ -177,11 +203,11 @@
 }
 
 Task<bool> JobStore::removeJob(JobId id, Revision fence) {
-  const bool results_gone = co_await removeResults(id, fence);
+  const bool results_gone = co_await removeRows(kResultTable, id, fence);
   if (!results_gone) co_return false;
   const bool large_gone = co_await removeObjects(gateway::resultObjects(id));
   if (!large_gone) co_return false;
-  const bool checkpoints_gone = co_await removeObjects(gateway::checkpointObjects(id));
+  const bool checkpoints_gone = co_await removeRows(gateway::kCheckpointTable, id, fence);
   if (!checkpoints_gone) co_return false;
   const auto job_gone = co_await objects_.remove(jobObject(id));
   if (!job_gone) co_return false;
@@ -189,28 +215,33 @@
   table::Write write;
   write.transaction.checks.push_back({jobKey(id), fence});
   write.removes.push_back(jobKey(id));
-  write.removes.push_back(gateway::checkpointKey(id));
   const auto answer = co_await table_.write(std::move(write));
   co_return answer.has_value() && answer->committed;
 }
 
-Task<CallResult<Checkpoint>> JobStore::getCheckpoint(JobId id) {
-  table::RowRange range{gateway::kCheckpointTable, id.str(), id.str() + '\x01', 1};
-  const auto page = co_await table_.read(range);
-  if (!page) co_return tl::make_unexpected(page.error());
-  if (page->rows.empty()) co_return Checkpoint{};
-  const auto bytes = co_await objects_.get(page->rows.front().value);
-  if (!bytes) {
-    // A checkpoint that was dropped for a newer one is only a loss of time.
-    if (bytes.error().failure == CallFailure::kRejected) co_return Checkpoint{};
-    co_return tl::make_unexpected(bytes.error());
+Task<CallResult<StoredCheckpoint>> JobStore::getCheckpoint(JobId id) {
+  StoredCheckpoint stored;
+  std::vector<std::string> values;
+  table::RowRange range{gateway::kCheckpointTable, numberedKey(id, 0), numberedEnd(id), 0};
+  for (;;) {
+    auto page = co_await table_.read(range);
+    if (!page) co_return tl::make_unexpected(page.error());
+    for (table::Row& row : page->rows) {
+      const std::size_t number = numberOf(row.key);
+      if (values.empty()) stored.first_row = number;
+      stored.next_row = number + 1;
+      values.push_back(std::move(row.value));
+    }
+    if (!page->has_more || page->rows.empty()) break;
+    range.from = numberedKey(id, stored.next_row);
   }
-  co_return decodeCheckpoint(*bytes).value_or(Checkpoint{});
+  stored.texts = mergeParts(partsFromRows(values));
+  co_return stored;
 }
 
 Task<CallResult<StoredResults>> JobStore::results(JobId id, std::size_t position,
                                                   std::size_t limit) {
-  table::RowRange range{kResultTable, resultKey(id, position), resultEnd(id), limit};
+  table::RowRange range{kResultTable, numberedKey(id, position), numberedEnd(id), limit};
   const auto page = co_await table_.read(range);
   if (!page) co_return tl::make_unexpected(page.error());
   StoredResults found;
--- a/src/batch/job_store.h
+++ b/src/batch/job_store.h
@@ -5,11 +5,11 @@
 ///
 /// - the job as handed in: an object, written before anything else;
 /// - the job's row: its revision is the fence of the owner. Written under its last revision;
-/// - checkpoints: the text of unfinished items as an object, named by a row that is written while
-/// the
-///   job's row has the owner's revision;
+/// - checkpoints: the text of unfinished items, as rows that are added while the job's row has the
+///   owner's revision;
 /// - results: a row a position, written only while the job's row has the owner's revision and the
 ///   position is empty. So a position has one content for ever, whoever believes to be the owner.
+///   Readers are shown those that the job's row releases.
 
 #include <memory>
 
@@ -30,6 +30,21 @@
   std::int64_t clock_ms = 0;
 };
 
+/// A checkpoint as it lies in the store, and the rows that hold it.
+struct StoredCheckpoint {
+  Checkpoint texts;
+  std::size_t first_row = 0;
+  std::size_t next_row = 0;  ///< Behind the last one.
+};
+
+/// A part of a checkpoint on its way into the store.
+struct CheckpointWrite {
+  std::vector<std::string> rows;  ///< See `toRows`.
+  std::size_t first_row = 0;      ///< Number of the first.
+  /// Rows from this one up to `first_row` are removed once the part is written.
+  std::size_t obsolete_from = 0;
+};
+
 /// What came of a conditional write.
 enum class FencedOutcome {
   kDone,
@@ -62,24 +77,25 @@
   Task<CallResult<table::Row>> getRecord(JobId id);
 
   /// Appends results from `position` on under the fence.
+  /// @param release the job's row with what readers are shown from then on, in the same write: it
+  ///     gets a new revision, which is the fence then.
   Task<FencedAnswer> append(JobId id, Revision fence, std::size_t position,
-                            std::vector<StoredResult> results);
+                            std::vector<StoredResult> results, std::optional<JobRecord> release);
+  /// @return how much of a part of a checkpoint a row takes, in bytes.
+  std::size_t rowBytes() const { return row_bytes_; }
   /// Keeps what unfinished items have so far.
-  /// @param number differs between the checkpoints of one owner.
-  Task<FencedAnswer> putCheckpoint(JobId id, Revision fence, std::uint64_t number,
-                                   Checkpoint checkpoint);
-  /// Removes the object of a checkpoint that a newer one has replaced.
-  Task<void> dropCheckpoint(JobId id, Revision fence, std::uint64_t number);
+  Task<FencedAnswer> putCheckpoint(JobId id, Revision fence, CheckpointWrite part);
   /// Removes everything of a job that has ended, its row last. May be repeated.
   /// @return whether nothing is left.
   Task<bool> removeJob(JobId id, Revision fence);
-  /// @return the newest checkpoint; empty if there is none.
-  Task<CallResult<Checkpoint>> getCheckpoint(JobId id);
+  /// @return the checkpoint, its parts put together; empty if there is none.
+  Task<CallResult<StoredCheckpoint>> getCheckpoint(JobId id);
   /// Reads results from `position` on, at most `limit` rows (0: as many as one answer holds).
   Task<CallResult<StoredResults>> results(JobId id, std::size_t position, std::size_t limit);
 
  private:
-  Task<bool> removeResults(JobId id, Revision fence);
+  /// Removes the job's rows of a table that has many of each job. @return whether none is left.
+  Task<bool> removeRows(std::string table, JobId id, Revision fence);
   Task<bool> removeObjects(std::string prefix);
   FencedAnswer judge(const CallResult<table::TransactionAnswer>& answer, const std::string& job_key,
                      Revision fence) const;
--- a/src/gateway/store_keys.h
+++ b/src/gateway/store_keys.h
@@ -29,30 +29,21 @@
 inline std::string orderKey(const routing::ServiceName& service) {
   return kCoordinationTable + "/" + kOrderPrefix + service.str();
 }
-/// @return the key within the result table; positions sort as numbers do.
-inline std::string resultKey(const batch::JobId& id, std::size_t position) {
+/// @return the key of a job's row within the tables of results and of checkpoints, where each job
+///     has many; they sort as the numbers do.
+inline std::string numberedKey(const batch::JobId& id, std::size_t number) {
   char digits[16];
-  std::snprintf(digits, sizeof(digits), "%08zu", position);
+  std::snprintf(digits, sizeof(digits), "%08zu", number);
   return id.str() + "/" + digits;
 }
-inline std::string checkpointKey(const batch::JobId& id) {
-  return kCheckpointTable + "/" + id.str();
-}
-/// @return what the names of all checkpoints of the job begin with.
-inline std::string checkpointObjects(const batch::JobId& id) {
-  return "checkpoint-" + id.str() + "-";
-}
-inline std::string checkpointObject(const batch::JobId& id, Revision fence, std::uint64_t number) {
-  return checkpointObjects(id) + std::to_string(fence) + "-" + std::to_string(number);
+/// @return a key behind all of those.
+inline std::string numberedEnd(const batch::JobId& id) {
+  return id.str() + "/~";
 }
 /// @return what the names of all results of the job begin with that are too large for a row.
 inline std::string resultObjects(const batch::JobId& id) {
   return "result-" + id.str() + "-";
 }
-/// @return a key behind every result of the job.
-inline std::string resultEnd(const batch::JobId& id) {
-  return id.str() + "/~";
-}
 inline std::string jobObject(const batch::JobId& id) {
   return "job-" + id.str();
 }
--- /dev/null
+++ b/tests/batch/checkpoint_log_test.cpp
@@ -0,0 +1,123 @@
+#include "batch/checkpoint_log.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using namespace linenpier::batch;
+
+namespace {
+
+constexpr Instant kStart{std::chrono::seconds(100)};
+const EngineId kEngine("e");
+
+BatchRun runOf(std::size_t items) {
+  BatchJob job;
+  job.minimum_version = 1;
+  for (std::size_t i = 0; i < items; ++i) {
+    BatchItem item;
+    item.id = ItemId("i" + std::to_string(i));
+    item.group = GroupId("g" + std::to_string(i));
+    job.items.push_back(item);
+  }
+  RunRules rules;
+  rules.give_up_at = kStart + std::chrono::hours(1);
+  return {job, rules};
+}
+
+/// Lets the item have the events from `first` up to `last`.
+void addEvents(BatchRun& run, ItemIndex item, std::uint64_t first, std::uint64_t last) {
+  if (run.progress(item).state == ItemState::kWaiting) run.onStarted(kStart, item, kEngine);
+  for (std::uint64_t event = first; event <= last; ++event) {
+    run.onEvent(kStart, item, event, "e" + std::to_string(event), 1);
+  }
+}
+
+/// Writes the next part.
+Checkpoint writeNext(checkpoint_log& log, const BatchRun& run) {
+  const checkpoint_part part = log.next(run);
+  log.onWritten(part);
+  return part.texts;
+}
+
+}  // namespace
+
+Test(checkpoint_log, each_part_holds_what_was_added_and_all_together_the_whole_text) {
+  BatchRun run = runOf(2);
+  checkpoint_log log;
+  addEvents(run, 0, 1, 6);
+  std::vector<Checkpoint> parts = {writeNext(log, run)};
+  addEvents(run, 0, 7, 9);
+  addEvents(run, 1, 1, 5);
+  parts.push_back(writeNext(log, run));
+  cr_assert_eq(parts[1].size(), 2U);
+  cr_assert_eq(parts[1][0].after_event, 6U);
+  cr_assert_eq(parts[1][0].text, "\ne7\ne8\ne9");
+  cr_assert(log.next(run).texts.empty(), "nothing is new");
+  run.onCompleted(kStart, 0);
+  parts.push_back(writeNext(log, run));
+  cr_assert_eq(parts[2].size(), 1U);
+  cr_assert_eq(parts[2][0].text, "");
+  const Checkpoint merged = mergeParts(parts);
+  cr_assert_eq(merged[0].text, run.progress(0).text);
+  cr_assert(merged[0].finished);
+  cr_assert_eq(merged[1].text, run.progress(1).text);
+}
+
+Test(checkpoint_log, a_text_that_was_begun_anew_is_written_whole) {
+  BatchRun run = runOf(1);
+  checkpoint_log log;
+  addEvents(run, 0, 1, 6);
+  writeNext(log, run);
+  run.discardText(0);
+  addEvents(run, 0, 1, 8);
+  const Checkpoint part = writeNext(log, run);
+  cr_assert_eq(part[0].after_event, 0U);
+  cr_assert_eq(part[0].text, run.progress(0).text);
+}
+
+Test(checkpoint_log, a_text_that_was_begun_anew_during_a_write_is_written_whole_after_it) {
+  BatchRun run = runOf(1);
+  checkpoint_log log;
+  addEvents(run, 0, 1, 6);
+  const checkpoint_part part = log.next(run);
+  run.discardText(0);
+  addEvents(run, 0, 1, 8);
+  log.onWritten(part);
+  cr_assert_eq(log.next(run).texts[0].after_event, 0U);
+}
+
+Test(checkpoint_log, after_a_write_that_was_not_answered_the_next_part_is_whole) {
+  BatchRun run = runOf(1);
+  checkpoint_log log;
+  addEvents(run, 0, 1, 6);
+  writeNext(log, run);
+  addEvents(run, 0, 7, 7);
+  cr_assert_not(log.next(run).whole);
+  log.onUnsettled();
+  const checkpoint_part part = log.next(run);
+  cr_assert(part.whole);
+  cr_assert_eq(part.texts[0].text, run.progress(0).text);
+}
+
+Test(checkpoint_log, a_reader_never_has_to_read_many_parts) {
+  BatchRun run = runOf(1);
+  checkpoint_log log;
+  addEvents(run, 0, 1, 5);
+  int whole = 0;
+  for (std::uint64_t event = 6; event < 106; ++event) {
+    addEvents(run, 0, event, event);
+    const checkpoint_part part = log.next(run);
+    if (part.whole) ++whole;
+    log.onWritten(part);
+  }
+  cr_assert_geq(whole, 6);
+  cr_assert_leq(whole, 8);
+}
+
+Test(checkpoint_log, listed_items_are_left_out) {
+  BatchRun run = runOf(1);
+  addEvents(run, 0, 1, 6);
+  run.onCompleted(kStart, 0);
+  run.onListed(0);
+  cr_assert(checkpoint_log{}.next(run).texts.empty());
+}
--- a/tests/batch/checkpoint_test.cpp
+++ b/tests/batch/checkpoint_test.cpp
@@ -20,3 +20,23 @@
   cr_assert_not(decodeCheckpoint("nonsense").has_value());
   cr_assert_not(decodeCheckpoint("").has_value());
 }
+
+Test(checkpoint, additions_are_put_behind_what_earlier_parts_have) {
+  ItemCheckpoint addition{0, 4, {3, 4}, "\nthree\nfour", true};
+  addition.after_event = 2;
+  const auto decoded = decodeCheckpoint(encodeCheckpoint({addition}));
+  cr_assert(decoded.has_value());
+  const Checkpoint merged = mergeParts({{{0, 2, {3}, "one\ntwo", false}}, *decoded});
+  cr_assert_eq(merged.size(), 1U);
+  cr_assert(merged[0] == (ItemCheckpoint{0, 4, {3, 4}, "one\ntwo\nthree\nfour", true}));
+}
+
+Test(checkpoint, an_addition_to_a_text_that_is_missing_is_left_out) {
+  ItemCheckpoint addition{0, 4, {3}, "\nfour", false};
+  addition.after_event = 3;
+  const Checkpoint before = {{0, 2, {3}, "one\ntwo", false}};
+  cr_assert(mergeParts({before, {addition}}) == before, "events between are missing");
+  cr_assert(mergeParts({{addition}}).empty());
+  const Checkpoint whole = {{0, 5, {3}, "1\n2\n3\n4\n5", false}};
+  cr_assert(mergeParts({before, {addition}, whole}) == whole, "a later part has all");
+}
--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -222,7 +222,15 @@
       if (key.find(job) != std::string::npos) return false;
     }
   }
-  return store.objectNames("job-" + job).empty() && store.objectNames("checkpoint-" + job).empty();
+  return store.objectNames("job-" + job).empty();
+}
+
+/// @return how many rows hold the job's checkpoint.
+std::size_t checkpointRows(test::StandinStore& store, const std::string& job) {
+  const std::vector<std::string> keys = store.keys("checkpoints");
+  return static_cast<std::size_t>(
+      std::count_if(keys.begin(), keys.end(),
+                    [&](const std::string& key) { return key.starts_with(job + "/"); }));
 }
 
 }  // namespace
@@ -232,8 +240,8 @@
   co_await fixture.call(0, fixture.jobRequest("open", 2));
   co_await fixture.call(0, fixture.jobRequest("ended", 120));
   co_await sleepFor(fixture.loop(), std::chrono::milliseconds(1300));
-  cr_assert(fixture.store().objectNames("checkpoint-ended").size() <= 2,
-            "checkpoints that were replaced are dropped");
+  cr_assert(checkpointRows(fixture.store(), "ended") > 0);
+  cr_assert(checkpointRows(fixture.store(), "ended") <= 2, "a part each half second");
   co_await fixture.call(1, endRequest("ended"));
   const bool removed = co_await fixture.waitFor(
       [&fixture] { return nothingLeft(fixture.store(), "ended"); }, std::chrono::seconds(12));
--- /dev/null
+++ b/tests/gateway/release_test.cpp
@@ -0,0 +1,98 @@
+/// @file
+/// Results are stored as they finish and shown to readers once a step is whole.
+
+#include <nlohmann/json.hpp>
+
+#include "support/gateway_fixture.h"
+
+using namespace linenpier;
+using nlohmann::json;
+using test::GatewayFixture;
+using test::twoGateways;
+
+namespace {
+
+constexpr int kItems = 8;
+constexpr int kEvents = 40;
+
+/// A job whose trainer waits for all of its groups.
+http::Request stepRequest(GatewayFixture& fixture, const std::string& id) {
+  http::Request request = fixture.jobRequest(id, kItems);
+  json document = json::parse(request.body());
+  document["step"] = 0;
+  document["desired"] = kItems / 2;
+  request.body() = document.dump();
+  request.prepare_payload();
+  return request;
+}
+
+http::Request readRequest(const std::string& id) {
+  http::Request request(boost::beast::http::verb::get, "/linenpier/lots/" + id + "?afterRev=0", 11);
+  request.set("Host", "h.example");
+  request.set("Wait-Ms", "50");
+  return request;
+}
+
+std::size_t storedResults(GatewayFixture& fixture) {
+  return fixture.store().keys("results").size();
+}
+
+/// One engine's items end soon, the other's much later.
+void makeOneEngineSlow(GatewayFixture& fixture) {
+  fixture.model(0).setEventGap(std::chrono::milliseconds(5));
+  fixture.model(1).setEventGap(std::chrono::milliseconds(60));
+}
+
+}  // namespace
+
+GATEWAY_TEST(release, results_of_a_step_are_stored_early_and_shown_together, twoGateways(kEvents)) {
+  makeOneEngineSlow(fixture);
+  co_await fixture.call(0, stepRequest(fixture, "job"));
+  const bool stored = co_await fixture.waitFor([&fixture] { return storedResults(fixture) > 0; });
+  cr_assert(stored);
+  cr_assert_lt(storedResults(fixture), static_cast<std::size_t>(kItems));
+  for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+    const auto page = co_await fixture.call(gateway, readRequest("job"));
+    cr_assert_eq(page.response.result_int(), 200U);
+    cr_assert_eq(json::parse(page.response.body())["results"].size(), 0U, "held back");
+  }
+  const std::string results = co_await fixture.readAll(1, "job");
+  cr_assert_eq(std::count(results.begin(), results.end(), '\n'), kItems);
+  const auto again = co_await fixture.call(0, readRequest("job"));
+  cr_assert_eq(json::parse(again.response.body())["results"].size(),
+               static_cast<std::size_t>(kItems));
+}
+
+GATEWAY_TEST(release, results_that_were_held_back_are_not_made_again_by_the_next_owner,
+             twoGateways(kEvents)) {
+  makeOneEngineSlow(fixture);
+  co_await fixture.call(0, stepRequest(fixture, "job"));
+  const bool stored = co_await fixture.waitFor([&fixture] { return storedResults(fixture) > 0; });
+  cr_assert(stored);
+  std::vector<std::string> finished;
+  for (const auto& arrival : fixture.model(0).arrivals())
+    finished.push_back(arrival.fields.at("request-id"));
+  fixture.cutFromStore(0);
+  const std::string results = co_await fixture.readAll(1, "job");
+  cr_assert_eq(std::count(results.begin(), results.end(), '\n'), kItems);
+  const std::size_t listed_early = storedResults(fixture);
+  cr_assert_eq(listed_early, static_cast<std::size_t>(kItems));
+  int again = 0;
+  for (const auto& arrival : fixture.model(0).arrivals()) {
+    const std::string& id = arrival.fields.at("request-id");
+    const bool known = std::count(finished.begin(), finished.end(), id) > 0;
+    again += known && !arrival.fields.contains("last-event-id") ? 1 : 0;
+  }
+  cr_assert_eq(again, static_cast<int>(finished.size()), "each finished item ran once");
+}
+
+GATEWAY_TEST(release, a_release_that_was_done_but_not_answered_is_believed, twoGateways(kEvents)) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(5));
+  co_await fixture.call(0, stepRequest(fixture, "job"));
+  // Renewals and checkpoints lose their answers, too.
+  fixture.store().faults().lose_writes = 6;
+  const std::string first = co_await fixture.readAll(1, "job");
+  const std::string second = co_await fixture.readAll(0, "job");
+  cr_assert_eq(first, second);
+  cr_assert_eq(std::count(first.begin(), first.end(), '\n'), kItems);
+}
