Look less often where there is nothing to look at

Cause: every daemon woke 36 times a second to look at owned jobs and held rights, also the 280 of 295 that own and hold nothing.

Ruled out: no looks at all there, since a lost owner is noticed by them.

Change: daemons that own nothing and do not offer to look four times a second, but for the first five seconds of a life, in which what an earlier life owned is taken up and rights are first acquired.

--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -11,7 +11,14 @@
 using logging::LogEvent;
 
 namespace {
+/// Between two looks at owned jobs: shorter than an event takes, so that a free slot is not left
+/// empty for long.
 constexpr Duration kTick = std::chrono::milliseconds(50);
+/// The same at a daemon that runs no job and is not the first to take one over. Each look wakes the
+/// process, in a large fleet on hundreds of machines.
+constexpr Duration kIdleTick = std::chrono::milliseconds(250);
+/// A daemon that started just now may have to take up what its earlier life owned.
+constexpr Duration kStartTime = std::chrono::seconds(5);
 /// Results that are read this long after they are due count as in time (the users allow 0.7 s, of
 /// which the way to the reader takes a part). A step that is whole by then is read in one piece.
 constexpr Duration kDueGrace = std::chrono::milliseconds(450);
@@ -258,8 +265,10 @@
 }
 
 Task<void> BatchService::tickLoop() {
+  const Instant begun = steadyNow();
   for (;;) {
-    co_await sleepFor(deps_.loop, kTick);
+    const bool idle = !deps_.pool.offers() && !ownsAny() && steadyNow() - begun > kStartTime;
+    co_await sleepFor(deps_.loop, idle ? kIdleTick : kTick);
     const Instant now = steadyNow();
     checkOwners(now);
     for (auto& [id, job] : jobs_) {
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(60);
+/// At a daemon that holds no right and is not the first to take one.
+constexpr Duration kIdleTick = std::chrono::milliseconds(250);
+/// When a fleet starts nobody holds a right, and nobody offers to yet.
+constexpr Duration kStartTime = std::chrono::seconds(5);
 constexpr Duration kProofPause = std::chrono::milliseconds(120);  ///< After one without an answer.
 /// What this daemon knows of the store's clock may lag by a slow answer.
 constexpr std::int64_t kClockLagMs = 500;
@@ -131,8 +135,10 @@
 }
 
 Task<void> OrderService::tickLoop() {
+  const Instant begun = steadyNow();
   for (;;) {
-    co_await sleepFor(deps_.loop, kTick);
+    const bool idle = !deps_.pool.offers() && !holdsAny() && steadyNow() - begun > kStartTime;
+    co_await sleepFor(deps_.loop, idle ? kIdleTick : kTick);
     const routing::RouteTablePtr routes = deps_.routes();
     if (!routes || stopping_) continue;
     for (const auto& [name, service] : routes->services) {
