Let a fleet fill its pool of owners one after the other

Cause: at the start of all no lease is there yet, so that each of 295 daemons offered itself, 287 of them for a second. Their rows stayed for 60 s, and every daemon reads all leases each second.

Ruled out: offers by chance, since nobody knows how many daemons there are.

Change: a daemon joins a pool that lacks members after a wait of up to 12 s by its hash, up to four times that where it can carry little; by then most see it full. A lease's row goes as soon as nobody needs it. Daemons outside a pool wait longer for takeovers only if there is a pool.

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -351,7 +351,8 @@
 // --- Ending -------------------------------------------------------------------------------------
 
 Task<void> BatchService::end(JobId id, http::ResponseWriter& writer) {
-  const Instant deadline = steadyNow() + options_.end_time;
+  const Instant begun = steadyNow();
+  const Instant deadline = begun + options_.end_time;
   unsigned status = kUnavailable;
   while (steadyNow() < deadline && !writer.cancellation().requested()) {
     const auto row = co_await deps_.store.getRecord(id);
@@ -379,7 +380,10 @@
     co_await sleepFor(deps_.loop, options_.store_pause);
   }
   if (status == kOk) ++counts_.ended;
-  LogEvent("batch", "end_asked").text("batch", id.str()).number("status", status);
+  LogEvent("batch", "end_asked")
+      .text("batch", id.str())
+      .number("status", status)
+      .milliseconds("took_ms", steadyNow() - begun);
   co_await answer(writer, status);
 }
 
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -168,14 +168,15 @@
     return;
   }
   const engines::EngineState* known = registry_.find(record->id);
-  const bool told = known == nullptr || known->record.draining != record->draining;
+  // New engines are counted as well: when a fleet starts every daemon hears of all of them.
+  const bool told = record->draining && (known == nullptr || !known->record.draining);
   registry_.onRecord(now, *record);
   if (!told) {
     // Weights and the like change many times a second in a large fleet.
     ++engine_updates_;
     return;
   }
-  LogEvent("engines", record->draining ? "draining" : "added")
+  LogEvent("engines", "draining")
       .text("engine", key)
       .text("service", record->service.str())
       .number("revision", static_cast<std::int64_t>(change.row.revision));
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -52,7 +52,11 @@
     Duration pause = leases_.times().renewal;
     const Instant due = renewed_at_ + leases_.times().renewal;
     const Instant now = steadyNow();
-    if (needed_() && now >= due) {
+    const bool needed = needed_();
+    if (!needed && renewed_at_ != Instant{}) {
+      // A row that nobody needs is read by every daemon each second.
+      if (co_await removeRow()) renewed_at_ = Instant{};
+    } else if (needed && now >= due) {
       if (!co_await renew()) pause = kRetryPause;
     } else if (now < due) {
       pause = due - now;
@@ -65,10 +69,14 @@
 
 Task<void> LeaseKeeper::stop() {
   stopping_ = true;
-  if (renewed_at_ == Instant{}) co_return;
+  if (renewed_at_ != Instant{}) co_await removeRow();
+}
+
+Task<bool> LeaseKeeper::removeRow() {
   table::Write write;
   write.removes.push_back(gateway::leaseKey(leases_.own()));
-  co_await table_.write(std::move(write));
+  const auto answer = co_await table_.write(std::move(write));
+  co_return answer.has_value() && answer->committed;
 }
 
 }  // namespace linenpier::lease
--- a/src/lease/lease_keeper.h
+++ b/src/lease/lease_keeper.h
@@ -46,6 +46,8 @@
 
  private:
   Task<void> run();
+  /// @return whether the lease's row is gone.
+  Task<bool> removeRow();
 
   boost::asio::io_context& loop_;
   table::AsyncTable& table_;
--- a/src/lease/owner_pool.cpp
+++ b/src/lease/owner_pool.cpp
@@ -15,6 +15,16 @@
 /// Capacities are told apart by steps of this power of two. A timer's jitter must not change ranks.
 constexpr double kStepsPerDoubling = 2;
 
+/// Within this time the daemons of a fleet join a pool that lacks members, one after the other, so
+/// that most of them see it full before their turn: with 300 daemons some 20 a second do, and each
+/// sees the others after a second.
+constexpr Duration kJoinSpread = std::chrono::seconds(12);
+/// Daemons that carry less than this come later, down to a quarter of it. The most that a machine
+/// of the known deployments has.
+constexpr double kUsualCapacity = 0.5;
+constexpr double kLatestTurn = 4;
+constexpr std::uint64_t kTurns = 1000;
+
 long capacityStep(double capacity) {
   return std::lround(kStepsPerDoubling * std::log2(std::max(capacity, 1e-6)));
 }
@@ -45,13 +55,25 @@
   const auto better = static_cast<std::size_t>(
       std::count_if(others.begin(), others.end(),
                     [&self](const OwnerCandidate& each) { return betterOwner(each, self); }));
+  if (better >= wanted) {
+    lacking_since_.reset();
+  } else if (!lacking_since_) {
+    lacking_since_ = now;
+  }
   const bool before = offers_;
-  offers_ = better < wanted;
+  offers_ = lacking_since_ && (before || now - *lacking_since_ >= joinDelay());
   return offers_ != before;
 }
 
+Duration OwnerPool::joinDelay() const {
+  const auto turn = static_cast<std::int64_t>(hash64(leases_.own().str()) % kTurns);
+  const double factor = std::clamp(kUsualCapacity / capacity(), 1.0, kLatestTurn);
+  return fromSeconds(toSeconds(kJoinSpread) * factor * static_cast<double>(turn) / kTurns);
+}
+
 Duration OwnerPool::courtesy(Instant now, const std::string& what) const {
-  return leases_.courtesy(now, what) + (offers_ ? Duration::zero() : kOutsiderDelay);
+  const bool first = offers_ || leases_.candidates(now).empty();
+  return leases_.courtesy(now, what) + (first ? Duration::zero() : kOutsiderDelay);
 }
 
 }  // namespace linenpier::lease
--- a/src/lease/owner_pool.h
+++ b/src/lease/owner_pool.h
@@ -6,6 +6,7 @@
 /// lease while they own nothing, too, and tell with it what they can carry. Everybody sees them in
 /// the leases that are read anyway. Pure.
 
+#include <optional>
 #include <vector>
 
 #include "lease/lease_table.h"
@@ -34,8 +35,12 @@
 
  private:
   const LeaseTable& leases_;
+  /// @return how long this daemon waits before it joins a pool that lacks members.
+  Duration joinDelay() const;
+
   OwnCapacity capacity_;
   bool offers_ = false;
+  std::optional<Instant> lacking_since_;  ///< When the pool was first seen to lack members.
 };
 
 /// @return whether `one` is the better owner. Capacities that differ by little count as equal; then
