Tell of each run of an item when it began and how long it paused

Cause: a step that lasts longer than its longest text could not be explained from the logs: whether its run waited for its first event, stood still while its engine loaded, or was slow all the time.

Ruled out: a line an event, which would be thousands a second.

Change: attempt_ended has first_event_ms and longest_gap_ms.

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -145,17 +145,18 @@
 Task<void> BatchService::runItem(ActivePtr active, ItemIndex item,
                                  std::shared_ptr<forward::EngineCall> call, std::string model) {
   const ModelName model_name(model);
-  const AttemptVerdict verdict = co_await readItemEvents(*active, item, *call, model_name);
+  RunTimes times;
+  const AttemptVerdict verdict = co_await readItemEvents(*active, item, *call, model_name, times);
   active->calls.erase(item);
   deps_.engines.registry.onTokens(call->engine(), -expectedTokens(active->run.job().items[item]));
   if (active->stopped) co_return;
-  settleItem(*active, item, *call, verdict, model_name);
+  settleItem(*active, item, *call, verdict, model_name, times);
   pump();
 }
 
 Task<AttemptVerdict> BatchService::readItemEvents(Active& active, ItemIndex item,
-                                                  forward::EngineCall& call,
-                                                  const ModelName& model) {
+                                                  forward::EngineCall& call, const ModelName& model,
+                                                  RunTimes& times) {
   const Instant started = steadyNow();
   forward::AttemptLimits limits{started + options_.connect_time,
                                 started + options_.first_event_time};
@@ -190,7 +191,9 @@
       }
     }
     if (!events.empty()) {
+      if (first) times.to_first_event = now - started;
       if (!first) {
+        times.longest_gap = std::max(times.longest_gap, now - last);
         deps_.engines.registry.onPace(now, call.engine(),
                                       (now - last) / static_cast<int>(events.size()));
       }
@@ -203,7 +206,8 @@
 }
 
 void BatchService::settleItem(Active& active, ItemIndex item, forward::EngineCall& call,
-                              AttemptVerdict verdict, const ModelName& model) {
+                              AttemptVerdict verdict, const ModelName& model,
+                              const RunTimes& times) {
   const Instant now = steadyNow();
   const unsigned status = verdict == AttemptVerdict::kAnswered ? call.status() : 0;
   const std::uint64_t events = active.run.progress(item).last_event;
@@ -236,6 +240,8 @@
       .number("status", status)
       .number("events", static_cast<std::int64_t>(events))
       .number("hint", static_cast<std::int64_t>(active.run.job().items[item].length_hint))
+      .milliseconds("first_event_ms", times.to_first_event.value_or(Duration::zero()))
+      .milliseconds("longest_gap_ms", times.longest_gap)
       .milliseconds("took_ms", now - call.startedAt());
 }
 
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -213,10 +213,16 @@
   bool startItem(const ActivePtr& active, ItemIndex item, const routing::Route& route);
   Task<void> runItem(ActivePtr active, ItemIndex item, std::shared_ptr<forward::EngineCall> call,
                      std::string model);
+  /// How a run went, for the log.
+  struct RunTimes {
+    std::optional<Duration> to_first_event;
+    Duration longest_gap{};  ///< Between two of its events.
+  };
   Task<forward::AttemptVerdict> readItemEvents(Active& active, ItemIndex item,
-                                               forward::EngineCall& call, const ModelName& model);
+                                               forward::EngineCall& call, const ModelName& model,
+                                               RunTimes& times);
   void settleItem(Active& active, ItemIndex item, forward::EngineCall& call,
-                  forward::AttemptVerdict verdict, const ModelName& model);
+                  forward::AttemptVerdict verdict, const ModelName& model, const RunTimes& times);
   http::Request itemRequest(const Active& active, ItemIndex item) const;
 
   void startScorings(const ActivePtr& active);
