Order the filling of a pool by the best member, not by a figure

Cause: how late a daemon joins a pool was measured against 0.5 processors, the most that a machine of the known deployments has.

Ruled out: nothing else was looked at.

Change: it is measured against the best member that is seen; without one all joins are spread alike, and better daemons displace others later.

Tests: those of the pool as they were, 304 of 304.

--- a/src/lease/owner_pool.cpp
+++ b/src/lease/owner_pool.cpp
@@ -19,9 +19,8 @@
 /// that most of them see it full before their turn: with 300 daemons some 20 a second do, and each
 /// sees the others after a second.
 constexpr Duration kJoinSpread = std::chrono::seconds(12);
-/// Daemons that carry less than this come later, down to a quarter of it. The most that a machine
-/// of the known deployments has.
-constexpr double kUsualCapacity = 0.5;
+/// Daemons that carry less than the best member come later, in proportion, but not later than this
+/// many times: a fleet without better ones must not be left without owners.
 constexpr double kLatestTurn = 4;
 constexpr std::uint64_t kTurns = 1000;
 
@@ -61,13 +60,15 @@
     lacking_since_ = now;
   }
   const bool before = offers_;
-  offers_ = lacking_since_ && (before || now - *lacking_since_ >= joinDelay());
+  offers_ = lacking_since_ && (before || now - *lacking_since_ >= joinDelay(others));
   return offers_ != before;
 }
 
-Duration OwnerPool::joinDelay() const {
+Duration OwnerPool::joinDelay(const std::vector<OwnerCandidate>& members) const {
+  double best = capacity();
+  for (const OwnerCandidate& each : members) best = std::max(best, each.capacity);
+  const double factor = std::min(best / capacity(), kLatestTurn);
   const auto turn = static_cast<std::int64_t>(hash64(leases_.own().str()) % kTurns);
-  const double factor = std::clamp(kUsualCapacity / capacity(), 1.0, kLatestTurn);
   return fromSeconds(toSeconds(kJoinSpread) * factor * static_cast<double>(turn) / kTurns);
 }
 
--- a/src/lease/owner_pool.h
+++ b/src/lease/owner_pool.h
@@ -36,7 +36,7 @@
  private:
   const LeaseTable& leases_;
   /// @return how long this daemon waits before it joins a pool that lacks members.
-  Duration joinDelay() const;
+  Duration joinDelay(const std::vector<OwnerCandidate>& members) const;
 
   OwnCapacity capacity_;
   bool offers_ = false;
