Leave a run that stands still earlier

Cause: an item waited up to 2.5 s for its first event and 1.2 s for each further one.

Ruled out: a second run beside the first, since an earlier run must end when an item goes on elsewhere.

Change: 0.6 s for the first event, doubled each time that the item was left (where all engines are full, leaving a queue loses the place), and five times the engine's pace between two, 0.45 to 1.2 s. An engine that is left so counts as full for a while, not as broken.

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -158,13 +158,15 @@
                                                   forward::EngineCall& call, const ModelName& model,
                                                   RunTimes& times) {
   const Instant started = steadyNow();
-  forward::AttemptLimits limits{started + options_.connect_time,
-                                started + options_.first_event_time};
+  const Duration first_limit =
+      options_.patience.forFirstEvent(active.run.progress(item).late_starts);
+  forward::AttemptLimits limits{started + options_.connect_time, started + first_limit, false,
+                                engines::AttemptEnd::kRefused};
   AttemptVerdict verdict = co_await call.start(limits);
   if (verdict != AttemptVerdict::kAnswered) co_return verdict;
   if (call.status() >= 300) {
     std::string ignored;
-    co_return co_await call.readWhole(ignored, steadyNow() + options_.event_gap);
+    co_return co_await call.readWhole(ignored, steadyNow() + options_.patience.longest_gap);
   }
   WeightVersion version = call.headVersion();
   if (!model.empty()) deps_.engines.registry.onVersionSeen(call.engine(), model, version);
@@ -173,7 +175,8 @@
   Instant last = steadyNow();
   bool first = true;
   while (!call.finished()) {
-    const Duration gap = first ? options_.first_event_time : options_.event_gap;
+    const double pace = deps_.engines.registry.measuredPace(steadyNow(), call.engine());
+    const Duration gap = first ? first_limit : options_.patience.forGap(pace);
     verdict = co_await call.readEvents(parser, events, steadyNow() + gap);
     if (active.stopped) co_return AttemptVerdict::kAborted;
     const Instant now = steadyNow();
@@ -222,6 +225,11 @@
     if (!model.empty()) deps_.engines.registry.onModelRefused(now, call.engine(), model);
     active.run.onInterrupted(now, item, options_.refused_pause);
   } else {
+    if (verdict == AttemptVerdict::kSilent) {
+      // It is full, or stands still while it loads.
+      if (!model.empty()) deps_.engines.registry.onModelRefused(now, call.engine(), model);
+      if (!times.to_first_event) active.run.onLateStart(item);
+    }
     if (verdict == AttemptVerdict::kBroken && !model.empty()) {
       deps_.engines.registry.onModelReset(now, call.engine(), model);
     }
--- a/src/batch/batch_run.cpp
+++ b/src/batch/batch_run.cpp
@@ -148,6 +148,7 @@
   progress.last_event = event;
   progress.versions.insert(version);
   progress.last_progress = now;
+  progress.late_starts = 0;
   return EventVerdict::kTaken;
 }
 
--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -44,6 +44,7 @@
   int failures = 0;
   std::string score;
   int score_failures = 0;
+  int late_starts = 0;  ///< Runs in a row that were left since no event came.
   Instant not_before{};
   Instant last_progress{};
   EngineId last_engine;
@@ -105,6 +106,8 @@
   void onNotScored(Instant now, ItemIndex item, int failures, int most_failures, Duration pause);
   std::size_t unscored() const;
 
+  /// A run was left since it brought no event in time.
+  void onLateStart(ItemIndex item) { ++progress_[item].late_starts; }
   /// The attempt ended without it; the item goes on from what it has.
   void onInterrupted(Instant now, ItemIndex item, Duration pause);
   /// The engine ran the item and failed.
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -21,6 +21,7 @@
 #include "batch/length_estimate.h"
 #include "batch/listing_schedule.h"
 #include "batch/moves_planned.h"
+#include "batch/run_patience.h"
 #include "forward/engine_call.h"
 #include "forward/internal_requests.h"
 #include "http/server.h"
@@ -34,9 +35,7 @@
 
 struct BatchOptions {
   Duration connect_time = std::chrono::milliseconds(200);
-  /// Until an engine's first event, during which a request may wait in the engine's queue.
-  Duration first_event_time = std::chrono::milliseconds(2500);
-  Duration event_gap = std::chrono::milliseconds(1200);  ///< Between two events.
+  run_patience patience;
   Duration refused_pause = std::chrono::milliseconds(40);
   Duration broken_pause{};
   listing_times listing;
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -205,6 +205,12 @@
   return slowness(now, *engine, median) * median;
 }
 
+double EngineRegistry::measuredPace(Instant now, const EngineId& id) const {
+  const EngineState* engine = find(id);
+  if (engine == nullptr || now - engine->pace_at >= options_.pace_lifetime) return 0;
+  return engine->pace;
+}
+
 double EngineRegistry::typicalTokens() const {
   double tokens = 0;
   double requests = 0;
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -161,6 +161,9 @@
   /// @return the time per unit of work that is expected of the engine, in seconds; 0 if nothing is
   ///     known of its service.
   double expectedPace(Instant now, const EngineId& id) const;
+  /// @return the smoothed time per unit of work that was measured of the engine lately, in seconds;
+  ///     0: none was.
+  double measuredPace(Instant now, const EngineId& id) const;
   /// @return the median of the paces that are known of the service's engines; 0: none is.
   double medianPace(Instant now, const routing::ServiceName& service) const;
 
--- a/src/forward/engine_call.cpp
+++ b/src/forward/engine_call.cpp
@@ -63,6 +63,7 @@
 
 Task<AttemptVerdict> EngineCall::start(AttemptLimits limits) {
   const auto self = shared_from_this();
+  when_late_ = limits.when_late;
   http::ExpectedEcho echo{context_.names.request_id, request_id_};
   const ExchangeStatus status = co_await exchange_->start(limits.connect_deadline, limits.deadline,
                                                           echo, limits.fresh_connection);
@@ -113,7 +114,7 @@
       exchange_->abort();
       return AttemptVerdict::kBroken;
     case ExchangeStatus::kTimedOut:
-      end(AttemptEnd::kSilent);
+      end(when_late_);
       exchange_->abort();
       return AttemptVerdict::kSilent;
     case ExchangeStatus::kAborted:
--- a/src/forward/engine_call.h
+++ b/src/forward/engine_call.h
@@ -41,6 +41,9 @@
   Instant connect_deadline;
   Instant deadline;  ///< For each further step as well.
   bool fresh_connection = false;
+  /// What it says of the engine if nothing comes in time. Who waits for less than any sound engine
+  /// may take must not count that as a failure.
+  engines::AttemptEnd when_late = engines::AttemptEnd::kSilent;
 };
 
 /// Loop thread only; held by a shared pointer. Counts as in flight until its end.
@@ -81,6 +84,7 @@
   std::string request_id_;
   std::shared_ptr<http::ClientExchange> exchange_;
   Instant started_at_{};
+  engines::AttemptEnd when_late_ = engines::AttemptEnd::kSilent;
   bool ended_ = false;
 };
 
