Hear of releases soon where readers wait for them

Cause: a trainer's read waits at any daemon, which took in changes of jobs every 80 ms unless it owned some.

Ruled out: 20 ms everywhere, which wakes hundreds of daemons for rows that only a few wait for.

Change: 20 ms at daemons where a reader waits.

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -305,7 +305,9 @@
       co_await answerRead(writer, id, page, {record->total, released, from_memory});
       co_return;
     }
+    ++waiting_readers_;
     co_await waitForRelease(id, deadline - now);
+    --waiting_readers_;
   }
 }
 
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -129,6 +129,8 @@
   void onRecordRow(const JobId& id, const table::Row& row);
   void onRecordGone(const JobId& id) { jobs_.erase(id); }
 
+  /// @return whether readers wait here for results to be released.
+  bool hasWaitingReaders() const { return waiting_readers_ > 0; }
   /// @return whether this daemon owns jobs that are not wholly listed.
   bool ownsAny() const;
   /// @return the work of jobs under way at any daemon.
@@ -284,6 +286,7 @@
   BatchCounts counts_;
   length_estimate lengths_;
   std::size_t scorings_ = 0;  ///< Reward requests under way.
+  std::size_t waiting_readers_ = 0;
   bool stopping_ = false;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
 };
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -17,9 +17,10 @@
 /// The same at daemons that only forward requests: they need to know who is draining, for which
 /// the platform allows two seconds, not each change of weights.
 constexpr Duration kIdleEngineChangesGap = std::chrono::milliseconds(500);
-/// Between two answers of the feed of jobs and rights, at a daemon that may be given a job …
+/// Between two answers of the feed of jobs and rights, at a daemon that may be given a job or where
+/// readers wait for one to be released …
 constexpr Duration kJobChangesGap = std::chrono::milliseconds(20);
-/// … and at one that only tells readers of them.
+/// … and at any other.
 constexpr Duration kIdleJobChangesGap = std::chrono::milliseconds(80);
 /// Daemons that offer to own work beyond one a model: one for the right to order, one that can take
 /// over at once.
@@ -81,7 +82,10 @@
   };
   table::WatcherOptions options;
   options.wait = std::chrono::milliseconds(1500);
-  options.coalesce = [this] { return ownsWork() ? kJobChangesGap : kIdleJobChangesGap; };
+  options.coalesce = [this] {
+    const bool awaited = ownsWork() || batches_.hasWaitingReaders();
+    return awaited ? kJobChangesGap : kIdleJobChangesGap;
+  };
   options.seed = hash64(settings_.id.str(), 3);
   coordination_watcher_ = std::make_unique<table::TableWatcher>(
       loop_, platform_.table(), kCoordinationTable, options, coordination);
