Go on with the store within a tenth of a second of its return

A write that was sent to a silent store waits 1.5 s for its answer, a feed 0.7 s, and each pauses before it asks again. Hand- ins were refused until the daemon's feeds were back, up to 1.2 s after.

Ruled out: shorter time-outs, since a slow store answers after 0.25 s and more, and each repetition costs it a call.

Change: while the store does not answer, daemons that own work ask it a small question every 0.1 s without waiting for the one before. The first answer ends all reads and writes that have waited for more than 0.3 s, or three times what the answer took; they are sent again as after a time-out, which the fences bear. Feeds and leases are asked at once. A job that is handed in where the feeds are lost is refused only if the store does not answer a question within 0.15 s. Who was alive when the leases were last read counts as alive while nobody can renew.

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -21,6 +21,9 @@
 constexpr unsigned kUnknown = 502;
 constexpr unsigned kUnavailable = 503;
 constexpr int kPutTries = 2;
+/// For a question to a store that may be away, before a job is refused: many times its usual
+/// answer.
+constexpr Duration kAnswerPatience = std::chrono::milliseconds(150);
 
 std::optional<std::string> bodyOf(const BatchJob& job, const ItemId& item) {
   const auto found = std::find_if(job.items.begin(), job.items.end(),
@@ -122,7 +125,10 @@
         .number("bytes", static_cast<std::int64_t>(request.body().size()))
         .milliseconds("took_ms", steadyNow() - received);
   };
-  if (stopping_ || !deps_.leases.storeHealthy()) {
+  // A feed that is lost says little: the store may be back, or turn its feeds away only.
+  bool answers = deps_.leases.storeHealthy();
+  if (!stopping_ && !answers) answers = co_await deps_.store.answers(id, kAnswerPatience);
+  if (stopping_ || !answers) {
     ++counts_.refused;
     logOutcome(stopping_ ? "stopping" : "store_away", kUnavailable);
     co_await answer(writer, kUnavailable);
--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -142,9 +142,22 @@
   co_return judge(answer, key, fence);
 }
 
-Task<CallResult<table::Row>> JobStore::getRecord(JobId id) {
+namespace {
+table::RowRange recordRange(const JobId& id) {
   const std::string key = gateway::kJobPrefix + id.str();
-  table::RowRange range{gateway::kCoordinationTable, key, key + '\x01', 1};
+  return {gateway::kCoordinationTable, key, key + '\x01', 1, Duration::zero()};
+}
+}  // namespace
+
+Task<bool> JobStore::answers(JobId id, Duration patience) {
+  table::RowRange range = recordRange(id);
+  range.patience = patience;
+  const auto page = co_await table_.read(range);
+  co_return page.has_value();
+}
+
+Task<CallResult<table::Row>> JobStore::getRecord(JobId id) {
+  const table::RowRange range = recordRange(id);
   const auto page = co_await table_.read(range);
   if (!page) co_return tl::make_unexpected(page.error());
   co_return page->rows.empty() ? table::Row{jobKey(id), 0, ""} : page->rows.front();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,6 +96,7 @@
   batches_.start();
   orders_.start();
   spawn(loop_, [this] { return sweepLoop(); });
+  spawn(loop_, [this] { return probeLoop(); });
   LogEvent("gateway", "started")
       .text("zone", settings_.zone.str())
       .text("lease", leases_.own().str())
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,6 +32,8 @@
 
   bool ready() const;
   bool stopping() const { return stopping_; }
+  /// @return whether the store's leases and the feed of jobs and rights answer.
+  bool followsStore() const { return leases_.storeHealthy(); }
   Address requestAddress() const { return requests_.address(); }
   Address peerAddress() const { return peer_server_.address(); }
   Address metricsAddress() const { return metrics_server_.address(); }
@@ -50,10 +52,14 @@
   Task<void> stopInOrder();
   Task<void> sweepLoop();
   void watchTables();
+  /// While the store does not answer: asks it again and again, several questions at a time, so that
+  /// its return is noticed at once.
+  Task<void> probeLoop();
+  Task<void> probeStore();
   /// Takeovers need both the leases and the feed of what is owned.
   void updateLeaseHealth();
   /// The store has answered after a while: every feed that waits asks it again.
-  void onStoreHeard();
+  void onStoreHeard(Duration usual_answer);
   void onOperatorRow(const table::Row& row);
   void onEngineRow(const table::RowChange& change);
   /// Forgets, a moment after an outage of the store, engines whose entries did not come back.
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -22,6 +22,15 @@
 constexpr Duration kJobChangesGap = std::chrono::milliseconds(20);
 /// … and at any other.
 constexpr Duration kIdleJobChangesGap = std::chrono::milliseconds(80);
+/// Calls that wait for longer when the store is heard of again were sent while it was away. A store
+/// that is sixty times slower than usual takes 0.25 s.
+constexpr Duration kUsualAnswer = std::chrono::milliseconds(300);
+constexpr int kAnswersAllowed = 3;  ///< A write takes longer than a question for one row.
+/// Between two questions whether the store is back, at a daemon that has results for it.
+constexpr Duration kProbeGap = std::chrono::milliseconds(100);
+/// Between two looks whether such questions are called for.
+constexpr Duration kProbeIdle = std::chrono::milliseconds(500);
+constexpr Duration kProbePatience = std::chrono::milliseconds(500);
 /// Daemons that offer to own work beyond one a model: one for the right to order, one that can take
 /// over at once.
 constexpr std::size_t kSpareOwners = 2;
@@ -41,7 +50,7 @@
     if (!change.gone) onOperatorRow(change.row);
   };
   operators.on_health = [this](bool healthy) {
-    if (healthy) onStoreHeard();
+    if (healthy) onStoreHeard(kUsualAnswer);
   };
   table::WatcherOptions operator_options;
   operator_options.seed = hash64(settings_.id.str(), 1);
@@ -57,7 +66,7 @@
     if (!healthy) return;
     registry_.onStoreRegained(steadyNow(), engine_watcher_->lastOutage());
     spawn(loop_, [this] { return dropLapsedEngines(); });
-    onStoreHeard();
+    onStoreHeard(kUsualAnswer);
   };
   table::WatcherOptions engine_options;
   engine_options.coalesce = [this] {
@@ -74,7 +83,7 @@
   };
   coordination.on_change = [this](const table::RowChange& change) { onCoordinationRow(change); };
   coordination.on_health = [this](bool healthy) {
-    if (healthy) onStoreHeard();
+    if (healthy) onStoreHeard(kUsualAnswer);
     updateLeaseHealth();
   };
   coordination.on_clock = [this](std::int64_t clock_ms) {
@@ -95,13 +104,35 @@
   coordination_watcher_->start();
 }
 
-void Gateway::onStoreHeard() {
+void Gateway::onStoreHeard(Duration usual_answer) {
+  platform_.table().giveUpOlderThan(usual_answer);
+  if (!leases_answered_) lease_watch_.retryNow();
   for (auto* watcher :
        {operator_watcher_.get(), engine_watcher_.get(), coordination_watcher_.get()}) {
     if (!watcher->healthy()) watcher->retryNow();
   }
 }
 
+Task<void> Gateway::probeLoop() {
+  for (;;) {
+    const bool wanted = !leases_.storeHealthy() && ownsWork() && !stopping_;
+    co_await sleepFor(loop_, wanted ? kProbeGap : kProbeIdle);
+    if (!wanted) continue;
+    spawn(loop_, [this] { return probeStore(); });
+  }
+}
+
+Task<void> Gateway::probeStore() {
+  const std::string& own = leases_.own().str();
+  table::RowRange range{kLeaseTable, own, own + '\x01', 1, kProbePatience};
+  const Instant begun = steadyNow();
+  const auto page = co_await platform_.table().read(range);
+  if (!page || leases_.storeHealthy()) co_return;
+  // A store that is slow must be given the time that it takes.
+  const Duration answer = kAnswersAllowed * (steadyNow() - begun);
+  onStoreHeard(std::max(kUsualAnswer, answer));
+}
+
 void Gateway::updateLeaseHealth() {
   const bool healthy = leases_answered_ && coordination_watcher_->healthy();
   if (healthy == leases_.storeHealthy()) return;
@@ -205,7 +236,7 @@
 }
 
 void Gateway::onLeasesRead(bool answered) {
-  if (answered && !leases_answered_) onStoreHeard();
+  if (answered && !leases_answered_) onStoreHeard(kUsualAnswer);
   leases_answered_ = answered;
   updateLeaseHealth();
   if (!answered || stopping_) return;
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -185,13 +185,10 @@
   if (connection) close(*connection);
 }
 
-Task<CallOutcome> call(ConnectionPool& pool, Address peer, Request request, Instant deadline) {
-  co_return co_await call(pool, peer, std::move(request), deadline, deadline);
-}
+namespace {
 
-Task<CallOutcome> call(ConnectionPool& pool, Address peer, Request request,
-                       Instant connect_deadline, Instant deadline) {
-  const auto exchange = std::make_shared<ClientExchange>(pool, peer, std::move(request));
+Task<CallOutcome> readWhole(std::shared_ptr<ClientExchange> exchange, Instant connect_deadline,
+                            Instant deadline) {
   CallOutcome outcome;
   outcome.status = co_await exchange->start(connect_deadline, deadline, std::nullopt, false);
   outcome.sent = exchange->sent();
@@ -201,4 +198,20 @@
   co_return outcome;
 }
 
+}  // namespace
+
+Task<CallOutcome> call(ConnectionPool& pool, Address peer, Request request, Instant deadline) {
+  co_return co_await call(pool, peer, std::move(request), deadline, deadline);
+}
+
+Task<CallOutcome> call(ConnectionPool& pool, Address peer, Request request,
+                       Instant connect_deadline, Instant deadline) {
+  auto exchange = std::make_shared<ClientExchange>(pool, peer, std::move(request));
+  co_return co_await readWhole(std::move(exchange), connect_deadline, deadline);
+}
+
+Task<CallOutcome> call(std::shared_ptr<ClientExchange> exchange, Instant deadline) {
+  co_return co_await readWhole(std::move(exchange), deadline, deadline);
+}
+
 }  // namespace linenpier::http
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -86,6 +86,8 @@
   Response response;
 };
 Task<CallOutcome> call(ConnectionPool& pool, Address peer, Request request, Instant deadline);
+/// The same for an exchange that the caller may abort.
+Task<CallOutcome> call(std::shared_ptr<ClientExchange> exchange, Instant deadline);
 /// The same, with a time of its own until which the connection must be there.
 Task<CallOutcome> call(ConnectionPool& pool, Address peer, Request request,
                        Instant connect_deadline, Instant deadline);
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -82,8 +82,10 @@
 bool LeaseTable::alive(Instant now, const LeaseId& lease) const {
   if (lease == own_) return true;
   const auto at = rows_.find(lease);
-  if (at == rows_.end() || at->second.revision == 0 || !store_healthy_since_) return false;
-  return now - at->second.changed_at < times_.expiry;
+  if (at == rows_.end() || at->second.revision == 0) return false;
+  // While the store is away nobody can renew: who lived when it was last read counts as alive.
+  const Instant as_of = store_healthy_since_ ? now : read_at_;
+  return as_of - at->second.changed_at < times_.expiry;
 }
 
 std::vector<OwnerCandidate> LeaseTable::candidates(Instant now) const {
--- a/src/lease/lease_watch.cpp
+++ b/src/lease/lease_watch.cpp
@@ -32,7 +32,7 @@
       co_await this->removeForgotten();
     }
     const Duration pause = this->nextPause(answered);
-    co_await sleepFor(this->loop_, pause);
+    co_await this->retry_now_.waitFor(pause);
   }
 }
 
--- a/src/lease/lease_watch.h
+++ b/src/lease/lease_watch.h
@@ -35,10 +35,13 @@
         keeper_(keeper),
         pool_(pool),
         options_(options),
-        random_(seed) {}
+        random_(seed),
+        retry_now_(loop) {}
 
   /// @param on_health told after each read whether the store answered.
   void start(std::function<void(bool healthy)> on_health);
+  /// The store was heard of elsewhere: the leases are read now.
+  void retryNow() { retry_now_.notifyAll(); }
 
  private:
   Task<void> run();
@@ -54,6 +57,7 @@
   const OwnerPool& pool_;
   lease_watch_options options_;
   Random random_;
+  Signal retry_now_;
   std::function<void(bool)> on_health_;
 };
 
--- a/src/table/async_table.h
+++ b/src/table/async_table.h
@@ -38,6 +38,7 @@
   std::string from;       ///< Key without its table; inclusive.
   std::string until;      ///< Exclusive; empty: to the table's end.
   std::size_t limit = 0;  ///< 0: as many as the store gives.
+  Duration patience{};    ///< For the answer; zero: as long as any call waits.
 };
 
 struct Write {
@@ -54,6 +55,9 @@
   virtual Task<CallResult<RowPage>> read(RowRange range) = 0;
   /// Waits until rows of the table change after `after`, at most `wait`.
   virtual Task<CallResult<ChangeBatch>> watch(std::string table, Revision after, Duration wait) = 0;
+  /// Gives up reads and writes that have waited for longer than `age`: they end as if their answers
+  /// were lost. A store that was silent never answers what it was sent then.
+  virtual void giveUpOlderThan(Duration age) = 0;
 };
 
 class AsyncObjects {
--- a/tests/gateway/release_test.cpp
+++ b/tests/gateway/release_test.cpp
@@ -96,3 +96,25 @@
   cr_assert_eq(first, second);
   cr_assert_eq(std::count(first.begin(), first.end(), '\n'), kItems);
 }
+
+GATEWAY_TEST(release, results_are_stored_as_soon_as_a_silent_store_answers_again,
+             twoGateways(kEvents)) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(5));
+  co_await fixture.call(0, stepRequest(fixture, "job"));
+  fixture.store().faults().silent = true;
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(2600));
+  fixture.store().faults().silent = false;
+  const bool stored = co_await fixture.waitFor(
+      [&fixture] { return storedResults(fixture) == static_cast<std::size_t>(kItems); },
+      std::chrono::milliseconds(500));
+  cr_assert(stored, "a write that waits for an answer that never comes holds them back");
+}
+
+GATEWAY_TEST(release, a_job_is_taken_as_soon_as_the_store_answers_again, twoGateways(kEvents)) {
+  fixture.store().faults().hang_feeds = true;
+  const bool lost = co_await fixture.waitFor(
+      [&fixture] { return !fixture.gateway(1).followsStore(); }, std::chrono::seconds(6));
+  cr_assert(lost);
+  const auto accepted = co_await fixture.call(1, stepRequest(fixture, "job"));
+  cr_assert_eq(accepted.response.result_int(), 202U, "its feeds hang, but the store takes writes");
+}
--- a/tests/lease/lease_table_test.cpp
+++ b/tests/lease/lease_table_test.cpp
@@ -155,3 +155,13 @@
   cr_assert(table.expired(lease::LeaseId("own#0")));
   cr_assert(table.expired(lease::LeaseId("")));
 }
+
+Test(lease_table, while_the_store_is_away_those_count_as_alive_who_were_when_it_was_last_read) {
+  LeaseTable table = watching();
+  table.onRead(kStart, kStart, {{kOther, lease::LeaseRow(6, 0.5)}});
+  const Instant later = kStart + std::chrono::seconds(5);
+  cr_assert_not(table.alive(later, kOther), "the store answers, and nothing was renewed");
+  table.onStoreLost();
+  cr_assert(table.alive(later, kOther));
+  cr_assert_eq(table.candidates(later).size(), 1U);
+}
--- a/tests/table/table_watcher_test.cpp
+++ b/tests/table/table_watcher_test.cpp
@@ -42,6 +42,8 @@
     co_return batch;
   }
 
+  void giveUpOlderThan(Duration) override {}
+
  private:
   boost::asio::io_context& loop_;
 };
