Hand over a job that a stopping daemon hears of afterwards

Ruled out: refusing jobs for daemons that stop, since whoever chooses the owner cannot know yet.

Change: a daemon that stops gives up whatever it hears to be its own.

Test: a daemon stops while its feed hangs and hears of a job afterwards; failed first ("its lease would have to run out first").

--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -87,6 +87,9 @@
              record->owner == deps_.leases.own()) {
     job.activating = true;
     spawn(deps_.loop, [this, id] { return resume(id); });
+  } else if (stopping_ && !job.active && !record->ended && record->owner == deps_.leases.own()) {
+    // It was given to this daemon before anybody knew that it stops.
+    spawn(deps_.loop, [this, id] { return handOverJob(id); });
   }
 }
 
@@ -317,24 +320,26 @@
   for (auto& [id, job] : jobs_) {
     if (!job.record.ended && job.record.owner == deps_.leases.own()) owned.push_back(id);
   }
-  for (const JobId& id : owned) {
-    auto at = jobs_.find(id);
-    if (at == jobs_.end() || at->second.record.owner != deps_.leases.own()) continue;
-    JobRecord record = at->second.record;
-    record.owner = LeaseId();
-    record.begun = true;
-    const Revision fence = at->second.revision;
-    const ActivePtr active = at->second.active;
-    if (active && !active->stopped) {
-      active->stop(steadyNow());
-      // Also where one was sent just now: it may come too late, after the job was given up.
-      co_await writeCheckpoint(active, CheckpointNeed::kAlways);
-    }
-    const FencedAnswer answer = co_await deps_.store.putRecord(std::move(record), fence, {});
-    LogEvent("batch", "handed_over")
-        .text("batch", id.str())
-        .text("outcome", answer.outcome == FencedOutcome::kDone ? "done" : "not_done");
+  for (const JobId& id : owned) co_await handOverJob(id);
+}
+
+Task<void> BatchService::handOverJob(JobId id) {
+  const auto at = jobs_.find(id);
+  if (at == jobs_.end() || at->second.record.owner != deps_.leases.own()) co_return;
+  JobRecord record = at->second.record;
+  record.owner = LeaseId();
+  record.begun = true;
+  const Revision fence = at->second.revision;
+  const ActivePtr active = at->second.active;
+  if (active && !active->stopped) {
+    active->stop(steadyNow());
+    // Also where one was sent just now: it may come too late, after the job was given up.
+    co_await writeCheckpoint(active, CheckpointNeed::kAlways);
   }
+  const FencedAnswer answer = co_await deps_.store.putRecord(std::move(record), fence, {});
+  LogEvent("batch", "handed_over")
+      .text("batch", id.str())
+      .text("outcome", answer.outcome == FencedOutcome::kDone ? "done" : "not_done");
 }
 
 }  // namespace linenpier::batch
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -191,6 +191,8 @@
   struct carry_over_search;
   Task<void> readEarlierJob(JobRecord record, boost::intrusive_ptr<carry_over_search> search);
   Task<void> takeOver(JobId id);
+  /// Gives up an owned job with the text made so far.
+  Task<void> handOverJob(JobId id);
   Task<void> resume(JobId id);
   void deactivate(Job& job, const char* reason);
   void checkOwners(Instant now);
--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -333,3 +333,25 @@
   cr_assert_eq(holders.size(), 1U);
   cr_assert_eq(tokens.size(), 1U);
 }
+
+GATEWAY_TEST(batch_jobs, a_daemon_that_stops_hands_over_a_job_that_it_hears_of_afterwards,
+             twoGateways(200)) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(10));
+  co_await fixture.call(0, fixture.jobRequest("first", 2));
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(1500));
+  fixture.store().faults().hang_feeds = true;
+  const auto accepted = co_await fixture.call(1, fixture.jobRequest("second", 2));
+  cr_assert_eq(accepted.response.result_int(), 202U);
+  std::string record = fixture.store().get("linenpier", "job/second").value_or("");
+  cr_assert(record.find("\"owner\":\"d0#") != std::string::npos, "%s", record.c_str());
+  fixture.gateway(0).stop();
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(100));
+  fixture.store().faults().hang_feeds = false;
+  const bool given_up = co_await fixture.waitFor(
+      [&fixture] {
+        const std::string row = fixture.store().get("linenpier", "job/second").value_or("");
+        return row.find("\"owner\":\"d0#") == std::string::npos;
+      },
+      std::chrono::milliseconds(1000));
+  cr_assert(given_up, "its lease would have to run out first");
+}
