Put the reading of batch jobs into a file of its own

Ruled out: nothing; no behaviour changes.

Change: reading moves to batch_reading.cpp, statuses to call_status.h, word for word.

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -1,10 +1,11 @@
 /// @file
-/// The calls of those who hand batch jobs in, read them and end them.
+/// The calls of those who hand batch jobs in and end them.
 
 #include <algorithm>
 
 #include "batch/active_job.h"
 #include "batch/batch_service.h"
+#include "batch/call_status.h"
 #include "batch/owner_choice.h"
 #include "logging/event_log.h"
 
@@ -13,24 +14,10 @@
 using logging::LogEvent;
 
 namespace {
-constexpr unsigned kOk = 200;
-constexpr unsigned kAccepted = 202;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kTooMany = 429;
-constexpr unsigned kUnknown = 502;
-constexpr unsigned kUnavailable = 503;
 constexpr int kPutTries = 2;
 /// For a question to a store that may be away, before a job is refused: many times its usual
 /// answer.
 constexpr Duration kAnswerPatience = std::chrono::milliseconds(150);
-
-std::optional<std::string> bodyOf(const BatchJob& job, const ItemId& item) {
-  const auto found = std::find_if(job.items.begin(), job.items.end(),
-                                  [&](const BatchItem& each) { return each.id == item; });
-  if (found == job.items.end()) return std::nullopt;
-  return found->body;
-}
 }  // namespace
 
 Task<void> BatchService::answer(http::ResponseWriter& writer, unsigned status,
@@ -189,182 +176,6 @@
   co_await answer(writer, kAccepted);
 }
 
-// --- Reading ------------------------------------------------------------------------------------
-
-Task<bool> BatchService::knows(JobId id, std::optional<JobRecord>& record) {
-  if (const auto at = jobs_.find(id); at != jobs_.end()) {
-    record = at->second.record;
-    co_return true;
-  }
-  const auto row = co_await deps_.store.getRecord(id);
-  if (!row) co_return false;
-  if (row->revision > 0) {
-    onRecordRow(id, *row);
-    record = decodeRecord(id, row->value);
-  }
-  co_return true;
-}
-
-Task<void> BatchService::answerPage(http::ResponseWriter& writer, std::size_t total,
-                                    std::size_t next,
-                                    const std::vector<std::string>& results) const {
-  http::Response response(boost::beast::http::status::ok, 11);
-  response.set(boost::beast::http::field::content_type, "application/json");
-  response.body() = deps_.codec.encodePage(total, next, results);
-  co_await writer.send(std::move(response));
-}
-
-/// Results that a reader may get with its answer, from the position that it asked for on.
-struct BatchService::ReadAhead {
-  std::size_t position = 0;
-  std::vector<StoredResult> results;
-  std::size_t bytes = 0;
-
-  std::size_t next() const { return position + results.size(); }
-  void add(StoredResult result) {
-    bytes += result.encoded.size();
-    results.push_back(std::move(result));
-  }
-};
-
-const BatchService::Job* BatchService::find(const JobId& id) const {
-  const auto at = jobs_.find(id);
-  return at == jobs_.end() ? nullptr : &at->second;
-}
-
-bool BatchService::readFromMemory(const JobId& id, ReadAhead& page) const {
-  const Job* job = find(id);
-  if (job == nullptr || !job->active) return false;
-  const Active& active = *job->active;
-  const std::size_t released = releasedOf(id);
-  // A job that was taken by another daemon may have more results than are known here.
-  if (active.listed.size() < released) return false;
-  for (std::size_t i = page.next(); i < released && page.bytes < options_.page_bytes; ++i) {
-    page.add(active.listed[i]);
-  }
-  return true;
-}
-
-Task<bool> BatchService::readFromStore(const JobId& id, ReadAhead& page) {
-  if (page.bytes >= options_.page_bytes) co_return true;
-  auto stored = co_await deps_.store.results(id, page.next(), 0);
-  if (!stored) co_return false;
-  for (StoredResult& each : stored->results) page.add(std::move(each));
-  co_return true;
-}
-
-std::size_t BatchService::releasedOf(const JobId& id) const {
-  const Job* job = find(id);
-  if (job == nullptr) return 0;
-  // The feed may tell of a release before the answer to its write does.
-  if (job->active && !job->active->stopped) return job->active->released;
-  return job->record.released;
-}
-
-Task<void> BatchService::waitForRelease(JobId id, Duration limit) {
-  const auto at = jobs_.find(id);
-  if (at == jobs_.end()) {
-    co_await sleepFor(deps_.loop, std::min(limit, options_.poll_gap));
-    co_return;
-  }
-  Job& job = at->second;
-  if (job.active && !job.active->stopped) {
-    co_await job.active->released_changed.waitFor(limit);
-    co_return;
-  }
-  if (!job.changed) job.changed = std::make_shared<Signal>(deps_.loop);
-  const std::shared_ptr<Signal> changed = job.changed;
-  const bool told = deps_.leases.storeHealthy();
-  co_await changed->waitFor(std::min(limit, told ? options_.read_ahead_gap : options_.poll_gap));
-  if (told) co_return;
-  const auto row = co_await deps_.store.getRecord(id);
-  if (row && row->revision > 0) onRecordRow(id, *row);
-}
-
-Task<void> BatchService::readResults(JobId id, std::size_t position, Duration wait,
-                                     http::ResponseWriter& writer) {
-  const Instant deadline = steadyNow() + wait;
-  std::optional<JobRecord> record;
-  const bool sure = co_await knows(id, record);
-  if (!record) {
-    LogEvent("batch", "read_refused")
-        .text("batch", id.str())
-        .text("why", sure ? "no such job" : "store away");
-    co_await answer(writer, sure ? kNotFound : kUnavailable);
-    co_return;
-  }
-  ReadAhead page{position, {}, 0};
-  for (;;) {
-    const std::size_t released = find(id) == nullptr ? record->released : releasedOf(id);
-    const bool from_memory = readFromMemory(id, page);
-    if (!from_memory && page.next() < record->total) {
-      const bool read = co_await readFromStore(id, page);
-      if (!read && position < released) {
-        co_await answer(writer, kUnavailable);
-        co_return;
-      }
-    }
-    const Instant now = steadyNow();
-    const bool more = position < released;
-    const bool over = position >= record->total || now >= deadline;
-    if (more || over || stopping_ || writer.cancellation().requested()) {
-      co_await answerRead(writer, id, page, {record->total, released, from_memory});
-      co_return;
-    }
-    ++waiting_readers_;
-    co_await waitForRelease(id, deadline - now);
-    --waiting_readers_;
-  }
-}
-
-Task<void> BatchService::answerRead(http::ResponseWriter& writer, const JobId& id,
-                                    const ReadAhead& page, ReadState state) const {
-  std::vector<std::string> shown;
-  std::size_t bytes = 0;
-  const std::size_t end = std::min(page.next(), state.released);
-  for (std::size_t i = page.position; i < end; ++i) {
-    const std::string& result = page.results[i - page.position].encoded;
-    bytes += result.size();
-    if (!shown.empty() && bytes >= options_.page_bytes) break;
-    shown.push_back(result);
-  }
-  if (!shown.empty()) {
-    LogEvent("batch", "page_read")
-        .text("batch", id.str())
-        .number("position", static_cast<std::int64_t>(page.position))
-        .number("results", static_cast<std::int64_t>(shown.size()))
-        .text("from", state.from_memory ? "memory" : "store");
-  }
-  co_await answerPage(writer, state.total, page.position + shown.size(), shown);
-}
-
-Task<void> BatchService::readItem(JobId id, ItemId item, http::ResponseWriter& writer) {
-  std::optional<JobRecord> record;
-  const bool sure = co_await knows(id, record);
-  if (!record) {
-    co_await answer(writer, sure ? kNotFound : kUnavailable);
-    co_return;
-  }
-  const auto at = jobs_.find(id);
-  std::optional<std::string> body;
-  if (at != jobs_.end() && at->second.active) {
-    body = bodyOf(at->second.active->run.job(), item);
-  } else {
-    const auto bytes = co_await deps_.store.getJob(*record);
-    if (!bytes) {
-      co_await answer(writer, kUnavailable);
-      co_return;
-    }
-    const auto job = deps_.codec.parseJob(id, *bytes);
-    if (job) body = bodyOf(*job, item);
-  }
-  if (body) {
-    co_await answer(writer, kOk, std::move(*body));
-  } else {
-    co_await answer(writer, kNotFound);
-  }
-}
-
 // --- Ending -------------------------------------------------------------------------------------
 
 Task<void> BatchService::end(JobId id, http::ResponseWriter& writer) {
