--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -114,7 +114,9 @@
   };
   // A feed that is lost says little: the store may be back, or turn its feeds away only.
   bool answers = deps_.leases.storeHealthy();
-  if (!stopping_ && !answers) answers = co_await deps_.store.answers(id, kAnswerPatience);
+  if (!stopping_ && !answers) {
+    answers = co_await deps_.store.answers(id, kAnswerPatience);
+  }
   if (stopping_ || !answers) {
     ++counts_.refused;
     logOutcome(stopping_ ? "stopping" : "store_away", kUnavailable);
@@ -129,7 +131,9 @@
   }
   std::vector<table::Put> body = deps_.store.bodyRows(id, request.body());
   bool stored = !body.empty();
-  if (!stored) stored = co_await storeObject(id, request.body(), deadline);
+  if (!stored) {
+    stored = co_await storeObject(id, request.body(), deadline);
+  }
   if (!stored) {
     // Without its row the object means nothing: the job has not been taken.
     ++counts_.refused;
--- a/src/batch/batch_listing.cpp
+++ b/src/batch/batch_listing.cpp
@@ -103,7 +103,9 @@
     }
     const bool done = co_await writePending(active);
     if (active->stopped) break;
-    if (!done) co_await sleepFor(deps_.loop, options_.store_pause);
+    if (!done) {
+      co_await sleepFor(deps_.loop, options_.store_pause);
+    }
   }
   if (!active->stopped) {
     LogEvent("batch", "job_listed")
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -320,7 +320,9 @@
   for (auto& [id, job] : jobs_) {
     if (!job.record.ended && job.record.owner == deps_.leases.own()) owned.push_back(id);
   }
-  for (const JobId& id : owned) co_await handOverJob(id);
+  for (const JobId& id : owned) {
+    co_await handOverJob(id);
+  }
 }
 
 Task<void> BatchService::handOverJob(JobId id) {
--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -87,7 +87,9 @@
 }
 
 Task<CallResult<std::string>> JobStore::getJob(JobRecord record) {
-  if (record.body_rows == 0) co_return co_await objects_.get(jobObject(record.id));
+  if (record.body_rows == 0) {
+    co_return co_await objects_.get(jobObject(record.id));
+  }
   std::string bytes;
   std::size_t read = 0;
   while (read < record.body_rows) {
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -69,7 +69,9 @@
 
 Task<void> LeaseKeeper::stop() {
   stopping_ = true;
-  if (renewed_at_ != Instant{}) co_await removeRow();
+  if (renewed_at_ != Instant{}) {
+    co_await removeRow();
+  }
 }
 
 Task<bool> LeaseKeeper::removeRow() {
--- a/src/table/table_watcher.cpp
+++ b/src/table/table_watcher.cpp
@@ -88,7 +88,9 @@
   revision_ = std::max(revision_, batch->revision);
   if (batch->changes.empty() || !options_.coalesce) co_return true;
   const Duration pause = options_.coalesce();
-  if (pause > Duration::zero()) co_await sleepFor(loop_, pause);
+  if (pause > Duration::zero()) {
+    co_await sleepFor(loop_, pause);
+  }
   co_return true;
 }
 
--- a/src/table/table_watcher.h
+++ b/src/table/table_watcher.h
@@ -43,9 +43,9 @@
       : loop_(loop),
         table_(table),
         name_(std::move(name)),
-        options_(options),
+        options_(std::move(options)),
         listener_(std::move(listener)),
-        backoff_(options.retry_pause, options.longest_retry_pause, options.seed),
+        backoff_(options_.retry_pause, options_.longest_retry_pause, options_.seed),
         retry_now_(loop) {}
 
   void start();
