Copy an earlier job's texts only for a job that shares items with it

When a job begins, the texts of each earlier job in memory (up to 1 MB) were copied before it was asked whether any item comes again; mostly none does.

Behaviour stays as it is.

--- a/src/batch/batch_carry_over.cpp
+++ b/src/batch/batch_carry_over.cpp
@@ -107,8 +107,9 @@
     const ActivePtr other = jobs_.at(id).active;
     if (other) {
       const BatchJob& job = other->run.job();
+      if (!search->sharesItems(job)) continue;
       const Checkpoint texts = checkpoint_log{}.next(other->run).texts;
-      if (search->sharesItems(job)) search->add(job, texts, other->listed, deps_.codec);
+      search->add(job, texts, other->listed, deps_.codec);
       continue;
     }
     ++search->unanswered;
