--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -89,8 +89,9 @@
   return index;
 }
 
-Task<void> BatchService::submit(const routing::Route& route, const http::Request& request,
-                                Instant received, http::ResponseWriter& writer) {
+Task<void> BatchService::submit(const routing::Route& route, tenants::caller from,
+                                const http::Request& request, Instant received,
+                                http::ResponseWriter& writer) {
   const JobId id(http::fieldText(request, deps_.engines.names.request_id));
   const Instant deadline = received + options_.accept_time;
   if (id.empty()) {
@@ -98,7 +99,7 @@
     co_return;
   }
   if (const auto at = jobs_.find(id); at != jobs_.end()) {
-    co_await answer(writer, kAccepted);
+    co_await answer(writer, mayAccess(at->second.record, from) ? kAccepted : kConflict);
     co_return;
   }
   LeaseId owner;
@@ -106,6 +107,7 @@
     LogEvent("batch", "submitted")
         .text("batch", id.str())
         .text("route", route.name.str())
+        .text("tenant", from.tenant.str())
         .text("outcome", outcome)
         .number("status", status)
         .text("owner", owner.str())
@@ -145,6 +147,7 @@
   record.id = id;
   record.host = http::fieldText(request, "Host");
   record.path = std::string(request.target().substr(0, request.target().find('?')));
+  record.tenant = from.tenant;
   record.total = job->items.size();
   record.body_rows = body.size();
   if (!job->items.empty()) record.model = job->items.front().model;
@@ -164,9 +167,14 @@
     co_return;
   }
   if (accepted.outcome == FencedOutcome::kFenceLost) {
-    if (accepted.current) onRecordRow(id, *accepted.current);
-    logOutcome("known_already", kAccepted);
-    co_await answer(writer, kAccepted);
+    std::optional<JobRecord> known;
+    if (accepted.current) {
+      onRecordRow(id, *accepted.current);
+      known = decodeRecord(id, accepted.current->value);
+    }
+    const unsigned status = !known || mayAccess(*known, from) ? kAccepted : kConflict;
+    logOutcome("known_already", status);
+    co_await answer(writer, status);
     co_return;
   }
   ++counts_.accepted;
@@ -182,7 +190,7 @@
 
 // --- Ending -------------------------------------------------------------------------------------
 
-Task<void> BatchService::end(JobId id, http::ResponseWriter& writer) {
+Task<void> BatchService::end(JobId id, tenants::caller from, http::ResponseWriter& writer) {
   const Instant begun = steadyNow();
   const Instant deadline = begun + options_.end_time;
   unsigned status = kUnavailable;
@@ -193,6 +201,10 @@
       break;
     }
     auto record = row ? decodeRecord(id, row->value) : std::nullopt;
+    if (record && !mayAccess(*record, from)) {
+      status = kNotFound;
+      break;
+    }
     if (record && record->ended) {
       onRecordRow(id, *row);
       status = kOk;
@@ -214,6 +226,7 @@
   if (status == kOk) ++counts_.ended;
   LogEvent("batch", "end_asked")
       .text("batch", id.str())
+      .text("tenant", from.tenant.str())
       .number("status", status)
       .milliseconds("took_ms", steadyNow() - begun);
   co_await answer(writer, status);
--- a/src/batch/batch_carry_over.cpp
+++ b/src/batch/batch_carry_over.cpp
@@ -16,6 +16,7 @@
   std::vector<std::pair<std::int64_t, JobId>> earlier;
   for (const auto& [id, job] : jobs_) {
     const JobRecord& other = job.record;
+    if (other.tenant != record.tenant) continue;
     if (id == record.id || other.host != record.host || other.model != record.model) continue;
     if (other.accepted_ms <= record.accepted_ms) earlier.emplace_back(other.accepted_ms, id);
   }
--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -6,6 +6,7 @@
 #include "batch/active_job.h"
 #include "batch/batch_service.h"
 #include "logging/event_log.h"
+#include "tenants/caller.h"
 
 namespace linenpier::batch {
 
@@ -84,6 +85,12 @@
   if (progress.last_event > 0) {
     request.set(deps_.engines.names.last_event_id, std::to_string(progress.last_event));
   }
+  const routing::RouteTablePtr table = deps_.routes();
+  if (table) {
+    tenants::nameTenant(*table, deps_.engines.names.tenant, active.record.tenant, request);
+    const std::optional<int> priority = table->tenants.priorityOf(active.record.tenant);
+    if (priority) request.set(deps_.engines.names.priority, std::to_string(*priority));
+  }
   request.body() = each.body;
   request.prepare_payload();
   return request;
--- a/src/batch/batch_reading.cpp
+++ b/src/batch/batch_reading.cpp
@@ -21,16 +21,22 @@
 }
 }  // namespace
 
-Task<bool> BatchService::knows(JobId id, std::optional<JobRecord>& record) {
+bool BatchService::isPublic(const JobId& id) const {
+  const Job* job = find(id);
+  return job != nullptr && job->record.tenant.empty();
+}
+
+Task<bool> BatchService::knows(JobId id, tenants::caller from, std::optional<JobRecord>& record) {
   if (const auto at = jobs_.find(id); at != jobs_.end()) {
-    record = at->second.record;
+    if (mayAccess(at->second.record, from)) record = at->second.record;
     co_return true;
   }
   const auto row = co_await deps_.store.getRecord(id);
   if (!row) co_return false;
   if (row->revision > 0) {
     onRecordRow(id, *row);
-    record = decodeRecord(id, row->value);
+    const auto known = decodeRecord(id, row->value);
+    if (known && mayAccess(*known, from)) record = known;
   }
   co_return true;
 }
@@ -111,11 +117,11 @@
   if (row && row->revision > 0) onRecordRow(id, *row);
 }
 
-Task<void> BatchService::readResults(JobId id, std::size_t position, Duration wait,
-                                     http::ResponseWriter& writer) {
+Task<void> BatchService::readResults(JobId id, tenants::caller from, std::size_t position,
+                                     Duration wait, http::ResponseWriter& writer) {
   const Instant deadline = steadyNow() + wait;
   std::optional<JobRecord> record;
-  const bool sure = co_await knows(id, record);
+  const bool sure = co_await knows(id, from, record);
   if (!record) {
     LogEvent("batch", "read_refused")
         .text("batch", id.str())
@@ -168,9 +174,10 @@
   co_await answerPage(writer, state.total, page.position + shown.size(), shown);
 }
 
-Task<void> BatchService::readItem(JobId id, ItemId item, http::ResponseWriter& writer) {
+Task<void> BatchService::readItem(JobId id, tenants::caller from, ItemId item,
+                                  http::ResponseWriter& writer) {
   std::optional<JobRecord> record;
-  const bool sure = co_await knows(id, record);
+  const bool sure = co_await knows(id, from, record);
   if (!record) {
     co_await answer(writer, sure ? kNotFound : kUnavailable);
     co_return;
--- a/src/batch/batch_scoring.cpp
+++ b/src/batch/batch_scoring.cpp
@@ -59,6 +59,7 @@
   const std::string path = scorer.path.substr(0, scorer.path.find('?'));
   request.route = request.table ? request.table->find(scorer.host, path) : nullptr;
   request.message = rewardRequest(scorer);
+  request.tenant = active->record.tenant;
   request.limit = kRewardTime;
   const bool patient = begun - active->run.progress(item).last_progress < kPatience;
   request.most_per_slot = patient ? kUsualShare : kWholeShare;
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -29,6 +29,7 @@
 #include "lease/lease_table.h"
 #include "lease/owner_pool.h"
 #include "logging/success_sampler.h"
+#include "tenants/caller.h"
 #include "versions/load_demand.h"
 
 namespace linenpier::batch {
@@ -118,12 +119,16 @@
   void start();
   void setOptions(const BatchOptions& options) { options_ = options; }
 
-  Task<void> submit(const routing::Route& route, const http::Request& request, Instant received,
-                    http::ResponseWriter& writer);
-  Task<void> readResults(JobId id, std::size_t position, Duration wait,
+  /// The job belongs to the tenant that hands it in.
+  Task<void> submit(const routing::Route& route, tenants::caller from, const http::Request& request,
+                    Instant received, http::ResponseWriter& writer);
+  /// Calls about a job of another tenant are answered as if there were no such job.
+  Task<void> readResults(JobId id, tenants::caller from, std::size_t position, Duration wait,
                          http::ResponseWriter& writer);
-  Task<void> readItem(JobId id, ItemId item, http::ResponseWriter& writer);
-  Task<void> end(JobId id, http::ResponseWriter& writer);
+  Task<void> readItem(JobId id, tenants::caller from, ItemId item, http::ResponseWriter& writer);
+  Task<void> end(JobId id, tenants::caller from, http::ResponseWriter& writer);
+  /// @return whether this daemon knows the job as one that needs no key.
+  bool isPublic(const JobId& id) const;
 
   /// A job's row as the feed tells it.
   void onRecordRow(const JobId& id, const table::Row& row);
@@ -163,7 +168,10 @@
     std::shared_ptr<Signal> changed;  ///< The row has changed; set while readers wait.
   };
 
-  Task<bool> knows(JobId id, std::optional<JobRecord>& record);
+  /// Looks a job up, in the store if need be.
+  /// @param record stays empty if there is no job, or none that the caller may know of.
+  /// @return whether that is sure.
+  Task<bool> knows(JobId id, tenants::caller from, std::optional<JobRecord>& record);
   /// @param body rows to be written with the job's row.
   Task<FencedAnswer> acceptRecord(JobRecord record, std::vector<table::Put> body, Instant deadline);
   /// Keeps a job that is too large for rows. @return whether it is kept.
--- a/src/batch/batch_types.h
+++ b/src/batch/batch_types.h
@@ -77,6 +77,7 @@
   std::string host;  ///< Of the route that it was handed in under.
   std::string path;
   ModelName model;  ///< Of its items; empty if none is named.
+  TenantId tenant;  ///< Who handed it in; empty: nobody in particular, everybody may read it.
   std::size_t total = 0;
   std::size_t body_rows = 0;  ///< That hold the job as handed in; 0: an object does.
   std::size_t released = 0;   ///< Results that readers are shown; those behind are kept back.
--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -42,11 +42,17 @@
 }  // namespace
 
 std::string encodeRecord(const JobRecord& record) {
-  const json document = {{"owner", record.owner.str()}, {"host", record.host},
-                         {"path", record.path},         {"model", record.model.str()},
-                         {"total", record.total},       {"body_rows", record.body_rows},
-                         {"released", record.released}, {"ended", record.ended},
-                         {"begun", record.begun},       {"accepted_ms", record.accepted_ms}};
+  const json document = {{"owner", record.owner.str()},
+                         {"host", record.host},
+                         {"path", record.path},
+                         {"model", record.model.str()},
+                         {"tenant", record.tenant.str()},
+                         {"total", record.total},
+                         {"body_rows", record.body_rows},
+                         {"released", record.released},
+                         {"ended", record.ended},
+                         {"begun", record.begun},
+                         {"accepted_ms", record.accepted_ms}};
   return document.dump();
 }
 
@@ -60,6 +66,7 @@
     record.host = document.at("host").get<std::string>();
     record.path = document.at("path").get<std::string>();
     record.model = ModelName(document.value("model", ""));
+    record.tenant = TenantId(document.value("tenant", ""));
     record.total = document.at("total").get<std::size_t>();
     record.body_rows = document.value("body_rows", std::size_t{0});
     record.released = document.value("released", std::size_t{0});
@@ -72,6 +79,11 @@
   }
 }
 
+bool mayAccess(const JobRecord& record, const tenants::caller& from) {
+  const bool needs_key = from.verdict != tenants::key_verdict::kNotNeeded;
+  return !needs_key || record.tenant.empty() || record.tenant == from.tenant;
+}
+
 Task<CallResult<bool>> JobStore::putJob(JobId id, std::string bytes) {
   co_return co_await objects_.put(jobObject(id), std::move(bytes));
 }
--- a/src/batch/job_store.h
+++ b/src/batch/job_store.h
@@ -17,6 +17,7 @@
 #include "batch/batch_types.h"
 #include "batch/checkpoint.h"
 #include "table/async_table.h"
+#include "tenants/caller.h"
 
 namespace linenpier::batch {
 
@@ -64,6 +65,9 @@
 /// @return nothing if the text is no job record.
 std::optional<JobRecord> decodeRecord(const JobId& id, const std::string& text);
 
+/// @return whether the caller may know of the job.
+bool mayAccess(const JobRecord& record, const tenants::caller& from);
+
 class JobStore {
  public:
   JobStore(table::AsyncTable& table, table::AsyncObjects& objects, std::size_t row_bytes)
--- a/src/forward/field_names.h
+++ b/src/forward/field_names.h
@@ -21,6 +21,7 @@
   std::string length_hint;  ///< Expected tokens out.
   std::string priority;
   std::string model;
+  std::string tenant;   ///< On whose behalf an engine works.
   std::string wait_ms;  ///< How long an answer may be held back.
 };
 
--- a/src/forward/forward_plain.cpp
+++ b/src/forward/forward_plain.cpp
@@ -123,6 +123,7 @@
   forwarded->table = request.table;
   forwarded->route = request.route;
   forwarded->request = &request.message;
+  forwarded->from.tenant = request.tenant;
   forwarded->id = http::fieldText(request.message, context_.names.request_id);
   forwarded->received = steadyNow();
   forwarded->deadline =
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -31,6 +31,10 @@
   http::copyEndToEndFields(request, copy);
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(forwarded.deadline - now);
   copy.set(context_.names.deadline_ms, std::to_string(std::max<std::int64_t>(1, left.count())));
+  tenants::nameTenant(*forwarded.table, context_.names.tenant, forwarded.from.tenant, copy);
+  if (forwarded.from.priority) {
+    copy.set(context_.names.priority, std::to_string(*forwarded.from.priority));
+  }
   copy.body() = request.body();
   copy.prepare_payload();
   return copy;
@@ -48,13 +52,14 @@
 }
 
 Task<void> Forwarder::serve(routing::RouteTablePtr table, const routing::Route& route,
-                            const http::Request& request, Instant received,
+                            tenants::caller from, const http::Request& request, Instant received,
                             http::ResponseWriter& writer) {
   const auto shared = std::make_shared<ForwardedRequest>();
   ForwardedRequest& forwarded = *shared;
   forwarded.table = std::move(table);
   forwarded.route = &route;
   forwarded.request = &request;
+  forwarded.from = std::move(from);
   forwarded.id = http::fieldText(request, context_.names.request_id);
   forwarded.received = received;
   forwarded.deadline = deadlineOf(route, request, received);
@@ -146,6 +151,7 @@
   event.text("request", forwarded.id)
       .text("route", forwarded.route->name.str())
       .text("kind", kind)
+      .text("tenant", forwarded.from.tenant.str())
       .number("config", static_cast<std::int64_t>(forwarded.table->version))
       .text("outcome", outcome)
       .number("status", status)
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -10,6 +10,7 @@
 #include "logging/success_sampler.h"
 #include "metrics/gateway_metrics.h"
 #include "routing/route_table.h"
+#include "tenants/caller.h"
 
 namespace linenpier::forward {
 
@@ -30,6 +31,7 @@
   routing::RouteTablePtr table;
   const routing::Route* route = nullptr;
   const http::Request* request = nullptr;
+  tenants::caller from;
   std::string id;
   Instant received{};
   Instant deadline{};
@@ -46,7 +48,7 @@
       : loop_(loop), context_(context), dealer_(dealer), metrics_(metrics), options_(options) {}
 
   /// Answers the request in every case, unless the client is gone.
-  Task<void> serve(routing::RouteTablePtr table, const routing::Route& route,
+  Task<void> serve(routing::RouteTablePtr table, const routing::Route& route, tenants::caller from,
                    const http::Request& request, Instant received, http::ResponseWriter& writer);
   Task<internal_outcome> send(internal_request request) override;
   /// @return an answer of this daemon's own.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 /// Part of a row that its key and encoding may take.
 constexpr std::size_t kRowOverhead = 1024;
+constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 
@@ -87,6 +88,8 @@
   if (settings_.peers) {
     if (const auto finding = peer_server_.listen(*settings_.peers)) {
       LogEvent("gateway", "peers_unavailable").text("findings", describe({*finding}));
+    } else {
+      keeper_.setPeerAddress(peer_server_.address());
     }
   }
   watchTables();
@@ -133,34 +136,54 @@
   co_await writer.send(std::move(response));
 }
 
-Task<void> Gateway::handleBatchCall(const BatchCall& call, http::ResponseWriter& writer) {
+Task<void> Gateway::refuseKey(const tenants::caller& from, const std::string& id,
+                              http::ResponseWriter& writer) {
+  const unsigned status = followsOperator() ? kUnauthorized : kUnavailable;
+  metrics_.onKeyRefused(tenants::toText(from.verdict));
+  LogEvent("tenants", "key_refused")
+      .text("request", id)
+      .text("key", tenants::toText(from.verdict))
+      .number("config", routes_ ? static_cast<std::int64_t>(routes_->version) : 0)
+      .number("status", status);
+  http::Response response = forwarder_.ownAnswer(status, id);
+  if (status == kUnauthorized) tenants::challenge(from.verdict, response);
+  co_await writer.send(std::move(response));
+}
+
+Task<void> Gateway::handleBatchCall(const BatchCall& call, const tenants::caller& from,
+                                    http::ResponseWriter& writer) {
   switch (call.kind) {
     case BatchCall::Kind::kReadResults:
-      co_await batches_.readResults(call.job, call.position, call.wait, writer);
+      co_await batches_.readResults(call.job, from, call.position, call.wait, writer);
       break;
     case BatchCall::Kind::kReadItem:
-      co_await batches_.readItem(call.job, call.item, writer);
+      co_await batches_.readItem(call.job, from, call.item, writer);
       break;
     case BatchCall::Kind::kEnd:
-      co_await batches_.end(call.job, writer);
+      co_await batches_.end(call.job, from, writer);
       break;
   }
 }
 
 Task<void> Gateway::handle(http::Request& request, Instant received, http::ResponseWriter& writer) {
   const auto call = platform_.parseBatchCall(request);
+  const routing::RouteTablePtr routes = routes_;
+  const std::string id = http::fieldText(request, platform_.fieldNames().request_id);
+  const tenants::caller from = routes ? tenants::identify(*routes, request) : tenants::caller{};
   if (call) {
-    co_await handleBatchCall(*call, writer);
+    if (from.admitted() || batches_.isPublic(call->job)) {
+      co_await handleBatchCall(*call, from, writer);
+    } else {
+      co_await refuseKey(from, id.empty() ? call->job.str() : id, writer);
+    }
     co_return;
   }
-  const routing::RouteTablePtr routes = routes_;
-  const std::string id = http::fieldText(request, platform_.fieldNames().request_id);
   const std::string path(request.target().substr(0, request.target().find('?')));
   const routing::Route* route =
       routes ? routes->find(http::fieldText(request, "Host"), path) : nullptr;
   if (route == nullptr) {
     // Only a daemon that follows the store knows that there is no such route.
-    const bool sure = routes && operator_watcher_->healthy();
+    const bool sure = followsOperator();
     LogEvent("forward", "no_route")
         .text("request", id)
         .text("path", path)
@@ -170,10 +193,14 @@
     co_await writer.send(std::move(response));
     co_return;
   }
+  if (!from.admitted() && !route->is_public) {
+    co_await refuseKey(from, id, writer);
+    co_return;
+  }
   if (route->kind == routing::RequestKind::kBatch) {
-    co_await batches_.submit(*route, request, received, writer);
+    co_await batches_.submit(*route, from, request, received, writer);
   } else {
-    co_await forwarder_.serve(routes, *route, request, received, writer);
+    co_await forwarder_.serve(routes, *route, from, request, received, writer);
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,12 +41,21 @@
 
  private:
   Task<void> handle(http::Request& request, Instant received, http::ResponseWriter& writer);
-  Task<void> handleBatchCall(const BatchCall& call, http::ResponseWriter& writer);
+  Task<void> handleBatchCall(const BatchCall& call, const tenants::caller& from,
+                             http::ResponseWriter& writer);
+  /// Turns a request away whose key is missing or not known.
+  Task<void> refuseKey(const tenants::caller& from, const std::string& id,
+                       http::ResponseWriter& writer);
+  /// @return whether this daemon follows the operator's changes, so that it may say that something
+  ///     does not exist.
+  bool followsOperator() const { return routes_ && operator_watcher_->healthy(); }
   Task<void> handleReadiness(http::Request& request, http::ResponseWriter& writer);
   Task<void> handlePeer(http::ResponseWriter& writer);
   /// Asks other daemons while the store does not answer.
   Task<void> peerLoop();
   Task<void> askPeer(Address peer);
+  /// @return daemons that may know what this one misses.
+  std::vector<Address> knownPeers() const;
   Task<void> handleMetrics(http::ResponseWriter& writer);
   metrics::GatewayState state() const;
   Task<void> stopInOrder();
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -1,6 +1,8 @@
 /// @file
 /// What daemons tell each other while one of them cannot reach the store.
 
+#include <algorithm>
+
 #include "gateway/gateway.h"
 #include "logging/event_log.h"
 
@@ -11,6 +13,9 @@
 namespace {
 
 constexpr Duration kPeerPeriod = std::chrono::milliseconds(300);
+/// That are asked in one period: all of a usual pool of owners and the seeds within a second, of
+/// the few that a change of keys may take.
+constexpr std::size_t kPeersAtOnce = 3;
 constexpr Duration kPeerCallTime = std::chrono::milliseconds(300);
 constexpr unsigned kUnavailable = 503;
 
@@ -31,14 +36,25 @@
 
 Task<void> Gateway::peerLoop() {
   std::size_t next = 0;
-  while (!settings_.seeds.empty()) {
+  for (;;) {
     co_await sleepFor(loop_, kPeerPeriod);
     const bool store_away = !operator_watcher_->healthy() || !engine_watcher_->healthy();
     if (!store_away || stopping_) continue;
-    const Address peer = settings_.seeds[next++ % settings_.seeds.size()];
-    if (settings_.peers && peer == *settings_.peers) continue;
-    co_await askPeer(peer);
+    const std::vector<Address> peers = knownPeers();
+    for (std::size_t i = 0; i < std::min(kPeersAtOnce, peers.size()); ++i) {
+      const Address peer = peers[next++ % peers.size()];
+      spawn(loop_, [this, peer] { return askPeer(peer); });
+    }
+  }
+}
+
+std::vector<Address> Gateway::knownPeers() const {
+  std::vector<Address> peers = leases_.peers();
+  for (const Address& seed : settings_.seeds) {
+    const bool own = settings_.peers && seed == *settings_.peers;
+    if (!own && std::find(peers.begin(), peers.end(), seed) == peers.end()) peers.push_back(seed);
   }
+  return peers;
 }
 
 Task<void> Gateway::askPeer(Address peer) {
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -166,9 +166,10 @@
   LogEvent("config", "in_force")
       .number("version", static_cast<std::int64_t>(parsed->version))
       .number("before", routes_ ? static_cast<std::int64_t>(routes_->version) : 0)
-      .number("routes", static_cast<std::int64_t>(parsed->routes.size()));
+      .number("routes", static_cast<std::int64_t>(parsed->routes.size()))
+      .number("tenants", static_cast<std::int64_t>(parsed->tenants.all().size()));
   snapshot_.config_version = parsed->version;
-  snapshot_.configuration = value;
+  snapshot_.configuration = platform_.withoutKeys(value);
   routes_ = std::make_shared<const routing::RouteTable>(std::move(*parsed));
   requests_.setLimits(routes_->limits);
 }
--- a/src/gateway/peer_snapshot.h
+++ b/src/gateway/peer_snapshot.h
@@ -17,7 +17,8 @@
 /// that daemon acts on.
 struct PeerSnapshot {
   std::uint64_t config_version = 0;
-  std::string configuration;      ///< As the operator's row has it.
+  /// As the operator's row has it, with digests in place of keys.
+  std::string configuration;
   Revision engines_revision = 0;  ///< How much of the engine table it knows.
   std::vector<table::Row> engines;
 };
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -52,6 +52,8 @@
   virtual bool isConfiguration(const std::string& key) const = 0;
   virtual tl::expected<routing::RouteTable, Findings> parseConfiguration(
       const std::string& value) const = 0;
+  /// @return a configuration that is parsed the same, and gives no tenant's key away.
+  virtual std::string withoutKeys(const std::string& configuration) const = 0;
   /// @return nothing if the operator's row is about something else.
   virtual std::optional<NamedVersion> parseNamedVersion(const std::string& key,
                                                         const std::string& value) const = 0;
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -10,7 +10,7 @@
 }
 
 table::Put LeaseKeeper::renewal() const {
-  return {gateway::leaseKey(leases_.own()), encodeCapacity(pool_.capacity())};
+  return {gateway::leaseKey(leases_.own()), encodeLease(pool_.capacity(), peer_)};
 }
 
 void LeaseKeeper::onRenewed(Instant sent_at) {
--- a/src/lease/lease_keeper.h
+++ b/src/lease/lease_keeper.h
@@ -21,6 +21,8 @@
 
   /// @param needed tells whether a lease is needed now.
   void start(std::function<bool()> needed);
+  /// Tells with each renewal where other daemons may ask this one.
+  void setPeerAddress(const Address& peer) { peer_ = peer; }
   /// Ends the renewals. The row is removed if possible.
   Task<void> stop();
 
@@ -54,6 +56,7 @@
   LeaseTable& leases_;
   OwnerPool& pool_;
   std::function<bool()> needed_;
+  std::optional<Address> peer_;
   Instant renewed_at_{};       ///< When the last successful renewal was sent.
   std::int64_t clock_ms_ = 0;  ///< The store's clock as last read.
   Instant clock_read_at_{};
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -1,6 +1,7 @@
 #include "lease/lease_table.h"
 
 #include <algorithm>
+#include <set>
 
 #include "common/hash.h"
 
@@ -8,6 +9,7 @@
 
 namespace {
 constexpr char kSeparator = '#';
+constexpr char kPeerSeparator = '|';  ///< In a row's value.
 constexpr Duration kOldAge = std::chrono::seconds(60);
 constexpr Duration kAgeSpread = std::chrono::milliseconds(300);
 constexpr Duration kJitterSpread = std::chrono::milliseconds(80);
@@ -22,6 +24,18 @@
   return std::max(0.0, std::strtod(value.c_str(), nullptr));
 }
 
+std::string encodeLease(double capacity, const std::optional<Address>& peer) {
+  std::string value = encodeCapacity(capacity);
+  if (peer) value += kPeerSeparator + toString(*peer);
+  return value;
+}
+
+std::optional<Address> decodePeer(const std::string& value) {
+  const std::size_t separator = value.find(kPeerSeparator);
+  if (separator == std::string::npos) return std::nullopt;
+  return parseAddress(value.substr(separator + 1));
+}
+
 LeaseId makeLeaseId(const std::string& daemon, const std::string& incarnation) {
   return LeaseId(daemon + kSeparator + incarnation);
 }
@@ -52,6 +66,7 @@
   for (const auto& [lease, row] : rows) {
     onRow(now, lease, row.revision);
     rows_[lease].capacity = row.capacity;
+    rows_[lease].peer = row.peer;
   }
   std::erase_if(rows_, [&](const auto& each) {
     return each.second.revision > 0 && !rows.contains(each.first);
@@ -67,7 +82,7 @@
   if (lease == own_) return false;
   if (lease.empty() || isEarlierSelf(lease)) return true;
   if (!store_healthy_since_) return false;
-  const auto [at, fresh] = rows_.try_emplace(lease, Observation{0, read_at_});
+  const auto [at, fresh] = rows_.try_emplace(lease, Observation{0, read_at_, 0, std::nullopt});
   const Instant since = std::max(at->second.changed_at, *store_healthy_since_);
   return read_at_ - since > times_.expiry + allowance_;
 }
@@ -97,6 +112,14 @@
   return found;
 }
 
+std::vector<Address> LeaseTable::peers() const {
+  std::set<Address> found;
+  for (const auto& [lease, seen] : rows_) {
+    if (lease != own_ && !isEarlierSelf(lease) && seen.peer) found.insert(*seen.peer);
+  }
+  return {found.begin(), found.end()};
+}
+
 std::vector<LeaseId> LeaseTable::forgotten(Instant now) const {
   std::vector<LeaseId> found;
   for (const auto& [lease, seen] : rows_) {
--- a/src/lease/lease_table.h
+++ b/src/lease/lease_table.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "batch/batch_types.h"
+#include "common/address.h"
 #include "common/time.h"
 #include "table/table_client.h"
 
@@ -43,17 +44,23 @@
 /// A lease as its row tells.
 struct LeaseRow {
   // Not explicit: a row without a capacity is its revision.
-  LeaseRow(Revision row_revision = 0, double told_capacity = 0)
-      : revision(row_revision), capacity(told_capacity) {}
+  LeaseRow(Revision row_revision = 0, double told_capacity = 0,
+           std::optional<Address> told_peer = std::nullopt)
+      : revision(row_revision), capacity(told_capacity), peer(told_peer) {}
 
   Revision revision;
-  double capacity;  ///< See OwnCapacity::value; 0: not told.
+  double capacity;              ///< See OwnCapacity::value; 0: not told.
+  std::optional<Address> peer;  ///< Where other daemons ask its daemon.
 };
 
 /// @return the value of a lease's row.
 std::string encodeCapacity(double capacity);
 /// @return 0 if the value tells none.
 double decodeCapacity(const std::string& value);
+/// @return the value of a lease's row that tells where other daemons ask, too.
+std::string encodeLease(double capacity, const std::optional<Address>& peer);
+/// @return nothing if the value tells no address.
+std::optional<Address> decodePeer(const std::string& value);
 
 /// A live daemon that told what it can carry.
 struct OwnerCandidate {
@@ -97,6 +104,9 @@
   bool alive(Instant now, const LeaseId& lease) const;
   /// @return the other daemons that live and told their capacity.
   std::vector<OwnerCandidate> candidates(Instant now) const;
+  /// @return where other daemons that hold leases may be asked. They reached the store when it was
+  ///     last read, so that they are likely to know what a daemon without it misses.
+  std::vector<Address> peers() const;
   /// @return leases that nobody has renewed for so long that their rows may be removed.
   std::vector<LeaseId> forgotten(Instant now) const;
   /// @return the revision of the lease's row as last seen; 0 if it was never seen.
@@ -113,6 +123,7 @@
     Revision revision = 0;
     Instant changed_at{};
     double capacity = 0;
+    std::optional<Address> peer;
   };
   LeaseId own_;
   LeaseTimes times_;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -54,7 +54,15 @@
       store_latency_(prometheus::BuildHistogram()
                          .Name("linenpier_store_call_duration_seconds")
                          .Help("Duration of calls to the store, waiting feeds left out.")
-                         .Register(registry_)) {}
+                         .Register(registry_)),
+      keys_refused_(prometheus::BuildCounter()
+                        .Name("linenpier_keys_refused_total")
+                        .Help("Requests turned away for their key, by reason.")
+                        .Register(registry_)) {}
+
+void GatewayMetrics::onKeyRefused(const std::string& reason) {
+  keys_refused_.Add({{"reason", reason}}).Increment();
+}
 
 void GatewayMetrics::onRequestEnded(const std::string& kind, const std::string& service,
                                     const std::string& outcome, int attempts, Duration took) {
--- a/src/metrics/gateway_metrics.h
+++ b/src/metrics/gateway_metrics.h
@@ -53,6 +53,8 @@
   void onRequestEnded(const std::string& kind, const std::string& service,
                       const std::string& outcome, int attempts, Duration took);
   void onAttemptEnded(const std::string& service, const std::string& verdict);
+  /// @param reason such as "unknown".
+  void onKeyRefused(const std::string& reason);
   /// @param call such as "write", "read", "watch".
   void onStoreCall(const std::string& call, const std::string& result, Duration took);
   /// @return the text of all metrics.
@@ -69,6 +71,7 @@
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Family<prometheus::Histogram>& store_latency_;
+  prometheus::Family<prometheus::Counter>& keys_refused_;
   std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges_;
 };
 
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -13,6 +13,7 @@
 #include "common/ids.h"
 #include "common/time.h"
 #include "http/server.h"
+#include "tenants/tenant_table.h"
 
 namespace linenpier::routing {
 
@@ -50,6 +51,7 @@
   bool sticky = false;
   bool resumable = false;
   bool single_version = false;
+  bool is_public = false;  ///< Requests need no key.
 
   /// @return whether a request may be sent to a second engine after the first may have run it.
   bool repeatable() const {
@@ -70,6 +72,7 @@
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::map<ServiceName, Service> services;
+  tenants::tenant_table tenants;
   http::ServerLimits limits;
 
   /// @return the route of that host whose prefix begins `path` and is longest, or nullptr.
--- /dev/null
+++ b/src/tenants/caller.cpp
@@ -0,0 +1,70 @@
+#include "tenants/caller.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/trim.hpp>
+
+namespace linenpier::tenants {
+
+namespace {
+
+using boost::beast::http::field;
+
+constexpr std::string_view kScheme = "Bearer ";
+
+/// @return the key in the fields, or the empty text.
+std::string keyOf(const http::Fields& fields) {
+  const auto at = fields.find(field::authorization);
+  if (at == fields.end()) return {};
+  const std::string value = boost::algorithm::trim_copy(std::string(at->value()));
+  if (!boost::algorithm::istarts_with(value, kScheme)) return {};
+  return boost::algorithm::trim_copy(value.substr(kScheme.size()));
+}
+
+}  // namespace
+
+const char* toText(key_verdict verdict) {
+  switch (verdict) {
+    case key_verdict::kNotNeeded:
+      return "not_needed";
+    case key_verdict::kKnown:
+      return "known";
+    case key_verdict::kMissing:
+      return "missing";
+    case key_verdict::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+caller identify(const routing::RouteTable& table, const http::Fields& fields) {
+  caller from;
+  if (!table.tenants.required()) return from;
+  const std::string key = keyOf(fields);
+  if (key.empty()) {
+    from.verdict = key_verdict::kMissing;
+    return from;
+  }
+  const tenant* owner = table.tenants.find(digestOf(key));
+  from.verdict = owner == nullptr ? key_verdict::kUnknown : key_verdict::kKnown;
+  if (owner != nullptr) {
+    from.tenant = owner->name;
+    from.priority = owner->priority;
+  }
+  return from;
+}
+
+void nameTenant(const routing::RouteTable& table, const std::string& tenant_field,
+                const TenantId& tenant, http::Fields& fields) {
+  if (!table.tenants.required()) return;
+  fields.erase(field::authorization);
+  fields.erase(tenant_field);
+  if (!tenant.empty()) fields.set(tenant_field, tenant.str());
+}
+
+void challenge(key_verdict verdict, http::Response& response) {
+  std::string text = "Bearer realm=\"linenpier\"";
+  if (verdict == key_verdict::kUnknown) text += ", error=\"invalid_token\"";
+  response.set(field::www_authenticate, text);
+}
+
+}  // namespace linenpier::tenants
--- /dev/null
+++ b/src/tenants/tenant_table.h
@@ -0,0 +1,67 @@
+#pragma once
+
+/** @file
+ * Tenants, and whose key a request carries. Values only.
+ *
+ * Keys are secrets: only their digests are kept, so that neither a log line, a metric nor what one
+ * daemon tells another can give a key away.
+ */
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/error.h"
+#include "common/ids.h"
+
+namespace linenpier::tenants {
+
+/** SHA-256 of a key. Keys are long and random, so that nobody finds a key from its digest. */
+using key_digest = std::array<std::uint8_t, 32>;
+
+key_digest digestOf(std::string_view key);
+std::string toHex(const key_digest& digest);
+/** @return nothing if the text is no digest in hexadecimal digits. */
+std::optional<key_digest> digestFromHex(std::string_view text);
+
+/** One of those who share the service. It may have no key, for a while or for good. */
+struct tenant {
+  TenantId name;
+  std::optional<int> priority;   ///< Goes before that of a route; 0 is the highest.
+  std::vector<key_digest> keys;  ///< Each of them opens the same.
+
+  bool operator==(const tenant&) const = default;
+};
+
+/** The tenants of one configuration.
+ *
+ * Invariant: a key belongs to one tenant.
+ */
+class tenant_table {
+ public:
+  /** Without tenants no request needs a key. */
+  tenant_table() = default;
+
+  /** @return the table, or a finding for each name and key that stands twice. */
+  static tl::expected<tenant_table, Findings> make(std::vector<tenant> tenants);
+
+  /** @return whether requests need a key. */
+  bool required() const { return this->required_; }
+  /** Takes the same time whichever bytes of a key are wrong. */
+  const tenant* find(const key_digest& digest) const;
+  /** @return the tenant's own priority, if it has one. */
+  std::optional<int> priorityOf(const TenantId& name) const;
+  const std::vector<tenant>& all() const { return this->tenants_; }
+
+ private:
+  bool required_ = false;
+  std::vector<tenant> tenants_;
+  std::map<TenantId, std::size_t> by_name_;
+  std::multimap<std::uint64_t, std::pair<key_digest, std::size_t>> by_prefix_;
+};
+
+}  // namespace linenpier::tenants
--- /dev/null
+++ b/tests/gateway/tenants_test.cpp
@@ -0,0 +1,211 @@
+/// @file
+/// Tenants and their keys through whole gateways.
+
+#include <nlohmann/json.hpp>
+
+#include "support/gateway_fixture.h"
+
+using namespace linenpier;
+using test::GatewayFixture;
+using test::SamplerArrival;
+
+namespace {
+
+constexpr char kTwoTenants[] =
+    R"([{"name":"ada","apiKeys":["key-a1","key-a2"]},{"name":"bob","apiKeys":["key-b1"]}])";
+constexpr char kAdaRenewed[] =
+    R"([{"name":"ada","apiKeys":["key-a2","key-a3"]},{"name":"bob","apiKeys":["key-b1"]}])";
+
+test::FixtureOptions withTenants(int gateways) {
+  test::FixtureOptions options;
+  options.gateways = gateways;
+  options.tenants = kTwoTenants;
+  return options;
+}
+
+http::Request withKey(http::Request request, const std::string& key) {
+  request.set("Authorization", "Bearer " + key);
+  return request;
+}
+
+http::Request readRequest(const std::string& id) {
+  http::Request request(boost::beast::http::verb::get, "/linenpier/lots/" + id + "?afterRev=0", 11);
+  request.set("Host", "h.example");
+  return request;
+}
+
+std::vector<SamplerArrival> lookups(GatewayFixture& fixture) {
+  std::vector<SamplerArrival> all = fixture.lookup(0).arrivals();
+  const auto& more = fixture.lookup(1).arrivals();
+  all.insert(all.end(), more.begin(), more.end());
+  return all;
+}
+
+std::vector<SamplerArrival> modelArrivals(GatewayFixture& fixture) {
+  std::vector<SamplerArrival> all = fixture.model(0).arrivals();
+  const auto& more = fixture.model(1).arrivals();
+  all.insert(all.end(), more.begin(), more.end());
+  return all;
+}
+
+/// Fails unless each request at an engine names the tenant and carries no key.
+void assertAllOf(const std::vector<SamplerArrival>& arrivals, const std::string& tenant) {
+  cr_assert_not(arrivals.empty());
+  for (const SamplerArrival& arrival : arrivals) {
+    cr_assert_eq(arrival.fields.count("authorization"), 0U);
+    cr_assert_eq(arrival.fields.at("tenant-id"), tenant);
+  }
+}
+
+Task<unsigned> statusOf(GatewayFixture& fixture, std::size_t gateway, http::Request request) {
+  const auto outcome = co_await fixture.call(gateway, std::move(request));
+  co_return outcome.response.result_int();
+}
+
+}  // namespace
+
+GATEWAY_TEST(tenants, an_engine_is_told_the_tenant_and_never_the_key, withTenants(1)) {
+  http::Request request = withKey(fixture.lookupRequest("r1"), "key-a2");
+  request.set("Tenant-Id", "bob");
+  const unsigned status = co_await statusOf(fixture, 0, std::move(request));
+  cr_assert_eq(status, 200U);
+  assertAllOf(lookups(fixture), "ada");
+}
+
+GATEWAY_TEST(tenants, a_missing_or_unknown_key_is_refused_at_once_with_a_challenge,
+             withTenants(1)) {
+  auto outcome = co_await fixture.call(0, fixture.lookupRequest("r1"));
+  cr_assert_eq(outcome.response.result_int(), 401U);
+  cr_assert_eq(http::fieldText(outcome.response, "WWW-Authenticate"), "Bearer realm=\"linenpier\"");
+  outcome = co_await fixture.call(0, withKey(fixture.lookupRequest("r2"), "key-x"));
+  cr_assert_eq(outcome.response.result_int(), 401U);
+  cr_assert(http::fieldText(outcome.response, "WWW-Authenticate").ends_with("\"invalid_token\""));
+  cr_assert(lookups(fixture).empty());
+}
+
+GATEWAY_TEST(tenants, a_public_route_needs_no_key, withTenants(1)) {
+  http::Request request = fixture.lookupRequest("r1", "/open/1");
+  request.set("Tenant-Id", "bob");
+  const unsigned status = co_await statusOf(fixture, 0, std::move(request));
+  cr_assert_eq(status, 200U);
+  cr_assert_eq(lookups(fixture).size(), 1U);
+  cr_assert_eq(lookups(fixture)[0].fields.count("tenant-id"), 0U);
+}
+
+GATEWAY_TEST(tenants, a_job_is_its_tenants_at_every_daemon_and_with_every_key, withTenants(2)) {
+  const unsigned taken =
+      co_await statusOf(fixture, 0, withKey(fixture.jobRequest("j1", 4), "key-a1"));
+  cr_assert_eq(taken, 202U);
+  const unsigned again =
+      co_await statusOf(fixture, 1, withKey(fixture.jobRequest("j1", 4), "key-a2"));
+  cr_assert_eq(again, 202U);
+  const unsigned others =
+      co_await statusOf(fixture, 1, withKey(fixture.jobRequest("j1", 4), "key-b1"));
+  cr_assert_eq(others, 409U);
+  for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+    const unsigned own = co_await statusOf(fixture, gateway, withKey(readRequest("j1"), "key-a2"));
+    cr_assert_eq(own, 200U);
+    const unsigned other =
+        co_await statusOf(fixture, gateway, withKey(readRequest("j1"), "key-b1"));
+    cr_assert_eq(other, 404U);
+    const unsigned none = co_await statusOf(fixture, gateway, withKey(readRequest("j0"), "key-b1"));
+    cr_assert_eq(none, 404U);
+    const unsigned nobody = co_await statusOf(fixture, gateway, readRequest("j1"));
+    cr_assert_eq(nobody, 401U);
+    const unsigned ended =
+        co_await statusOf(fixture, gateway, withKey(test::endRequest("j1"), "key-b1"));
+    cr_assert_eq(ended, 404U);
+    http::Request body(boost::beast::http::verb::get, "/linenpier/items/j1?id=j1-0", 11);
+    body.set("Host", "h.example");
+    const unsigned item = co_await statusOf(fixture, gateway, withKey(body, "key-b1"));
+    cr_assert_eq(item, 404U);
+    const unsigned own_item = co_await statusOf(fixture, gateway, withKey(body, "key-a1"));
+    cr_assert_eq(own_item, 200U);
+  }
+  assertAllOf(modelArrivals(fixture), "ada");
+  const unsigned ended = co_await statusOf(fixture, 1, withKey(test::endRequest("j1"), "key-a2"));
+  cr_assert_eq(ended, 200U);
+  const unsigned repeated =
+      co_await statusOf(fixture, 0, withKey(test::endRequest("j1"), "key-a1"));
+  cr_assert_eq(repeated, 200U);
+}
+
+GATEWAY_TEST(tenants, a_key_that_is_taken_away_ends_no_job_and_opens_nothing, withTenants(2)) {
+  fixture.model(0).setEventGap(std::chrono::milliseconds(80));
+  fixture.model(1).setEventGap(std::chrono::milliseconds(80));
+  http::Request job = withKey(fixture.jobRequest("j1", 24), "key-a1");
+  const unsigned taken = co_await statusOf(fixture, 0, std::move(job));
+  cr_assert_eq(taken, 202U);
+  fixture.setTenants(kAdaRenewed);
+  fixture.putConfiguration(7);
+  for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+    bool revoked = false;
+    for (int tries = 0; tries < 100 && !revoked; ++tries) {
+      const unsigned status =
+          co_await statusOf(fixture, gateway, withKey(readRequest("j1"), "key-a1"));
+      revoked = status == 401;
+      co_await sleepFor(fixture.loop(), std::chrono::milliseconds(20));
+    }
+    cr_assert(revoked);
+    const unsigned added =
+        co_await statusOf(fixture, gateway, withKey(readRequest("j1"), "key-a3"));
+    cr_assert_eq(added, 200U);
+  }
+  fixture.setClientKey("key-a3");
+  const std::string results = co_await fixture.readAll(1, "j1");
+  cr_assert_neq(results.find("j1-23"), std::string::npos);
+  assertAllOf(modelArrivals(fixture), "ada");
+}
+
+GATEWAY_TEST(tenants, a_daemon_without_the_store_learns_of_changed_keys_from_others,
+             withTenants(2)) {
+  fixture.cutFromStore(1);
+  fixture.setTenants(kAdaRenewed);
+  fixture.putConfiguration(7);
+  bool revoked = false;
+  unsigned status = 0;
+  const Instant deadline = steadyNow() + std::chrono::seconds(5);
+  for (int tries = 0; steadyNow() < deadline && !revoked; ++tries) {
+    status = co_await statusOf(
+        fixture, 1, withKey(fixture.lookupRequest("r" + std::to_string(tries)), "key-a1"));
+    revoked = status != 200;
+    co_await sleepFor(fixture.loop(), std::chrono::milliseconds(50));
+  }
+  cr_assert(revoked);
+  // It cannot know whether a key is newer than what it was told.
+  cr_assert_eq(status, 503U);
+  const unsigned added =
+      co_await statusOf(fixture, 1, withKey(fixture.lookupRequest("s"), "key-a3"));
+  cr_assert_eq(added, 200U);
+}
+
+GATEWAY_TEST(tenants, what_a_daemon_tells_others_gives_no_key_away, withTenants(1)) {
+  http::ConnectionPool pool(fixture.loop(), {});
+  http::Request request(boost::beast::http::verb::get, "/snapshot", 11);
+  request.set("Host", "peer");
+  const auto outcome =
+      co_await http::call(pool, fixture.gateway().peerAddress(), std::move(request),
+                          steadyNow() + std::chrono::seconds(2));
+  cr_assert_eq(outcome.response.result_int(), 200U);
+  cr_assert_neq(outcome.response.body().find("ada"), std::string::npos);
+  cr_assert_eq(outcome.response.body().find("key-a1"), std::string::npos);
+}
+
+GATEWAY_TEST(tenants, texts_are_not_carried_over_between_tenants, withTenants(1)) {
+  http::Request first = withKey(fixture.jobRequest("j1", 2), "key-a1");
+  unsigned status = co_await statusOf(fixture, 0, std::move(first));
+  cr_assert_eq(status, 202U);
+  fixture.setClientKey("key-a1");
+  co_await fixture.readAll(0, "j1");
+  const std::size_t before = modelArrivals(fixture).size();
+  // The same item ids, handed in by another tenant.
+  nlohmann::json same = nlohmann::json::parse(fixture.jobRequest("j1", 2).body());
+  http::Request second = withKey(fixture.jobRequest("j2", 2), "key-b1");
+  second.body() = same.dump();
+  second.prepare_payload();
+  status = co_await statusOf(fixture, 0, std::move(second));
+  cr_assert_eq(status, 202U);
+  fixture.setClientKey("key-b1");
+  co_await fixture.readAll(0, "j2");
+  cr_assert_eq(modelArrivals(fixture).size() - before, 2U);
+}
--- a/tests/lease/lease_table_test.cpp
+++ b/tests/lease/lease_table_test.cpp
@@ -165,3 +165,16 @@
   cr_assert(table.alive(later, kOther));
   cr_assert_eq(table.candidates(later).size(), 1U);
 }
+
+Test(lease_table, a_lease_tells_where_its_daemon_may_be_asked) {
+  const Address peer{0x0a010004, 8166};
+  const std::string value = lease::encodeLease(0.25, peer);
+  cr_assert_float_eq(lease::decodeCapacity(value), 0.25, 1e-6);
+  cr_assert(lease::decodePeer(value) == peer);
+  cr_assert_not(lease::decodePeer(lease::encodeLease(0.25, std::nullopt)).has_value());
+  cr_assert_not(lease::decodePeer("0.25|nowhere").has_value());
+  lease::LeaseTable table(kOwn, {}, kStart);
+  table.onRead(kStart, kStart,
+               {{kOther, lease::LeaseRow(6, 0.5, peer)}, {kOwn, lease::LeaseRow(5, 0.5, peer)}});
+  cr_assert_eq(table.peers().size(), 1U);
+}
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -80,6 +80,8 @@
           "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
          {"name":"reward","host":"h.example","pathPrefix":"/reward/","kind":"idempotent",
           "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":3},
+         {"name":"open","host":"h.example","pathPrefix":"/open/","kind":"idempotent","public":true,
+          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
          {"name":"talk","host":"h.example","pathPrefix":"/talk/","kind":"streaming","resumable":true,
           "timeoutMs":5000,"targetLatencyMs":150,"service":"models","maxAttempts":3},
          {"name":"say","host":"h.example","pathPrefix":"/say/","kind":"streaming",
@@ -92,7 +94,8 @@
                   R"(],"services":[{"name":"desk"},{"name":"models","engine":{"slots":8,
                      "kvCacheTokens":50000,"models":[{"name":"m"}]}}],
                      "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":300,
-                     "idleTimeoutMs":2000}})");
+                     "idleTimeoutMs":2000})" +
+                  (options_.tenants.empty() ? "" : ",\"tenants\":" + options_.tenants) + "}");
 }
 
 void GatewayFixture::putSamplers() {
@@ -171,6 +174,7 @@
                           "/linenpier/lots/" + id + "?afterRev=" + std::to_string(next), 11);
     request.set("Host", "h.example");
     request.set("Wait-Ms", "500");
+    if (!client_key_.empty()) request.set("Authorization", "Bearer " + client_key_);
     const http::CallOutcome outcome = co_await call(gateway, std::move(request));
     if (outcome.response.result_int() != 200) {
       co_await sleepFor(loop_, std::chrono::milliseconds(50));
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -40,6 +40,7 @@
   int model_samplers = 2;
   int events = 10;                    ///< Of a model sampler's stream.
   std::optional<Duration> keep_jobs;  ///< Until an ended job may be removed.
+  std::string tenants;                ///< Of the configuration, as its list; empty: none.
 };
 
 /// @return options for two gateways before samplers whose streams have so many events.
@@ -71,6 +72,10 @@
 
   void putConfiguration(std::uint64_t version, const std::string& more_routes = "");
   void putSamplers();
+  /// Of the configurations that are put from now on.
+  void setTenants(const std::string& tenants) { options_.tenants = tenants; }
+  /// The key of `readAll`.
+  void setClientKey(const std::string& key) { client_key_ = key; }
 
   /// Sends a request to a gateway and reads the whole answer.
   Task<http::CallOutcome> call(std::size_t gateway, http::Request request);
@@ -88,6 +93,7 @@
   boost::asio::io_context loop_{1};
   http::ConnectionPool client_pool_{loop_, {}};
   FixtureOptions options_;
+  std::string client_key_;
   std::unique_ptr<StandinStore> store_;
   std::vector<std::unique_ptr<StandinSampler>> lookups_;
   std::vector<std::unique_ptr<StandinSampler>> models_;
--- /dev/null
+++ b/tests/tenants/tenant_table_test.cpp
@@ -0,0 +1,109 @@
+/// @file
+/// Tenants, their keys, and who sends a request.
+
+#include "tenants/tenant_table.h"
+
+#include "documents.h"
+#include "tenants/caller.h"
+
+// Criterion's macros clash with Boost's headers that come after it.
+// clang-format off
+#include <criterion/criterion.h>
+// clang-format on
+
+using namespace linenpier;
+using tenants::digestOf;
+using tenants::key_verdict;
+using tenants::tenant;
+using tenants::tenant_table;
+
+namespace {
+
+constexpr char kConfiguration[] =
+    R"({"version":4,"routes":[],"services":[],"tenants":[
+        {"name":"ada","apiKeys":["secret-a1","secret-a2"],"priority":1},
+        {"name":"bob","apiKeys":["secret-b1"]},{"name":"cy","apiKeys":[]}]})";
+
+routing::RouteTable parsed(const std::string& text) {
+  const auto table = platform_adapter::parseConfiguration(text);
+  cr_assert(table.has_value());
+  return *table;
+}
+
+http::Fields withKey(const std::string& value) {
+  http::Fields fields;
+  if (!value.empty()) fields.set("Authorization", value);
+  return fields;
+}
+
+}  // namespace
+
+Test(tenant_table, every_key_of_a_tenant_opens_the_same) {
+  const routing::RouteTable table = parsed(kConfiguration);
+  for (const char* key : {"Bearer secret-a1", "bearer  secret-a2 "}) {
+    const tenants::caller from = tenants::identify(table, withKey(key));
+    cr_assert_eq(from.verdict, key_verdict::kKnown);
+    cr_assert_eq(from.tenant.str(), "ada");
+    cr_assert_eq(from.priority.value_or(-1), 1);
+  }
+  const tenants::caller bob = tenants::identify(table, withKey("Bearer secret-b1"));
+  cr_assert_eq(bob.tenant.str(), "bob");
+  cr_assert_not(bob.priority.has_value());
+}
+
+Test(tenant_table, other_keys_and_schemes_open_nothing) {
+  const routing::RouteTable table = parsed(kConfiguration);
+  for (const char* key : {"Bearer secret-a", "Bearer secret-a11", "Bearer SECRET-A1"}) {
+    cr_assert_eq(tenants::identify(table, withKey(key)).verdict, key_verdict::kUnknown);
+  }
+  for (const char* key : {"", "Bearer ", "Basic secret-a1", "secret-a1"}) {
+    cr_assert_eq(tenants::identify(table, withKey(key)).verdict, key_verdict::kMissing);
+  }
+  cr_assert_not(tenants::identify(table, withKey("Bearer x")).admitted());
+}
+
+Test(tenant_table, without_tenants_no_key_is_needed_and_fields_pass) {
+  const routing::RouteTable table = parsed(R"({"version":4,"routes":[],"services":[]})");
+  cr_assert(tenants::identify(table, withKey("")).admitted());
+  http::Fields fields = withKey("Bearer mine");
+  tenants::nameTenant(table, "Tenant-Id", TenantId(), fields);
+  cr_assert_eq(http::fieldText(fields, "Authorization"), "Bearer mine");
+}
+
+Test(tenant_table, tenants_that_stand_twice_are_findings_with_their_place) {
+  const std::vector<tenant> twice = {{TenantId("ada"), {}, {digestOf("k1")}},
+                                     {TenantId("ada"), {}, {digestOf("k2")}},
+                                     {TenantId("bob"), {}, {digestOf("k1")}}};
+  const auto table = tenant_table::make(twice);
+  cr_assert_not(table.has_value());
+  cr_assert_eq(table.error().size(), 2U);
+  cr_assert_eq(table.error()[0].place, "tenants[1].name");
+  cr_assert_eq(table.error()[1].place, "tenants[2]");
+}
+
+Test(tenant_table, a_key_that_a_tenant_names_twice_is_its_key) {
+  const auto table = tenant_table::make({{TenantId("ada"), {}, {digestOf("k"), digestOf("k")}}});
+  cr_assert(table.has_value());
+  cr_assert_eq(table->find(digestOf("k"))->name.str(), "ada");
+}
+
+Test(tenant_table, digests_are_read_as_written) {
+  const auto digest = digestOf("key");
+  cr_assert(tenants::digestFromHex(tenants::toHex(digest)) == digest);
+  cr_assert_not(tenants::digestFromHex("12").has_value());
+  cr_assert_not(tenants::digestFromHex(std::string(64, 'x')).has_value());
+}
+
+Test(tenant_table, a_configuration_without_keys_says_the_same_and_gives_none_away) {
+  const std::string told = platform_adapter::withoutKeys(kConfiguration);
+  cr_assert_eq(told.find("secret"), std::string::npos);
+  cr_assert(parsed(told).tenants.all() == parsed(kConfiguration).tenants.all());
+  cr_assert_eq(platform_adapter::withoutKeys(told), told);
+}
+
+Test(tenant_table, a_key_of_two_tenants_refuses_the_whole_configuration) {
+  const auto table = platform_adapter::parseConfiguration(
+      R"({"version":4,"routes":[],"services":[],"tenants":[
+          {"name":"ada","apiKeys":["k"]},{"name":"bob","apiKeys":["k"]}]})");
+  cr_assert_not(table.has_value());
+}
