Make the right with one holder a type of its own

Cause: the duties at the platform need the same right as orders to engines: one holder, a fencing token, a proof before use, a pause between holders. It stood within the service that orders engines.

Change: lease::exclusive_right, moved out of OrderService line by line; its log lines are lease.right_asked and lease.right_lost with the right's name. No behaviour changes.

--- /dev/null
+++ b/src/lease/exclusive_right.cpp
@@ -0,0 +1,188 @@
+#include "lease/exclusive_right.h"
+
+#include <algorithm>
+
+#include "logging/event_log.h"
+
+namespace linenpier::lease {
+
+using logging::LogEvent;
+
+namespace {
+
+/// A proof is sent this much before the lease's renewal is due, so that one write does for both.
+constexpr Duration kProofLead = std::chrono::milliseconds(60);
+constexpr Duration kProofPause = std::chrono::milliseconds(120);  ///< After one without an answer.
+/// What this daemon knows of the store's clock may lag by a slow answer.
+constexpr std::int64_t kClockLagMs = 500;
+constexpr char kSeparator = '|';
+
+}  // namespace
+
+std::string encodeRight(const right_value& value) {
+  return value.owner.str() + kSeparator + std::to_string(value.last_action_ms);
+}
+
+right_value decodeRight(const std::string& text) {
+  right_value value;
+  const std::size_t separator = text.find(kSeparator);
+  value.owner = LeaseId(text.substr(0, separator));
+  if (separator != std::string::npos) {
+    value.last_action_ms = std::strtoll(text.c_str() + separator + 1, nullptr, 10);
+  }
+  return value;
+}
+
+exclusive_right::exclusive_right(const dependencies& deps, std::string name, std::string key,
+                                 Duration handover_pause, on_change callback)
+    : deps_(deps),
+      name_(std::move(name)),
+      key_(std::move(key)),
+      handover_pause_(handover_pause),
+      on_change_(std::move(callback)) {}
+
+bool exclusive_right::held() const {
+  return this->revision_ > 0 && this->owner_ == this->deps_.leases.own();
+}
+
+Instant exclusive_right::mayActUntil() const {
+  return this->confirmed_at_ + this->deps_.leases.times().validity;
+}
+
+bool exclusive_right::mayAct(Instant now) const {
+  return this->held() && !this->stopping_ && now >= this->may_act_at_ && now < this->mayActUntil();
+}
+
+void exclusive_right::onRow(const table::Row& row) {
+  if (row.revision <= this->revision_) return;
+  const bool was_held = this->held();
+  const right_value value = decodeRight(row.value);
+  this->revision_ = row.revision;
+  this->owner_ = value.owner;
+  this->last_action_ms_ = value.last_action_ms;
+  this->vacant_since_ = Instant{};
+  if (!was_held || this->held()) return;
+  LogEvent("lease", "right_lost")
+      .text("right", this->name_)
+      .text("to", row.value)
+      .number("revision", static_cast<std::int64_t>(row.revision));
+  this->on_change_(false);
+}
+
+void exclusive_right::onGone() {
+  this->revision_ = 0;
+  this->owner_ = LeaseId();
+}
+
+void exclusive_right::onTick(Instant now, bool row_known) {
+  const LeaseTimes& times = this->deps_.leases.times();
+  if (this->held()) {
+    if (now - this->confirmed_at_ < times.renewal - kProofLead || this->confirming_) return;
+    this->confirming_ = true;
+    spawn(this->deps_.loop, [this] { return this->confirm(); });
+    return;
+  }
+  if (!row_known || this->acquiring_ || this->stopping_) return;
+  if (!this->deps_.leases.storeHealthy()) return;
+  const bool vacant = this->revision_ == 0 || this->deps_.leases.expired(this->owner_);
+  if (!vacant) return;
+  if (this->vacant_since_ == Instant{}) this->vacant_since_ = now;
+  const bool own = this->deps_.leases.isEarlierSelf(this->owner_);
+  if (!own && now - this->vacant_since_ < this->deps_.pool.courtesy(now, this->name_)) return;
+  this->acquiring_ = true;
+  spawn(this->deps_.loop, [this] { return this->acquire(); });
+}
+
+Task<void> exclusive_right::confirm() {
+  const Revision token = this->revision_;
+  const Instant sent_at = steadyNow();
+  table::Write write;
+  write.transaction.checks.push_back({this->key_, token});
+  write.transaction.puts.push_back(this->deps_.keeper.renewal());
+  const auto answer = co_await this->deps_.table.write(std::move(write));
+  if (answer && answer->committed && this->revision_ == token) {
+    this->confirmed_at_ = sent_at;
+    this->deps_.keeper.onRenewed(sent_at);
+  }
+  if (answer && !answer->committed) {
+    const auto row =
+        std::find_if(answer->conflicts.begin(), answer->conflicts.end(),
+                     [this](const table::Row& each) { return each.key == this->key_; });
+    if (row != answer->conflicts.end()) this->onRow(*row);
+  }
+  if (!answer) {
+    co_await sleepFor(this->deps_.loop, kProofPause);
+  }
+  this->confirming_ = false;
+}
+
+Duration exclusive_right::pauseAfter(const LeaseId& from, std::int64_t last_action_ms) const {
+  if (!from.empty()) {
+    // It could act until its lease ran out, some time before others may take over.
+    const LeaseTimes& times = this->deps_.leases.times();
+    return this->handover_pause_ - (times.expiry - times.validity);
+  }
+  const std::int64_t clock_ms = this->deps_.keeper.storeClock(steadyNow());
+  if (last_action_ms == 0 || clock_ms == 0) return this->handover_pause_;
+  const Duration since = std::chrono::milliseconds(clock_ms - last_action_ms);
+  return std::clamp(this->handover_pause_ - since, Duration::zero(), this->handover_pause_);
+}
+
+Task<void> exclusive_right::acquire() {
+  const LeaseId from = this->owner_;
+  const bool confirmed = co_await this->deps_.keeper.confirmSilent(from);
+  if (!confirmed || this->owner_ != from) {
+    this->acquiring_ = false;
+    this->vacant_since_ = Instant{};
+    co_return;
+  }
+  const Revision before = this->revision_;
+  const std::int64_t last_action_ms = this->last_action_ms_;
+  const bool first = before == 0 || this->deps_.leases.isEarlierSelf(from);
+  table::Write write;
+  write.transaction.checks.push_back({this->key_, before});
+  write.transaction.puts.push_back(
+      {this->key_, encodeRight({this->deps_.leases.own(), last_action_ms})});
+  write.transaction.puts.push_back(this->deps_.keeper.renewal());
+  const Instant sent_at = steadyNow();
+  const auto answer = co_await this->deps_.table.write(std::move(write));
+  this->acquiring_ = false;
+  const bool done = answer.has_value() && answer->committed;
+  LogEvent("lease", "right_asked")
+      .text("right", this->name_)
+      .text("from", from.str())
+      .number("before", static_cast<std::int64_t>(before))
+      .text("outcome", done     ? "acquired"
+                       : answer ? "taken_by_another"
+                                : "no_answer");
+  if (!done) {
+    this->vacant_since_ = Instant{};
+    co_return;
+  }
+  ++this->times_acquired_;
+  this->deps_.keeper.onRenewed(sent_at);
+  this->confirmed_at_ = sent_at;
+  this->may_act_at_ =
+      steadyNow() + (first ? Duration::zero() : this->pauseAfter(from, last_action_ms));
+  if (answer->revision > this->revision_) {
+    this->revision_ = answer->revision;
+    this->owner_ = this->deps_.leases.own();
+  }
+  this->on_change_(true);
+}
+
+Task<void> exclusive_right::handOver() {
+  this->stopping_ = true;
+  if (!this->held()) co_return;
+  table::Write write;
+  write.transaction.checks.push_back(this->condition());
+  const std::int64_t last_action_ms =
+      this->last_action_at_ == Instant{}
+          ? this->last_action_ms_
+          : this->deps_.keeper.storeClock(this->last_action_at_) + kClockLagMs;
+  write.transaction.puts.push_back({this->key_, encodeRight({{}, last_action_ms})});
+  this->owner_ = LeaseId();
+  co_await this->deps_.table.write(std::move(write));
+}
+
+}  // namespace linenpier::lease
--- a/src/versions/order_service.h
+++ b/src/versions/order_service.h
@@ -1,20 +1,14 @@
 #pragma once
 
 /// @file
-/// Holds the right to order the engines of services, and uses it: one daemon a service at a time.
-///
-/// The right is a row whose revision is the fencing token. It is taken by a conditional write when
-/// its owner's lease has run out; the new holder first waits until the old one can no longer order.
-///
-/// A holder orders only for a short while after a write that the store took under the condition
-/// that the right's row is still the holder's. Nothing else, such as a renewal of its lease, tells
-/// a holder that was cut off or frozen that it still holds the right.
+/// Orders the engines of services while this daemon holds the right to: one daemon a service at a
+/// time.
 
 #include <functional>
 #include <map>
 #include <memory>
 
-#include "lease/lease_keeper.h"
+#include "lease/exclusive_right.h"
 #include "versions/version_rollout.h"
 
 namespace linenpier::versions {
@@ -40,7 +34,6 @@
   std::uint64_t sent = 0;
   std::uint64_t under_way = 0;
   std::uint64_t unanswered = 0;
-  std::uint64_t acquired = 0;
 };
 
 /// Loop thread only.
@@ -77,32 +70,17 @@
   const OrderCounts& counts() const { return counts_; }
 
  private:
-  /// A service's right as this daemon knows it.
+  /// A service's right, and what its holder does.
   struct Right {
-    explicit Right(const RolloutOptions& rollout_options) : rollout(rollout_options) {}
+    Right(const lease::exclusive_right::dependencies& deps, const routing::ServiceName& service,
+          const OrderOptions& options);
 
-    Revision revision = 0;  ///< The fencing token, if `owner` is this daemon.
-    lease::LeaseId owner;
-    bool acquiring = false;
-    bool confirming = false;
-    Instant confirmed_at{};  ///< When the last write that proved the right was sent.
-    Instant vacant_since{};
-    Instant may_order_at{};
-    std::int64_t last_order_ms = 0;  ///< Of an earlier holder, by the store's clock; 0: not known.
-    Instant last_order_at{};         ///< Of this daemon.
     VersionRollout rollout;
+    lease::exclusive_right right;
   };
   Right& rightOf(const routing::ServiceName& service);
-  bool held(const Right& right) const;
-  /// @return until when the holder may order without another proof of its right.
-  Instant mayOrderUntil(const Right& right) const;
-  /// Proves the right by a write under its row's revision; renews the lease with it.
-  Task<void> confirm(routing::ServiceName service);
   Task<void> tickLoop();
   void tickService(Instant now, const routing::ServiceName& service);
-  /// @return how long to wait after another holder before the first order.
-  Duration pauseAfter(const lease::LeaseId& from, std::int64_t last_order_ms) const;
-  Task<void> acquire(routing::ServiceName service);
   Task<void> askReport(routing::ServiceName service, EngineId engine, Address address);
   Task<void> sendOrder(routing::ServiceName service, VersionOrder order);
 
