Report each window's use once, counted to the request

Ruled out: counts that daemons tell each other (lost with a daemon, a machine, or all of them); windows by each daemon's own time of day (clocks differ and jump: a window holds about one request a tenant, so that one request in the wrong window is one tenant in error).

Change: each daemon keeps a row a window of what its life has counted, written within a second under its own last revision, by another daemon where the store turns this one away; the holder of a right adds the rows up 4 s after the window's end, writes down what it will report, under the right, then sends it until it is taken. True time is the median of the daemons' clocks against the store's steady one, written down by the holder. The estimate of the store's clock takes the answer that came quickest.

--- a/apps/linenpier_gateway.cpp
+++ b/apps/linenpier_gateway.cpp
@@ -48,7 +48,7 @@
   boost::asio::io_context loop(1);
   http::ConnectionPool store_pool(loop, {});
   http::ConnectionPool engine_pool(loop, {});
-  platform_adapter::Platform platform(store_pool, engine_pool, settings.store);
+  platform_adapter::Platform platform(store_pool, engine_pool, settings.store, settings.duties);
   metrics::GatewayMetrics metrics;
   platform.store().setObserver([&metrics](const char* call, const char* result, Duration took) {
     metrics.onStoreCall(call, result, took);
--- a/src/forward/forward_plain.cpp
+++ b/src/forward/forward_plain.cpp
@@ -46,6 +46,7 @@
       context_.registry.onPace(steadyNow(), call->engine(), steadyNow() - call->startedAt());
     }
   }
+  recordAttempt(*forwarded, *call, result.verdict);
   logAttempt(*forwarded, *call, result.verdict);
   std::erase(race->running, call);
   race->results.push_back(std::move(result));
--- a/src/forward/forward_stream.cpp
+++ b/src/forward/forward_stream.cpp
@@ -95,6 +95,8 @@
     co_await writer.send(std::move(response));
     co_return AttemptVerdict::kAnswered;
   }
+  // A stream begins to run with its first token, which its head comes with.
+  recordRun(forwarded, steadyNow());
   EventParser parser(context_.names.weight_versions);
   std::vector<StreamEvent> events;
   while (!call.finished()) {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -5,6 +5,7 @@
 
 #include "forward/attempt_policy.h"
 #include "forward/internal_requests.h"
+#include "forward/run_recorder.h"
 #include "http/server.h"
 #include "logging/event_log.h"
 #include "logging/success_sampler.h"
@@ -37,6 +38,7 @@
   Instant deadline{};
   double most_per_slot = 0;  ///< Engines that are fuller are left alone; 0: no limit.
   bool internal = false;     ///< The system itself sends it, not a client.
+  bool recorded = false;     ///< It was recorded that it began to run.
 };
 
 /// Loop thread only.
@@ -44,8 +46,13 @@
  public:
   Forwarder(boost::asio::io_context& loop, EngineCallContext context,
             routing::WeightedDealer& dealer, metrics::GatewayMetrics& metrics,
-            ForwarderOptions options)
-      : loop_(loop), context_(context), dealer_(dealer), metrics_(metrics), options_(options) {}
+            run_recorder& recorder, ForwarderOptions options)
+      : loop_(loop),
+        context_(context),
+        dealer_(dealer),
+        metrics_(metrics),
+        recorder_(recorder),
+        options_(options) {}
 
   /// Answers the request in every case, unless the client is gone.
   Task<void> serve(routing::RouteTablePtr table, const routing::Route& route, tenants::caller from,
@@ -89,12 +96,17 @@
               const AttemptPolicy& policy);
   /// Adds how many engines there are for the route, and how many of them get nothing.
   void addEngineCounts(const routing::Route& route, Instant now, logging::LogEvent& event) const;
+  /// An engine began to run the request.
+  void recordRun(ForwardedRequest& forwarded, Instant at);
+  /// Records a run if this end of an attempt tells of one.
+  void recordAttempt(ForwardedRequest& forwarded, const EngineCall& call, AttemptVerdict verdict);
   void logAttempt(const ForwardedRequest& forwarded, EngineCall& call, AttemptVerdict verdict);
 
   boost::asio::io_context& loop_;
   EngineCallContext context_;
   routing::WeightedDealer& dealer_;
   metrics::GatewayMetrics& metrics_;
+  run_recorder& recorder_;
   ForwarderOptions options_;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,11 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 
+std::int64_t timeOfDayMs() {
+  const auto since_1970 = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since_1970).count();
+}
+
 versions::OrderOptions orderOptions(const GatewaySettings& settings) {
   versions::OrderOptions options;
   options.handover_pause = settings.order_pause + std::chrono::milliseconds(100);
@@ -45,7 +50,14 @@
       keeper_(loop, platform.table(), leases_, owner_pool_),
       lease_watch_(loop, platform.table(), leases_, keeper_, owner_pool_, {}, seed + 1),
       job_store_(platform.table(), platform.objects(), settings.row_bytes - kRowOverhead),
-      forwarder_(loop, {engine_pool, registry_, platform.fieldNames()}, dealer_, metrics, {}),
+      usage_({{loop, platform.table(), leases_, keeper_, owner_pool_},
+              platform.duties(),
+              settings.id.str(),
+              timeOfDayMs,
+              [this](table::Write write) { return writeByPeer(std::move(write)); }},
+             settings.usage),
+      forwarder_(loop, {engine_pool, registry_, platform.fieldNames()}, dealer_, metrics, usage_,
+                 {}),
       batches_({loop,
                 {engine_pool, registry_, platform.fieldNames()},
                 job_store_,
@@ -70,9 +82,11 @@
                  }),
       metrics_server_(loop, [this](http::Request&, Instant,
                                    http::ResponseWriter& writer) { return handleMetrics(writer); }),
-      peer_server_(loop, [this](http::Request&, Instant, http::ResponseWriter& writer) {
-        return handlePeer(writer);
-      }) {}
+      peer_server_(loop,
+                   [this](http::Request& request, Instant, http::ResponseWriter& writer) {
+                     return handlePeer(request, writer);
+                   }),
+      random_(seed + 2) {}
 
 Findings Gateway::start() {
   Findings findings;
@@ -98,6 +112,7 @@
   keeper_.start([this] { return ownsWork(); });
   batches_.start();
   orders_.start();
+  usage_.start();
   spawn(loop_, [this] { return sweepLoop(); });
   spawn(loop_, [this] { return probeLoop(); });
   LogEvent("gateway", "started")
@@ -227,12 +242,14 @@
   requests_.beginDrain();
   co_await batches_.handOver();
   co_await orders_.handOver();
+  co_await usage_.handOver();
   co_await keeper_.stop();
   while (steadyNow() < begun + kLeaveNotice) {
     co_await sleepFor(loop_, kStopPoll);
   }
   requests_.closeIdle();
-  while (requests_.busy() > 0 && steadyNow() < begun + settings_.stop_limit - kStopSlack) {
+  while ((requests_.busy() > 0 || usage_.unsaved()) &&
+         steadyNow() < begun + settings_.stop_limit - kStopSlack) {
     co_await sleepFor(loop_, kStopPoll);
   }
   LogEvent("gateway", "stopped").number("cut_off", static_cast<std::int64_t>(requests_.busy()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "batch/batch_service.h"
+#include "common/random.h"
 #include "forward/forwarder.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/peer_snapshot.h"
@@ -13,6 +14,7 @@
 #include "lease/lease_watch.h"
 #include "metrics/gateway_metrics.h"
 #include "table/table_watcher.h"
+#include "usage/usage_service.h"
 
 namespace linenpier::gateway {
 
@@ -50,7 +52,12 @@
   ///     does not exist.
   bool followsOperator() const { return routes_ && operator_watcher_->healthy(); }
   Task<void> handleReadiness(http::Request& request, http::ResponseWriter& writer);
-  Task<void> handlePeer(http::ResponseWriter& writer);
+  Task<void> handlePeer(http::Request& request, http::ResponseWriter& writer);
+  Task<void> tellSnapshot(http::ResponseWriter& writer);
+  /// Does a write for a daemon that does not reach the store.
+  Task<void> writeForPeer(http::Request& request, http::ResponseWriter& writer);
+  /// Lets other daemons do a write, one after the other. @return nothing if none did.
+  Task<std::optional<table::TransactionAnswer>> writeByPeer(table::Write write);
   /// Asks other daemons while the store does not answer.
   Task<void> peerLoop();
   Task<void> askPeer(Address peer);
@@ -97,6 +104,7 @@
   lease::lease_watch lease_watch_;
   bool leases_answered_ = false;  ///< Whether the last read of the leases was answered.
   batch::JobStore job_store_;
+  usage::usage_service usage_;
   forward::Forwarder forwarder_;
   batch::BatchService batches_;
   versions::OrderService orders_;
@@ -112,6 +120,7 @@
   std::unique_ptr<table::TableWatcher> engine_watcher_;
   std::unique_ptr<table::TableWatcher> coordination_watcher_;
   bool engines_known_ = false;  ///< Whether the engines were read, from the store or a peer.
+  Random random_;
   bool stopping_ = false;
 };
 
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 
 #include "gateway/gateway.h"
+#include "gateway/peer_write.h"
+#include "gateway/store_keys.h"
 #include "logging/event_log.h"
 
 namespace linenpier::gateway {
@@ -17,11 +19,72 @@
 /// the few that a change of keys may take.
 constexpr std::size_t kPeersAtOnce = 3;
 constexpr Duration kPeerCallTime = std::chrono::milliseconds(300);
+constexpr Duration kPeerWriteTime = std::chrono::milliseconds(400);
+constexpr std::size_t kWriterPeers = 3;  ///< That are asked to do one write.
+constexpr char kWritePath[] = "/write";
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnavailable = 503;
 
+bool isCountOrClock(const table::Put& put) {
+  return put.key.starts_with(kUsageTable + "/w/") || put.key.starts_with(kClockTable + "/");
+}
+
 }  // namespace
 
-Task<void> Gateway::handlePeer(http::ResponseWriter& writer) {
+Task<void> Gateway::handlePeer(http::Request& request, http::ResponseWriter& writer) {
+  if (request.target() == kWritePath) {
+    co_await writeForPeer(request, writer);
+  } else {
+    co_await tellSnapshot(writer);
+  }
+}
+
+Task<void> Gateway::writeForPeer(http::Request& request, http::ResponseWriter& writer) {
+  http::Response response;
+  response.result(kUnavailable);
+  auto write = decodeWrite(request.body());
+  // Counts and clocks only: nothing that a right or a lease stands on.
+  const bool allowed = write && std::all_of(write->transaction.puts.begin(),
+                                            write->transaction.puts.end(), isCountOrClock);
+  if (!allowed) {
+    response.result(kBadRequest);
+  } else if (leases_.storeHealthy()) {
+    const auto answer = co_await platform_.table().write(std::move(*write));
+    if (answer) {
+      response.result(kOk);
+      response.body() = encodeAnswer(*answer);
+    }
+  }
+  LogEvent("gateway", "wrote_for_peer").number("status", response.result_int());
+  co_await writer.send(std::move(response));
+}
+
+Task<std::optional<table::TransactionAnswer>> Gateway::writeByPeer(table::Write write) {
+  std::vector<Address> peers = knownPeers();
+  std::shuffle(peers.begin(), peers.end(), random_.engine());
+  if (peers.size() > kWriterPeers) peers.resize(kWriterPeers);
+  for (const Address& peer : peers) {
+    http::Request request(boost::beast::http::verb::post, kWritePath, 11);
+    request.set(boost::beast::http::field::host, "peer");
+    request.body() = encodeWrite(write);
+    request.prepare_payload();
+    const Instant deadline = steadyNow() + kPeerWriteTime;
+    const http::CallOutcome outcome =
+        co_await http::call(engine_pool_, peer, std::move(request), deadline);
+    const bool done =
+        outcome.status == http::ExchangeStatus::kOk && outcome.response.result_int() == kOk;
+    if (!done) continue;
+    auto answer = decodeAnswer(outcome.response.body());
+    if (answer) {
+      LogEvent("gateway", "written_by_peer").text("peer", toString(peer));
+      co_return answer;
+    }
+  }
+  co_return std::nullopt;
+}
+
+Task<void> Gateway::tellSnapshot(http::ResponseWriter& writer) {
   http::Response response;
   if (routes_ && engines_known_) {
     snapshot_.engines_revision = std::max(snapshot_.engines_revision, engine_watcher_->revision());
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/// Between two holders, beyond what the platform asks for: clocks run at slightly different speeds.
+constexpr Duration kHandoverSlack = std::chrono::milliseconds(100);
 /// Readers' clocks and the hand-in lie a little before and behind the store's.
 constexpr Duration kRemovalSlack = std::chrono::seconds(30);
 
@@ -61,6 +63,11 @@
   if (metrics.port != 0) settings.metrics = metrics;
   reader.readAddress("store.address", settings.store, true);
   reader.readInteger("store.row_bytes", row_bytes, 1024, 64 * 1024 * 1024);
+  Address duties;
+  double window_seconds = 0;
+  reader.readAddress("duties.address", duties, false);
+  if (duties.port != 0) settings.duties = duties;
+  reader.readNumber("duties.usage_window_seconds", window_seconds, 0, 86400);
   double processor_share = 1;
   double cores = 1;
   reader.readNumber("machine.processor_share", processor_share, 0.001, 1024);
@@ -87,6 +94,8 @@
   settings.row_bytes = static_cast<std::size_t>(row_bytes);
   settings.stop_limit = fromSeconds(stop_seconds);
   settings.order_pause = fromSeconds(order_pause_ms / 1000);
+  settings.usage.window = fromSeconds(window_seconds);
+  settings.usage.handover_pause = settings.order_pause + kHandoverSlack;
   settings.rollout.patience = fromSeconds(patience_ms / 1000);
   settings.rollout.mode = loadModeFromName(mode);
   settings.batch.keep_jobs = fromSeconds(keep_seconds) + kRemovalSlack;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -13,6 +13,7 @@
 #include "common/ids.h"
 #include "common/time.h"
 #include "lease/own_capacity.h"
+#include "usage/usage_service.h"
 #include "versions/version_rollout.h"
 
 namespace linenpier::gateway {
@@ -26,6 +27,8 @@
   std::optional<Address> peers;    ///< Where other daemons ask; absent: nowhere.
   std::vector<Address> seeds;      ///< Some daemons' addresses for that; may be stale.
   Address store;
+  std::optional<Address> duties;  ///< Where duties at the platform are carried out; absent: none.
+  usage::usage_options usage;
   lease::MachineLimits machine;
   std::size_t row_bytes = 65536;                   ///< Largest value of a row.
   Duration stop_limit = std::chrono::seconds(8);   ///< From the signal to the end.
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -80,6 +80,7 @@
   coordination.on_snapshot = [this](const std::vector<table::Row>& rows) {
     for (const table::Row& row : rows) onCoordinationRow({row, false});
     orders_.onTableRead();
+    usage_.onTableRead();
   };
   coordination.on_change = [this](const table::RowChange& change) { onCoordinationRow(change); };
   coordination.on_health = [this](bool healthy) {
@@ -233,7 +234,7 @@
 }
 
 bool Gateway::ownsWork() const {
-  return owner_pool_.offers() || batches_.ownsAny() || orders_.holdsAny();
+  return owner_pool_.offers() || batches_.ownsAny() || orders_.holdsAny() || usage_.holdsRight();
 }
 
 void Gateway::onLeasesRead(bool answered) {
@@ -260,6 +261,10 @@
   } else if (key.starts_with(kOrderPrefix)) {
     const routing::ServiceName service(tail(kOrderPrefix));
     change.gone ? orders_.onRightGone(service) : orders_.onRightRow(service, change.row);
+  } else if (key == kRightPrefix + "usage") {
+    change.gone ? usage_.onRightGone() : usage_.onRightRow(change.row);
+  } else if (key == kClockName && !change.gone) {
+    usage_.onClockRow(change.row);
   }
 }
 
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -14,6 +14,7 @@
 #include "http/http_types.h"
 #include "routing/route_table.h"
 #include "table/async_table.h"
+#include "usage/duty_port.h"
 #include "versions/order_service.h"
 
 namespace linenpier::gateway {
@@ -43,6 +44,7 @@
   virtual table::AsyncObjects& objects() = 0;
   virtual const batch::BatchCodec& batchCodec() const = 0;
   virtual versions::EngineOrders& orders() = 0;
+  virtual usage::duty_port& duties() = 0;
 
   /// Tables that the platform and its operators write.
   virtual std::string operatorTable() const = 0;
--- a/src/gateway/store_keys.h
+++ b/src/gateway/store_keys.h
@@ -30,6 +30,32 @@
 inline std::string orderKey(const routing::ServiceName& service) {
   return kCoordinationTable + "/" + kOrderPrefix + service.str();
 }
+inline const std::string kRightPrefix = "right/";  ///< Of rights to carry out duties.
+inline const std::string kUsageTable = "usage";
+inline const std::string kClockTable = "clocks";
+/// In the table of use: what was reported last.
+inline const std::string kUsageProgress = "progress";
+/// In the table that everybody watches: what true time is.
+inline const std::string kClockName = "clock";
+
+inline std::string rightKey(const std::string& duty) {
+  return kCoordinationTable + "/" + kRightPrefix + duty;
+}
+inline std::string clockKey() {
+  return kCoordinationTable + "/" + kClockName;
+}
+inline std::string clockSampleKey(const std::string& daemon) {
+  return kClockTable + "/" + daemon;
+}
+/// @return what the keys of all counts of a window begin with, without the table.
+inline std::string usageWindowPrefix(std::int64_t window) {
+  char digits[24];
+  std::snprintf(digits, sizeof(digits), "%016lld", static_cast<long long>(window));
+  return std::string("w/") + digits + "/";
+}
+inline std::string usageKey(std::int64_t window, const batch::LeaseId& lease) {
+  return kUsageTable + "/" + usageWindowPrefix(window) + lease.str();
+}
 /// @return the key of a job's row within the tables of results, checkpoints and bodies, where each
 ///     job has many; they sort as the numbers do.
 inline std::string numberedKey(const batch::JobId& id, std::size_t number) {
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -4,6 +4,13 @@
 
 namespace linenpier::lease {
 
+namespace {
+/// Clocks of machines differ by at most a ms in so many seconds.
+constexpr std::int64_t kSecondsPerDriftMs = 10;
+/// No answer comes later than this: the store's clock began anew.
+constexpr std::int64_t kLongestLagMs = 5000;
+}  // namespace
+
 void LeaseKeeper::start(std::function<bool()> needed) {
   needed_ = std::move(needed);
   spawn(loop_, [this] { return run(); });
@@ -23,6 +30,17 @@
          std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_read_at_).count();
 }
 
+void LeaseKeeper::onStoreClock(Instant now, std::int64_t clock_ms) {
+  const std::int64_t expected_ms = storeClock(now);
+  const std::int64_t lag_ms = expected_ms - clock_ms;
+  const auto since = std::chrono::duration_cast<std::chrono::seconds>(now - clock_read_at_);
+  const std::int64_t drift_ms = since.count() / kSecondsPerDriftMs;
+  const bool later = clock_ms_ != 0 && lag_ms > drift_ms && lag_ms < kLongestLagMs;
+  if (later) return;
+  clock_ms_ = clock_ms;
+  clock_read_at_ = now;
+}
+
 Task<bool> LeaseKeeper::confirmSilent(LeaseId lease) {
   if (lease.empty() || leases_.isEarlierSelf(lease)) co_return true;
   const std::string& key = lease.str();
--- a/src/lease/lease_keeper.h
+++ b/src/lease/lease_keeper.h
@@ -35,10 +35,9 @@
   bool valid(Instant now) const { return now - renewed_at_ < leases_.times().validity; }
   /// @return the store's steady clock, estimated from what its answers said; 0 if none came yet.
   std::int64_t storeClock(Instant now) const;
-  void onStoreClock(Instant now, std::int64_t clock_ms) {
-    clock_ms_ = clock_ms;
-    clock_read_at_ = now;
-  }
+  /// An answer of the store that came at `now` showed its clock. Answers come late by as much as
+  /// their way takes, so the one that shows the clock furthest ahead is nearest to it.
+  void onStoreClock(Instant now, std::int64_t clock_ms);
   /// Asks the store itself whether an owner that the feed tells nothing of is silent. A feed that
   /// hangs looks like silence of all.
   /// @return whether the store answered and its row is what was last seen.
--- /dev/null
+++ b/src/usage/duty_port.h
@@ -0,0 +1,47 @@
+#pragma once
+
+/** @file
+ * Calls to the platform that are one daemon's duty at a time.
+ */
+
+#include <string>
+
+#include "common/ids.h"
+#include "common/task.h"
+#include "usage/usage_counter.h"
+
+namespace linenpier::usage {
+
+/** How the platform answered a duty's call. */
+enum class duty_answer {
+  kTaken,
+  kFenced,   ///< It has seen a higher token for the same subject.
+  kRefused,  ///< Not done; again later.
+  kUnknown,  ///< It may be carried out yet.
+};
+
+const char* toText(duty_answer answer);
+
+/** Under which right a call is made. */
+struct duty_right {
+  std::string holder;
+  FencingToken token = 0;
+  Instant send_by{};  ///< The call is sent until then or not at all.
+};
+
+/** What the tenants used in a window. The same report is always the same bytes. */
+struct usage_report {
+  window_number window = 0;
+  tenant_counts counts;
+
+  bool operator==(const usage_report&) const = default;
+};
+
+class duty_port {
+ public:
+  virtual ~duty_port() = default;
+
+  virtual Task<duty_answer> reportUsage(usage_report report, duty_right right) = 0;
+};
+
+}  // namespace linenpier::usage
--- /dev/null
+++ b/src/usage/usage_counter.cpp
@@ -0,0 +1,72 @@
+#include "usage/usage_counter.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace linenpier::usage {
+
+using nlohmann::json;
+
+namespace {
+/// Of requests whose window is not known since the store has not answered this life yet: some
+/// minutes of a daemon's share at the users' peak.
+constexpr std::size_t kMostWaiting = 20000;
+}  // namespace
+
+std::string encodeCounts(const tenant_counts& counts) {
+  json document = json::object();
+  for (const auto& [tenant, count] : counts) document[tenant.str()] = count;
+  return document.dump();
+}
+
+std::optional<tenant_counts> decodeCounts(const std::string& text) {
+  const json document = json::parse(text, nullptr, false);
+  if (!document.is_object()) return std::nullopt;
+  tenant_counts counts;
+  for (const auto& [tenant, count] : document.items()) {
+    if (!count.is_number_unsigned()) return std::nullopt;
+    counts[TenantId(tenant)] = count.get<std::uint64_t>();
+  }
+  return counts;
+}
+
+void addCounts(const tenant_counts& more, tenant_counts& sum) {
+  for (const auto& [tenant, count] : more) sum[tenant] += count;
+}
+
+bool usage_counter::onBegun(Instant at, const TenantId& tenant) {
+  if (this->waiting_.size() >= kMostWaiting) return false;
+  this->waiting_.push_back({at, tenant});
+  return true;
+}
+
+void usage_counter::assign(const window_finder& find) {
+  std::erase_if(this->waiting_, [&](const begun& each) {
+    const auto window = find(each.at);
+    if (!window) return false;
+    window_counts& counts = this->windows_[*window];
+    ++counts.counts[each.tenant];
+    ++counts.changes;
+    return true;
+  });
+}
+
+std::vector<window_number> usage_counter::unsaved() const {
+  std::vector<window_number> found;
+  for (const auto& [window, counts] : this->windows_) {
+    if (counts.unsaved()) found.push_back(window);
+  }
+  return found;
+}
+
+void usage_counter::forgetBefore(window_number window) {
+  std::erase_if(this->windows_, [window](const auto& each) {
+    return each.first < window && !each.second.unsaved();
+  });
+}
+
+bool usage_counter::idle() const {
+  return this->waiting_.empty() && this->unsaved().empty();
+}
+
+}  // namespace linenpier::usage
--- /dev/null
+++ b/src/usage/usage_counter.h
@@ -0,0 +1,64 @@
+#pragma once
+
+/** @file
+ * What this life of the daemon has counted: requests that began to run, by window and tenant. Pure.
+ */
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/ids.h"
+#include "common/time.h"
+#include "usage/true_time.h"
+
+namespace linenpier::usage {
+
+using tenant_counts = std::map<TenantId, std::uint64_t>;
+
+std::string encodeCounts(const tenant_counts& counts);
+/** @return nothing if the text holds no counts. */
+std::optional<tenant_counts> decodeCounts(const std::string& text);
+void addCounts(const tenant_counts& more, tenant_counts& sum);
+
+/** Counts of one window, and what of them is in the store.
+ *
+ * Invariant: a row holds all that this life has counted in its window, so that writing it again
+ * does no harm; it is written under its last revision, so that a write that comes late undoes none.
+ */
+struct window_counts {
+  tenant_counts counts;
+  Revision revision = 0;      ///< Of the row; 0: there is none yet.
+  std::uint64_t changes = 0;  ///< That were counted.
+  std::uint64_t stored = 0;   ///< Of these, in the store.
+
+  bool unsaved() const { return this->changes > this->stored; }
+};
+
+class usage_counter {
+ public:
+  /** @return the window of a moment; nothing while that is not known yet. */
+  using window_finder = std::function<std::optional<window_number>(Instant)>;
+
+  /** @return whether it was counted; else too many wait for their window. */
+  bool onBegun(Instant at, const TenantId& tenant);
+  /** Puts what waits into its windows. */
+  void assign(const window_finder& find);
+  /** @return the windows with counts that are not in the store, oldest first. */
+  std::vector<window_number> unsaved() const;
+  window_counts& of(window_number window) { return this->windows_[window]; }
+  /** Forgets windows before this one that are in the store whole. */
+  void forgetBefore(window_number window);
+  bool idle() const;
+
+ private:
+  struct begun {
+    Instant at;
+    TenantId tenant;
+  };
+  std::vector<begun> waiting_;
+  std::map<window_number, window_counts> windows_;
+};
+
+}  // namespace linenpier::usage
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -45,13 +45,14 @@
                                    const gateway::GatewaySettings& settings)
     : store_pool(loop, {}),
       engine_pool(loop, {}),
-      platform(store_pool, engine_pool, settings.store),
+      platform(store_pool, engine_pool, settings.store, settings.duties),
       gateway(loop, settings, platform, engine_pool, metrics, Random::seedFromSystem()) {
   cr_assert(gateway.start().empty());
 }
 
 GatewayFixture::GatewayFixture(FixtureOptions options) : options_(options) {
   store_ = std::make_unique<StandinStore>(loop_);
+  duties_ = std::make_unique<StandinDuties>(loop_);
   for (int i = 0; i < options.lookup_samplers; ++i) {
     lookups_.push_back(std::make_unique<StandinSampler>(loop_, "look-" + std::to_string(i), 0));
   }
@@ -68,6 +69,10 @@
   std::vector<Address> seeds;
   for (const auto& each : gateways_) seeds.push_back(each->gateway.peerAddress());
   gateway::GatewaySettings settings = settingsOf(store_->address(), name, std::move(seeds));
+  if (options_.usage) {
+    settings.duties = duties_->address();
+    settings.usage = *options_.usage;
+  }
   if (options_.keep_jobs) settings.batch.keep_jobs = *options_.keep_jobs;
   gateways_.push_back(std::make_unique<GatewayUnderTest>(loop_, settings));
 }
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -9,6 +9,7 @@
 
 #include "gateway/gateway.h"
 #include "platform.h"
+#include "support/standin_duties.h"
 #include "support/standin_sampler.h"
 #include "support/standin_store.h"
 
@@ -38,9 +39,10 @@
   int gateways = 1;
   int lookup_samplers = 2;
   int model_samplers = 2;
-  int events = 10;                    ///< Of a model sampler's stream.
-  std::optional<Duration> keep_jobs;  ///< Until an ended job may be removed.
-  std::string tenants;                ///< Of the configuration, as its list; empty: none.
+  int events = 10;                            ///< Of a model sampler's stream.
+  std::optional<Duration> keep_jobs;          ///< Until an ended job may be removed.
+  std::optional<usage::usage_options> usage;  ///< Absent: the platform has no duties.
+  std::string tenants;                        ///< Of the configuration, as its list; empty: none.
 };
 
 /// @return options for two gateways before samplers whose streams have so many events.
@@ -57,6 +59,7 @@
 
   boost::asio::io_context& loop() { return loop_; }
   StandinStore& store() { return *store_; }
+  StandinDuties& duties() { return *duties_; }
   StandinSampler& lookup(std::size_t index) { return *lookups_.at(index); }
   StandinSampler& model(std::size_t index) { return *models_.at(index); }
   gateway::Gateway& gateway(std::size_t index = 0) { return gateways_.at(index)->gateway; }
@@ -95,6 +98,7 @@
   FixtureOptions options_;
   std::string client_key_;
   std::unique_ptr<StandinStore> store_;
+  std::unique_ptr<StandinDuties> duties_;
   std::vector<std::unique_ptr<StandinSampler>> lookups_;
   std::vector<std::unique_ptr<StandinSampler>> models_;
   std::vector<std::unique_ptr<GatewayUnderTest>> gateways_;
--- /dev/null
+++ b/tests/usage/usage_counter_test.cpp
@@ -0,0 +1,86 @@
+/// @file
+/// Counting by window and tenant, and true time.
+
+#include "usage/usage_counter.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using usage::clock_sample;
+using usage::usage_counter;
+using usage::windows;
+
+namespace {
+constexpr Instant kStart{std::chrono::seconds(100)};
+const TenantId kAda("ada");
+const TenantId kBob("bob");
+}  // namespace
+
+Test(true_time, the_median_bears_clocks_that_are_off_as_long_as_they_are_fewer_than_half) {
+  const std::vector<clock_sample> samples = {
+      {5000, 100}, {5003, 100}, {4998, 100}, {7000, 100}, {3000, 100}};
+  cr_assert_eq(*usage::medianOffset(samples, 0), 5000);
+  cr_assert_not(usage::medianOffset({}, 0).has_value());
+}
+
+Test(true_time, samples_that_are_old_do_not_count) {
+  cr_assert_eq(*usage::medianOffset({{900, 10}, {900, 10}, {5000, 100}}, 50), 5000);
+  cr_assert_not(usage::medianOffset({{900, 10}}, 50).has_value());
+}
+
+Test(true_time, samples_are_read_as_written) {
+  const clock_sample sample{1796231995545, 4123};
+  cr_assert(usage::decodeSample(usage::encodeSample(sample)) == sample);
+  cr_assert_not(usage::decodeSample("soon").has_value());
+}
+
+Test(true_time, a_window_ends_where_the_next_begins) {
+  const windows all(std::chrono::seconds(5), 1796231995545);
+  const auto window = all.at(4123);
+  const std::int64_t end = all.endOf(window);
+  cr_assert_eq(all.at(end - 1), window);
+  cr_assert_eq(all.at(end), window + 1);
+  cr_assert_eq((end + 1796231995545) % 5000, 0);
+}
+
+Test(usage_counter, requests_wait_until_their_window_is_known) {
+  usage_counter counter;
+  counter.onBegun(kStart, kAda);
+  counter.assign([](Instant) { return std::nullopt; });
+  cr_assert(counter.unsaved().empty());
+  cr_assert_not(counter.idle());
+  counter.assign([](Instant) { return 7; });
+  cr_assert_eq(counter.unsaved(), std::vector<usage::window_number>{7});
+  cr_assert_eq(counter.of(7).counts.at(kAda), 1U);
+}
+
+Test(usage_counter, a_window_is_unsaved_until_all_of_it_is_stored) {
+  usage_counter counter;
+  counter.onBegun(kStart, kAda);
+  counter.assign([](Instant) { return 7; });
+  const std::uint64_t sent = counter.of(7).changes;
+  counter.onBegun(kStart, kBob);
+  counter.assign([](Instant) { return 7; });
+  counter.of(7).stored = sent;
+  cr_assert_not(counter.idle(), "one came while the other was written");
+  counter.forgetBefore(9);
+  cr_assert_eq(counter.unsaved().size(), 1U);
+  counter.of(7).stored = counter.of(7).changes;
+  counter.forgetBefore(9);
+  cr_assert(counter.idle());
+  cr_assert(counter.of(7).counts.empty());
+}
+
+Test(usage_counter, counts_are_read_as_written) {
+  const usage::tenant_counts counts = {{kAda, 3}, {kBob, 1}};
+  cr_assert(usage::decodeCounts(usage::encodeCounts(counts)) == counts);
+  cr_assert_not(usage::decodeCounts("[]").has_value());
+  cr_assert_not(usage::decodeCounts("{\"ada\":-1}").has_value());
+}
+
+Test(usage_counter, too_many_that_wait_are_told) {
+  usage_counter counter;
+  bool taken = true;
+  for (int i = 0; i < 30000 && taken; ++i) taken = counter.onBegun(kStart, kAda);
+  cr_assert_not(taken);
+}
