--- a/src/gateway/gateway_metrics_page.cpp
+++ b/src/gateway/gateway_metrics_page.cpp
@@ -37,6 +37,9 @@
   state.log_lines_dropped = logging::droppedLines();
   state.lease_valid = keeper_.valid(now);
   state.order_rights_held = orders_.rightsHeld();
+  state.usage_requests_counted = usage_.totals().counted;
+  state.usage_requests_late = usage_.totals().late;
+  state.usage_windows_reported = usage_.totals().reported;
   state.orders_sent = orders_.counts().sent;
   state.orders_unanswered = orders_.counts().unanswered;
   const batch::BatchCounts& counts = batches_.counts();
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -127,6 +127,12 @@
   set("lease_valid", "Whether this daemon may act under what it owns.", state.lease_valid ? 1 : 0);
   set("order_rights_held", "Services whose engines this daemon orders.",
       number(state.order_rights_held));
+  set("usage_requests_counted", "Requests of tenants that began to run, ever.",
+      number(state.usage_requests_counted));
+  set("usage_requests_late", "Counted after their window was added up, ever.",
+      number(state.usage_requests_late));
+  set("usage_windows_reported", "Windows of use that the platform took from this daemon, ever.",
+      number(state.usage_windows_reported));
   set("orders_sent", "Orders sent to engines, ever.", number(state.orders_sent));
   set("orders_unanswered", "Orders without an answer, ever.", number(state.orders_unanswered));
   set("items_completed", "Results listed as completed, ever.", number(state.items_completed));
--- a/src/metrics/gateway_metrics.h
+++ b/src/metrics/gateway_metrics.h
@@ -32,6 +32,9 @@
   std::uint64_t log_lines_dropped = 0;
   bool lease_valid = false;
   std::size_t order_rights_held = 0;
+  std::uint64_t usage_requests_counted = 0;
+  std::uint64_t usage_requests_late = 0;
+  std::uint64_t usage_windows_reported = 0;
   std::uint64_t orders_sent = 0;
   std::uint64_t orders_unanswered = 0;
   std::uint64_t items_completed = 0;
--- a/tests/gateway/tenants_test.cpp
+++ b/tests/gateway/tenants_test.cpp
@@ -209,3 +209,18 @@
   co_await fixture.readAll(0, "j2");
   cr_assert_eq(modelArrivals(fixture).size() - before, 2U);
 }
+
+GATEWAY_TEST(tenants, refusals_are_counted_by_reason_and_no_metric_holds_a_key, withTenants(1)) {
+  co_await fixture.call(0, fixture.lookupRequest("r1"));
+  co_await fixture.call(0, withKey(fixture.lookupRequest("r2"), "key-x"));
+  co_await fixture.call(0, withKey(fixture.lookupRequest("r3"), "key-a1"));
+  http::ConnectionPool pool(fixture.loop(), {});
+  http::Request request(boost::beast::http::verb::get, "/metrics", 11);
+  const Address address = fixture.gateway().metricsAddress();
+  const Instant deadline = steadyNow() + std::chrono::seconds(2);
+  const auto outcome = co_await http::call(pool, address, std::move(request), deadline);
+  const std::string& text = outcome.response.body();
+  cr_assert_neq(text.find("linenpier_keys_refused_total{reason=\"missing\"} 1"), std::string::npos);
+  cr_assert_neq(text.find("linenpier_keys_refused_total{reason=\"unknown\"} 1"), std::string::npos);
+  cr_assert_eq(text.find("key-"), std::string::npos);
+}
