Remove the rows of every window that was reported

Cause: read in the diff: a holder removed only the rows of the window that it had itself decided before, so that those of the last window stayed at each change of holder, and those written too late for ever; beyond 90 daemons a part of each window's rows stayed as well.

Change: adding a window up reads from the oldest row on; rows of earlier windows are removed after the decision, 90 a write, until none is left.

--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -27,7 +27,8 @@
 constexpr unsigned kUnavailable = 503;
 
 bool isCountOrClock(const table::Put& put) {
-  return put.key.starts_with(kUsageTable + "/w/") || put.key.starts_with(kClockTable + "/");
+  return put.key.starts_with(kUsageTable + "/" + kUsageRows) ||
+         put.key.starts_with(kClockTable + "/");
 }
 
 }  // namespace
--- a/src/gateway/store_keys.h
+++ b/src/gateway/store_keys.h
@@ -47,14 +47,19 @@
 inline std::string clockSampleKey(const std::string& daemon) {
   return kClockTable + "/" + daemon;
 }
+/// What the keys of all counts begin with, without the table.
+inline const std::string kUsageRows = "w/";
 /// @return what the keys of all counts of a window begin with, without the table.
 inline std::string usageWindowPrefix(std::int64_t window) {
   char digits[24];
   std::snprintf(digits, sizeof(digits), "%016lld", static_cast<long long>(window));
-  return std::string("w/") + digits + "/";
+  return kUsageRows + digits + "/";
+}
+inline std::string usageKeyPrefix(std::int64_t window) {
+  return kUsageTable + "/" + usageWindowPrefix(window);
 }
 inline std::string usageKey(std::int64_t window, const batch::LeaseId& lease) {
-  return kUsageTable + "/" + usageWindowPrefix(window) + lease.str();
+  return usageKeyPrefix(window) + lease.str();
 }
 /// @return the key of a job's row within the tables of results, checkpoints and bodies, where each
 ///     job has many; they sort as the numbers do.
--- a/src/usage/usage_service.cpp
+++ b/src/usage/usage_service.cpp
@@ -18,7 +18,7 @@
 constexpr Duration kIdleWrite = std::chrono::seconds(1);
 constexpr Duration kClockPeriod = std::chrono::seconds(10);  ///< Between two looks at true time.
 constexpr Duration kRefusedPause = std::chrono::milliseconds(300);
-/// The store takes 100 entries a write: a condition and a value a window, and what is obsolete.
+/// The store takes 100 entries a write: a condition and a value a window, or what is removed.
 constexpr std::size_t kMostWindowsAtOnce = 20;
 constexpr std::size_t kMostRemovedAtOnce = 90;
 /// Windows that stay in memory, for writes whose answer comes late.
@@ -282,14 +282,20 @@
 
 Task<void> usage_service::decide(window_number window) {
   tenant_counts sum;
-  std::vector<std::string> rows;
-  table::RowRange range{gateway::kUsageTable, gateway::usageWindowPrefix(window),
+  std::size_t daemons = 0;
+  std::vector<std::string> obsolete;  // Rows of windows that were decided before, by any holder.
+  const std::string prefix = gateway::usageKeyPrefix(window);
+  table::RowRange range{gateway::kUsageTable, gateway::kUsageRows,
                         gateway::usageWindowPrefix(window + 1), 0};
   for (;;) {
     const auto page = co_await this->deps_.right.table.read(range);
     if (!page) co_return;
     for (const table::Row& row : page->rows) {
-      rows.push_back(row.key);
+      if (!row.key.starts_with(prefix)) {
+        obsolete.push_back(row.key);
+        continue;
+      }
+      ++daemons;
       const auto counts = decodeCounts(row.value);
       if (counts) addCounts(*counts, sum);
       if (!counts) LogEvent("usage", "bad_row").text("key", row.key);
@@ -306,15 +312,13 @@
   write.transaction.checks.push_back(this->right_.condition());
   write.transaction.checks.push_back({key, this->progress_->revision});
   write.transaction.puts.push_back({key, value});
-  if (this->obsolete_.size() > kMostRemovedAtOnce) this->obsolete_.resize(kMostRemovedAtOnce);
-  write.removes = this->obsolete_;
   const auto answer = co_await this->deps_.right.table.write(std::move(write));
   const bool done = answer && answer->committed;
   std::uint64_t requests = 0;
   for (const auto& [tenant, count] : next.report.counts) requests += count;
   LogEvent("usage", "window_decided")
       .number("window", window)
-      .number("daemons", static_cast<std::int64_t>(rows.size()))
+      .number("daemons", static_cast<std::int64_t>(daemons))
       .number("tenants", static_cast<std::int64_t>(next.report.counts.size()))
       .number("requests", static_cast<std::int64_t>(requests))
       .text("outcome", done     ? "written"
@@ -325,12 +329,27 @@
     this->progress_.reset();
     co_return;
   }
+  spawn(this->deps_.right.loop, [this, obsolete] { return this->removeRows(obsolete); });
   next.revision = answer->revision;
   this->progress_ = std::move(next);
-  this->obsolete_ = std::move(rows);
   if (this->right_.mayAct(steadyNow())) co_await this->send();
 }
 
+Task<void> usage_service::removeRows(std::vector<std::string> keys) {
+  while (!keys.empty()) {
+    const std::size_t first = keys.size() - std::min(keys.size(), kMostRemovedAtOnce);
+    table::Write write;
+    write.removes.assign(keys.begin() + static_cast<std::ptrdiff_t>(first), keys.end());
+    keys.resize(first);
+    const auto answer = co_await this->deps_.right.table.write(std::move(write));
+    if (!answer) {
+      // The next window's decision finds them again.
+      LogEvent("usage", "rows_not_removed").number("rows", static_cast<std::int64_t>(first));
+      co_return;
+    }
+  }
+}
+
 Task<void> usage_service::send() {
   const usage_report report = this->progress_->report;
   const duty_right right{this->deps_.holder, this->right_.token(), this->right_.mayActUntil()};
--- a/src/usage/usage_service.h
+++ b/src/usage/usage_service.h
@@ -111,6 +111,8 @@
   Task<void> settleClock();
   bool due(Instant now, window_number window) const;
   Task<void> decide(window_number window);
+  /** Removes rows that nobody needs any more. */
+  Task<void> removeRows(std::vector<std::string> keys);
   Task<void> send();
 
   dependencies deps_;
@@ -122,8 +124,7 @@
   std::optional<std::int64_t> offset_ms_;  ///< True time less the store's clock, as agreed.
   Revision clock_revision_ = 0;
   Instant sampled_at_{};
-  std::optional<progress> progress_;   ///< Empty while this holder has not read it.
-  std::vector<std::string> obsolete_;  ///< Rows of the window that was decided last.
+  std::optional<progress> progress_;  ///< Empty while this holder has not read it.
   Instant clock_checked_at_{};
   Instant acquired_at_{};
   Instant store_back_at_{};  ///< The store is known to answer since then.
--- a/tests/gateway/usage_test.cpp
+++ b/tests/gateway/usage_test.cpp
@@ -195,3 +195,24 @@
   const std::int64_t span = windows.rbegin()->first - windows.begin()->first;
   cr_assert_eq(static_cast<std::int64_t>(windows.size()), span + 1);
 }
+
+GATEWAY_TEST(usage_reports, nothing_stays_of_windows_that_were_reported, reporting(2)) {
+  const bool reports = co_await waitReporting(fixture);
+  cr_assert(reports);
+  for (int i = 0; i < 4; ++i) {
+    co_await look(fixture, static_cast<std::size_t>(i % 2), "key-a", i);
+  }
+  // The holder is cut off once it has reported them, before it could remove their rows.
+  const bool first = co_await waitReported(fixture, "ada", 4);
+  cr_assert(first);
+  const std::size_t old_holder = holder(fixture);
+  fixture.cutFromStore(old_holder);
+  const std::size_t before = fixture.duties().reports().size();
+  const bool more = co_await fixture.waitFor(
+      [&fixture, before] { return fixture.duties().reports().size() >= before + 3; },
+      std::chrono::seconds(14));
+  cr_assert(more);
+  for (const std::string& key : fixture.store().keys("usage")) {
+    cr_assert_eq(key, "progress", "%s stayed", key.c_str());
+  }
+}
