Follow the address of the platform's service for duties

Cause: read in the diff: a changed settings file moved the store's address only; reports would have gone to the old address of the service until a restart. Change: both addresses are taken over. Test: usage_reports::a_service_that_moves_is_followed.

--- a/apps/linenpier_gateway.cpp
+++ b/apps/linenpier_gateway.cpp
@@ -65,7 +65,7 @@
   });
   gateway::settings_watch settings_watch(loop, file, kSettingsPeriod,
                                          [&](const gateway::GatewaySettings& changed) {
-                                           platform.store().setAddress(changed.store);
+                                           platform.setAddresses(changed.store, changed.duties);
                                            daemon.applySettings(changed);
                                          });
   settings_watch.start();
--- a/tests/gateway/usage_test.cpp
+++ b/tests/gateway/usage_test.cpp
@@ -216,3 +216,15 @@
     cr_assert_eq(key, "progress", "%s stayed", key.c_str());
   }
 }
+
+GATEWAY_TEST(usage_reports, a_service_that_moves_is_followed, reporting(1)) {
+  const bool reports = co_await waitReporting(fixture);
+  cr_assert(reports);
+  test::StandinDuties elsewhere(fixture.loop());
+  fixture.moveDuties(0, elsewhere.address());
+  const std::int64_t last = fixture.duties().reports().rbegin()->first;
+  const bool followed = co_await fixture.waitFor(
+      [&elsewhere] { return elsewhere.reports().size() >= 2; }, std::chrono::seconds(10));
+  cr_assert(followed);
+  cr_assert_leq(elsewhere.reports().begin()->first, last + 1);
+}
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -68,6 +68,10 @@
   void cutFromStore(std::size_t index) {
     gateways_.at(index)->platform.store().setAddress({0x7f000001, 1});
   }
+  /// The platform's service for duties is elsewhere from now on.
+  void moveDuties(std::size_t index, const Address& address) {
+    gateways_.at(index)->platform.setAddresses(store_->address(), address);
+  }
   /// The gateway reaches the store again.
   void joinToStore(std::size_t index) {
     gateways_.at(index)->platform.store().setAddress(store_->address());
