--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -80,7 +80,7 @@
 }
 
 bool mayAccess(const JobRecord& record, const tenants::caller& from) {
-  const bool needs_key = from.verdict != tenants::key_verdict::kNotNeeded;
+  const bool needs_key = from.verdict != tenants::KeyVerdict::kNotNeeded;
   return !needs_key || record.tenant.empty() || record.tenant == from.tenant;
 }
 
--- a/src/tenants/caller.cpp
+++ b/src/tenants/caller.cpp
@@ -22,15 +22,15 @@
 
 }  // namespace
 
-const char* toText(key_verdict verdict) {
+const char* toText(KeyVerdict verdict) {
   switch (verdict) {
-    case key_verdict::kNotNeeded:
+    case KeyVerdict::kNotNeeded:
       return "not_needed";
-    case key_verdict::kKnown:
+    case KeyVerdict::kKnown:
       return "known";
-    case key_verdict::kMissing:
+    case KeyVerdict::kMissing:
       return "missing";
-    case key_verdict::kUnknown:
+    case KeyVerdict::kUnknown:
       return "unknown";
   }
   return "unknown";
@@ -41,11 +41,11 @@
   if (!table.tenants.required()) return from;
   const std::string key = keyOf(fields);
   if (key.empty()) {
-    from.verdict = key_verdict::kMissing;
+    from.verdict = KeyVerdict::kMissing;
     return from;
   }
   const tenant* owner = table.tenants.find(digestOf(key));
-  from.verdict = owner == nullptr ? key_verdict::kUnknown : key_verdict::kKnown;
+  from.verdict = owner == nullptr ? KeyVerdict::kUnknown : KeyVerdict::kKnown;
   if (owner != nullptr) {
     from.tenant = owner->name;
     from.priority = owner->priority;
@@ -61,9 +61,9 @@
   if (!tenant.empty()) fields.set(tenant_field, tenant.str());
 }
 
-void challenge(key_verdict verdict, http::Response& response) {
+void challenge(KeyVerdict verdict, http::Response& response) {
   std::string text = "Bearer realm=\"linenpier\"";
-  if (verdict == key_verdict::kUnknown) text += ", error=\"invalid_token\"";
+  if (verdict == KeyVerdict::kUnknown) text += ", error=\"invalid_token\"";
   response.set(field::www_authenticate, text);
 }
 
--- a/src/tenants/caller.h
+++ b/src/tenants/caller.h
@@ -14,7 +14,7 @@
 namespace linenpier::tenants {
 
 /** What a request's key says. */
-enum class key_verdict {
+enum class KeyVerdict {
   kNotNeeded,  ///< There are no tenants.
   kKnown,
   kMissing,
@@ -22,17 +22,17 @@
 };
 
 /** @return the verdict as logs and metrics name it. */
-const char* toText(key_verdict verdict);
+const char* toText(KeyVerdict verdict);
 
 /** Who sent a request. The key itself is not kept. */
 struct caller {
-  key_verdict verdict = key_verdict::kNotNeeded;
+  KeyVerdict verdict = KeyVerdict::kNotNeeded;
   TenantId tenant;              ///< Empty unless the key is known.
   std::optional<int> priority;  ///< Of that tenant.
 
   /** @return whether the request may use what its route leaves to tenants. */
   bool admitted() const {
-    return this->verdict == key_verdict::kNotNeeded || this->verdict == key_verdict::kKnown;
+    return this->verdict == KeyVerdict::kNotNeeded || this->verdict == KeyVerdict::kKnown;
   }
   bool operator==(const caller&) const = default;
 };
@@ -49,6 +49,6 @@
                 const TenantId& tenant, http::Fields& fields);
 
 /** Challenges a client whose key is missing or not known. */
-void challenge(key_verdict verdict, http::Response& response);
+void challenge(KeyVerdict verdict, http::Response& response);
 
 }  // namespace linenpier::tenants
--- a/src/usage/duty_port.h
+++ b/src/usage/duty_port.h
@@ -13,14 +13,14 @@
 namespace linenpier::usage {
 
 /** How the platform answered a duty's call. */
-enum class duty_answer {
+enum class DutyAnswer {
   kTaken,
   kFenced,   ///< It has seen a higher token for the same subject.
   kRefused,  ///< Not done; again later.
   kUnknown,  ///< It may be carried out yet.
 };
 
-const char* toText(duty_answer answer);
+const char* toText(DutyAnswer answer);
 
 /** Under which right a call is made. */
 struct duty_right {
@@ -41,7 +41,7 @@
  public:
   virtual ~duty_port() = default;
 
-  virtual Task<duty_answer> reportUsage(usage_report report, duty_right right) = 0;
+  virtual Task<DutyAnswer> reportUsage(usage_report report, duty_right right) = 0;
 };
 
 }  // namespace linenpier::usage
--- a/src/usage/usage_service.cpp
+++ b/src/usage/usage_service.cpp
@@ -26,15 +26,15 @@
 
 }  // namespace
 
-const char* toText(duty_answer answer) {
+const char* toText(DutyAnswer answer) {
   switch (answer) {
-    case duty_answer::kTaken:
+    case DutyAnswer::kTaken:
       return "taken";
-    case duty_answer::kFenced:
+    case DutyAnswer::kFenced:
       return "fenced";
-    case duty_answer::kRefused:
+    case DutyAnswer::kRefused:
       return "refused";
-    case duty_answer::kUnknown:
+    case DutyAnswer::kUnknown:
       return "unknown";
   }
   return "unknown";
@@ -98,7 +98,9 @@
 
 Task<void> usage_service::writeLoop() {
   for (;;) {
-    if (this->counter_.idle()) co_await this->counted_.waitFor(kIdleWrite);
+    if (this->counter_.idle()) {
+      co_await this->counted_.waitFor(kIdleWrite);
+    }
     const bool asked = !this->counter_.idle();
     co_await this->writeCounts();
     if (!asked) continue;
@@ -129,7 +131,9 @@
   const auto answer = co_await this->deps_.right.table.write(write);
   std::optional<table::TransactionAnswer> settled;
   if (answer) settled = *answer;
-  if (!settled && rows > 0) settled = co_await this->deps_.by_peer(std::move(write));
+  if (!settled && rows > 0) {
+    settled = co_await this->deps_.by_peer(std::move(write));
+  }
   if (!settled) {
     LogEvent("usage", "not_written")
         .number("windows", static_cast<std::int64_t>(rows))
@@ -189,7 +193,9 @@
     // Whoever could not prove its right did not reach the store, and others may not have either.
     if (able && !this->was_able_) this->store_back_at_ = now;
     this->was_able_ = able;
-    if (able) co_await this->reportNext();
+    if (able) {
+      co_await this->reportNext();
+    }
   }
 }
 
@@ -208,8 +214,12 @@
   const auto current = this->windowAt(now);
   if (!current) co_return;
   const window_number next = any ? this->progress_->report.window + 1 : *current;
-  if (any && this->due(now, next)) co_await this->decide(next);
-  if (!any) co_await this->decide(*current - 1);
+  if (any && this->due(now, next)) {
+    co_await this->decide(next);
+  }
+  if (!any) {
+    co_await this->decide(*current - 1);
+  }
 }
 
 bool usage_service::due(Instant now, window_number window) const {
@@ -332,7 +342,9 @@
   spawn(this->deps_.right.loop, [this, obsolete] { return this->removeRows(obsolete); });
   next.revision = answer->revision;
   this->progress_ = std::move(next);
-  if (this->right_.mayAct(steadyNow())) co_await this->send();
+  if (this->right_.mayAct(steadyNow())) {
+    co_await this->send();
+  }
 }
 
 Task<void> usage_service::removeRows(std::vector<std::string> keys) {
@@ -355,7 +367,7 @@
   const duty_right right{this->deps_.holder, this->right_.token(), this->right_.mayActUntil()};
   const Instant sent_at = steadyNow();
   this->right_.onActed(sent_at);
-  const duty_answer answer = co_await this->deps_.port.reportUsage(report, right);
+  const DutyAnswer answer = co_await this->deps_.port.reportUsage(report, right);
   const Duration took = steadyNow() - sent_at;
   LogEvent("usage", "report_answered")
       .number("window", report.window)
@@ -363,7 +375,7 @@
       .text("outcome", toText(answer))
       .milliseconds("took_ms", took);
   const bool same = this->progress_ && this->progress_->report.window == report.window;
-  if (answer == duty_answer::kTaken) {
+  if (answer == DutyAnswer::kTaken) {
     ++this->totals_.reported;
     if (same) this->progress_->taken = true;
     co_return;
--- a/tests/tenants/tenant_table_test.cpp
+++ b/tests/tenants/tenant_table_test.cpp
@@ -13,7 +13,7 @@
 
 using namespace linenpier;
 using tenants::digestOf;
-using tenants::key_verdict;
+using tenants::KeyVerdict;
 using tenants::tenant;
 using tenants::tenant_table;
 
@@ -42,7 +42,7 @@
   const routing::RouteTable table = parsed(kConfiguration);
   for (const char* key : {"Bearer secret-a1", "bearer  secret-a2 "}) {
     const tenants::caller from = tenants::identify(table, withKey(key));
-    cr_assert_eq(from.verdict, key_verdict::kKnown);
+    cr_assert_eq(from.verdict, KeyVerdict::kKnown);
     cr_assert_eq(from.tenant.str(), "ada");
     cr_assert_eq(from.priority.value_or(-1), 1);
   }
@@ -54,10 +54,10 @@
 Test(tenant_table, other_keys_and_schemes_open_nothing) {
   const routing::RouteTable table = parsed(kConfiguration);
   for (const char* key : {"Bearer secret-a", "Bearer secret-a11", "Bearer SECRET-A1"}) {
-    cr_assert_eq(tenants::identify(table, withKey(key)).verdict, key_verdict::kUnknown);
+    cr_assert_eq(tenants::identify(table, withKey(key)).verdict, KeyVerdict::kUnknown);
   }
   for (const char* key : {"", "Bearer ", "Basic secret-a1", "secret-a1"}) {
-    cr_assert_eq(tenants::identify(table, withKey(key)).verdict, key_verdict::kMissing);
+    cr_assert_eq(tenants::identify(table, withKey(key)).verdict, KeyVerdict::kMissing);
   }
   cr_assert_not(tenants::identify(table, withKey("Bearer x")).admitted());
 }
