--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -158,8 +158,7 @@
 
 namespace {
 table::RowRange recordRange(const JobId& id) {
-  const std::string key = gateway::kJobPrefix + id.str();
-  return {gateway::kCoordinationTable, key, key + '\x01', 1, Duration::zero()};
+  return table::onlyRow(gateway::kCoordinationTable, gateway::kJobPrefix + id.str());
 }
 }  // namespace
 
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -124,8 +124,8 @@
 }
 
 Task<void> Gateway::probeStore() {
-  const std::string& own = leases_.own().str();
-  table::RowRange range{kLeaseTable, own, own + '\x01', 1, kProbePatience};
+  table::RowRange range = table::onlyRow(kLeaseTable, leases_.own().str());
+  range.patience = kProbePatience;
   const Instant begun = steadyNow();
   const auto page = co_await platform_.table().read(range);
   if (!page || leases_.storeHealthy()) co_return;
--- a/src/lease/exclusive_right.cpp
+++ b/src/lease/exclusive_right.cpp
@@ -166,7 +166,6 @@
     this->vacant_since_ = Instant{};
     co_return;
   }
-  ++this->times_acquired_;
   this->deps_.keeper.onRenewed(sent_at);
   this->confirmed_at_ = sent_at;
   this->may_act_at_ =
--- a/src/lease/exclusive_right.h
+++ b/src/lease/exclusive_right.h
@@ -83,7 +83,6 @@
   /** @return the condition that the right is still held, for writes that must not come later. */
   table::Check condition() const { return {this->key_, this->revision_}; }
   void onActed(Instant now) { this->last_action_at_ = now; }
-  std::uint64_t timesAcquired() const { return this->times_acquired_; }
   /** Gives the right up, so that another daemon takes it without a wait for this one's silence. */
   Task<void> handOver();
 
@@ -114,7 +113,6 @@
   Instant may_act_at_{};
   std::int64_t last_action_ms_ = 0;  ///< Of an earlier holder, by the store's clock; 0: not known.
   Instant last_action_at_{};         ///< Of this daemon.
-  std::uint64_t times_acquired_ = 0;
 };
 
 }  // namespace linenpier::lease
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -43,8 +43,7 @@
 
 Task<bool> LeaseKeeper::confirmSilent(LeaseId lease) {
   if (lease.empty() || leases_.isEarlierSelf(lease)) co_return true;
-  const std::string& key = lease.str();
-  table::RowRange range{gateway::kLeaseTable, key, key + '\x01', 1};
+  const table::RowRange range = table::onlyRow(gateway::kLeaseTable, lease.str());
   const auto page = co_await table_.read(range);
   if (!page) co_return false;
   if (page->rows.empty()) co_return true;
--- a/src/lease/lease_watch.cpp
+++ b/src/lease/lease_watch.cpp
@@ -53,8 +53,7 @@
       const LeaseId lease(row.key.substr(gateway::kLeaseTable.size() + 1));
       rows[lease] = LeaseRow(row.revision, decodeCapacity(row.value), decodePeer(row.value));
     }
-    if (!page->has_more || page->rows.empty()) break;
-    range.from = page->rows.back().key.substr(gateway::kLeaseTable.size() + 1) + '\x01';
+    if (!table::moveBehind(*page, range)) break;
   }
   this->leases_.onRead(sent_at, steadyNow(), rows);
   this->on_health_(true);
--- a/src/table/async_table.h
+++ b/src/table/async_table.h
@@ -41,6 +41,19 @@
   Duration patience{};    ///< For the answer; zero: as long as any call waits.
 };
 
+/// @return the range that holds this row alone.
+inline RowRange onlyRow(const std::string& table, const std::string& key) {
+  return {table, key, key + '\x01', 1, Duration::zero()};
+}
+
+/// Moves a range behind the rows of a page that was read of it.
+/// @return whether more rows follow.
+inline bool moveBehind(const RowPage& page, RowRange& range) {
+  if (!page.has_more || page.rows.empty()) return false;
+  range.from = page.rows.back().key.substr(range.table.size() + 1) + '\x01';
+  return true;
+}
+
 struct Write {
   Transaction transaction;
   std::vector<std::string> removes;  ///< Keys of rows to remove.
--- a/src/usage/usage_service.cpp
+++ b/src/usage/usage_service.cpp
@@ -213,13 +213,11 @@
   }
   const auto current = this->windowAt(now);
   if (!current) co_return;
-  const window_number next = any ? this->progress_->report.window + 1 : *current;
-  if (any && this->due(now, next)) {
+  const window_number next = any ? this->progress_->report.window + 1 : *current - 1;
+  // The first one only says where reports begin: it holds nothing that could come late.
+  if (!any || this->due(now, next)) {
     co_await this->decide(next);
   }
-  if (!any) {
-    co_await this->decide(*current - 1);
-  }
 }
 
 bool usage_service::due(Instant now, window_number window) const {
@@ -232,8 +230,7 @@
 }
 
 Task<bool> usage_service::readProgress() {
-  const std::string key = gateway::kUsageProgress;
-  table::RowRange range{gateway::kUsageTable, key, key + '\x01', 1};
+  const table::RowRange range = table::onlyRow(gateway::kUsageTable, gateway::kUsageProgress);
   const auto page = co_await this->deps_.right.table.read(range);
   if (!page) co_return false;
   progress read;
@@ -265,8 +262,7 @@
     for (const table::Row& row : page->rows) {
       if (const auto sample = decodeSample(row.value)) samples.push_back(*sample);
     }
-    if (!page->has_more || page->rows.empty()) break;
-    range.from = page->rows.back().key.substr(gateway::kClockTable.size() + 1) + '\x01';
+    if (!table::moveBehind(*page, range)) break;
   }
   this->clock_checked_at_ = now;
   const std::int64_t lifetime_ms =
@@ -310,8 +306,7 @@
       if (counts) addCounts(*counts, sum);
       if (!counts) LogEvent("usage", "bad_row").text("key", row.key);
     }
-    if (!page->has_more || page->rows.empty()) break;
-    range.from = page->rows.back().key.substr(gateway::kUsageTable.size() + 1) + '\x01';
+    if (!table::moveBehind(*page, range)) break;
   }
   if (!this->progress_ || !this->right_.mayAct(steadyNow())) co_return;
   progress next;
@@ -384,7 +379,6 @@
 }
 
 Task<void> usage_service::handOver() {
-  if (!this->enabled()) co_return;
   co_await this->right_.handOver();
 }
 
--- a/tests/gateway/order_right_test.cpp
+++ b/tests/gateway/order_right_test.cpp
@@ -37,17 +37,22 @@
   return std::find(names.begin(), names.end(), holder) != names.end();
 }
 
+/// Names a version, which discovery never shows: whoever holds the right orders again and again.
+/// @return the gateway that orders first.
+Task<std::size_t> awaitFirstHolder(GatewayFixture& fixture) {
+  fixture.store().put("op", "version/m", R"({"model":"m","version":2})");
+  const bool begun = co_await fixture.waitFor(
+      [&fixture] { return orderedBy(fixture, "d0") || orderedBy(fixture, "d1"); });
+  cr_assert(begun);
+  co_return orderedBy(fixture, "d0") ? 0 : 1;
+}
+
 }  // namespace
 
 GATEWAY_TEST(order_right, a_holder_that_was_cut_off_never_orders_after_the_next_one,
              twoGateways()) {
   for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setChecksFences(false);
-  // Discovery never shows the new version: whoever holds the right orders again and again.
-  fixture.store().put("op", "version/m", R"({"model":"m","version":2})");
-  const bool begun = co_await fixture.waitFor(
-      [&fixture] { return orderedBy(fixture, "d0") || orderedBy(fixture, "d1"); });
-  cr_assert(begun);
-  const std::size_t first = orderedBy(fixture, "d0") ? 0 : 1;
+  const std::size_t first = co_await awaitFirstHolder(fixture);
   const std::string old_holder = "d" + std::to_string(first);
   const std::string new_holder = "d" + std::to_string(1 - first);
   fixture.cutFromStore(first);
@@ -70,11 +75,7 @@
 
 GATEWAY_TEST(order_right, where_tokens_are_checked_the_next_holder_orders_at_once,
              checkingTokens()) {
-  fixture.store().put("op", "version/m", R"({"model":"m","version":2})");
-  const bool begun = co_await fixture.waitFor(
-      [&fixture] { return orderedBy(fixture, "d0") || orderedBy(fixture, "d1"); });
-  cr_assert(begun);
-  const std::size_t first = orderedBy(fixture, "d0") ? 0 : 1;
+  const std::size_t first = co_await awaitFirstHolder(fixture);
   const std::string old_holder = "d" + std::to_string(first);
   const std::string new_holder = "d" + std::to_string(1 - first);
   // A daemon that just started may have ordered in an earlier life.
--- a/tests/gateway/tenants_test.cpp
+++ b/tests/gateway/tenants_test.cpp
@@ -34,18 +34,19 @@
   return request;
 }
 
-std::vector<SamplerArrival> lookups(GatewayFixture& fixture) {
-  std::vector<SamplerArrival> all = fixture.lookup(0).arrivals();
-  const auto& more = fixture.lookup(1).arrivals();
-  all.insert(all.end(), more.begin(), more.end());
+std::vector<SamplerArrival> arrivalsAt(const test::StandinSampler& one,
+                                       const test::StandinSampler& other) {
+  std::vector<SamplerArrival> all = one.arrivals();
+  all.insert(all.end(), other.arrivals().begin(), other.arrivals().end());
   return all;
 }
 
+std::vector<SamplerArrival> lookups(GatewayFixture& fixture) {
+  return arrivalsAt(fixture.lookup(0), fixture.lookup(1));
+}
+
 std::vector<SamplerArrival> modelArrivals(GatewayFixture& fixture) {
-  std::vector<SamplerArrival> all = fixture.model(0).arrivals();
-  const auto& more = fixture.model(1).arrivals();
-  all.insert(all.end(), more.begin(), more.end());
-  return all;
+  return arrivalsAt(fixture.model(0), fixture.model(1));
 }
 
 /// Fails unless each request at an engine names the tenant and carries no key.
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -69,12 +69,12 @@
   std::vector<Address> seeds;
   for (const auto& each : gateways_) seeds.push_back(each->gateway.peerAddress());
   gateway::GatewaySettings settings = settingsOf(store_->address(), name, std::move(seeds));
+  settings.handover.tokens_checked = options_.tokens_checked;
   if (options_.usage) {
     settings.duties = duties_->address();
     settings.usage = *options_.usage;
     settings.usage.handover = settings.handover;
   }
-  settings.handover.tokens_checked = options_.tokens_checked;
   if (options_.keep_jobs) settings.batch.keep_jobs = *options_.keep_jobs;
   gateways_.push_back(std::make_unique<GatewayUnderTest>(loop_, settings));
 }
