Say of each engine whether it may be sent a request, and why not

Cause: zones that the operator closes, homes of data and engines that started lately are each a reason not to send, and everything that sends (requests, items, resumed runs, reward calls, moves) must ask the same. The registry answered yes or no only, so that neither a log line nor a refusal could say why.

Ruled out: a check of its own at each caller (four of them, and the next one forgets it); a filter behind the choice, which would find no other engine.

Change: EngineRegistry::admit answers with a reason, in place of fits; pick keeps a tally of the reasons. Closed zones, the layout of the fleet and home regions are values in src/fleet; routes, tenants and services have the fields that the parts to come fill in. Nothing sets them yet: what is sent where is as before. An engine in a closed zone is not taken in despair either, and gets no order of versions.

--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -245,22 +245,38 @@
   return wait;
 }
 
-bool EngineRegistry::fits(Instant now, const EngineState& engine,
-                          const PickRequest& request) const {
-  if (engine.record.service != request.service || engine.record.draining) return false;
-  if (!request.model.empty()) {
-    const WeightVersion version = engine.versionOf(request.model);
-    if (version < request.minimum_version) return false;
-    if (request.exact_version && version != *request.exact_version) return false;
-    const auto loading = engine.loading_until.find(request.model);
-    if (loading != engine.loading_until.end() && now < loading->second) return false;
-  }
-  if (request.most_per_slot > 0 &&
-      load(now, engine) >= request.most_per_slot * std::max(1U, engine.record.slots)) {
-    return false;
-  }
-  if (request.desperate) return true;
-  return now >= engine.ejected_until && !request.excluded.contains(engine.record.id);
+EngineRefusal EngineRegistry::admitPlace(const EngineState& engine,
+                                         const PickRequest& request) const {
+  if (engine.record.service != request.service) return EngineRefusal::kOtherService;
+  if (engine.record.draining) return EngineRefusal::kDraining;
+  if (closed_.contains(engine.record.zone)) return EngineRefusal::kZoneClosed;
+  const bool at_home = request.homes.allows(layout_.regionOf(engine.record.zone));
+  return at_home ? EngineRefusal::kNone : EngineRefusal::kNotAtHome;
+}
+
+EngineRefusal EngineRegistry::admitModel(Instant now, const EngineState& engine,
+                                         const PickRequest& request) const {
+  if (request.model.empty()) return EngineRefusal::kNone;
+  const WeightVersion version = engine.versionOf(request.model);
+  const bool other = request.exact_version && version != *request.exact_version;
+  if (other || version < request.minimum_version) return EngineRefusal::kOlderVersion;
+  const auto loading = engine.loading_until.find(request.model);
+  const bool loads = loading != engine.loading_until.end() && now < loading->second;
+  return loads ? EngineRefusal::kLoading : EngineRefusal::kNone;
+}
+
+EngineRefusal EngineRegistry::admit(Instant now, const EngineState& engine,
+                                    const PickRequest& request) const {
+  const EngineRefusal place = admitPlace(engine, request);
+  if (place != EngineRefusal::kNone) return place;
+  const EngineRefusal model = admitModel(now, engine, request);
+  if (model != EngineRefusal::kNone) return model;
+  const double most = request.most_per_slot * std::max(1U, engine.record.slots);
+  if (request.most_per_slot > 0 && load(now, engine) >= most) return EngineRefusal::kFull;
+  if (request.desperate) return EngineRefusal::kNone;
+  if (now < engine.ejected_until) return EngineRefusal::kEjected;
+  const bool excluded = request.excluded.contains(engine.record.id);
+  return excluded ? EngineRefusal::kExcluded : EngineRefusal::kNone;
 }
 
 WeightVersion EngineRegistry::newestHeld(const routing::ServiceName& service,
@@ -285,8 +301,13 @@
   const Comparison all = compareFor(now, request);
   const EngineState* best = nullptr;
   double best_wait = 0;
+  last_refusals_ = refusal_tally();
   for (const auto& [id, engine] : engines_) {
-    if (!fits(now, engine, request)) continue;
+    const EngineRefusal refusal = admit(now, engine, request);
+    if (refusal != EngineRefusal::kNone) {
+      if (refusal != EngineRefusal::kOtherService) last_refusals_.add(refusal);
+      continue;
+    }
     const double jitter = 1 + static_cast<double>(random_.below(kTieBreak)) / (20 * kTieBreak);
     double wait = expectedWait(now, engine, request, all) * jitter;
     if (engine.versionOf(request.model) < all.newest) wait *= kOlderVersionFactor;
@@ -304,7 +325,8 @@
     const routing::ServiceName& service) const {
   std::vector<const EngineState*> found;
   for (const auto& [id, engine] : engines_) {
-    if (engine.record.service == service && !engine.record.draining) found.push_back(&engine);
+    const bool open = !engine.record.draining && !closed_.contains(engine.record.zone);
+    if (engine.record.service == service && open) found.push_back(&engine);
   }
   return found;
 }
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -15,6 +15,10 @@
 #include "common/ids.h"
 #include "common/random.h"
 #include "common/time.h"
+#include "engines/engine_admission.h"
+#include "fleet/closed_zones.h"
+#include "fleet/fleet_layout.h"
+#include "fleet/home_regions.h"
 #include "routing/route_table.h"
 
 namespace linenpier::engines {
@@ -94,6 +98,7 @@
   std::set<EngineId> excluded;
   ModelName model;  ///< Empty: any.
   WeightVersion minimum_version = 0;
+  fleet::home_regions homes;  ///< Only engines there.
   /// Only engines with this version: a text that one version must make goes on there.
   std::optional<WeightVersion> exact_version;
   /// Engines with the newest version keep it longest: a text that one version must make ends there.
@@ -114,6 +119,11 @@
   EngineRegistry(ZoneName zone, RegistryOptions options, std::uint64_t seed)
       : zone_(std::move(zone)), options_(options), random_(seed) {}
 
+  void setLayout(fleet::fleet_layout layout) { layout_ = std::move(layout); }
+  /// Engines of these zones get nothing new from now on.
+  void setClosedZones(fleet::closed_zones closed) { closed_ = std::move(closed); }
+  const fleet::closed_zones& closedZones() const { return closed_; }
+
   /// Replaces the list. @return the addresses of engines that are gone.
   std::vector<Address> onList(Instant now, const std::vector<EngineRecord>& records);
   /// One engine is new or has changed.
@@ -143,10 +153,15 @@
   void onPace(Instant now, const EngineId& id, Duration duration);
   void onVersionSeen(const EngineId& id, const ModelName& model, WeightVersion version);
 
-  /// @return the engine that should answer soonest, or nullptr if none fits.
+  /// @return whether the engine may be sent the request, and if not, why.
+  EngineRefusal admit(Instant now, const EngineState& engine, const PickRequest& request) const;
+  /// @return the engine that should answer soonest, or nullptr if none is admitted.
   const EngineState* pick(Instant now, const PickRequest& request);
+  /// @return why engines were refused when one was last picked.
+  const refusal_tally& lastRefusals() const { return last_refusals_; }
   const EngineState* find(const EngineId& id) const;
-  /// @return every engine of the service that is not draining.
+  /// @return every engine of the service that may be sent something: not draining, in no closed
+  ///     zone.
   std::vector<const EngineState*> ofService(const routing::ServiceName& service) const;
   const std::map<EngineId, EngineState>& all() const { return engines_; }
   bool empty() const { return engines_.empty(); }
@@ -177,7 +192,10 @@
 
   EngineState* mutableFind(const EngineId& id);
   Comparison compareFor(Instant now, const PickRequest& request) const;
-  bool fits(Instant now, const EngineState& engine, const PickRequest& request) const;
+  /// What the operator forbids; passes by no waiting.
+  EngineRefusal admitPlace(const EngineState& engine, const PickRequest& request) const;
+  EngineRefusal admitModel(Instant now, const EngineState& engine,
+                           const PickRequest& request) const;
   double load(Instant now, const EngineState& engine) const;
   /// @return memory that one of this daemon's requests is expected to need, in the mean.
   double typicalTokens() const;
@@ -188,6 +206,9 @@
   double expectedWait(Instant now, const EngineState& engine, const PickRequest& request,
                       const Comparison& all) const;
   ZoneName zone_;
+  fleet::fleet_layout layout_;
+  fleet::closed_zones closed_;
+  refusal_tally last_refusals_;
   RegistryOptions options_;
   Random random_;
   std::map<EngineId, EngineState> engines_;
--- /dev/null
+++ b/src/fleet/closed_zones.h
@@ -0,0 +1,30 @@
+#pragma once
+
+/** @file
+ * Zones that the operator has closed: their engines are sent nothing until the closing is taken
+ * back. A value, replaced whole.
+ */
+
+#include <map>
+
+#include "common/ids.h"
+
+namespace linenpier::fleet {
+
+class closed_zones {
+ public:
+  closed_zones() = default;
+  /** @param zones with the revision of the row that closed each. */
+  explicit closed_zones(std::map<ZoneName, Revision> zones) : zones_(std::move(zones)) {}
+
+  bool contains(const ZoneName& zone) const { return this->zones_.contains(zone); }
+  bool empty() const { return this->zones_.empty(); }
+  const std::map<ZoneName, Revision>& all() const { return this->zones_; }
+
+  bool operator==(const closed_zones&) const = default;
+
+ private:
+  std::map<ZoneName, Revision> zones_;
+};
+
+}  // namespace linenpier::fleet
--- /dev/null
+++ b/src/fleet/fleet_layout.h
@@ -0,0 +1,31 @@
+#pragma once
+
+/** @file
+ * Which region each zone of the fleet lies in, as the settings tell. A value.
+ */
+
+#include <map>
+
+#include "common/ids.h"
+
+namespace linenpier::fleet {
+
+class fleet_layout {
+ public:
+  fleet_layout() = default;
+  explicit fleet_layout(std::map<ZoneName, RegionName> regions) : regions_(std::move(regions)) {}
+
+  /** @return the zone's region; empty if the zone is not known. */
+  RegionName regionOf(const ZoneName& zone) const {
+    const auto at = this->regions_.find(zone);
+    return at == this->regions_.end() ? RegionName() : at->second;
+  }
+  const std::map<ZoneName, RegionName>& zones() const { return this->regions_; }
+
+  bool operator==(const fleet_layout&) const = default;
+
+ private:
+  std::map<ZoneName, RegionName> regions_;
+};
+
+}  // namespace linenpier::fleet
--- /dev/null
+++ b/src/fleet/home_regions.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/** @file
+ * Where something may be served, cached and stored. A value.
+ */
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <set>
+
+#include "common/ids.h"
+
+namespace linenpier::fleet {
+
+class home_regions {
+ public:
+  /** Anywhere. */
+  home_regions() = default;
+  /** In these regions alone; nowhere if there are none. */
+  explicit home_regions(std::set<RegionName> regions) : regions_(std::move(regions)) {}
+
+  /** @return whether there are regions in which it must not be. */
+  bool bound() const { return this->regions_.has_value(); }
+  /** @param region empty: not known, which is no home. */
+  bool allows(const RegionName& region) const {
+    return !this->regions_ || this->regions_->contains(region);
+  }
+  /** @return the regions; none if it may be anywhere. */
+  std::set<RegionName> regions() const { return this->regions_.value_or(std::set<RegionName>{}); }
+
+  /** @return where both allow it, such as a route's homes and those of its caller. */
+  home_regions both(const home_regions& other) const {
+    if (!this->bound()) return other;
+    if (!other.bound()) return *this;
+    std::set<RegionName> common;
+    std::set_intersection(this->regions_->begin(), this->regions_->end(), other.regions_->begin(),
+                          other.regions_->end(), std::inserter(common, common.end()));
+    return home_regions(std::move(common));
+  }
+
+  bool operator==(const home_regions&) const = default;
+
+ private:
+  std::optional<std::set<RegionName>> regions_;
+};
+
+}  // namespace linenpier::fleet
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -12,6 +12,7 @@
 
 #include "common/ids.h"
 #include "common/time.h"
+#include "fleet/home_regions.h"
 #include "http/server.h"
 #include "tenants/tenant_table.h"
 
@@ -44,8 +45,9 @@
   std::vector<WeightedService> services;  ///< At least one.
   Duration timeout = std::chrono::seconds(30);
   Duration target_latency = std::chrono::seconds(1);
-  Duration target_finish{};  ///< Batch: all results are due this long after the hand-in.
-  Duration queue_limit{};    ///< Batch: an item may be given up this long after the hand-in.
+  Duration target_finish{};   ///< Batch: all results are due this long after the hand-in.
+  Duration queue_limit{};     ///< Batch: an item may be given up this long after the hand-in.
+  fleet::home_regions homes;  ///< Where its requests may be served, cached and stored.
   int priority = 5;
   int max_attempts = 1;
   bool sticky = false;
@@ -63,8 +65,11 @@
   ServiceName name;
   std::string health_path;
   std::uint32_t max_connections = 100;  ///< An engine's limit, over all daemons.
-  double memory_tokens = 0;             ///< Tokens that an engine's memory holds; 0: not told.
-  std::vector<ModelName> models;        ///< Empty for services that serve no model.
+  /// Requests a second that an engine bears for some time after its start; 0: no bound.
+  double cold_per_second = 0;
+  Duration cold_time{};           ///< How long that is.
+  double memory_tokens = 0;       ///< Tokens that an engine's memory holds; 0: not told.
+  std::vector<ModelName> models;  ///< Empty for services that serve no model.
 };
 
 /// One version of the operator's configuration. Versions only grow.
--- a/src/tenants/tenant_table.h
+++ b/src/tenants/tenant_table.h
@@ -17,6 +17,7 @@
 
 #include "common/error.h"
 #include "common/ids.h"
+#include "fleet/home_regions.h"
 
 namespace linenpier::tenants {
 
@@ -31,8 +32,9 @@
 /** One of those who share the service. It may have no key, for a while or for good. */
 struct tenant {
   TenantId name;
-  std::optional<int> priority;   ///< Goes before that of a route; 0 is the highest.
-  std::vector<key_digest> keys;  ///< Each of them opens the same.
+  std::optional<int> priority;     ///< Goes before that of a route; 0 is the highest.
+  std::vector<key_digest> keys;    ///< Each of them opens the same.
+  fleet::home_regions homes = {};  ///< Bind beside those of a route.
 
   bool operator==(const tenant&) const = default;
 };
--- /dev/null
+++ b/tests/engines/engine_admission_test.cpp
@@ -0,0 +1,85 @@
+#include "engines/engine_registry.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using engines::EngineRecord;
+using engines::EngineRefusal;
+using engines::EngineRegistry;
+using engines::PickRequest;
+
+namespace {
+
+const ZoneName kHere("here");
+const ZoneName kThere("there");
+const routing::ServiceName kService("s");
+constexpr Instant kStart{std::chrono::seconds(100)};
+
+EngineRecord record(const std::string& id, const ZoneName& zone) {
+  EngineRecord made;
+  made.id = EngineId(id);
+  made.service = kService;
+  made.address = {0x7f000001, static_cast<std::uint16_t>(9000 + id.back())};
+  made.zone = zone;
+  made.slots = 4;
+  return made;
+}
+
+PickRequest any() {
+  PickRequest request;
+  request.service = kService;
+  return request;
+}
+
+}  // namespace
+
+Test(engine_admission, an_engine_of_a_closed_zone_gets_nothing_not_even_in_despair) {
+  EngineRegistry registry(kHere, {}, 1);
+  registry.onList(kStart, {record("a", kHere)});
+  registry.setClosedZones(fleet::closed_zones({{kHere, 7}}));
+  PickRequest request = any();
+  cr_assert_null(registry.pick(kStart, request));
+  request.desperate = true;
+  cr_assert_null(registry.pick(kStart, request));
+  cr_assert_eq(registry.lastRefusals().commonest(), EngineRefusal::kZoneClosed);
+  cr_assert(registry.ofService(kService).empty());
+}
+
+Test(engine_admission, a_zone_that_is_opened_again_is_used_at_once) {
+  EngineRegistry registry(kHere, {}, 1);
+  registry.onList(kStart, {record("a", kHere)});
+  registry.setClosedZones(fleet::closed_zones({{kHere, 7}}));
+  registry.setClosedZones({});
+  cr_assert_not_null(registry.pick(kStart, any()));
+}
+
+Test(engine_admission, a_request_with_homes_stays_there) {
+  EngineRegistry registry(kHere, {}, 1);
+  registry.setLayout(fleet::fleet_layout({{kHere, RegionName("r")}, {kThere, RegionName("q")}}));
+  registry.onList(kStart, {record("a", kHere), record("b", kThere)});
+  PickRequest request = any();
+  request.homes = fleet::home_regions({RegionName("q")});
+  for (int i = 0; i < 20; ++i) cr_assert_eq(registry.pick(kStart, request)->record.id.str(), "b");
+  request.homes = fleet::home_regions({RegionName("elsewhere")});
+  request.desperate = true;
+  cr_assert_null(registry.pick(kStart, request));
+  cr_assert_eq(registry.lastRefusals().of(EngineRefusal::kNotAtHome), 2U);
+}
+
+Test(engine_admission, an_engine_in_an_unknown_region_is_at_home_nowhere) {
+  EngineRegistry registry(kHere, {}, 1);
+  registry.onList(kStart, {record("a", ZoneName("nowhere"))});
+  PickRequest request = any();
+  request.homes = fleet::home_regions({RegionName("r")});
+  cr_assert_null(registry.pick(kStart, request));
+}
+
+Test(engine_admission, the_tally_names_the_reasons_with_their_counts) {
+  engines::refusal_tally tally;
+  cr_assert_eq(tally.commonest(), EngineRefusal::kNone);
+  tally.add(EngineRefusal::kFull);
+  tally.add(EngineRefusal::kZoneClosed);
+  tally.add(EngineRefusal::kFull);
+  cr_assert_eq(tally.commonest(), EngineRefusal::kFull);
+  cr_assert_eq(tally.describe(), "zone_closed 1, full 2");
+}
