--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -39,7 +39,7 @@
 
 std::string StandinSampler::entry(const std::string& service, const std::string& state) const {
   const json document = {{"service", service},
-                         {"address", toString(address())},
+                         {"address", toString(listed_.value_or(address()))},
                          {"zone", "z"},
                          {"slots", 8},
                          {"state", state},
@@ -90,12 +90,14 @@
       std::string text = plain("", 200, "", report.dump());
       goes_on = co_await write(*connection, std::move(text));
     } else {
-      arrivals_.push_back(arrival);
       SamplerAct act = SamplerAct::kAnswer;
       if (!script_.empty()) {
         act = script_.front();
         script_.pop_front();
       }
+      arrival.ran = act != SamplerAct::kShed && arrival.fields["target-instance"] == id_;
+      arrival.version = version_;
+      arrivals_.push_back(arrival);
       goes_on = co_await answer(*connection, std::move(arrival), act);
     }
     if (!goes_on) co_return;
@@ -130,7 +132,11 @@
     std::string misdirected = plain(id, 421, "Instance-Id: " + id_ + "\r\n", "");
     co_return co_await write(connection, std::move(misdirected));
   }
-  const std::string body = "answer to " + id;
+  const std::string body = "answer to " + (lie_ == SamplerLie::kOtherAnswer ? "somebody" : id);
+  if (lie_ == SamplerLie::kRefusesRun) {
+    std::string refusal = plain(id, 503, "Not-Executed: 1\r\n", "");
+    co_return co_await write(connection, std::move(refusal));
+  }
   std::string bytes;
   bool goes_on = true;
   switch (act) {
@@ -197,8 +203,9 @@
   while (event < stop_after) {
     co_await sleepFor(loop_, event_gap_);
     ++event;
+    const int told = lie_ == SamplerLie::kRepeatsEvents ? std::max(1, event - 1) : event;
     const std::string text =
-        "id: " + std::to_string(event) + "\ndata: " + id + "." + std::to_string(event) + "\n\n";
+        "id: " + std::to_string(event) + "\ndata: " + id + "." + std::to_string(told) + "\n\n";
     char size[16];
     std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
     std::string chunk = size + text + "\r\n";
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,12 +33,22 @@
   kSilent,        ///< Says nothing.
 };
 
+/// What the sampler does against its protocol, so that checkers can show that they see it.
+enum class SamplerLie {
+  kNone,
+  kOtherAnswer,    ///< Whole and signed, but made for somebody else.
+  kRefusesRun,     ///< Says of what it ran that it did not run it.
+  kRepeatsEvents,  ///< The text of an event stands under the next one's number.
+};
+
 /// A request as the sampler got it.
 struct SamplerArrival {
   std::string method;
   std::string target;
   std::string body;
   std::map<std::string, std::string> fields;  ///< Names in lower case.
+  bool ran = false;                           ///< Neither shed nor meant for another sampler.
+  std::uint64_t version = 0;                  ///< Weights when it came.
 };
 
 class StandinSampler {
@@ -50,12 +61,17 @@
   /// What the next requests get; when used up, they are answered as they should.
   std::deque<SamplerAct>& script() { return script_; }
   const std::vector<SamplerArrival>& arrivals() const { return arrivals_; }
+  /// @return what arrived since the last time.
+  std::vector<SamplerArrival> takeArrivals() { return std::exchange(arrivals_, {}); }
   const std::vector<std::string>& orders() const { return orders_; }
   std::uint64_t version() const { return version_; }
   void setVersion(std::uint64_t version) { version_ = version; }
   /// Without checks it obeys orders of any holder.
   void setChecksFences(bool checks) { checks_fences_ = checks; }
   void setEventGap(Duration gap) { event_gap_ = gap; }
+  void setLie(SamplerLie lie) { lie_ = lie; }
+  /// Entries name this address in place of its own, as where a proxy stands before it.
+  void setListedAddress(const Address& address) { listed_ = address; }
   /// Requests whose connection was closed while they were worked on.
   int dropped() const { return dropped_; }
   /// @return the entry under which discovery lists it.
@@ -78,6 +94,8 @@
   int events_;
   Duration event_gap_ = std::chrono::milliseconds(5);
   std::deque<SamplerAct> script_;
+  SamplerLie lie_ = SamplerLie::kNone;
+  std::optional<Address> listed_;
   std::vector<SamplerArrival> arrivals_;
   std::vector<std::string> orders_;
   std::uint64_t version_ = 1;
