Give choice of engines, moves and scoring modules of their own

Change: `item_placement` says what an item asks of an engine and chooses one, `run_moves` chooses the runs that move and where to; both are pure and tested. `item_scorer` holds the reward requests. What the service does stays as it was.

Conclusion: the parts have places of their own to enter.

--- a/src/batch/active_job.h
+++ b/src/batch/active_job.h
@@ -1,23 +1,27 @@
 #pragma once
 
 /// @file
-/// A job at its owner. Used by the batch service only.
+/// A job at its owner. Used within this folder only.
 
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "batch/batch_service.h"
+#include "batch/batch_run.h"
 #include "batch/checkpoint_log.h"
+#include "batch/job_store.h"
 #include "batch/listing_schedule.h"
+#include "common/task.h"
+#include "forward/engine_call.h"
+#include "http/http_types.h"
 #include "logging/event_log.h"
 
 namespace linenpier::batch {
 
-struct BatchService::Active {
-  Active(boost::asio::io_context& loop, JobRecord job_record, BatchJob job, RunRules rules,
-         listing_times times)
+struct active_job {
+  active_job(boost::asio::io_context& loop, JobRecord job_record, BatchJob job, RunRules rules,
+             listing_times times)
       : record(std::move(job_record)),
         run(std::move(job), rules),
         schedule(steadyNow(), times),
--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -5,6 +5,7 @@
 
 #include "batch/active_job.h"
 #include "batch/batch_service.h"
+#include "batch/item_placement.h"
 #include "logging/event_log.h"
 #include "tenants/caller.h"
 
@@ -13,17 +14,6 @@
 using forward::AttemptVerdict;
 using logging::LogEvent;
 
-namespace {
-
-constexpr double kPromptTokens = 300;  ///< A usual prompt.
-
-/// @return the memory that an item is expected to fill: less than the most that it may.
-double expectedTokens(const BatchItem& item) {
-  if (item.length_hint == 0) return item.tokens;
-  return std::min(item.tokens, static_cast<double>(item.length_hint) + kPromptTokens);
-}
-}  // namespace
-
 /// A job with items that wait, while engines are dealt out.
 struct BatchService::startable_item {
   ActivePtr active;
@@ -61,7 +51,7 @@
 
 void BatchService::pump() {
   for (auto& [id, job] : jobs_) {
-    if (job.active && !job.active->stopped) startScorings(job.active);
+    if (job.active && !job.active->stopped) scorer_.start(job.active);
   }
   std::vector<startable_item> jobs = startableItems();
   // The item that is latest begins first, of whichever job: a long text decides when its step ends.
@@ -98,44 +88,18 @@
 
 engines::PickRequest BatchService::pickFor(const Active& active, ItemIndex item,
                                            const routing::Route& route) const {
-  const BatchItem& each = active.run.job().items[item];
-  engines::PickRequest wanted;
-  wanted.service = route.services.front().service;
-  wanted.model = each.model;
-  wanted.minimum_version = active.run.job().minimum_version;
-  wanted.most_per_slot = options_.requests_per_slot;
-  wanted.tokens = expectedTokens(each);
-  wanted.batching = !each.model.empty();
-  wanted.prefer_newest = route.single_version && !each.model.empty();
-  const ItemProgress& progress = active.run.progress(item);
-  if (route.single_version && progress.last_event > 0) {
-    wanted.exact_version = *progress.versions.begin();
-  }
   const routing::RouteTablePtr table = deps_.routes();
-  const auto service = table->services.find(wanted.service);
-  if (service != table->services.end()) wanted.memory_tokens = service->second.memory_tokens;
-  return wanted;
+  return pickRequestFor(active.run, item, route, *table, options_.requests_per_slot);
 }
 
 bool BatchService::startItem(const ActivePtr& active, ItemIndex item, const routing::Route& route) {
   const Instant now = steadyNow();
   const BatchItem& each = active->run.job().items[item];
-  engines::PickRequest wanted = pickFor(*active, item, route);
-  const ItemProgress& progress = active->run.progress(item);
-  if (progress.failures > 0 && !progress.last_engine.empty()) {
-    wanted.excluded.insert(progress.last_engine);
-  }
-  const engines::EngineState* engine = deps_.engines.registry.pick(now, wanted);
-  if (engine == nullptr && !wanted.excluded.empty()) {
-    wanted.excluded.clear();
-    engine = deps_.engines.registry.pick(now, wanted);
-  }
-  if (engine == nullptr && wanted.exact_version) {
-    // No engine can go on with the text: it is begun anew.
-    active->run.discardText(item);
-    wanted.exact_version.reset();
-    engine = deps_.engines.registry.pick(now, wanted);
-  }
+  const engines::PickRequest wanted = pickFor(*active, item, route);
+  const item_placement placement =
+      placeItem(now, deps_.engines.registry, active->run.progress(item), wanted);
+  if (placement.discard_text) active->run.discardText(item);
+  const engines::EngineState* engine = placement.engine;
   if (engine == nullptr) return false;
   const auto call =
       std::make_shared<forward::EngineCall>(deps_.engines, *engine, itemRequest(*active, item));
@@ -260,23 +224,8 @@
       .milliseconds("took_ms", now - call.startedAt());
 }
 
-/// The runs that may move, those that are expected to last longest first.
-std::vector<ItemIndex> BatchService::movableRuns(Instant now, const Active& active,
-                                                 const routing::Route& route) const {
-  const engines::EngineRegistry& registry = deps_.engines.registry;
-  const double median = registry.medianPace(now, route.services.front().service);
-  std::vector<ItemIndex> runs;
-  for (const auto& [item, call] : active.calls) {
-    if (now - call->startedAt() < options_.move_after) continue;
-    const engines::EngineState* engine = registry.find(call->engine());
-    const bool slow =
-        engine != nullptr && registry.slowness(now, *engine, median) >= options_.move_gain;
-    if (slow) runs.push_back(item);
-  }
-  std::sort(runs.begin(), runs.end(), [&active](ItemIndex one, ItemIndex other) {
-    return active.run.job().items[one].length_hint > active.run.job().items[other].length_hint;
-  });
-  return runs;
+run_move_rules BatchService::moveRules() const {
+  return {options_.move_gain, options_.move_saving, options_.move_after};
 }
 
 void BatchService::moveSlowRuns(Instant now) {
@@ -287,40 +236,36 @@
     routing::RouteTablePtr table;
     const routing::Route* route = routeOf(active.record, table);
     if (route == nullptr || route->single_version || active.run.waiting() > 0) continue;
-    for (const ItemIndex item : movableRuns(now, active, *route)) {
+    std::vector<item_run> runs;
+    for (const auto& [item, call] : active.calls) {
+      runs.push_back({item, call->engine(), call->startedAt()});
+    }
+    const auto movable = movableRuns(now, deps_.engines.registry, route->services.front().service,
+                                     active.run.job(), runs, moveRules());
+    for (const item_run& run : movable) {
       if (moves.exhausted()) return;
-      moveRun(now, active, item, *route, moves);
+      moveRun(now, active, run, *route, moves);
     }
   }
 }
 
-void BatchService::moveRun(Instant now, Active& active, ItemIndex item, const routing::Route& route,
-                           moves_planned& moves) {
-  const std::shared_ptr<forward::EngineCall>& call = active.calls.at(item);
-  const engines::EngineRegistry& registry = deps_.engines.registry;
-  const double pace = registry.slowness(now, call->engine());
-  engines::PickRequest wanted = pickFor(active, item, route);
+void BatchService::moveRun(Instant now, Active& active, const item_run& run,
+                           const routing::Route& route, moves_planned& moves) {
+  engines::EngineRegistry& registry = deps_.engines.registry;
+  engines::PickRequest wanted = pickFor(active, run.item, route);
   wanted.excluded = moves.full();
-  wanted.excluded.insert(call->engine());
-  const engines::EngineState* better = deps_.engines.registry.pick(now, wanted);
-  if (better == nullptr) return;
-  const EngineId target = better->record.id;
-  const double pace_there = registry.slowness(now, target);
-  if (pace < options_.move_gain * pace_there) return;
-  const double remaining = lengths_.remainingEvents(active.run.job().items[item].length_hint,
-                                                    active.run.progress(item).last_event);
-  const double seconds_an_event =
-      registry.expectedPace(now, call->engine()) - registry.expectedPace(now, target);
-  if (remaining * seconds_an_event < toSeconds(options_.move_saving)) return;
+  wanted.excluded.insert(run.engine);
+  const auto move = planMove(now, registry, lengths_, active.run, run, wanted, moveRules());
+  if (!move) return;
   LogEvent("batch", "run_moved")
-      .text("item", active.run.job().items[item].id.str())
-      .text("from", call->engine().str())
-      .text("towards", target.str())
-      .real("events_left", remaining)
-      .real("slowness", pace)
-      .real("slowness_there", pace_there);
-  moves.onMove(target, registry.room(now, target));
-  call->abort();
+      .text("item", active.run.job().items[run.item].id.str())
+      .text("from", run.engine.str())
+      .text("towards", move->target.str())
+      .real("events_left", move->events_left)
+      .real("slowness", move->slowness)
+      .real("slowness_there", move->slowness_there);
+  moves.onMove(move->target, registry.room(now, move->target));
+  active.calls.at(run.item)->abort();
 }
 
 }  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/batch_options.h
@@ -0,0 +1,75 @@
+#pragma once
+
+/** @file
+ * What the batch service is set to, and what it counts.
+ */
+
+#include <cstddef>
+#include <cstdint>
+
+#include "batch/listing_schedule.h"
+#include "batch/run_patience.h"
+#include "common/time.h"
+
+namespace linenpier::batch {
+
+struct BatchOptions {
+  Duration connect_time = std::chrono::milliseconds(200);
+  run_patience patience;
+  Duration refused_pause = std::chrono::milliseconds(40);
+  Duration broken_pause{};
+  listing_times listing;
+  Duration checkpoint_gap = std::chrono::milliseconds(500);
+  std::uint64_t checkpoint_events = 10;  ///< Fewer new ones are not worth a checkpoint.
+  Duration store_pause = std::chrono::milliseconds(150);  ///< Before a write is sent again.
+  /// Of a reader that waits while the feed of jobs does not say what is released.
+  Duration poll_gap = std::chrono::milliseconds(100);
+  /// Of a reader that waits elsewhere than at the owner: it reads what is held back in the
+  /// meantime, so that little is left to read when it is released.
+  Duration read_ahead_gap = std::chrono::milliseconds(300);
+  Duration accept_time = std::chrono::milliseconds(2500);
+  Duration end_time = std::chrono::milliseconds(3500);
+  /// Results of an ended job in memory. A trainer's next but one step, asked for some eight seconds
+  /// later, may hold groups of it.
+  Duration keep_ended = std::chrono::seconds(10);
+  /// From a job's acceptance until it may be removed, if it has ended.
+  Duration keep_jobs = std::chrono::seconds(120);
+  /// Until daemons that did not own an ended job remove it.
+  Duration removal_courtesy = std::chrono::seconds(30);
+  Duration removal_period = std::chrono::seconds(2);  ///< Between two looks for such jobs.
+  /// What earlier jobs left is of little use to a job later.
+  Duration carry_over_time = std::chrono::seconds(2);
+  /// Trainers ask for the next step while one or two are under way.
+  std::size_t earlier_jobs = 3;
+  /// Items of open jobs that one daemon is given: four steps of the largest deployments' trainers.
+  /// Beyond that the events of all of them would take more than a small machine's processor.
+  std::size_t most_open_items = 1000;
+  double requests_per_slot = 1.0;
+  double move_gain = 1.15;  ///< An engine must be this much faster for a run to move there.
+  /// A move must save more than this; reading a prompt and the text so far again costs less.
+  Duration move_saving = std::chrono::milliseconds(250);
+  Duration move_after = std::chrono::milliseconds(1000);  ///< Shorter runs stay.
+  std::size_t moves_per_tick = 6;
+  std::size_t page_bytes = 900 * 1024;
+  std::size_t write_bytes = 640 * 1024;
+  /// Results that are held back for longer are more than one page, which a trainer reads half a
+  /// second apart.
+  std::size_t release_bytes = 640 * 1024;
+  /// The store takes 100 entries a write: the condition on the job's row, and a value each.
+  std::size_t write_rows = 96;
+};
+
+struct BatchCounts {
+  std::uint64_t accepted = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t taken_over = 0;
+  std::uint64_t lost = 0;
+  std::uint64_t ended = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t terminated = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t scored = 0;
+  std::uint64_t scorings_failed = 0;  ///< Reward requests that brought no score.
+};
+
+}  // namespace linenpier::batch
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -16,12 +16,13 @@
 #include <memory>
 
 #include "batch/batch_codec.h"
+#include "batch/batch_options.h"
 #include "batch/batch_run.h"
+#include "batch/item_scorer.h"
 #include "batch/job_store.h"
 #include "batch/length_estimate.h"
-#include "batch/listing_schedule.h"
 #include "batch/moves_planned.h"
-#include "batch/run_patience.h"
+#include "batch/run_moves.h"
 #include "forward/engine_call.h"
 #include "forward/internal_requests.h"
 #include "http/server.h"
@@ -34,69 +35,10 @@
 
 namespace linenpier::batch {
 
-struct BatchOptions {
-  Duration connect_time = std::chrono::milliseconds(200);
-  run_patience patience;
-  Duration refused_pause = std::chrono::milliseconds(40);
-  Duration broken_pause{};
-  listing_times listing;
-  Duration checkpoint_gap = std::chrono::milliseconds(500);
-  std::uint64_t checkpoint_events = 10;  ///< Fewer new ones are not worth a checkpoint.
-  Duration store_pause = std::chrono::milliseconds(150);  ///< Before a write is sent again.
-  /// Of a reader that waits while the feed of jobs does not say what is released.
-  Duration poll_gap = std::chrono::milliseconds(100);
-  /// Of a reader that waits elsewhere than at the owner: it reads what is held back in the
-  /// meantime, so that little is left to read when it is released.
-  Duration read_ahead_gap = std::chrono::milliseconds(300);
-  Duration accept_time = std::chrono::milliseconds(2500);
-  Duration end_time = std::chrono::milliseconds(3500);
-  /// Results of an ended job in memory. A trainer's next but one step, asked for some eight seconds
-  /// later, may hold groups of it.
-  Duration keep_ended = std::chrono::seconds(10);
-  /// From a job's acceptance until it may be removed, if it has ended.
-  Duration keep_jobs = std::chrono::seconds(120);
-  /// Until daemons that did not own an ended job remove it.
-  Duration removal_courtesy = std::chrono::seconds(30);
-  Duration removal_period = std::chrono::seconds(2);  ///< Between two looks for such jobs.
-  /// What earlier jobs left is of little use to a job later.
-  Duration carry_over_time = std::chrono::seconds(2);
-  /// Trainers ask for the next step while one or two are under way.
-  std::size_t earlier_jobs = 3;
-  /// Items of open jobs that one daemon is given: four steps of the largest deployments' trainers.
-  /// Beyond that the events of all of them would take more than a small machine's processor.
-  std::size_t most_open_items = 1000;
-  double requests_per_slot = 1.0;
-  double move_gain = 1.15;  ///< An engine must be this much faster for a run to move there.
-  /// A move must save more than this; reading a prompt and the text so far again costs less.
-  Duration move_saving = std::chrono::milliseconds(250);
-  Duration move_after = std::chrono::milliseconds(1000);  ///< Shorter runs stay.
-  std::size_t moves_per_tick = 6;
-  std::size_t page_bytes = 900 * 1024;
-  std::size_t write_bytes = 640 * 1024;
-  /// Results that are held back for longer are more than one page, which a trainer reads half a
-  /// second apart.
-  std::size_t release_bytes = 640 * 1024;
-  /// The store takes 100 entries a write: the condition on the job's row, and a value each.
-  std::size_t write_rows = 96;
-};
-
 /// Lines about finished items that a daemon writes in full each second, and one in how many then.
 inline constexpr std::uint32_t kFullLinesPerSecond = 60;
 inline constexpr std::uint32_t kThenOneIn = 10;
 
-struct BatchCounts {
-  std::uint64_t accepted = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t taken_over = 0;
-  std::uint64_t lost = 0;
-  std::uint64_t ended = 0;
-  std::uint64_t completed = 0;
-  std::uint64_t terminated = 0;
-  std::uint64_t attempts = 0;
-  std::uint64_t scored = 0;
-  std::uint64_t scorings_failed = 0;  ///< Reward requests that brought no score.
-};
-
 /// Loop thread only.
 class BatchService {
  public:
@@ -113,7 +55,10 @@
   };
 
   BatchService(Dependencies dependencies, BatchOptions options)
-      : deps_(std::move(dependencies)), options_(options) {}
+      : deps_(std::move(dependencies)),
+        options_(options),
+        scorer_({deps_.loop, deps_.engines.names, deps_.rewards, deps_.routes, counts_, sampler_,
+                 [this] { pump(); }}) {}
   ~BatchService();
 
   void start();
@@ -155,8 +100,8 @@
   Work work() const;
 
  private:
-  struct Active;
-  using ActivePtr = std::shared_ptr<Active>;
+  using Active = active_job;
+  using ActivePtr = active_job_ptr;
 
   /// A job as this daemon knows it.
   struct Job {
@@ -217,10 +162,9 @@
   bool findNext(startable_item& job) const;
   /// Moves runs from slow engines to clearly faster ones that have room.
   void moveSlowRuns(Instant now);
-  std::vector<ItemIndex> movableRuns(Instant now, const Active& active,
-                                     const routing::Route& route) const;
-  void moveRun(Instant now, Active& active, ItemIndex item, const routing::Route& route,
+  void moveRun(Instant now, Active& active, const item_run& run, const routing::Route& route,
                moves_planned& moves);
+  run_move_rules moveRules() const;
   /// What an item asks of an engine.
   engines::PickRequest pickFor(const Active& active, ItemIndex item,
                                const routing::Route& route) const;
@@ -239,14 +183,6 @@
                   forward::AttemptVerdict verdict, const ModelName& model, const RunTimes& times);
   http::Request itemRequest(const Active& active, ItemIndex item) const;
 
-  void startScorings(const ActivePtr& active);
-  Task<void> scoreItem(ActivePtr active, ItemIndex item,
-                       std::shared_ptr<http::Cancellation> cancellation);
-  /// @param most_failures answers of 500 after which the item is given up.
-  void settleScoring(Active& active, ItemIndex item, const forward::internal_outcome& outcome,
-                     int most_failures);
-  http::Request rewardRequest(const reward_request& scorer) const;
-
   Task<void> checkpointLoop(ActivePtr active);
   enum class CheckpointNeed { kAlways, kIfMuchIsNew };
   Task<void> writeCheckpoint(ActivePtr active, CheckpointNeed need);
@@ -295,10 +231,10 @@
   std::map<JobId, Job> jobs_;
   BatchCounts counts_;
   length_estimate lengths_;
-  std::size_t scorings_ = 0;  ///< Reward requests under way.
   std::size_t waiting_readers_ = 0;
   bool stopping_ = false;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
+  item_scorer scorer_;
 };
 
 }  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/item_placement.h
@@ -0,0 +1,34 @@
+#pragma once
+
+/** @file
+ * Which engine runs an item. Pure: asks the registry, sends nothing.
+ */
+
+#include "batch/batch_run.h"
+#include "engines/engine_registry.h"
+
+namespace linenpier::batch {
+
+/** @return the memory that an item is expected to fill, in tokens: less than the most that it may.
+ */
+double expectedTokens(const BatchItem& item);
+
+/** What an item asks of an engine.
+ * @param most_per_slot requests a slot that an engine may have, counting others'.
+ */
+engines::PickRequest pickRequestFor(const BatchRun& run, ItemIndex item,
+                                    const routing::Route& route, const routing::RouteTable& table,
+                                    double most_per_slot);
+
+struct item_placement {
+  const engines::EngineState* engine = nullptr;  ///< None admits the item if it is not set.
+  /// No engine can go on with the text so far: the item is begun anew.
+  bool discard_text = false;
+};
+
+/** Chooses an engine for an item that waits. One that failed it is taken only if there is no other.
+ */
+item_placement placeItem(Instant now, engines::EngineRegistry& registry,
+                         const ItemProgress& progress, engines::PickRequest wanted);
+
+}  // namespace linenpier::batch
--- a/src/batch/batch_scoring.cpp
+++ b/src/batch/item_scorer.cpp
@@ -1,8 +1,6 @@
-/// @file
-/// Reward requests: a text that is whole is scored before it is listed.
+#include "batch/item_scorer.h"
 
 #include "batch/active_job.h"
-#include "batch/batch_service.h"
 #include "logging/event_log.h"
 
 namespace linenpier::batch {
@@ -26,39 +24,40 @@
 }
 }  // namespace
 
-void BatchService::startScorings(const ActivePtr& active) {
+void item_scorer::start(const active_job_ptr& active) {
   const Instant now = steadyNow();
-  while (scorings_ < kMostScorings) {
+  while (this->under_way_ < kMostScorings) {
     const auto item = active->run.nextToScore(now);
     if (!item) return;
     active->run.onScoringStarted(*item);
     const auto cancellation = std::make_shared<http::Cancellation>();
     active->scorings[*item] = cancellation;
-    ++scorings_;
+    ++this->under_way_;
     const ItemIndex index = *item;
-    spawn(deps_.loop,
-          [this, active, index, cancellation] { return scoreItem(active, index, cancellation); });
+    spawn(this->deps_.loop, [this, active, index, cancellation] {
+      return this->scoreItem(active, index, cancellation);
+    });
   }
 }
 
-http::Request BatchService::rewardRequest(const reward_request& scorer) const {
+http::Request item_scorer::rewardRequest(const reward_request& scorer) const {
   http::Request request(boost::beast::http::verb::post, scorer.path, 11);
   request.set(boost::beast::http::field::host, scorer.host);
-  request.set(deps_.engines.names.request_id, scorer.id);
+  request.set(this->deps_.names.request_id, scorer.id);
   request.body() = scorer.body;
   request.prepare_payload();
   return request;
 }
 
-Task<void> BatchService::scoreItem(ActivePtr active, ItemIndex item,
-                                   std::shared_ptr<http::Cancellation> cancellation) {
+Task<void> item_scorer::scoreItem(active_job_ptr active, ItemIndex item,
+                                  std::shared_ptr<http::Cancellation> cancellation) {
   const Instant begun = steadyNow();
   const reward_request& scorer = *active->run.job().items[item].scorer;
   forward::internal_request request;
-  request.table = deps_.routes();
+  request.table = this->deps_.routes();
   const std::string path = scorer.path.substr(0, scorer.path.find('?'));
   request.route = request.table ? request.table->find(scorer.host, path) : nullptr;
-  request.message = rewardRequest(scorer);
+  request.message = this->rewardRequest(scorer);
   request.tenant = active->record.tenant;
   request.limit = kRewardTime;
   const bool patient = begun - active->run.progress(item).last_progress < kPatience;
@@ -69,18 +68,18 @@
   forward::internal_outcome outcome;
   if (routed) {
     most_failures = request.route->max_attempts;
-    outcome = co_await deps_.rewards.send(std::move(request));
+    outcome = co_await this->deps_.rewards.send(std::move(request));
   }
-  --scorings_;
+  --this->under_way_;
   active->scorings.erase(item);
   if (active->stopped) co_return;
-  settleScoring(*active, item, outcome, most_failures);
+  this->settleScoring(*active, item, outcome, most_failures);
   const char* result = isSuccess(outcome)      ? "scored"
                        : !routed               ? "no_route"
                        : outcome.status > 0    ? "failed"
                        : outcome.attempts == 0 ? "no_engine"
                                                : "no_answer";
-  if (!isSuccess(outcome) || sampler_.admit(begun)) {
+  if (!isSuccess(outcome) || this->deps_.sampler.admit(begun)) {
     LogEvent("batch", "scoring_ended")
         .text("batch", active->record.id.str())
         .text("item", active->run.job().items[item].id.str())
@@ -91,18 +90,18 @@
         .number("failures", active->run.progress(item).score_failures)
         .milliseconds("took_ms", steadyNow() - begun);
   }
-  pump();
+  this->deps_.on_settled();
 }
 
-void BatchService::settleScoring(Active& active, ItemIndex item,
-                                 const forward::internal_outcome& outcome, int most_failures) {
+void item_scorer::settleScoring(active_job& active, ItemIndex item,
+                                const forward::internal_outcome& outcome, int most_failures) {
   if (isSuccess(outcome)) {
     active.run.onScored(item, outcome.signature);
-    ++counts_.scored;
+    ++this->deps_.counts.scored;
   } else {
     const Duration pause = outcome.attempts == 0 ? kFullPause : kFailurePause;
     active.run.onNotScored(steadyNow(), item, outcome.failures, most_failures, pause);
-    ++counts_.scorings_failed;
+    ++this->deps_.counts.scorings_failed;
   }
   if (active.run.progress(item).state == ItemState::kFinished) active.finished.notifyAll();
   active.noteWhole(item);
--- /dev/null
+++ b/src/batch/item_scorer.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/** @file
+ * Reward requests: a text that is whole is scored before it is listed.
+ */
+
+#include <functional>
+#include <memory>
+
+#include "batch/batch_options.h"
+#include "batch/batch_run.h"
+#include "forward/field_names.h"
+#include "forward/internal_requests.h"
+#include "http/http_types.h"
+#include "logging/success_sampler.h"
+
+namespace linenpier::batch {
+
+struct active_job;
+using active_job_ptr = std::shared_ptr<active_job>;
+
+/** Loop thread only. */
+class item_scorer {
+ public:
+  struct dependencies {
+    boost::asio::io_context& loop;
+    const forward::FieldNames& names;
+    forward::internal_requests& rewards;
+    std::function<routing::RouteTablePtr()> routes;
+    BatchCounts& counts;
+    logging::SuccessSampler& sampler;
+    std::function<void()> on_settled;  ///< A reward request has ended.
+  };
+
+  explicit item_scorer(dependencies deps) : deps_(std::move(deps)) {}
+
+  /** Sends reward requests for the job's whole texts, as many as this daemon may have under way. */
+  void start(const active_job_ptr& active);
+
+ private:
+  Task<void> scoreItem(active_job_ptr active, ItemIndex item,
+                       std::shared_ptr<http::Cancellation> cancellation);
+  /** @param most_failures answers of 500 after which the item is given up. */
+  void settleScoring(active_job& active, ItemIndex item, const forward::internal_outcome& outcome,
+                     int most_failures);
+  http::Request rewardRequest(const reward_request& scorer) const;
+
+  dependencies deps_;
+  std::size_t under_way_ = 0;  ///< Reward requests.
+};
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/src/batch/run_moves.h
@@ -0,0 +1,51 @@
+#pragma once
+
+/** @file
+ * Which runs move from slow engines to clearly faster ones that have room. Pure: asks the registry,
+ * sends nothing.
+ */
+
+#include <optional>
+#include <vector>
+
+#include "batch/batch_run.h"
+#include "batch/length_estimate.h"
+#include "engines/engine_registry.h"
+
+namespace linenpier::batch {
+
+struct run_move_rules {
+  double gain = 1.15;       ///< An engine must be this much faster for a run to move there.
+  Duration saving{};        ///< A move must save more than this.
+  Duration shortest_run{};  ///< Runs that began later stay.
+};
+
+/** An item's run on an engine. */
+struct item_run {
+  ItemIndex item = 0;
+  EngineId engine;
+  Instant started_at{};
+};
+
+/** A run that should go on at another engine, with what that was decided on. */
+struct run_move {
+  EngineId target;
+  double events_left = 0;
+  double slowness = 1;  ///< Of the engine that it is at, over the median.
+  double slowness_there = 1;
+};
+
+/** @return the runs that may move, those that are expected to last longest first. */
+std::vector<item_run> movableRuns(Instant now, const engines::EngineRegistry& registry,
+                                  const routing::ServiceName& service, const BatchJob& job,
+                                  const std::vector<item_run>& runs, const run_move_rules& rules);
+
+/** @param wanted what the item asks of an engine, without the one that it is at.
+ * @return where the run should go on, if the move is worth its cost.
+ */
+std::optional<run_move> planMove(Instant now, engines::EngineRegistry& registry,
+                                 const length_estimate& lengths, const BatchRun& run,
+                                 const item_run& from, const engines::PickRequest& wanted,
+                                 const run_move_rules& rules);
+
+}  // namespace linenpier::batch
--- /dev/null
+++ b/tests/batch/item_placement_test.cpp
@@ -0,0 +1,78 @@
+#include "batch/item_placement.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using batch::BatchRun;
+using engines::EngineRecord;
+using engines::EngineRegistry;
+
+namespace {
+
+const ModelName kModel("m");
+const routing::ServiceName kService("s");
+constexpr Instant kStart{std::chrono::seconds(100)};
+
+EngineRecord record(const std::string& id, WeightVersion version) {
+  EngineRecord made;
+  made.id = EngineId(id);
+  made.service = kService;
+  made.slots = 4;
+  made.models[kModel] = version;
+  return made;
+}
+
+BatchRun oneItem() {
+  batch::BatchJob job;
+  job.minimum_version = 2;
+  batch::BatchItem item;
+  item.model = kModel;
+  item.tokens = 5000;
+  item.length_hint = 900;
+  job.items = {item};
+  return BatchRun(job, {});
+}
+
+routing::Route route(bool single_version) {
+  routing::Route made;
+  made.services = {{kService, 1}};
+  made.single_version = single_version;
+  return made;
+}
+
+}  // namespace
+
+Test(item_placement, an_item_asks_for_its_model_version_and_expected_memory) {
+  routing::RouteTable table;
+  table.services[kService].memory_tokens = 30000;
+  const auto wanted = batch::pickRequestFor(oneItem(), 0, route(false), table, 1.0);
+  cr_assert_eq(wanted.model.str(), "m");
+  cr_assert_eq(wanted.minimum_version, 2U);
+  cr_assert_eq(wanted.tokens, 1200, "the hint and a usual prompt");
+  cr_assert_eq(wanted.memory_tokens, 30000);
+  cr_assert_not(wanted.exact_version.has_value());
+}
+
+Test(item_placement, an_engine_that_failed_the_item_is_taken_only_if_there_is_no_other) {
+  EngineRegistry registry(ZoneName("z"), {}, 1);
+  registry.onList(kStart, {record("a", 2), record("b", 2)});
+  batch::ItemProgress progress;
+  progress.failures = 1;
+  progress.last_engine = EngineId("a");
+  const auto wanted = batch::pickRequestFor(oneItem(), 0, route(false), {}, 1.0);
+  cr_assert_eq(batch::placeItem(kStart, registry, progress, wanted).engine->record.id.str(), "b");
+  registry.onGone(kStart, EngineId("b"));
+  cr_assert_eq(batch::placeItem(kStart, registry, progress, wanted).engine->record.id.str(), "a");
+}
+
+Test(item_placement, a_text_of_one_version_is_begun_anew_where_that_version_is_gone) {
+  EngineRegistry registry(ZoneName("z"), {}, 1);
+  registry.onList(kStart, {record("a", 3)});
+  BatchRun run = oneItem();
+  run.onStarted(kStart, 0, EngineId("a"));
+  run.onEvent(kStart, 0, 1, "text", 2);
+  const auto wanted = batch::pickRequestFor(run, 0, route(true), {}, 1.0);
+  const auto placement = batch::placeItem(kStart, registry, run.progress(0), wanted);
+  cr_assert_not_null(placement.engine);
+  cr_assert(placement.discard_text);
+}
--- /dev/null
+++ b/tests/batch/run_moves_test.cpp
@@ -0,0 +1,82 @@
+#include "batch/run_moves.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using batch::BatchRun;
+using batch::item_run;
+using engines::EngineRecord;
+using engines::EngineRegistry;
+
+namespace {
+
+const routing::ServiceName kService("s");
+constexpr Instant kStart{std::chrono::seconds(100)};
+constexpr Instant kLater = kStart + std::chrono::seconds(2);
+const EngineId kSlow("slow");
+const EngineId kQuick("quick");
+const batch::run_move_rules kRules{1.15, std::chrono::milliseconds(250), std::chrono::seconds(1)};
+
+EngineRecord record(const EngineId& id) {
+  EngineRecord made;
+  made.id = id;
+  made.service = kService;
+  made.slots = 4;
+  return made;
+}
+
+/** One engine twice as slow as the two others. */
+EngineRegistry registry() {
+  EngineRegistry made(ZoneName("z"), {}, 1);
+  made.onList(kStart, {record(kSlow), record(kQuick), record(EngineId("quick2"))});
+  made.onPace(kLater, kSlow, std::chrono::milliseconds(100));
+  made.onPace(kLater, kQuick, std::chrono::milliseconds(50));
+  made.onPace(kLater, EngineId("quick2"), std::chrono::milliseconds(50));
+  return made;
+}
+
+BatchRun twoItems() {
+  batch::BatchJob job;
+  job.items.resize(2);
+  job.items[0].length_hint = 10;
+  job.items[1].length_hint = 1000;
+  return BatchRun(job, {});
+}
+
+engines::PickRequest wanted() {
+  engines::PickRequest made;
+  made.service = kService;
+  made.excluded.insert(kSlow);
+  return made;
+}
+
+}  // namespace
+
+Test(run_moves, runs_on_slow_engines_may_move_the_longest_first) {
+  const std::vector<item_run> runs = {{0, kSlow, kStart}, {1, kSlow, kStart}, {1, kQuick, kStart}};
+  const BatchRun run = twoItems();
+  const auto movable = batch::movableRuns(kLater, registry(), kService, run.job(), runs, kRules);
+  cr_assert_eq(movable.size(), 2U);
+  cr_assert_eq(movable[0].item, 1U);
+}
+
+Test(run_moves, a_run_that_began_just_now_stays) {
+  const BatchRun run = twoItems();
+  const auto movable =
+      batch::movableRuns(kLater, registry(), kService, run.job(), {{1, kSlow, kLater}}, kRules);
+  cr_assert(movable.empty());
+}
+
+Test(run_moves, a_run_moves_only_for_more_than_it_costs) {
+  EngineRegistry engines = registry();
+  batch::length_estimate lengths;
+  lengths.onFinished(100, 10);
+  const BatchRun run = twoItems();
+  const auto long_run =
+      batch::planMove(kLater, engines, lengths, run, {1, kSlow, kStart}, wanted(), kRules);
+  cr_assert(long_run.has_value(), "100 events of 50 ms less each");
+  cr_assert_neq(long_run->target.str(), "slow");
+  const auto short_run =
+      batch::planMove(kLater, engines, lengths, run, {0, kSlow, kStart}, wanted(), kRules);
+  cr_assert_not(short_run.has_value(), "one event");
+}
