Let an answer that names no version say nothing of its engine's weights

A spoilt answer of 200 without a version was noted as version 0 of the engine, below what any job takes, until the engine's entry told of another load; with both engines out, nothing started. Ruled out from the owner's log: lost engines (listed, feed healthy), lost lease (it took new jobs), a dead loop (it renewed). Nothing else that refuses an engine lasts longer than six seconds.

Change: version 0 is ignored; the soak's engines renew their entries when their weights change, and its trainer ends its jobs.

--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -159,6 +159,9 @@
 
 void EngineRegistry::onVersionSeen(const EngineId& id, const ModelName& model,
                                    WeightVersion version) {
+  // An answer that is spoilt may name none. Taken for the oldest version of all, it would keep the
+  // engine out of use until its entry tells of another load.
+  if (version == 0) return;
   if (EngineState* engine = mutableFind(id)) engine->seen_versions[model] = version;
 }
 
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -151,6 +151,7 @@
   void onModelReset(Instant now, const EngineId& id, const ModelName& model);
   /// A unit of work (an answer, an event) took `duration`.
   void onPace(Instant now, const EngineId& id, Duration duration);
+  /// @param version 0: the answer named none.
   void onVersionSeen(const EngineId& id, const ModelName& model, WeightVersion version);
 
   /// @return whether the engine may be sent the request, and if not, why.
--- a/tests/engines/engine_registry_test.cpp
+++ b/tests/engines/engine_registry_test.cpp
@@ -120,6 +120,16 @@
   cr_assert_null(registry.pick(kStart, request), "a changed entry is");
 }
 
+Test(engine_registry, an_answer_that_names_no_version_changes_none) {
+  EngineRegistry registry = registryOf({record("a", 3)});
+  registry.onVersionSeen(EngineId("a"), kModel, 4);
+  registry.onVersionSeen(EngineId("a"), kModel, 0);
+  PickRequest request = any();
+  request.model = kModel;
+  request.minimum_version = 4;
+  cr_assert_not_null(registry.pick(kStart, request));
+}
+
 Test(engine_registry, an_engine_that_refuses_while_it_has_room_is_loading) {
   EngineRegistry registry = registryOf({record("a")});
   PickRequest request = any();
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -16,6 +16,7 @@
 constexpr Duration kEventGap = std::chrono::milliseconds(15);
 constexpr Duration kCallGap = std::chrono::milliseconds(25);
 constexpr Duration kJobGap = std::chrono::milliseconds(900);
+constexpr Duration kEntryGap = std::chrono::milliseconds(700);  ///< Some half a heartbeat.
 constexpr Duration kCallTime = std::chrono::milliseconds(1500);
 constexpr Duration kJobCallTime = std::chrono::milliseconds(4500);
 /// Of the longest fault. The last ones end by themselves before the time to settle begins.
@@ -140,6 +141,7 @@
   spawn(this->loop_, [this] { return this->callLoop(); });
   spawn(this->loop_, [this] { return this->trainLoop(); });
   spawn(this->loop_, [this] { return this->versionLoop(); });
+  spawn(this->loop_, [this] { return this->entryLoop(); });
   spawn(this->loop_, [this] { return this->faultLoop(); });
   co_await sleepFor(this->loop_, this->options_.length);
   this->striking_ = false;
@@ -237,6 +239,7 @@
     // Read once more, at another daemon perhaps: positions keep what they hold.
     if (whole) {
       co_await this->readWhole(each, second);
+      co_await this->endJob(each.id);
     }
   }
   --this->open_jobs_;
@@ -278,6 +281,20 @@
   co_return false;
 }
 
+Task<void> soak_run::endJob(std::string id) {
+  const Instant latest = steadyNow() + kLongestJob;
+  while (steadyNow() < latest) {
+    http::Request request = makeRequest(boost::beast::http::verb::delete_, "/linenpier/lots/" + id);
+    const std::size_t gateway = this->choice_.below(this->gateways_.size());
+    const http::CallOutcome outcome =
+        co_await this->call(gateway, std::move(request), kJobCallTime);
+    const bool ended =
+        outcome.status == http::ExchangeStatus::kOk && outcome.response.result_int() == 200;
+    if (ended) co_return;
+    co_await sleepFor(this->loop_, kCallGap);
+  }
+}
+
 Task<bool> soak_run::readWhole(job each, std::size_t gateway) {
   const Instant latest = steadyNow() + kLongestJob;
   std::size_t position = 0;
@@ -339,6 +356,18 @@
   }
 }
 
+Task<void> soak_run::entryLoop() {
+  std::map<std::string, std::uint64_t> told;
+  for (;;) {
+    co_await sleepFor(this->loop_, kEntryGap);
+    for (const auto& engine : this->models_) {
+      std::uint64_t& version = told[engine->id()];
+      if (std::exchange(version, engine->version()) == engine->version()) continue;
+      this->store_.put("servers", engine->id(), engine->entry("models"));
+    }
+  }
+}
+
 // --- Faults -------------------------------------------------------------------------------------
 
 Task<void> soak_run::faultLoop() {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -69,6 +69,9 @@
   /** @return the next position to read; nothing if the page did not come. */
   Task<std::optional<std::size_t>> readPage(job each, std::size_t position, std::size_t gateway);
   Task<void> versionLoop();
+  /** Engines tell of their weights in their entries, a little late. */
+  Task<void> entryLoop();
+  Task<void> endJob(std::string id);
   Task<void> faultLoop();
   Task<void> strikeLink();
   Task<void> strikeProcess();
