--- /dev/null
+++ b/src/engines/cold_budget.cpp
@@ -0,0 +1,172 @@
+#include "engines/cold_budget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace linenpier::engines {
+
+namespace {
+/// One daemon's share of the bound at an engine that seems warm: two daemons that both work there,
+/// as when a job changes its owner, are within the bound together.
+constexpr std::size_t kWarmShares = 2;
+/// The same where less is known: three are.
+constexpr std::size_t kUnheardShares = 3;
+/// Beside the senders that the leases tell: one that is not seen, as its lease is new or it does
+/// not reach the store.
+constexpr std::size_t kUnseenSenders = 1;
+}  // namespace
+
+const char* toText(ColdLimit limit) {
+  switch (limit) {
+    case ColdLimit::kUnbounded:
+      return "unbounded";
+    case ColdLimit::kWarm:
+      return "warm";
+    case ColdLimit::kUnheard:
+      return "unheard";
+    case ColdLimit::kShared:
+      return "shared";
+    case ColdLimit::kPause:
+      return "pause";
+    case ColdLimit::kRestart:
+      return "restart";
+    case ColdLimit::kNoSender:
+      return "no_sender";
+  }
+  return "unknown";
+}
+
+void cold_budget::setServices(const std::map<routing::ServiceName, routing::Service>& services) {
+  this->per_second_.clear();
+  for (const auto& [name, service] : services) {
+    if (service.cold_per_second > 0) this->per_second_[name] = service.cold_per_second;
+  }
+}
+
+void cold_budget::onHeard(Instant now, const EngineId& engine, Duration cold_for) {
+  const auto [at, is_new] = this->engines_.try_emplace(engine);
+  engine_state& state = at->second;
+  const bool cold = this->isCold(now, state);
+  // The same entry told once more is as old as before.
+  const bool repeated = !is_new && cold && cold_for == state.last_cold_for;
+  state.last_cold_for = cold_for;
+  state.heard_at = now;
+  if (repeated || cold_for <= Duration::zero()) return;
+  if (!cold) {
+    state.turned_cold_at = now;
+    state.was_warm = !is_new;
+  }
+  // Entries lag: one that says less than was heard before does not shorten it.
+  state.cold_until = std::max(state.cold_until, now + cold_for);
+}
+
+void cold_budget::onSent(Instant now, const EngineId& engine) {
+  if (this->per_second_.empty()) return;
+  engine_state& state = this->engines_[engine];
+  while (!state.sent.empty() && now - state.sent.front() >= this->times_.window) {
+    state.sent.pop_front();
+  }
+  state.sent.push_back(now);
+}
+
+void cold_budget::onRefused(Instant now, const routing::ServiceName& service,
+                            const EngineId& engine) {
+  ++this->refused_;
+  cold_refusals& refusals = this->refusals_[engine];
+  refusals.engine = engine;
+  refusals.allowance = this->allowance(now, service, engine);
+  refusals.sent = this->sent(now, engine);
+  ++refusals.refused;
+}
+
+std::vector<cold_refusals> cold_budget::takeRefusals() {
+  std::vector<cold_refusals> taken;
+  for (auto& [id, refusals] : this->refusals_) taken.push_back(refusals);
+  this->refusals_.clear();
+  return taken;
+}
+
+const cold_budget::engine_state* cold_budget::find(const EngineId& engine) const {
+  const auto at = this->engines_.find(engine);
+  return at == this->engines_.end() ? nullptr : &at->second;
+}
+
+bool cold_budget::isCold(Instant now, const EngineId& engine) const {
+  const engine_state* state = this->find(engine);
+  return state != nullptr && this->isCold(now, *state);
+}
+
+std::size_t cold_budget::sent(Instant now, const engine_state& state) const {
+  const auto first = std::find_if(state.sent.begin(), state.sent.end(),
+                                  [&](Instant at) { return now - at < this->times_.window; });
+  return static_cast<std::size_t>(state.sent.end() - first);
+}
+
+std::size_t cold_budget::sent(Instant now, const EngineId& engine) const {
+  const engine_state* state = this->find(engine);
+  return state == nullptr ? 0 : this->sent(now, *state);
+}
+
+std::size_t cold_budget::most(const routing::ServiceName& service) const {
+  if (this->rules_.overshoot <= 0) return 0;
+  const auto at = this->per_second_.find(service);
+  if (at == this->per_second_.end()) return 0;
+  const double bound = at->second * this->rules_.overshoot + this->rules_.slack;
+  return static_cast<std::size_t>(std::max(1.0, std::floor(bound)));
+}
+
+cold_allowance cold_budget::coldAllowance(Instant now, const engine_state& state,
+                                          std::size_t most) const {
+  const Duration window = this->times_.window;
+  if (now - this->started_at_ < window) return {ColdLimit::kRestart, 0};
+  if (!this->senders_.self || this->senders_.count == 0) return {ColdLimit::kNoSender, 0};
+  if (state.was_warm && now - state.turned_cold_at < window) return {ColdLimit::kPause, 0};
+  return {ColdLimit::kShared, most / (this->senders_.count + kUnseenSenders)};
+}
+
+cold_allowance cold_budget::warmAllowance(Instant now, const engine_state* state,
+                                          std::size_t most) const {
+  const bool heard = state != nullptr && now - state->heard_at < this->times_.unheard_after;
+  const bool settled = now - this->started_at_ >= this->times_.window;
+  const bool known = heard && settled;
+  const std::size_t shares = known ? kWarmShares : kUnheardShares;
+  const ColdLimit limit = known ? ColdLimit::kWarm : ColdLimit::kUnheard;
+  return {limit, std::max<std::size_t>(1, most / shares)};
+}
+
+cold_allowance cold_budget::allowance(Instant now, const routing::ServiceName& service,
+                                      const EngineId& engine) const {
+  const std::size_t bound = this->most(service);
+  if (bound == 0) return {};
+  const engine_state* state = this->find(engine);
+  const bool cold = state != nullptr && this->isCold(now, *state);
+  return cold ? this->coldAllowance(now, *state, bound) : this->warmAllowance(now, state, bound);
+}
+
+bool cold_budget::hasRoom(Instant now, const routing::ServiceName& service,
+                          const EngineId& engine) const {
+  const cold_allowance allowed = this->allowance(now, service, engine);
+  return allowed.limit == ColdLimit::kUnbounded || this->sent(now, engine) < allowed.requests;
+}
+
+std::vector<cold_change> cold_budget::takeChanges(Instant now) {
+  std::vector<cold_change> changes;
+  for (auto& [id, state] : this->engines_) {
+    const bool cold = this->isCold(now, state);
+    if (cold == state.told_cold) continue;
+    state.told_cold = cold;
+    const Duration left = cold ? state.cold_until - now : Duration::zero();
+    changes.push_back({id, cold, left, now - state.heard_at});
+  }
+  return changes;
+}
+
+void cold_budget::sweep(Instant now) {
+  std::erase_if(this->engines_, [&](const auto& each) {
+    const engine_state& state = each.second;
+    const bool silent = now - state.heard_at >= this->times_.forget_after;
+    return silent && !this->isCold(now, state) && this->sent(now, state) == 0;
+  });
+}
+
+}  // namespace linenpier::engines
--- a/src/engines/engine_admission.h
+++ b/src/engines/engine_admission.h
@@ -22,7 +22,7 @@
   kZoneClosed,    ///< The operator closed its zone.
   kNotAtHome,     ///< It is in a region where the request must not be.
   kOlderVersion,  ///< Its weights are not those that the request needs.
-  kCold,          ///< It started lately and was sent as much as it bears.
+  kCold,          ///< It started lately, or may have, and was sent its share of what it bears.
   kLoading,       ///< It changes its weights.
   kFull,
   kEjected,   ///< It failed lately.
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -11,6 +11,9 @@
 constexpr double kOlderVersionFactor = 1.5;
 constexpr double kBatchWeight = 0.12;  ///< Slowing of a batch that is full.
 constexpr double kSlowestFactor = 8;   ///< Slower engines count as this slow.
+constexpr double kColdFactor = 2;      ///< A cold engine is slow …
+/// … and where the fleet may send it little, it is taken when others are full.
+constexpr double kBoundedColdFactor = 4;
 constexpr int kLongestBackoffSteps = 4;
 constexpr std::uint64_t kTieBreak = 1000;
 }  // namespace
@@ -46,7 +49,7 @@
 
 void EngineRegistry::onRecord(Instant now, const EngineRecord& record) {
   EngineState& engine = engines_[record.id];
-  if (engine.listed_at == Instant{}) engine.listed_at = now;
+  cold_.onHeard(now, record.id, record.cold_for);
   for (const auto& [model, version] : record.models) {
     const auto listed = engine.record.models.find(model);
     const bool changed = listed == engine.record.models.end() || listed->second != version;
@@ -94,7 +97,8 @@
   return at == engines_.end() ? nullptr : &at->second;
 }
 
-void EngineRegistry::onAttemptStarted(const EngineId& id) {
+void EngineRegistry::onAttemptStarted(Instant now, const EngineId& id) {
+  cold_.onSent(now, id);
   if (EngineState* engine = mutableFind(id)) ++engine->in_flight;
 }
 
@@ -241,7 +245,9 @@
   wait *= memoryFactor(now, engine, request, all);
   if (per_slot >= 1) wait *= 1 + per_slot;
   if (engine.record.zone != zone_ && !request.batching) wait *= options_.remote_factor;
-  if (now < engine.listed_at + engine.record.cold_for) wait *= 2;
+  if (cold_.isCold(now, engine.record.id)) {
+    wait *= cold_.isBounded(request.service) ? kBoundedColdFactor : kColdFactor;
+  }
   return wait;
 }
 
@@ -254,23 +260,30 @@
   return at_home ? EngineRefusal::kNone : EngineRefusal::kNotAtHome;
 }
 
-EngineRefusal EngineRegistry::admitModel(Instant now, const EngineState& engine,
-                                         const PickRequest& request) const {
+EngineRefusal EngineRegistry::admitVersion(const EngineState& engine,
+                                           const PickRequest& request) const {
   if (request.model.empty()) return EngineRefusal::kNone;
   const WeightVersion version = engine.versionOf(request.model);
   const bool other = request.exact_version && version != *request.exact_version;
-  if (other || version < request.minimum_version) return EngineRefusal::kOlderVersion;
-  const auto loading = engine.loading_until.find(request.model);
-  const bool loads = loading != engine.loading_until.end() && now < loading->second;
-  return loads ? EngineRefusal::kLoading : EngineRefusal::kNone;
+  const bool fits = !other && version >= request.minimum_version;
+  return fits ? EngineRefusal::kNone : EngineRefusal::kOlderVersion;
+}
+
+bool EngineRegistry::isLoading(Instant now, const EngineState& engine,
+                               const ModelName& model) const {
+  if (model.empty()) return false;
+  const auto loading = engine.loading_until.find(model);
+  return loading != engine.loading_until.end() && now < loading->second;
 }
 
 EngineRefusal EngineRegistry::admit(Instant now, const EngineState& engine,
                                     const PickRequest& request) const {
   const EngineRefusal place = admitPlace(engine, request);
   if (place != EngineRefusal::kNone) return place;
-  const EngineRefusal model = admitModel(now, engine, request);
-  if (model != EngineRefusal::kNone) return model;
+  const EngineRefusal version = admitVersion(engine, request);
+  if (version != EngineRefusal::kNone) return version;
+  if (!cold_.hasRoom(now, request.service, engine.record.id)) return EngineRefusal::kCold;
+  if (isLoading(now, engine, request.model)) return EngineRefusal::kLoading;
   const double most = request.most_per_slot * std::max(1U, engine.record.slots);
   if (request.most_per_slot > 0 && load(now, engine) >= most) return EngineRefusal::kFull;
   if (request.desperate) return EngineRefusal::kNone;
@@ -306,6 +319,7 @@
     const EngineRefusal refusal = admit(now, engine, request);
     if (refusal != EngineRefusal::kNone) {
       if (refusal != EngineRefusal::kOtherService) last_refusals_.add(refusal);
+      if (refusal == EngineRefusal::kCold) cold_.onRefused(now, request.service, id);
       continue;
     }
     const double jitter = 1 + static_cast<double>(random_.below(kTieBreak)) / (20 * kTieBreak);
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -15,6 +15,7 @@
 #include "common/ids.h"
 #include "common/random.h"
 #include "common/time.h"
+#include "engines/cold_budget.h"
 #include "engines/engine_admission.h"
 #include "fleet/closed_zones.h"
 #include "fleet/fleet_layout.h"
@@ -31,7 +32,7 @@
   ZoneName zone;
   std::uint32_t slots = 1;
   bool draining = false;
-  Duration cold_for{};                        ///< It is slow for this long after it was listed.
+  Duration cold_for{};                        ///< It is cold for this long from its entry on.
   std::map<ModelName, WeightVersion> models;  ///< Weights it holds; lags.
 };
 
@@ -55,7 +56,6 @@
 /// Everything known of one engine.
 struct EngineState {
   EngineRecord record;
-  Instant listed_at{};
   std::uint32_t in_flight = 0;  ///< Attempts of this daemon under way.
   double others = 0;            ///< Requests of other daemons, as of `load_at`.
   Instant load_at{};
@@ -140,7 +140,7 @@
   /// Forgets the engines whose entries did not come back in time. @return them.
   std::vector<EngineRecord> dropLapsed(Instant now);
 
-  void onAttemptStarted(const EngineId& id);
+  void onAttemptStarted(Instant now, const EngineId& id);
   /// Memory that an attempt is expected to need, and gives back at its end (negative).
   void onTokens(const EngineId& id, double tokens);
   void onAttemptEnded(Instant now, const EngineId& id, AttemptEnd end);
@@ -159,6 +159,9 @@
   const EngineState* pick(Instant now, const PickRequest& request);
   /// @return why engines were refused when one was last picked.
   const refusal_tally& lastRefusals() const { return last_refusals_; }
+  /// What engines that started lately may be sent.
+  cold_budget& cold() { return cold_; }
+  const cold_budget& cold() const { return cold_; }
   const EngineState* find(const EngineId& id) const;
   /// @return every engine of the service that may be sent something: not draining, in no closed
   ///     zone.
@@ -194,8 +197,8 @@
   Comparison compareFor(Instant now, const PickRequest& request) const;
   /// What the operator forbids; passes by no waiting.
   EngineRefusal admitPlace(const EngineState& engine, const PickRequest& request) const;
-  EngineRefusal admitModel(Instant now, const EngineState& engine,
-                           const PickRequest& request) const;
+  EngineRefusal admitVersion(const EngineState& engine, const PickRequest& request) const;
+  bool isLoading(Instant now, const EngineState& engine, const ModelName& model) const;
   double load(Instant now, const EngineState& engine) const;
   /// @return memory that one of this daemon's requests is expected to need, in the mean.
   double typicalTokens() const;
@@ -208,6 +211,7 @@
   ZoneName zone_;
   fleet::fleet_layout layout_;
   fleet::closed_zones closed_;
+  cold_budget cold_;
   refusal_tally last_refusals_;
   RegistryOptions options_;
   Random random_;
--- a/src/forward/engine_call.cpp
+++ b/src/forward/engine_call.cpp
@@ -43,7 +43,7 @@
   request_id_ = http::fieldText(request, context_.names.request_id);
   exchange_ = std::make_shared<http::ClientExchange>(context_.pool, engine.record.address,
                                                      std::move(request));
-  context_.registry.onAttemptStarted(engine_);
+  context_.registry.onAttemptStarted(started_at_, engine_);
 }
 
 EngineCall::~EngineCall() {
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -142,6 +142,7 @@
   int known = 0;
   int draining = 0;
   int ejected = 0;
+  int cold = 0;
   for (const auto& entry : context_.registry.all()) {
     const engines::EngineState& engine = entry.second;
     const bool serves =
@@ -151,8 +152,9 @@
     ++known;
     draining += engine.record.draining ? 1 : 0;
     ejected += now < engine.ejected_until ? 1 : 0;
+    cold += context_.registry.cold().isCold(now, engine.record.id) ? 1 : 0;
   }
-  event.number("engines", known).number("draining", draining).number("ejected", ejected);
+  event.number("engines", known).number("draining", draining).number("ejected", ejected).number("cold", cold);
 }
 
 void Forwarder::logEnd(const ForwardedRequest& forwarded, const char* outcome, unsigned status,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -86,7 +86,10 @@
                    [this](http::Request& request, Instant, http::ResponseWriter& writer) {
                      return handlePeer(request, writer);
                    }),
-      random_(seed + 2) {}
+      random_(seed + 2) {
+  registry_.cold().onStart(steadyNow());
+  registry_.cold().setRules(settings.cold);
+}
 
 Findings Gateway::start() {
   Findings findings;
@@ -130,6 +133,7 @@
   settings_.seeds = changed.seeds;
   settings_.stop_limit = changed.stop_limit;
   settings_.store = changed.store;
+  registry_.cold().setRules(changed.cold);
   batches_.setOptions(changed.batch);
   orders_.setOptions(orderOptions(changed));
   LogEvent("settings", "applied")
@@ -225,6 +229,7 @@
   for (std::uint64_t sweeps = 1;; ++sweeps) {
     co_await sleepFor(loop_, kSweepPeriod);
     engine_pool_.sweep(steadyNow());
+    tendColdEngines();
     if (sweeps % kSweepsPerSummary == 0) summarizeEngineUpdates();
   }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -82,6 +82,14 @@
   Task<void> dropLapsedEngines();
   /// Writes how many changes of engines were left out of the log.
   void summarizeEngineUpdates();
+  /// @return how many daemons should offer to own work.
+  std::size_t wantedOwners() const;
+  /// Tells the budget of cold engines which daemons may send to them.
+  void updateColdSenders();
+  /// Logs which engines turned cold or warm, and what they were refused.
+  void tendColdEngines();
+  void logColdRefusals(std::vector<engines::cold_refusals> refusals);
+  void addColdState(Instant now, metrics::GatewayState& state) const;
   /// @return whether this daemon owns jobs or the right to order engines, or offers to.
   bool ownsWork() const;
   /// The leases were read, or could not be.
--- a/src/gateway/gateway_metrics_page.cpp
+++ b/src/gateway/gateway_metrics_page.cpp
@@ -25,6 +25,7 @@
                                                     : "usable";
     ++states[name];
   }
+  addColdState(now, state);
   const batch::BatchService::Work work = batches_.work();
   state.jobs_known = batches_.jobCount();
   state.jobs_owned = work.jobs;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -86,6 +86,8 @@
   reader.readNumber("versions.quiet_share", settings.rollout.quiet_share, 0, 1);
   reader.readNumber("batch.move_gain", settings.batch.move_gain, 1, 1000);
   reader.readNumber("batch.requests_per_slot", settings.batch.requests_per_slot, 0.1, 10);
+  reader.readNumber("engines.cold_overshoot", settings.cold.overshoot, 0, 1000);
+  reader.readNumber("engines.cold_slack", settings.cold.slack, 0, 1e6);
   double keep_seconds = toSeconds(settings.batch.keep_jobs);
   reader.readNumber("batch.keep_seconds", keep_seconds, 1, 1e6);
   const Findings findings = reader.finish();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -12,6 +12,7 @@
 #include "common/error.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "engines/cold_budget.h"
 #include "lease/own_capacity.h"
 #include "usage/usage_service.h"
 #include "versions/version_rollout.h"
@@ -35,6 +36,7 @@
   lease::handover_rules handover;                 ///< Of rights to order engines and of duties.
   versions::RolloutOptions rollout;
   batch::BatchOptions batch;
+  engines::cold_rules cold;  ///< Of engines that started lately.
   bool log_enabled = true;
   bool log_text = false;
 };
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -173,6 +173,7 @@
   snapshot_.configuration = platform_.withoutKeys(value);
   routes_ = std::make_shared<const routing::RouteTable>(std::move(*parsed));
   requests_.setLimits(routes_->limits);
+  registry_.cold().setServices(routes_->services);
 }
 
 void Gateway::onEngineSnapshot(const std::vector<table::Row>& rows) {
@@ -237,19 +238,26 @@
   return owner_pool_.offers() || batches_.ownsAny() || orders_.holdsAny() || usage_.holdsRight();
 }
 
+std::size_t Gateway::wantedOwners() const {
+  std::size_t models = 0;
+  if (routes_) {
+    for (const auto& [name, service] : routes_->services) models += service.models.size();
+  }
+  return models + kSpareOwners;
+}
+
 void Gateway::onLeasesRead(bool answered) {
   if (answered && !leases_answered_) onStoreHeard(kUsualAnswer);
   leases_answered_ = answered;
   updateLeaseHealth();
+  updateColdSenders();
   if (!answered || stopping_) return;
-  std::size_t models = 0;
-  if (routes_) {
-    for (const auto& [name, service] : routes_->services) models += service.models.size();
-  }
-  if (!owner_pool_.onLeasesRead(steadyNow(), models + kSpareOwners)) return;
+  const std::size_t wanted = wantedOwners();
+  if (!owner_pool_.onLeasesRead(steadyNow(), wanted)) return;
   LogEvent("lease", owner_pool_.offers() ? "offers_to_own" : "offers_no_more")
       .real("capacity", owner_pool_.capacity())
-      .number("wanted", static_cast<std::int64_t>(models + kSpareOwners));
+      .number("wanted", static_cast<std::int64_t>(wanted));
+  updateColdSenders();
 }
 
 void Gateway::onCoordinationRow(const table::RowChange& change) {
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -114,6 +114,16 @@
           {{"service", service}, {"state", name}});
     }
   }
+  for (const auto& [service, cold] : state.cold_engines) {
+    set("cold_engines", "Engines that started lately and bear little.", number(cold.count),
+        {{"service", service}});
+    set("cold_requests_sent", "Requests of this daemon to cold engines, lately.",
+        number(cold.sent), {{"service", service}});
+    set("cold_requests_sent_most", "The most of them to one engine.", number(cold.most_sent),
+        {{"service", service}});
+  }
+  set("cold_refusals", "Times an engine was left out as it was, or might be, cold, ever.",
+      number(state.cold_refusals));
   set("jobs_known", "Batch jobs known.", number(state.jobs_known));
   set("jobs_owned", "Batch jobs owned and under way.", number(state.jobs_owned));
   set("items_waiting", "Items of owned jobs that wait for an engine.", number(state.items_waiting));
--- a/src/metrics/gateway_metrics.h
+++ b/src/metrics/gateway_metrics.h
@@ -15,12 +15,21 @@
 
 namespace linenpier::metrics {
 
+/// Engines of a service that started lately.
+struct ColdEngines {
+  std::size_t count = 0;
+  std::size_t sent = 0;       ///< Requests of this daemon to them within the last window.
+  std::size_t most_sent = 0;  ///< The most to one of them.
+};
+
 /// State at the moment of a scrape.
 struct GatewayState {
   std::uint64_t config_version = 0;
   std::map<std::string, bool> feeds_healthy;  ///< By table.
   std::map<std::string, double> feed_ages;    ///< Seconds since the store's last answer.
   std::map<std::string, std::map<std::string, int>> engines;  ///< By service, by state.
+  std::map<std::string, ColdEngines> cold_engines;  ///< By service; of those that are bounded.
+  std::uint64_t cold_refusals = 0;
   std::size_t jobs_known = 0;
   std::size_t jobs_owned = 0;
   std::size_t items_waiting = 0;
--- a/tests/engines/engine_registry_test.cpp
+++ b/tests/engines/engine_registry_test.cpp
@@ -58,8 +58,8 @@
 
 Test(engine_registry, the_less_loaded_engine_is_taken_counting_our_own_requests) {
   EngineRegistry registry = registryOf({record("a"), record("b")});
-  registry.onAttemptStarted(EngineId("a"));
-  registry.onAttemptStarted(EngineId("a"));
+  registry.onAttemptStarted(kStart, EngineId("a"));
+  registry.onAttemptStarted(kStart, EngineId("a"));
   cr_assert_eq(registry.pick(kStart, any())->record.id.str(), "b");
   registry.onLoad(kStart, EngineId("b"), {4, 3, 4});
   cr_assert_eq(registry.pick(kStart, any())->record.id.str(), "a", "others' load counts");
@@ -137,7 +137,7 @@
   request.most_per_slot = 1;
   for (int i = 0; i < 4; ++i) {
     cr_assert_not_null(registry.pick(kStart, request));
-    registry.onAttemptStarted(EngineId("a"));
+    registry.onAttemptStarted(kStart, EngineId("a"));
   }
   cr_assert_null(registry.pick(kStart, request));
 }
@@ -146,7 +146,7 @@
   EngineRegistry registry = registryOf({record("slow"), record("full")});
   registry.onPace(kStart, EngineId("slow"), std::chrono::milliseconds(120));
   registry.onPace(kStart, EngineId("full"), std::chrono::milliseconds(100));
-  registry.onAttemptStarted(EngineId("slow"));
+  registry.onAttemptStarted(kStart, EngineId("slow"));
   registry.onTokens(EngineId("slow"), 100);
   PickRequest request = any();
   request.batching = true;
