Test the bound of cold engines, and say how it is kept

Pure tests of the budget; several daemons before one engine that send all they may; whole gateways before stand-in engines. Found by them: nothing in the code; one test of mine played on into the time when the engine is warm, and asked for the cold bound there.

--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -16,7 +16,7 @@
   {"name":"r2","host":"a.example","pathPrefix":"/y/","kind":"rollout","service":"s1",
    "timeoutMs":10000,"targetLatencyMs":400,"maxAttempts":3,"maxQueueS":40.0,
    "targetFinishMs":7500,"singleVersion":false,"sticky":true,"resumable":true,"later":1}],
- "services":[{"name":"s1","healthPath":"/healthz","maxConnections":170,
+ "services":[{"name":"s1","healthPath":"/healthz","maxConnections":170,"coldStartS":3.0,"coldPerS":9.3,
    "engine":{"slots":16,"kvCacheTokens":52385,"models":[{"name":"m"}]}}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
@@ -43,6 +43,9 @@
   cr_assert(batch->queue_limit == std::chrono::seconds(40));
   cr_assert_eq(table->services.at(routing::ServiceName("s1")).models.size(), 1U);
   cr_assert_eq(table->limits.body_bytes, 1000U);
+  const routing::Service& service = table->services.at(routing::ServiceName("s1"));
+  cr_assert_float_eq(service.cold_per_second, 9.3, 1e-9);
+  cr_assert(service.cold_time == std::chrono::seconds(3));
 }
 
 Test(documents, every_fault_of_a_configuration_is_reported_with_its_place) {
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -75,6 +75,7 @@
     settings.usage = *options_.usage;
     settings.usage.handover = settings.handover;
   }
+  settings.cold = options_.cold;
   if (options_.keep_jobs) settings.batch.keep_jobs = *options_.keep_jobs;
   gateways_.push_back(std::make_unique<GatewayUnderTest>(loop_, settings));
 }
@@ -98,7 +99,8 @@
           "service":"models","maxAttempts":2,"resumable":true})";
   store_->put("op", "config",
               "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes + more_routes +
-                  R"(],"services":[{"name":"desk"},{"name":"models","engine":{"slots":8,
+                  R"(],"services":[{"name":"desk"},{"name":"models","coldStartS":3,"coldPerS":)" +
+                  std::to_string(options_.cold_per_second) + R"(,"engine":{"slots":8,
                      "kvCacheTokens":50000,"models":[{"name":"m"}]}}],
                      "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":300,
                      "idleTimeoutMs":2000})" +
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -44,6 +44,8 @@
   std::optional<usage::usage_options> usage;  ///< Absent: the platform has no duties.
   bool tokens_checked = false;                ///< By whom orders and duties reach.
   std::string tenants;                        ///< Of the configuration, as its list; empty: none.
+  double cold_per_second = 0;                 ///< That a model sampler bears; 0: no bound.
+  engines::cold_rules cold;
 };
 
 /// @return options for two gateways before samplers whose streams have so many events.
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -43,7 +43,7 @@
                          {"zone", "z"},
                          {"slots", 8},
                          {"state", state},
-                         {"coldRemainingMs", 0},
+                         {"coldRemainingMs", toSeconds(cold_for_) * 1000},
                          {"models", json::array({{{"name", "m"}, {"version", version_}}})}};
   return document.dump();
 }
@@ -90,6 +90,7 @@
       std::string text = plain("", 200, "", report.dump());
       goes_on = co_await write(*connection, std::move(text));
     } else {
+      arrival.at = steadyNow();
       arrivals_.push_back(arrival);
       SamplerAct act = SamplerAct::kAnswer;
       if (!script_.empty()) {
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -38,6 +38,7 @@
   std::string target;
   std::string body;
   std::map<std::string, std::string> fields;  ///< Names in lower case.
+  Instant at{};
 };
 
 class StandinSampler {
@@ -56,6 +57,8 @@
   /// Without checks it obeys orders of any holder.
   void setChecksFences(bool checks) { checks_fences_ = checks; }
   void setEventGap(Duration gap) { event_gap_ = gap; }
+  /// How much longer it is cold, as its entry says from now on.
+  void setColdFor(Duration cold) { cold_for_ = cold; }
   /// Requests whose connection was closed while they were worked on.
   int dropped() const { return dropped_; }
   /// @return the entry under which discovery lists it.
@@ -77,6 +80,7 @@
   std::string id_;
   int events_;
   Duration event_gap_ = std::chrono::milliseconds(5);
+  Duration cold_for_{};
   std::deque<SamplerAct> script_;
   std::vector<SamplerArrival> arrivals_;
   std::vector<std::string> orders_;
