Judge how new the entries are by their feed, not by each entry

Engines that stay so for a minute were forgotten though listed.

Ruled out: asking each engine. Change: the budget is told when the feed answered; what is listed is not forgotten.

--- a/src/engines/cold_budget.cpp
+++ b/src/engines/cold_budget.cpp
@@ -51,6 +51,7 @@
   const bool repeated = !is_new && cold && cold_for == state.last_cold_for;
   state.last_cold_for = cold_for;
   state.heard_at = now;
+  this->onFeedAnswered(now);
   if (repeated || cold_for <= Duration::zero()) return;
   if (!cold) {
     state.turned_cold_at = now;
@@ -124,9 +125,8 @@
   return {ColdLimit::kShared, most / (this->senders_.count + kUnseenSenders)};
 }
 
-cold_allowance cold_budget::warmAllowance(Instant now, const engine_state* state,
-                                          std::size_t most) const {
-  const bool heard = state != nullptr && now - state->heard_at < this->times_.unheard_after;
+cold_allowance cold_budget::warmAllowance(Instant now, std::size_t most) const {
+  const bool heard = now - this->feed_at_ < this->times_.unheard_after;
   const bool settled = now - this->started_at_ >= this->times_.window;
   const bool known = heard && settled;
   const std::size_t shares = known ? kWarmShares : kUnheardShares;
@@ -140,7 +140,7 @@
   if (bound == 0) return {};
   const engine_state* state = this->find(engine);
   const bool cold = state != nullptr && this->isCold(now, *state);
-  return cold ? this->coldAllowance(now, *state, bound) : this->warmAllowance(now, state, bound);
+  return cold ? this->coldAllowance(now, *state, bound) : this->warmAllowance(now, bound);
 }
 
 bool cold_budget::hasRoom(Instant now, const routing::ServiceName& service,
@@ -161,11 +161,12 @@
   return changes;
 }
 
-void cold_budget::sweep(Instant now) {
+void cold_budget::sweep(Instant now, const std::function<bool(const EngineId&)>& listed) {
   std::erase_if(this->engines_, [&](const auto& each) {
     const engine_state& state = each.second;
     const bool silent = now - state.heard_at >= this->times_.forget_after;
-    return silent && !this->isCold(now, state) && this->sent(now, state) == 0;
+    const bool idle = !this->isCold(now, state) && this->sent(now, state) == 0;
+    return silent && idle && !listed(each.first);
   });
 }
 
--- a/src/engines/cold_budget.h
+++ b/src/engines/cold_budget.h
@@ -8,9 +8,11 @@
  * See docs/design/cold-engines.md.
  */
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -41,8 +43,8 @@
    * counted a request may leave (0.2 s to connect, 0.1 s for a loop that is late).
    */
   Duration window = std::chrono::milliseconds(1300);
-  /** An engine that wrote no entry for this long may have turned cold without our hearing of it:
-   * engines write each 1.2 s, and the feed lags by up to a second.
+  /** With entries as old as this, engines may have turned cold without our hearing of it for
+   * several heartbeats (1.2 s each); a feed that works answers within 2.7 s.
    */
   Duration unheard_after = std::chrono::seconds(3);
   /** Until an engine that is no longer listed is forgotten. */
@@ -53,7 +55,7 @@
 enum class ColdLimit {
   kUnbounded,  ///< Its service holds no bound.
   kWarm,       ///< Warm as far as was heard; it may have turned cold since.
-  kUnheard,    ///< The same, and nothing was heard of it lately, or this daemon has just started.
+  kUnheard,    ///< The same, but the entries are old, or this daemon has just started.
   kShared,     ///< Cold: the bound is shared out among the senders.
   kPause,      ///< Just heard to be cold: others may have sent it what a warm one gets.
   kRestart,    ///< Cold, and an earlier life of this daemon may have sent to it.
@@ -99,6 +101,8 @@
   void setSenders(const cold_senders& senders) { this->senders_ = senders; }
   const cold_senders& senders() const { return this->senders_; }
 
+  /** The feed of the entries answered: what was heard is as new as that. */
+  void onFeedAnswered(Instant at) { this->feed_at_ = std::max(this->feed_at_, at); }
   /** The engine's entry was heard.
    * @param cold_for how much longer it is cold, as the entry says.
    */
@@ -123,8 +127,8 @@
   /** @return the refusals since this was last asked, an entry an engine. */
   std::vector<cold_refusals> takeRefusals();
   std::uint64_t refused() const { return this->refused_; }
-  /** Forgets engines that nothing was heard of for long. */
-  void sweep(Instant now);
+  /** Forgets engines that are no longer listed and that nothing was heard of for long. */
+  void sweep(Instant now, const std::function<bool(const EngineId&)>& listed);
 
  private:
   struct engine_state {
@@ -143,12 +147,13 @@
   /** @return requests a second that all daemons together may send to a cold engine; 0: no bound. */
   std::size_t most(const routing::ServiceName& service) const;
   cold_allowance coldAllowance(Instant now, const engine_state& state, std::size_t most) const;
-  cold_allowance warmAllowance(Instant now, const engine_state* state, std::size_t most) const;
+  cold_allowance warmAllowance(Instant now, std::size_t most) const;
 
   cold_times times_;
   cold_rules rules_;
   cold_senders senders_;
   Instant started_at_{};
+  Instant feed_at_{};                                  ///< When the feed of entries last answered.
   std::map<routing::ServiceName, double> per_second_;  ///< Services whose engines are bounded.
   std::map<EngineId, engine_state> engines_;
   std::map<EngineId, cold_refusals> refusals_;  ///< Since they were last asked for.
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -162,6 +162,10 @@
   /// What engines that started lately may be sent.
   cold_budget& cold() { return cold_; }
   const cold_budget& cold() const { return cold_; }
+  /// Forgets what engines were sent that left the list long ago.
+  void sweepCold(Instant now) {
+    cold_.sweep(now, [this](const EngineId& id) { return engines_.contains(id); });
+  }
   const EngineState* find(const EngineId& id) const;
   /// @return every engine of the service that may be sent something: not draining, in no closed
   ///     zone.
--- a/src/gateway/gateway_cold.cpp
+++ b/src/gateway/gateway_cold.cpp
@@ -32,6 +32,7 @@
 void Gateway::tendColdEngines() {
   const Instant now = steadyNow();
   engines::cold_budget& cold = registry_.cold();
+  if (engine_watcher_->read()) cold.onFeedAnswered(engine_watcher_->lastAnswer());
   for (const engines::cold_change& change : cold.takeChanges(now)) {
     LogEvent("engines", change.cold ? "turned_cold" : "turned_warm")
         .text("engine", change.engine.str())
@@ -39,7 +40,7 @@
         .milliseconds("heard_age_ms", change.heard_age);
   }
   logColdRefusals(cold.takeRefusals());
-  cold.sweep(now);
+  registry_.sweepCold(now);
 }
 
 void Gateway::logColdRefusals(std::vector<engines::cold_refusals> refusals) {
--- a/tests/engines/cold_budget_test.cpp
+++ b/tests/engines/cold_budget_test.cpp
@@ -186,7 +186,7 @@
   cr_assert_eq(budget.allowance(kLater + 6300ms, kService, kEngine).limit, ColdLimit::kShared);
 }
 
-Test(cold_budget, an_engine_that_nothing_is_heard_of_gets_less) {
+Test(cold_budget, engines_get_less_while_their_feed_is_silent) {
   cold_budget budget;
   bind(budget, {kSenders, true});
   budget.onHeard(kLater, kEngine, 0s);
@@ -194,6 +194,9 @@
   const auto silent = budget.allowance(kLater + 4s, kService, kEngine);
   cr_assert_eq(silent.limit, ColdLimit::kUnheard);
   cr_assert_eq(silent.requests, kMost / 3);
+  budget.onFeedAnswered(kLater + 3900ms);
+  cr_assert_eq(budget.allowance(kLater + 4s, kService, kEngine).limit, ColdLimit::kWarm,
+               "no news of an engine is good news while the feed works");
 }
 
 Test(cold_budget, changes_and_refusals_are_told_once) {
@@ -220,12 +223,22 @@
   cold_budget budget;
   bind(budget, {kSenders, true});
   budget.onHeard(kLater, kEngine, kColdFor);
-  budget.sweep(kLater + 61s);
+  budget.sweep(kLater + 61s, [](const EngineId&) { return false; });
   budget.onHeard(kLater + 62s, kEngine, kColdFor);
   cr_assert_eq(budget.allowance(kLater + 62s, kService, kEngine).limit, ColdLimit::kShared,
                "as one never heard of");
 }
 
+Test(cold_budget, engines_that_are_listed_are_remembered_however_quiet_they_are) {
+  cold_budget budget;
+  bind(budget, {kSenders, true});
+  budget.onHeard(kLater, kEngine, 0s);
+  budget.sweep(kLater + 61s, [](const EngineId&) { return true; });
+  budget.onHeard(kLater + 62s, kEngine, kColdFor);
+  cr_assert_eq(budget.allowance(kLater + 62s, kService, kEngine).limit, ColdLimit::kPause,
+               "others may have sent to it");
+}
+
 Test(cold_engines, all_senders_together_keep_to_the_bound_and_use_most_of_it) {
   std::vector<greedy_daemon> daemons(kSenders, greedy_daemon({kSenders, true}));
   std::vector<greedy_daemon*> all;
