--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -43,7 +43,7 @@
                          {"zone", "z"},
                          {"slots", 8},
                          {"state", state},
-                         {"coldRemainingMs", 0},
+                         {"coldRemainingMs", toSeconds(cold_for_) * 1000},
                          {"models", json::array({{{"name", "m"}, {"version", version_}}})}};
   return document.dump();
 }
@@ -96,6 +96,7 @@
         script_.pop_front();
       }
       arrival.ran = act != SamplerAct::kShed && arrival.fields["target-instance"] == id_;
+      arrival.at = steadyNow();
       arrival.version = version_;
       arrivals_.push_back(arrival);
       goes_on = co_await answer(*connection, std::move(arrival), act);
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -49,6 +49,7 @@
   std::map<std::string, std::string> fields;  ///< Names in lower case.
   bool ran = false;                           ///< Neither shed nor meant for another sampler.
   std::uint64_t version = 0;                  ///< Weights when it came.
+  Instant at{};
 };
 
 class StandinSampler {
@@ -72,6 +73,8 @@
   void setLie(SamplerLie lie) { lie_ = lie; }
   /// Entries name this address in place of its own, as where a proxy stands before it.
   void setListedAddress(const Address& address) { listed_ = address; }
+  /// How much longer it is cold, as its entry says from now on.
+  void setColdFor(Duration cold) { cold_for_ = cold; }
   /// Requests whose connection was closed while they were worked on.
   int dropped() const { return dropped_; }
   /// @return the entry under which discovery lists it.
@@ -93,6 +96,7 @@
   std::string id_;
   int events_;
   Duration event_gap_ = std::chrono::milliseconds(5);
+  Duration cold_for_{};
   std::deque<SamplerAct> script_;
   SamplerLie lie_ = SamplerLie::kNone;
   std::optional<Address> listed_;
