Send nothing to engines of zones that the operator closes

Cause: the operator's row that closes a zone was read by nobody.

Ruled out: a holder of a right that tells the others (slower than the feed that all follow, and one more to lose); treating the engines as draining (they come back as they were, and the reason must be told apart).

A request whose connection comes up after the closing is not sent. Runs there that would outlast batch.leave_zone_ms go on elsewhere with their text, the longest first, spread over that time and only into room. Without another zone items wait and requests get 503 at once with a Retry-After of a second and a log line that says why. Lines, metrics and the operator's page.

--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -284,6 +284,7 @@
       applyRules(*job.active);
       if (job.active->run.onTick(now)) job.active->finished.notifyAll();
     }
+    leaveClosedZones(now);
     moveSlowRuns(now);
     pump();
   }
@@ -298,6 +299,9 @@
     work.running += job.active->run.running();
     work.unscored += job.active->run.unscored();
   }
+  for (const auto& [zone, revision] : deps_.engines.registry.closedZones().all()) {
+    work.in_closed_zones += runsIn(zone);
+  }
   return work;
 }
 
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -22,6 +22,7 @@
 #include "batch/listing_schedule.h"
 #include "batch/moves_planned.h"
 #include "batch/run_patience.h"
+#include "batch/runs_leaving.h"
 #include "forward/engine_call.h"
 #include "forward/internal_requests.h"
 #include "http/server.h"
@@ -71,6 +72,7 @@
   Duration move_saving = std::chrono::milliseconds(250);
   Duration move_after = std::chrono::milliseconds(1000);  ///< Shorter runs stay.
   std::size_t moves_per_tick = 6;
+  leaving_options leaving;  ///< Of closed zones.
   std::size_t page_bytes = 900 * 1024;
   std::size_t write_bytes = 640 * 1024;
   /// Results that are held back for longer are more than one page, which a trainer reads half a
@@ -112,12 +114,16 @@
     std::function<routing::RouteTablePtr()> routes;  ///< The newest table; empty before the first.
   };
 
-  BatchService(Dependencies dependencies, BatchOptions options)
-      : deps_(std::move(dependencies)), options_(options) {}
+  BatchService(Dependencies dependencies, BatchOptions options) : deps_(std::move(dependencies)) {
+    setOptions(options);
+  }
   ~BatchService();
 
   void start();
-  void setOptions(const BatchOptions& options) { options_ = options; }
+  void setOptions(const BatchOptions& options) {
+    options_ = options;
+    leaving_.setOptions(options.leaving);
+  }
 
   /// The job belongs to the tenant that hands it in.
   Task<void> submit(const routing::Route& route, tenants::caller from, const http::Request& request,
@@ -151,8 +157,11 @@
     std::size_t waiting = 0;
     std::size_t running = 0;
     std::size_t unscored = 0;
+    std::size_t in_closed_zones = 0;  ///< Of those that run.
   };
   Work work() const;
+  /// @return runs of owned jobs at engines of the zone.
+  std::size_t runsIn(const ZoneName& zone) const;
 
  private:
   struct Active;
@@ -215,6 +224,13 @@
   std::vector<startable_item> startableItems();
   /// @return whether the job has an item that may start; it is then set.
   bool findNext(startable_item& job) const;
+  struct run_there;
+  /// Lets runs leave engines of closed zones as far as there is room elsewhere.
+  void leaveClosedZones(Instant now);
+  /// @param there the same runs, in the same order.
+  std::vector<placed_run> runsInClosedZones(Instant now, std::vector<run_there>& there) const;
+  /// Stops the run, which goes on elsewhere. @return whether there was room.
+  bool leaveEngine(Instant now, const run_there& run, moves_planned& moves);
   /// Moves runs from slow engines to clearly faster ones that have room.
   void moveSlowRuns(Instant now);
   std::vector<ItemIndex> movableRuns(Instant now, const Active& active,
@@ -295,6 +311,7 @@
   std::map<JobId, Job> jobs_;
   BatchCounts counts_;
   length_estimate lengths_;
+  runs_leaving leaving_;
   std::size_t scorings_ = 0;  ///< Reward requests under way.
   std::size_t waiting_readers_ = 0;
   bool stopping_ = false;
--- a/src/forward/engine_call.cpp
+++ b/src/forward/engine_call.cpp
@@ -43,6 +43,10 @@
   request_id_ = http::fieldText(request, context_.names.request_id);
   exchange_ = std::make_shared<http::ClientExchange>(context_.pool, engine.record.address,
                                                      std::move(request));
+  // The zone may be closed while a connection comes up.
+  exchange_->sendOnlyIf([&registry = context_.registry, zone = engine.record.zone] {
+    return !registry.closedZones().contains(zone);
+  });
   context_.registry.onAttemptStarted(engine_);
 }
 
@@ -109,6 +113,9 @@
     case ExchangeStatus::kNotConnected:
       end(AttemptEnd::kUnreachable);
       return AttemptVerdict::kUnreachable;
+    case ExchangeStatus::kWithheld:
+      end(AttemptEnd::kRefused);
+      return AttemptVerdict::kUnreachable;
     case ExchangeStatus::kBroken:
       end(AttemptEnd::kBroke);
       exchange_->abort();
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -11,6 +11,12 @@
 
 constexpr unsigned kRefusedStatus = 503;
 
+std::string secondsText(Duration duration) {
+  char seconds[16];
+  std::snprintf(seconds, sizeof(seconds), "%.2f", toSeconds(duration));
+  return seconds;
+}
+
 }  // namespace
 
 Instant Forwarder::deadlineOf(const routing::Route& route, const http::Request& request,
@@ -44,9 +50,7 @@
   http::Response response(static_cast<boost::beast::http::status>(status), 11);
   if (!id.empty()) response.set(context_.names.request_id, id);
   if (status == kRefusedStatus || status == 429) {
-    char seconds[16];
-    std::snprintf(seconds, sizeof(seconds), "%.2f", toSeconds(options_.retry_after));
-    response.set(context_.names.retry_after, seconds);
+    response.set(context_.names.retry_after, secondsText(options_.retry_after));
   }
   return response;
 }
@@ -70,7 +74,14 @@
   }
 }
 
-const engines::EngineState* Forwarder::pickEngine(const ForwardedRequest& forwarded,
+const engines::EngineState* Forwarder::pickEngine(ForwardedRequest& forwarded,
+                                                  const std::set<EngineId>& tried) {
+  const engines::EngineState* engine = findEngine(forwarded, tried);
+  if (engine == nullptr) forwarded.refusals = context_.registry.lastRefusals();
+  return engine;
+}
+
+const engines::EngineState* Forwarder::findEngine(const ForwardedRequest& forwarded,
                                                   const std::set<EngineId>& tried) {
   const Instant now = steadyNow();
   engines::PickRequest wanted;
@@ -95,6 +106,10 @@
 Task<void> Forwarder::answerFinally(ForwardedRequest& forwarded, FinalAnswer answer,
                                     http::ResponseWriter& writer) {
   http::Response response = ownAnswer(statusOf(answer), forwarded.id);
+  const bool closed = forwarded.refusals.commonest() == engines::EngineRefusal::kZoneClosed;
+  if (closed && answer == FinalAnswer::kRefused) {
+    response.set(context_.names.retry_after, secondsText(options_.retry_after_closed));
+  }
   co_await writer.send(std::move(response));
 }
 
@@ -175,7 +190,10 @@
       .number("attempts", policy.started())
       .milliseconds("took_ms", took)
       .milliseconds("left_ms", forwarded.deadline - now);
-  if (!success) addEngineCounts(*forwarded.route, now, event);
+  if (!success) {
+    addEngineCounts(*forwarded.route, now, event);
+    event.text("refusals", forwarded.refusals.describe());
+  }
   if (const auto skipped = sampler_.takeSkipped()) {
     event.number("successes_not_written", static_cast<std::int64_t>(skipped));
   }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -25,6 +25,9 @@
   /// A resumable stream that says nothing for this long goes on elsewhere.
   Duration stream_silence = std::chrono::milliseconds(1500);
   Duration retry_after = std::chrono::milliseconds(250);  ///< Told with refusals.
+  /// The same where the operator closed the zones of the engines: he does so for some seconds at
+  /// the least, so that whoever asks sooner is refused again.
+  Duration retry_after_closed = std::chrono::seconds(1);
 };
 
 /// A request on its way. The route belongs to the table, which is kept with it.
@@ -39,6 +42,8 @@
   double most_per_slot = 0;  ///< Engines that are fuller are left alone; 0: no limit.
   bool internal = false;     ///< The system itself sends it, not a client.
   bool recorded = false;     ///< It was recorded that it began to run.
+  /// Why there was no engine for it when one was last looked for in vain.
+  engines::refusal_tally refusals;
 };
 
 /// Loop thread only.
@@ -87,7 +92,9 @@
   Task<void> answerFinally(ForwardedRequest& forwarded, FinalAnswer answer,
                            http::ResponseWriter& writer);
 
-  const engines::EngineState* pickEngine(const ForwardedRequest& forwarded,
+  const engines::EngineState* pickEngine(ForwardedRequest& forwarded,
+                                         const std::set<EngineId>& tried);
+  const engines::EngineState* findEngine(const ForwardedRequest& forwarded,
                                          const std::set<EngineId>& tried);
   http::Request outgoing(const ForwardedRequest& forwarded, Instant now) const;
   Instant deadlineOf(const routing::Route& route, const http::Request& request,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 
 #include "batch/batch_service.h"
 #include "common/random.h"
+#include "fleet/zone_closings.h"
 #include "forward/forwarder.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/peer_snapshot.h"
@@ -77,6 +78,15 @@
   /// The store has answered after a while: every feed that waits asks it again.
   void onStoreHeard(Duration usual_answer);
   void onOperatorRow(const table::Row& row);
+  /// The closed zones as the whole table of the operator has them.
+  /// @param source "store" or "peer", for the log.
+  void onZoneTable(Revision revision, const std::map<ZoneName, Revision>& closed,
+                   const char* source);
+  void onZoneRow(const ZoneName& zone, const table::RowChange& change);
+  void actOnZones(const fleet::zone_changes& changes, const char* source);
+  /// @return how much of the operator's table the closed zones are as of.
+  Revision zonesRevision() const;
+  std::size_t enginesIn(const ZoneName& zone) const;
   void onEngineRow(const table::RowChange& change);
   /// Forgets, a moment after an outage of the store, engines whose entries did not come back.
   Task<void> dropLapsedEngines();
@@ -96,6 +106,7 @@
   http::ConnectionPool& engine_pool_;
   metrics::GatewayMetrics& metrics_;
   engines::EngineRegistry registry_;
+  fleet::zone_closings closings_;
   routing::RouteTablePtr routes_;  ///< The newest seen in this life; empty before the first.
   routing::WeightedDealer dealer_;
   lease::LeaseTable leases_;
--- a/src/gateway/gateway_metrics_page.cpp
+++ b/src/gateway/gateway_metrics_page.cpp
@@ -20,7 +20,9 @@
   }
   for (const auto& [id, engine] : registry_.all()) {
     auto& states = state.engines[engine.record.service.str()];
+    const bool closed = registry_.closedZones().contains(engine.record.zone);
     const char* name = engine.record.draining       ? "draining"
+                       : closed                     ? "zone_closed"
                        : now < engine.ejected_until ? "ejected"
                                                     : "usable";
     ++states[name];
@@ -31,6 +33,8 @@
   state.items_waiting = work.waiting;
   state.items_running = work.running;
   state.items_unscored = work.unscored;
+  state.zones_closed = registry_.closedZones().all().size();
+  state.runs_in_closed_zones = work.in_closed_zones;
   state.client_connections = requests_.connections();
   state.requests_in_progress = requests_.busy();
   state.engine_connections_opened = engine_pool_.opened();
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -90,6 +90,8 @@
   if (routes_ && engines_known_) {
     snapshot_.engines_revision = std::max(snapshot_.engines_revision, engine_watcher_->revision());
     PeerSnapshot told = snapshot_;
+    told.zones_revision = zonesRevision();
+    told.closed_zones = closings_.zones().all();
     for (const auto& [key, row] : engine_rows_) told.engines.push_back(row);
     response.body() = encodeSnapshot(told);
   } else {
@@ -132,7 +134,12 @@
   const auto told = decodeSnapshot(outcome.response.body());
   if (!told) co_return;
   const std::uint64_t before = snapshot_.config_version;
-  if (!operator_watcher_->healthy()) onConfiguration(told->configuration);
+  // Zones first: whoever has routes and engines may be sent requests.
+  const bool zones_newer = told->zones_revision > zonesRevision();
+  if (!operator_watcher_->healthy()) {
+    if (zones_newer) onZoneTable(told->zones_revision, told->closed_zones, "peer");
+    onConfiguration(told->configuration);
+  }
   const bool newer =
       told->engines_revision > std::max(snapshot_.engines_revision, engine_watcher_->revision());
   if (!engine_watcher_->healthy() && (newer || !engines_known_)) {
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -88,6 +88,8 @@
   reader.readNumber("batch.requests_per_slot", settings.batch.requests_per_slot, 0.1, 10);
   double keep_seconds = toSeconds(settings.batch.keep_jobs);
   reader.readNumber("batch.keep_seconds", keep_seconds, 1, 1e6);
+  double leave_zone_ms = toSeconds(settings.batch.leaving.within) * 1000;
+  reader.readNumber("batch.leave_zone_ms", leave_zone_ms, 0, 600000);
   const Findings findings = reader.finish();
   if (!findings.empty()) return tl::make_unexpected(findings);
   settings.id = DaemonId(id);
@@ -101,6 +103,7 @@
   settings.rollout.patience = fromSeconds(patience_ms / 1000);
   settings.rollout.mode = loadModeFromName(mode);
   settings.batch.keep_jobs = fromSeconds(keep_seconds) + kRemovalSlack;
+  settings.batch.leaving.within = fromSeconds(leave_zone_ms / 1000);
   settings.log_text = format == "text";
   settings.log_enabled = output == "on";
   return settings;
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -44,9 +44,17 @@
 void Gateway::watchTables() {
   table::TableWatcher::Listener operators;
   operators.on_snapshot = [this](const std::vector<table::Row>& rows) {
+    std::map<ZoneName, Revision> closed;
+    for (const table::Row& row : rows) {
+      const auto zone = platform_.parseZoneClosing(keyWithoutTable(row));
+      if (zone) closed[*zone] = row.revision;
+    }
+    onZoneTable(operator_watcher_->revision(), closed, "store");
     for (const table::Row& row : rows) onOperatorRow(row);
   };
   operators.on_change = [this](const table::RowChange& change) {
+    const auto zone = platform_.parseZoneClosing(keyWithoutTable(change.row));
+    if (zone) onZoneRow(*zone, change);
     if (!change.gone) onOperatorRow(change.row);
   };
   operators.on_health = [this](bool healthy) {
--- a/src/gateway/peer_snapshot.cpp
+++ b/src/gateway/peer_snapshot.cpp
@@ -11,10 +11,12 @@
   for (const table::Row& row : snapshot.engines) {
     engines.push_back({{"key", row.key}, {"revision", row.revision}, {"value", row.value}});
   }
-  const json document = {{"config_version", snapshot.config_version},
-                         {"configuration", snapshot.configuration},
-                         {"engines_revision", snapshot.engines_revision},
-                         {"engines", std::move(engines)}};
+  json closed = json::object();
+  for (const auto& [zone, revision] : snapshot.closed_zones) closed[zone.str()] = revision;
+  const json document = {
+      {"config_version", snapshot.config_version},     {"configuration", snapshot.configuration},
+      {"zones_revision", snapshot.zones_revision},     {"closed_zones", std::move(closed)},
+      {"engines_revision", snapshot.engines_revision}, {"engines", std::move(engines)}};
   return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -25,6 +27,12 @@
     PeerSnapshot snapshot;
     snapshot.config_version = document.at("config_version").get<std::uint64_t>();
     snapshot.configuration = document.at("configuration").get<std::string>();
+    // A daemon of before tells nothing of zones, which is never newer than what is known.
+    snapshot.zones_revision = document.value("zones_revision", Revision{0});
+    const json closed = document.value("closed_zones", json::object());
+    for (const auto& [zone, revision] : closed.items()) {
+      snapshot.closed_zones[ZoneName(zone)] = revision.get<Revision>();
+    }
     snapshot.engines_revision = document.at("engines_revision").get<Revision>();
     for (const json& entry : document.at("engines")) {
       snapshot.engines.push_back({entry.at("key").get<std::string>(),
--- a/src/gateway/peer_snapshot.h
+++ b/src/gateway/peer_snapshot.h
@@ -1,9 +1,10 @@
 #pragma once
 
 /// @file
-/// What one daemon tells another that cannot reach the store: the configuration and the engines, as
-/// the platform's rows have them.
+/// What one daemon tells another that cannot reach the store: the configuration, the closed zones
+/// and the engines, as the platform's rows have them.
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,6 +20,8 @@
   std::uint64_t config_version = 0;
   /// As the operator's row has it, with digests in place of keys.
   std::string configuration;
+  Revision zones_revision = 0;  ///< How much of the operator's table the closed zones are as of.
+  std::map<ZoneName, Revision> closed_zones;
   Revision engines_revision = 0;  ///< How much of the engine table it knows.
   std::vector<table::Row> engines;
 };
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -59,6 +59,9 @@
   /// @return nothing if the operator's row is about something else.
   virtual std::optional<NamedVersion> parseNamedVersion(const std::string& key,
                                                         const std::string& value) const = 0;
+  /// @return the zone whose engines are sent nothing while the operator's row is there; nothing if
+  ///     the row is about something else.
+  virtual std::optional<ZoneName> parseZoneClosing(const std::string& key) const = 0;
   /// @return nothing if the row describes no engine.
   virtual std::optional<engines::EngineRecord> parseEngine(const std::string& key,
                                                            const std::string& value) const = 0;
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -42,6 +42,8 @@
       return "ok";
     case ExchangeStatus::kNotConnected:
       return "not connected";
+    case ExchangeStatus::kWithheld:
+      return "withheld";
     case ExchangeStatus::kBroken:
       return "broken";
     case ExchangeStatus::kTimedOut:
@@ -67,6 +69,10 @@
     co_return ExchangeStatus::kAborted;
   }
   if (!connection_) co_return ExchangeStatus::kNotConnected;
+  if (may_send_ && !may_send_()) {
+    connection_.reset();
+    co_return ExchangeStatus::kWithheld;
+  }
   connection_->stream.expires_at(deadline);
   beginWrite();
   for (int surplus = 0; surplus <= kMostSurplusAnswers; ++surplus) {
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -5,6 +5,7 @@
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,7 @@
 enum class ExchangeStatus {
   kOk,
   kNotConnected,  ///< No connection: nothing was sent.
+  kWithheld,      ///< It must not be sent any more: nothing was.
   kBroken,        ///< Closed, reset, or bytes that are no answer; the request may have run.
   kTimedOut,      ///< No progress before the deadline; the request may have run.
   kAborted,       ///< `abort` was called.
@@ -38,6 +40,8 @@
  public:
   ClientExchange(ConnectionPool& pool, Address peer, Request request);
 
+  /// Asked when a connection is there: what was right to send when it was begun may not be now.
+  void sendOnlyIf(std::function<bool()> condition) { may_send_ = std::move(condition); }
   /// Connects, sends and reads the head.
   /// @param fresh whether to open a new connection even if one is idle.
   Task<ExchangeStatus> start(Instant connect_deadline, Instant deadline,
@@ -69,6 +73,7 @@
   ConnectionPool& pool_;
   Address peer_;
   Request request_;
+  std::function<bool()> may_send_;  ///< Empty: always.
   ClientConnectionPtr connection_;  ///< Empty before the connection and after the end.
   std::optional<Parser> parser_;
   bool sent_ = false;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -118,6 +118,9 @@
   set("jobs_owned", "Batch jobs owned and under way.", number(state.jobs_owned));
   set("items_waiting", "Items of owned jobs that wait for an engine.", number(state.items_waiting));
   set("items_running", "Items of owned jobs that run.", number(state.items_running));
+  set("zones_closed", "Zones whose engines the operator closed.", number(state.zones_closed));
+  set("runs_in_closed_zones", "Items of owned jobs that still run there.",
+      number(state.runs_in_closed_zones));
   set("client_connections", "Open client connections.", number(state.client_connections));
   set("requests_in_progress", "Requests being read or answered.",
       number(state.requests_in_progress));
--- a/src/metrics/gateway_metrics.h
+++ b/src/metrics/gateway_metrics.h
@@ -26,6 +26,8 @@
   std::size_t items_waiting = 0;
   std::size_t items_running = 0;
   std::size_t items_unscored = 0;
+  std::size_t zones_closed = 0;
+  std::size_t runs_in_closed_zones = 0;
   std::size_t client_connections = 0;
   std::size_t requests_in_progress = 0;
   std::uint64_t engine_connections_opened = 0;
--- a/tests/gateway/peers_test.cpp
+++ b/tests/gateway/peers_test.cpp
@@ -38,11 +38,22 @@
   gateway::PeerSnapshot snapshot;
   snapshot.config_version = 7;
   snapshot.configuration = "{}";
+  snapshot.zones_revision = 8;
+  snapshot.closed_zones[ZoneName("north")] = 6;
   snapshot.engines_revision = 9;
   snapshot.engines.push_back({"servers/i-1", 5, "{\"x\":1}"});
   const auto read = gateway::decodeSnapshot(gateway::encodeSnapshot(snapshot));
   cr_assert_eq(read->config_version, 7U);
+  cr_assert_eq(read->zones_revision, 8U);
+  cr_assert_eq(read->closed_zones.at(ZoneName("north")), 6U);
   cr_assert_eq(read->engines.at(0).value, "{\"x\":1}");
   cr_assert_not(gateway::decodeSnapshot("{").has_value());
   cr_assert_not(gateway::decodeSnapshot("{\"config_version\":1}").has_value());
 }
+
+Test(peer_snapshot, a_daemon_that_tells_nothing_of_zones_is_not_taken_to_say_that_all_are_open) {
+  const auto read = gateway::decodeSnapshot(
+      R"({"config_version":7,"configuration":"{}","engines_revision":9,"engines":[]})");
+  cr_assert(read.has_value());
+  cr_assert_eq(read->zones_revision, 0U, "never newer than what is known");
+}
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -55,6 +55,8 @@
   void setVersion(std::uint64_t version) { version_ = version; }
   /// Without checks it obeys orders of any holder.
   void setChecksFences(bool checks) { checks_fences_ = checks; }
+  /// Of the entries that are made from now on.
+  void setZone(const std::string& zone) { zone_ = zone; }
   void setEventGap(Duration gap) { event_gap_ = gap; }
   /// Requests whose connection was closed while they were worked on.
   int dropped() const { return dropped_; }
@@ -76,6 +78,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::string id_;
   int events_;
+  std::string zone_ = "z";
   Duration event_gap_ = std::chrono::milliseconds(5);
   std::deque<SamplerAct> script_;
   std::vector<SamplerArrival> arrivals_;
