--- a/src/batch/batch_options.h
+++ b/src/batch/batch_options.h
@@ -9,6 +9,7 @@
 
 #include "batch/listing_schedule.h"
 #include "batch/run_patience.h"
+#include "batch/runs_leaving.h"
 #include "common/time.h"
 
 namespace linenpier::batch {
@@ -50,6 +51,7 @@
   Duration move_saving = std::chrono::milliseconds(250);
   Duration move_after = std::chrono::milliseconds(1000);  ///< Shorter runs stay.
   std::size_t moves_per_tick = 6;
+  leaving_options leaving;  ///< Of closed zones.
   std::size_t page_bytes = 900 * 1024;
   std::size_t write_bytes = 640 * 1024;
   /// Results that are held back for longer are more than one page, which a trainer reads half a
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -23,6 +23,7 @@
 #include "batch/length_estimate.h"
 #include "batch/moves_planned.h"
 #include "batch/run_moves.h"
+#include "batch/runs_leaving.h"
 #include "forward/engine_call.h"
 #include "forward/internal_requests.h"
 #include "http/server.h"
@@ -56,13 +57,17 @@
 
   BatchService(Dependencies dependencies, BatchOptions options)
       : deps_(std::move(dependencies)),
-        options_(options),
         scorer_({deps_.loop, deps_.engines.names, deps_.rewards, deps_.routes, counts_, sampler_,
-                 [this] { pump(); }}) {}
+                 [this] { pump(); }}) {
+    setOptions(options);
+  }
   ~BatchService();
 
   void start();
-  void setOptions(const BatchOptions& options) { options_ = options; }
+  void setOptions(const BatchOptions& options) {
+    options_ = options;
+    leaving_.setOptions(options.leaving);
+  }
 
   /// The job belongs to the tenant that hands it in.
   Task<void> submit(const routing::Route& route, tenants::caller from, const http::Request& request,
@@ -96,8 +101,11 @@
     std::size_t waiting = 0;
     std::size_t running = 0;
     std::size_t unscored = 0;
+    std::size_t in_closed_zones = 0;  ///< Of those that run.
   };
   Work work() const;
+  /// @return runs of owned jobs at engines of the zone.
+  std::size_t runsIn(const ZoneName& zone) const;
 
  private:
   using Active = active_job;
@@ -160,6 +168,13 @@
   std::vector<startable_item> startableItems();
   /// @return whether the job has an item that may start; it is then set.
   bool findNext(startable_item& job) const;
+  struct run_there;
+  /// Lets runs leave engines of closed zones as far as there is room elsewhere.
+  void leaveClosedZones(Instant now);
+  /// @param there the same runs, in the same order.
+  std::vector<placed_run> runsInClosedZones(Instant now, std::vector<run_there>& there) const;
+  /// Stops the run, which goes on elsewhere. @return whether there was room.
+  bool leaveEngine(Instant now, const run_there& run, moves_planned& moves);
   /// Moves runs from slow engines to clearly faster ones that have room.
   void moveSlowRuns(Instant now);
   void moveRun(Instant now, Active& active, const item_run& run, const routing::Route& route,
@@ -231,6 +246,7 @@
   std::map<JobId, Job> jobs_;
   BatchCounts counts_;
   length_estimate lengths_;
+  runs_leaving leaving_;
   std::size_t waiting_readers_ = 0;
   bool stopping_ = false;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -69,6 +69,8 @@
   void setVersion(std::uint64_t version) { version_ = version; }
   /// Without checks it obeys orders of any holder.
   void setChecksFences(bool checks) { checks_fences_ = checks; }
+  /// Of the entries that are made from now on.
+  void setZone(const std::string& zone) { zone_ = zone; }
   void setEventGap(Duration gap) { event_gap_ = gap; }
   void setLie(SamplerLie lie) { lie_ = lie; }
   /// Entries name this address in place of its own, as where a proxy stands before it.
@@ -95,6 +97,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::string id_;
   int events_;
+  std::string zone_ = "z";
   Duration event_gap_ = std::chrono::milliseconds(5);
   Duration cold_for_{};
   std::deque<SamplerAct> script_;
