Leave engines alone with the runs that a step waits for

Cause: half of the steps that end with a long text lost it to a load of weights at least once: the engine resets its runs, the text goes on elsewhere after 50 to 300 ms and up to five refusals.

Ruled out: asking engines, whose reports tell only how many they run; a table for it; loads with `retain`, under which the text stands still for the whole load.

Change: an owner tells with its lease row which engines run the three texts of each job that are expected to last longest; rows are renewed and read in any case. The holder of the right to order leaves these engines alone while the version is new, a third of each model's engines at most. Earlier releases read capacity and peer of such a row as before.

--- /dev/null
+++ b/src/batch/awaited_runs.cpp
@@ -0,0 +1,26 @@
+#include "batch/awaited_runs.h"
+
+#include <algorithm>
+
+namespace linenpier::batch {
+
+std::vector<ItemIndex> awaitedRuns(const BatchRun& run, const length_estimate& lengths) {
+  if (run.stepWhole()) return {};
+  std::vector<std::pair<double, ItemIndex>> by_rest;
+  for (ItemIndex item = 0; item < run.job().items.size(); ++item) {
+    const ItemProgress& progress = run.progress(item);
+    if (progress.state != ItemState::kRunning) continue;
+    const std::uint64_t hint = run.job().items[item].length_hint;
+    by_rest.emplace_back(lengths.remainingEvents(hint, progress.last_event), item);
+  }
+  std::sort(by_rest.rbegin(), by_rest.rend());
+  std::vector<ItemIndex> awaited;
+  for (const auto& [rest, item] : by_rest) {
+    const bool lasts = rest > 0 && 2 * rest >= by_rest.front().first;
+    if (awaited.size() == kAwaitedRuns || !lasts) break;
+    awaited.push_back(item);
+  }
+  return awaited;
+}
+
+}  // namespace linenpier::batch
--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "batch/active_job.h"
+#include "batch/awaited_runs.h"
 #include "batch/batch_service.h"
 #include "batch/item_placement.h"
 #include "logging/event_log.h"
@@ -224,6 +225,17 @@
       .milliseconds("took_ms", now - call.startedAt());
 }
 
+std::set<EngineId> BatchService::awaitedEngines() const {
+  std::set<EngineId> engines;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.active || job.active->stopped) continue;
+    for (const ItemIndex item : awaitedRuns(job.active->run, lengths_)) {
+      engines.insert(job.active->run.progress(item).last_engine);
+    }
+  }
+  return engines;
+}
+
 run_move_rules BatchService::moveRules() const {
   return {options_.move_gain, options_.move_saving, options_.move_after};
 }
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -85,6 +85,8 @@
   bool ownsAny() const;
   /// @return the work of jobs under way at any daemon.
   versions::open_work_by_model openWork() const;
+  /// @return the engines with runs that the steps of owned jobs wait for.
+  std::set<EngineId> awaitedEngines() const;
   /// Gives up every owned job so that others take it at once.
   Task<void> handOver();
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -68,10 +68,10 @@
                 forwarder_,
                 [this] { return routes_; }},
                settings.batch),
-      orders_(
-          {loop, registry_, platform.table(), leases_, keeper_, owner_pool_, platform.orders(),
-           [this] { return routes_; }, [this] { return batches_.openWork(); }, settings.id.str()},
-          orderOptions(settings)),
+      orders_({loop, registry_, platform.table(), leases_, keeper_, owner_pool_, platform.orders(),
+               [this] { return routes_; }, [this] { return batches_.openWork(); },
+               settings.id.str(), [this](Instant now) { return leases_.awaited(now); }},
+              orderOptions(settings)),
       requests_(loop,
                 [this](http::Request& request, Instant received, http::ResponseWriter& writer) {
                   return handle(request, received, writer);
@@ -109,6 +109,7 @@
   watchTables();
   spawn(loop_, [this] { return peerLoop(); });
   lease_watch_.start([this](bool answered) { onLeasesRead(answered); });
+  keeper_.setAwaited([this] { return batches_.awaitedEngines(); });
   keeper_.start([this] { return ownsWork(); });
   batches_.start();
   orders_.start();
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -17,7 +17,8 @@
 }
 
 table::Put LeaseKeeper::renewal() const {
-  return {gateway::leaseKey(leases_.own()), encodeLease(pool_.capacity(), peer_)};
+  const std::set<EngineId> awaited = awaited_ ? awaited_() : std::set<EngineId>();
+  return {gateway::leaseKey(leases_.own()), encodeLease(pool_.capacity(), peer_, awaited)};
 }
 
 void LeaseKeeper::onRenewed(Instant sent_at) {
--- a/src/lease/lease_keeper.h
+++ b/src/lease/lease_keeper.h
@@ -23,6 +23,8 @@
   void start(std::function<bool()> needed);
   /// Tells with each renewal where other daemons may ask this one.
   void setPeerAddress(const Address& peer) { peer_ = peer; }
+  /// @param awaited tells with each renewal which engines run what a step waits for.
+  void setAwaited(std::function<std::set<EngineId>()> awaited) { awaited_ = std::move(awaited); }
   /// Ends the renewals. The row is removed if possible.
   Task<void> stop();
 
@@ -56,6 +58,7 @@
   OwnerPool& pool_;
   std::function<bool()> needed_;
   std::optional<Address> peer_;
+  std::function<std::set<EngineId>()> awaited_;
   Instant renewed_at_{};       ///< When the last successful renewal was sent.
   std::int64_t clock_ms_ = 0;  ///< The store's clock as last read.
   Instant clock_read_at_{};
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <sstream>
 
 #include "common/hash.h"
 
@@ -9,7 +10,10 @@
 
 namespace {
 constexpr char kSeparator = '#';
-constexpr char kPeerSeparator = '|';  ///< In a row's value.
+/// In a row's value: "capacity;engine,engine|peer". Earlier releases read capacity and peer of it.
+constexpr char kPeerSeparator = '|';
+constexpr char kAwaitedSeparator = ';';
+constexpr char kEngineSeparator = ',';
 constexpr Duration kOldAge = std::chrono::seconds(60);
 constexpr Duration kAgeSpread = std::chrono::milliseconds(300);
 constexpr Duration kJitterSpread = std::chrono::milliseconds(80);
@@ -24,8 +28,14 @@
   return std::max(0.0, std::strtod(value.c_str(), nullptr));
 }
 
-std::string encodeLease(double capacity, const std::optional<Address>& peer) {
+std::string encodeLease(double capacity, const std::optional<Address>& peer,
+                        const std::set<EngineId>& awaited) {
   std::string value = encodeCapacity(capacity);
+  char separator = kAwaitedSeparator;
+  for (const EngineId& engine : awaited) {
+    value += separator + engine.str();
+    separator = kEngineSeparator;
+  }
   if (peer) value += kPeerSeparator + toString(*peer);
   return value;
 }
@@ -36,6 +46,19 @@
   return parseAddress(value.substr(separator + 1));
 }
 
+std::set<EngineId> decodeAwaited(const std::string& value) {
+  std::set<EngineId> awaited;
+  const std::string told = value.substr(0, value.find(kPeerSeparator));
+  const std::size_t begin = told.find(kAwaitedSeparator);
+  if (begin == std::string::npos) return awaited;
+  std::istringstream engines(told.substr(begin + 1));
+  std::string engine;
+  while (std::getline(engines, engine, kEngineSeparator)) {
+    if (!engine.empty()) awaited.insert(EngineId(engine));
+  }
+  return awaited;
+}
+
 LeaseId makeLeaseId(const std::string& daemon, const std::string& incarnation) {
   return LeaseId(daemon + kSeparator + incarnation);
 }
@@ -67,6 +90,7 @@
     onRow(now, lease, row.revision);
     rows_[lease].capacity = row.capacity;
     rows_[lease].peer = row.peer;
+    rows_[lease].awaited = row.awaited;
   }
   std::erase_if(rows_, [&](const auto& each) {
     return each.second.revision > 0 && !rows.contains(each.first);
@@ -82,7 +106,7 @@
   if (lease == own_) return false;
   if (lease.empty() || isEarlierSelf(lease)) return true;
   if (!store_healthy_since_) return false;
-  const auto [at, fresh] = rows_.try_emplace(lease, Observation{0, read_at_, 0, std::nullopt});
+  const auto [at, fresh] = rows_.try_emplace(lease, Observation{0, read_at_, 0, std::nullopt, {}});
   const Instant since = std::max(at->second.changed_at, *store_healthy_since_);
   return read_at_ - since > times_.expiry + allowance_;
 }
@@ -120,6 +144,14 @@
   return {found.begin(), found.end()};
 }
 
+std::set<EngineId> LeaseTable::awaited(Instant now) const {
+  std::set<EngineId> found;
+  for (const auto& [lease, seen] : rows_) {
+    if (alive(now, lease)) found.insert(seen.awaited.begin(), seen.awaited.end());
+  }
+  return found;
+}
+
 std::vector<LeaseId> LeaseTable::forgotten(Instant now) const {
   std::vector<LeaseId> found;
   for (const auto& [lease, seen] : rows_) {
--- a/src/lease/lease_table.h
+++ b/src/lease/lease_table.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,20 +46,27 @@
 struct LeaseRow {
   // Not explicit: a row without a capacity is its revision.
   LeaseRow(Revision row_revision = 0, double told_capacity = 0,
-           std::optional<Address> told_peer = std::nullopt)
-      : revision(row_revision), capacity(told_capacity), peer(told_peer) {}
+           std::optional<Address> told_peer = std::nullopt, std::set<EngineId> told_awaited = {})
+      : revision(row_revision),
+        capacity(told_capacity),
+        peer(told_peer),
+        awaited(std::move(told_awaited)) {}
 
   Revision revision;
   double capacity;              ///< See OwnCapacity::value; 0: not told.
   std::optional<Address> peer;  ///< Where other daemons ask its daemon.
+  std::set<EngineId> awaited;   ///< See `LeaseTable::awaited`.
 };
 
 /// @return the value of a lease's row.
 std::string encodeCapacity(double capacity);
 /// @return 0 if the value tells none.
 double decodeCapacity(const std::string& value);
-/// @return the value of a lease's row that tells where other daemons ask, too.
-std::string encodeLease(double capacity, const std::optional<Address>& peer);
+/// @return the value of a lease's row that tells where other daemons ask, too, and which engines
+///     run what a step waits for.
+std::string encodeLease(double capacity, const std::optional<Address>& peer,
+                        const std::set<EngineId>& awaited = {});
+std::set<EngineId> decodeAwaited(const std::string& value);
 /// @return nothing if the value tells no address.
 std::optional<Address> decodePeer(const std::string& value);
 
@@ -107,6 +115,10 @@
   /// @return where other daemons that hold leases may be asked. They reached the store when it was
   ///     last read, so that they are likely to know what a daemon without it misses.
   std::vector<Address> peers() const;
+  /// @return the engines with runs that a step waits for, by the word of owners that live: what
+  /// cuts
+  ///     such a run delays the step. As old as a renewal and a read.
+  std::set<EngineId> awaited(Instant now) const;
   /// @return leases that nobody has renewed for so long that their rows may be removed.
   std::vector<LeaseId> forgotten(Instant now) const;
   /// @return the revision of the lease's row as last seen; 0 if it was never seen.
@@ -124,6 +136,7 @@
     Instant changed_at{};
     double capacity = 0;
     std::optional<Address> peer;
+    std::set<EngineId> awaited;
   };
   LeaseId own_;
   LeaseTimes times_;
--- a/src/versions/order_service.cpp
+++ b/src/versions/order_service.cpp
@@ -113,7 +113,8 @@
   const auto engines = deps_.registry.ofService(service);
   open_work_by_model work = deps_.open_work();
   for (const auto& [model, version] : named_) work.try_emplace(model);
-  for (VersionOrder& order : right.rollout.onTick(now, engines, work)) {
+  const std::set<EngineId> awaited = deps_.awaited ? deps_.awaited(now) : std::set<EngineId>();
+  for (VersionOrder& order : right.rollout.onTick(now, engines, work, awaited)) {
     spawn(deps_.loop, [this, service, order] { return sendOrder(service, order); });
   }
   for (const engines::EngineState* engine : right.rollout.reportsWanted()) {
--- a/src/versions/order_service.h
+++ b/src/versions/order_service.h
@@ -50,6 +50,8 @@
     std::function<routing::RouteTablePtr()> routes;
     std::function<open_work_by_model()> open_work;  ///< Of jobs under way.
     std::string holder;                             ///< Name that orders carry.
+    /// Engines with a run that a step waits for. Not set: none is known.
+    std::function<std::set<EngineId>(Instant now)> awaited;
   };
   OrderService(Dependencies dependencies, OrderOptions options)
       : deps_(std::move(dependencies)), options_(options) {}
--- a/src/versions/version_rollout.cpp
+++ b/src/versions/version_rollout.cpp
@@ -39,9 +39,12 @@
   const double load = std::max(progress.load, engine.in_flight);
   if (load <= options_.quiet_share * engine.record.slots) return Urgency::kSoon;
   if (single_version_.contains(model)) return Urgency::kLater;
+  return isNew(now, model) ? Urgency::kLater : Urgency::kSoon;
+}
+
+bool VersionRollout::isNew(Instant now, const ModelName& model) const {
   const auto named_at = named_at_.find(model);
-  const bool patient = named_at != named_at_.end() && now - named_at->second < options_.patience;
-  return patient ? Urgency::kLater : Urgency::kSoon;
+  return named_at != named_at_.end() && now - named_at->second < options_.patience;
 }
 
 bool VersionRollout::isBehind(Instant now, const engines::EngineState& engine,
@@ -62,7 +65,7 @@
 
 std::vector<VersionOrder> VersionRollout::onTick(
     Instant now, const std::vector<const engines::EngineState*>& engines,
-    const open_work_by_model& work) {
+    const open_work_by_model& work, const std::set<EngineId>& awaited) {
   std::set<ModelName> models;
   for (const auto& [model, open] : work) {
     models.insert(model);
@@ -75,7 +78,7 @@
   for (const auto& [id, progress] : progress_) {
     if (progress.sending || now < progress.loading_until) ++loading;
   }
-  std::vector<Candidate> candidates = findCandidates(now, engines);
+  std::vector<Candidate> candidates = findCandidates(now, engines, awaited);
   std::sort(candidates.begin(), candidates.end(), [](const Candidate& one, const Candidate& other) {
     if (one.urgency != other.urgency) return one.urgency < other.urgency;
     if (one.load != other.load) return one.load < other.load;
@@ -151,13 +154,20 @@
 }
 
 std::vector<VersionRollout::Candidate> VersionRollout::findCandidates(
-    Instant now, const std::vector<const engines::EngineState*>& engines) {
+    Instant now, const std::vector<const engines::EngineState*>& engines,
+    const std::set<EngineId>& awaited) {
   std::vector<Candidate> candidates;
+  std::map<ModelName, std::size_t> left_alone;
   for (const engines::EngineState* engine : engines) {
     Progress& progress = progress_[engine->record.id];
     if (progress.sending || now < progress.loading_until || now < progress.not_before) continue;
     for (const auto& [model, version] : named_) {
       if (!shares_.isFor(engine->record.id, model) || !isBehind(now, *engine, model)) continue;
+      if (awaited.contains(engine->record.id) && isNew(now, model) &&
+          3 * (left_alone[model] + 1) <= shares_.sizeOf(model)) {
+        ++left_alone[model];
+        break;
+      }
       candidates.push_back({engine, model, urgencyOf(now, *engine, model),
                             std::max(progress.load, engine->in_flight)});
       break;
--- a/src/versions/version_rollout.h
+++ b/src/versions/version_rollout.h
@@ -86,9 +86,12 @@
   /// @param engines those of the service that are not draining.
   /// @return the orders to send now. Each counts as being sent until it is answered.
   /// @param work of jobs under way, by each model that needs engines now.
+  /// @param awaited engines with a run that a step waits for: they are left alone while the version
+  ///     is new, a third of each model's engines at most.
   std::vector<VersionOrder> onTick(Instant now,
                                    const std::vector<const engines::EngineState*>& engines,
-                                   const open_work_by_model& work);
+                                   const open_work_by_model& work,
+                                   const std::set<EngineId>& awaited = {});
   void onAnswer(Instant now, const VersionOrder& order, OrderAnswer answer);
   /// @return the engines that must tell of themselves before they may be changed.
   const std::vector<const engines::EngineState*>& reportsWanted() const { return reports_wanted_; }
@@ -126,7 +129,10 @@
     std::uint32_t load = 0;
   };
   std::vector<Candidate> findCandidates(Instant now,
-                                        const std::vector<const engines::EngineState*>& engines);
+                                        const std::vector<const engines::EngineState*>& engines,
+                                        const std::set<EngineId>& awaited);
+  /// @return whether the model's newest version was named a short while ago.
+  bool isNew(Instant now, const ModelName& model) const;
   /// Chooses whom to ask next: those that would be changed first.
   void findReportsWanted(Instant now, const std::vector<Candidate>& candidates);
   Urgency urgencyOf(Instant now, const engines::EngineState& engine, const ModelName& model) const;
--- /dev/null
+++ b/tests/batch/awaited_runs_test.cpp
@@ -0,0 +1,46 @@
+#include "batch/awaited_runs.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using batch::BatchRun;
+
+namespace {
+
+constexpr Instant kStart{std::chrono::seconds(100)};
+
+BatchRun running(const std::vector<std::uint64_t>& hints) {
+  batch::BatchJob job;
+  for (const std::uint64_t hint : hints) {
+    batch::BatchItem item;
+    item.length_hint = hint;
+    job.items.push_back(item);
+  }
+  BatchRun run(job, {});
+  for (std::size_t item = 0; item < hints.size(); ++item) {
+    run.onStarted(kStart, item, EngineId("e" + std::to_string(item)));
+  }
+  return run;
+}
+
+batch::length_estimate oneEventInTen() {
+  batch::length_estimate lengths;
+  lengths.onFinished(100, 10);
+  return lengths;
+}
+
+}  // namespace
+
+Test(awaited_runs, the_few_longest_are_awaited) {
+  const auto awaited = batch::awaitedRuns(running({900, 1000, 800, 950, 990}), oneEventInTen());
+  cr_assert(awaited == std::vector<batch::ItemIndex>({1, 4, 3}));
+}
+
+Test(awaited_runs, a_run_that_ends_long_before_the_longest_is_not) {
+  const auto awaited = batch::awaitedRuns(running({400, 1000, 10}), oneEventInTen());
+  cr_assert(awaited == std::vector<batch::ItemIndex>({1}));
+}
+
+Test(awaited_runs, nothing_is_awaited_before_anything_is_known_of_lengths) {
+  cr_assert(batch::awaitedRuns(running({0, 0}), {}).empty());
+}
--- a/tests/lease/lease_table_test.cpp
+++ b/tests/lease/lease_table_test.cpp
@@ -178,3 +178,13 @@
                {{kOther, lease::LeaseRow(6, 0.5, peer)}, {kOwn, lease::LeaseRow(5, 0.5, peer)}});
   cr_assert_eq(table.peers().size(), 1U);
 }
+
+Test(lease_table, a_row_tells_which_engines_its_owner_waits_for) {
+  const std::optional<Address> peer = parseAddress("10.0.0.1:9000");
+  const std::set<EngineId> awaited = {EngineId("e1"), EngineId("e2")};
+  const std::string value = lease::encodeLease(0.25, peer, awaited);
+  cr_assert(lease::decodeAwaited(value) == awaited);
+  cr_assert(lease::decodePeer(value) == peer);
+  cr_assert_float_eq(lease::decodeCapacity(value), 0.25, 1e-9);
+  cr_assert(lease::decodeAwaited(lease::encodeLease(0.25, peer)).empty());
+}
--- a/tests/versions/version_rollout_test.cpp
+++ b/tests/versions/version_rollout_test.cpp
@@ -32,12 +32,13 @@
     }
   }
   std::vector<VersionOrder> tick(Instant now, const std::set<ModelName>& models = {kModel},
-                                 std::size_t open_items = 1000, bool single_version = false) {
+                                 std::size_t open_items = 1000, bool single_version = false,
+                                 const std::set<EngineId>& awaited = {}) {
     versions::open_work_by_model work;
     for (const ModelName& model : models) work[model] = {open_items, single_version};
     std::vector<const EngineState*> engines;
     for (const EngineState& state : states) engines.push_back(&state);
-    return rollout.onTick(now, engines, work);
+    return rollout.onTick(now, engines, work, awaited);
   }
   void reportAll(Instant now, std::uint32_t load = 0) {
     for (const EngineState& state : states)
@@ -209,3 +210,33 @@
   cr_assert_eq(orders.size(), 2U, "they are of no use to the newest step");
   for (const VersionOrder& order : orders) cr_assert(order.mode == LoadMode::kWait);
 }
+
+Test(version_rollout, an_engine_that_a_step_waits_for_is_left_alone_while_the_version_is_new) {
+  Fixture fixture(4);
+  fixture.rollout.onNamed(kStart, kModel, 3);
+  fixture.reportAll(kStart, 1);
+  const std::set<EngineId> awaited = {EngineId("e0")};
+  Instant now = kStart;
+  std::set<EngineId> changed;
+  for (; now < kStart + versions::RolloutOptions{}.patience; now += std::chrono::seconds(1)) {
+    fixture.reportAll(now, 1);
+    for (const VersionOrder& order : fixture.tick(now, {kModel}, 1000, false, awaited)) {
+      fixture.rollout.onAnswer(now, order, OrderAnswer::kInForce);
+      changed.insert(order.engine);
+    }
+  }
+  cr_assert_eq(changed.size(), 3U, "all but the one");
+  cr_assert_not(changed.contains(EngineId("e0")));
+  fixture.reportAll(now, 1);
+  const auto orders = fixture.tick(now, {kModel}, 1000, false, awaited);
+  cr_assert_not(orders.empty(), "a version that is not new comes to every engine");
+}
+
+Test(version_rollout, most_engines_of_a_model_change_whatever_is_waited_for) {
+  Fixture fixture(3);
+  fixture.rollout.onNamed(kStart, kModel, 3);
+  fixture.reportAll(kStart, 1);
+  const std::set<EngineId> awaited = {EngineId("e0"), EngineId("e1"), EngineId("e2")};
+  const auto orders = fixture.tick(kStart, {kModel}, 1000, false, awaited);
+  cr_assert_eq(orders.size(), 2U, "a third is left alone");
+}
