Keep what engines are by make, beyond the pace measured lately

Cause: a third of a service's engines may be slower by make. A measured pace is forgotten after four seconds, so that long texts are dealt to them again and again and moved after a second.

Change: `lasting_slowness` keeps an engine's pace over the median in spans of a second; the best of sixteen counts, so that what passes is not held against it.

--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -155,6 +155,9 @@
   const bool fresh = engine->pace > 0 && now - engine->pace_at < options_.pace_lifetime;
   engine->pace = fresh ? engine->pace + options_.pace_weight * (seconds - engine->pace) : seconds;
   engine->pace_at = now;
+  if (engine->lasting.onPace(now, seconds)) {
+    engine->lasting.close(medianPace(now, engine->record.service));
+  }
 }
 
 void EngineRegistry::onVersionSeen(const EngineId& id, const ModelName& model,
@@ -188,13 +191,13 @@
 
 double EngineRegistry::slowness(Instant now, const EngineState& engine, double median_pace) const {
   const bool known = engine.pace > 0 && now - engine.pace_at < options_.pace_lifetime;
-  if (!known || median_pace <= 0) return 1;
+  if (!known || median_pace <= 0) return engine.lasting.value(now);
   return std::min(engine.pace / median_pace, kSlowestFactor);
 }
 
 double EngineRegistry::slowness(Instant now, const EngineId& id) const {
   const EngineState* engine = find(id);
-  if (engine == nullptr || engine->pace <= 0) return 1;
+  if (engine == nullptr) return 1;
   return slowness(now, *engine, medianPace(now, engine->record.service));
 }
 
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -16,6 +16,7 @@
 #include "common/random.h"
 #include "common/time.h"
 #include "engines/engine_admission.h"
+#include "engines/lasting_slowness.h"
 #include "fleet/closed_zones.h"
 #include "fleet/fleet_layout.h"
 #include "fleet/home_regions.h"
@@ -61,8 +62,9 @@
   Instant load_at{};
   double pace = 0;  ///< Smoothed time per unit of work, in seconds; 0: unknown.
   Instant pace_at{};
-  double tokens = 0;  ///< That those attempts are expected to fill its memory with.
-  int failures = 0;   ///< In a row; those that come together count once.
+  lasting_slowness lasting;  ///< What is known of it beyond the lifetime of its pace.
+  double tokens = 0;         ///< That those attempts are expected to fill its memory with.
+  int failures = 0;          ///< In a row; those that come together count once.
   Instant failed_at{};
   Instant ejected_until{};
   std::map<ModelName, Instant> loading_until;        ///< It refused requests for the model lately.
@@ -81,7 +83,8 @@
   /// than this took none of them away.
   Duration shortest_lapse = std::chrono::seconds(3);
   Duration load_lifetime = std::chrono::milliseconds(1500);  ///< Until others' load is forgotten.
-  Duration pace_lifetime = std::chrono::seconds(4);  ///< Until a slow engine is tried again.
+  /// Until an engine that was slow is taken to be as quick as it lastingly is, and tried again.
+  Duration pace_lifetime = std::chrono::seconds(4);
   Duration first_ejection = std::chrono::milliseconds(700);
   Duration longest_ejection = std::chrono::seconds(6);
   Duration failure_burst = std::chrono::milliseconds(500);  ///< Breaks within this count once.
@@ -169,7 +172,8 @@
   /// @return how many more requests the engine has slots for, counting those of others; below 0 if
   ///     it is overfull.
   double room(Instant now, const EngineId& id) const;
-  /// @return the smoothed pace of the engine over the median of its service; 1 if unknown.
+  /// @return the smoothed pace of the engine over the median of its service; what is lastingly
+  ///     known of it where that is old; 1 if nothing is.
   double slowness(Instant now, const EngineId& id) const;
   /// The same where the median is known, as for many engines in a row.
   double slowness(Instant now, const EngineState& engine, double median_pace) const;
--- /dev/null
+++ b/src/engines/lasting_slowness.cpp
@@ -0,0 +1,43 @@
+#include "engines/lasting_slowness.h"
+
+#include <algorithm>
+
+namespace linenpier::engines {
+
+namespace {
+/// Units of work in a span: their mean is within a few hundredths.
+constexpr std::size_t kUnits = 16;
+/// A span takes at least this long, so that the spans kept outlast what slows an engine for some
+/// seconds.
+constexpr Duration kShortestSpan = std::chrono::seconds(1);
+constexpr std::size_t kSpans = 16;
+/// Engines of one service that are slower than this have a fault, which may pass at any time.
+constexpr double kMostByMake = 2;
+/// An engine that is avoided is not measured: it must be tried again some time.
+constexpr Duration kLifetime = std::chrono::seconds(60);
+}  // namespace
+
+bool lasting_slowness::onPace(Instant now, double seconds) {
+  if (this->units_ == 0) this->opened_at_ = now;
+  this->seconds_ += seconds;
+  ++this->units_;
+  this->observed_at_ = now;
+  return this->units_ >= kUnits && now - this->opened_at_ >= kShortestSpan;
+}
+
+void lasting_slowness::close(double median_pace) {
+  const double mean = this->seconds_ / static_cast<double>(this->units_);
+  this->seconds_ = 0;
+  this->units_ = 0;
+  if (median_pace <= 0) return;
+  this->spans_.push_back(mean / median_pace);
+  if (this->spans_.size() > kSpans) this->spans_.pop_front();
+}
+
+double lasting_slowness::value(Instant now) const {
+  if (this->spans_.empty() || now - this->observed_at_ > kLifetime) return 1;
+  const double least = *std::min_element(this->spans_.begin(), this->spans_.end());
+  return least > kMostByMake ? 1 : least;
+}
+
+}  // namespace linenpier::engines
--- a/tests/engines/engine_registry_test.cpp
+++ b/tests/engines/engine_registry_test.cpp
@@ -208,3 +208,17 @@
   registry.onStoreRegained(kStart, std::chrono::seconds(1));
   cr_assert(registry.onGone(kStart, EngineId("b")).has_value(), "too short for an entry to lapse");
 }
+
+Test(engine_registry, an_engine_that_is_slow_by_make_is_avoided_when_its_measurement_is_old) {
+  EngineRegistry registry = registryOf({record("a"), record("b"), record("c")});
+  Instant now = kStart;
+  for (int i = 0; i < 100; ++i) {
+    now += std::chrono::milliseconds(50);
+    registry.onPace(now, EngineId("a"), std::chrono::milliseconds(65));
+    registry.onPace(now, EngineId("b"), std::chrono::milliseconds(50));
+    registry.onPace(now, EngineId("c"), std::chrono::milliseconds(50));
+  }
+  const Instant later = now + std::chrono::seconds(10);
+  cr_assert_float_eq(registry.slowness(later, EngineId("a")), 1.3, 0.01);
+  for (int i = 0; i < 20; ++i) cr_assert_neq(registry.pick(later, any())->record.id.str(), "a");
+}
