Do not count an engine with one run left as quiet

Cause: engines with one run out of eight counted as quiet and were changed first; that run is likely to be a long text, since short ones end before.

Change: the quiet share is a tenth, so that only idle engines of eight slots are quiet.

--- a/src/versions/version_rollout.h
+++ b/src/versions/version_rollout.h
@@ -57,8 +57,9 @@
   std::size_t at_once = 2;
   double at_once_share = 0.2;  ///< Of all engines, if that is more.
   /// An engine is changed while it has at most this share of its slots in use, since what it runs
-  /// must go elsewhere …
-  double quiet_share = 0.2;
+  /// must go elsewhere: none of a small engine's, whose only run is likely to be a long one that a
+  /// step ends with …
+  double quiet_share = 0.1;
   /// … or when its model's newest version was named this long ago. Versions that follow each other
   /// sooner are skipped by engines that are of use to the newest step: each load stops or moves all
   /// that an engine runs.
--- a/tests/versions/version_rollout_test.cpp
+++ b/tests/versions/version_rollout_test.cpp
@@ -240,3 +240,13 @@
   const auto orders = fixture.tick(kStart, {kModel}, 1000, false, awaited);
   cr_assert_eq(orders.size(), 2U, "a third is left alone");
 }
+
+Test(version_rollout, an_engine_with_one_run_left_is_not_quiet) {
+  Fixture fixture(4);
+  for (EngineState& state : fixture.states) state.record.slots = 8;
+  fixture.rollout.onNamed(kStart, kModel, 2);
+  fixture.reportAll(kStart, 1);
+  cr_assert(fixture.tick(kStart).empty());
+  fixture.reportAll(kStart + kMoment, 0);
+  cr_assert_eq(fixture.tick(kStart + kMoment).size(), 1U);
+}
