--- a/src/versions/version_rollout.h
+++ b/src/versions/version_rollout.h
@@ -57,8 +57,9 @@
   std::size_t at_once = 2;
   double at_once_share = 0.2;  ///< Of all engines, if that is more.
   /// An engine is changed while it has at most this share of its slots in use, since what it runs
-  /// must go elsewhere …
-  double quiet_share = 0.2;
+  /// must go elsewhere: none of a small engine's, whose only run is likely to be a long one that a
+  /// step ends with …
+  double quiet_share = 0.1;
   /// … or when its model's newest version was named this long ago. Versions that follow each other
   /// sooner are skipped by engines that are of use to the newest step: each load stops or moves all
   /// that an engine runs.
@@ -86,9 +87,12 @@
   /// @param engines those of the service that are not draining.
   /// @return the orders to send now. Each counts as being sent until it is answered.
   /// @param work of jobs under way, by each model that needs engines now.
+  /// @param awaited engines with a run that a step waits for: they are left alone while the version
+  ///     is new, a third of each model's engines at most.
   std::vector<VersionOrder> onTick(Instant now,
                                    const std::vector<const engines::EngineState*>& engines,
-                                   const open_work_by_model& work);
+                                   const open_work_by_model& work,
+                                   const std::set<EngineId>& awaited = {});
   void onAnswer(Instant now, const VersionOrder& order, OrderAnswer answer);
   /// @return the engines that must tell of themselves before they may be changed.
   const std::vector<const engines::EngineState*>& reportsWanted() const { return reports_wanted_; }
@@ -126,7 +130,10 @@
     std::uint32_t load = 0;
   };
   std::vector<Candidate> findCandidates(Instant now,
-                                        const std::vector<const engines::EngineState*>& engines);
+                                        const std::vector<const engines::EngineState*>& engines,
+                                        const std::set<EngineId>& awaited);
+  /// @return whether the model's newest version was named a short while ago.
+  bool isNew(Instant now, const ModelName& model) const;
   /// Chooses whom to ask next: those that would be changed first.
   void findReportsWanted(Instant now, const std::vector<Candidate>& candidates);
   Urgency urgencyOf(Instant now, const engines::EngineState& engine, const ModelName& model) const;
