--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -31,6 +31,8 @@
   ZoneName zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  bool spot = false;                          ///< The platform may take it away.
+  std::optional<Duration> leaves_in;          ///< The platform takes it back so long after that.
   Duration cold_for{};                        ///< It is slow for this long after it was listed.
   std::map<ModelName, WeightVersion> models;  ///< Weights it holds; lags.
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -72,6 +72,15 @@
           {loop, registry_, platform.table(), leases_, keeper_, owner_pool_, platform.orders(),
            [this] { return routes_; }, [this] { return batches_.openWork(); }, settings.id.str()},
           orderOptions(settings)),
+      scaling_({{loop, platform.table(), leases_, keeper_, owner_pool_},
+                platform.scaling(),
+                settings.id.str(),
+                registry_,
+                [this] { return routes_; },
+                [this] { return batches_.openWork(); },
+                [this] { return engines_known_ && engine_watcher_->healthy(); },
+                [this](EngineId engine, Address address) { return loadOf(engine, address); }},
+               settings.scaling, settings.handover),
       requests_(loop,
                 [this](http::Request& request, Instant received, http::ResponseWriter& writer) {
                   return handle(request, received, writer);
@@ -113,6 +122,7 @@
   batches_.start();
   orders_.start();
   usage_.start();
+  scaling_.start();
   spawn(loop_, [this] { return sweepLoop(); });
   spawn(loop_, [this] { return probeLoop(); });
   LogEvent("gateway", "started")
@@ -126,7 +136,8 @@
 void Gateway::applySettings(const GatewaySettings& changed) {
   const bool restart_needed = changed.id != settings_.id || changed.zone != settings_.zone ||
                               changed.requests != settings_.requests ||
-                              changed.readiness != settings_.readiness;
+                              changed.readiness != settings_.readiness ||
+                              changed.scaling.mode != settings_.scaling.mode;
   settings_.seeds = changed.seeds;
   settings_.stop_limit = changed.stop_limit;
   settings_.store = changed.store;
@@ -221,6 +232,12 @@
 
 // --- Housekeeping -------------------------------------------------------------------------------
 
+Task<std::optional<std::uint32_t>> Gateway::loadOf(EngineId engine, Address address) {
+  const auto report = co_await platform_.orders().report(engine, address);
+  if (!report) co_return std::nullopt;
+  co_return report->load;
+}
+
 Task<void> Gateway::sweepLoop() {
   for (std::uint64_t sweeps = 1;; ++sweeps) {
     co_await sleepFor(loop_, kSweepPeriod);
@@ -243,6 +260,7 @@
   co_await batches_.handOver();
   co_await orders_.handOver();
   co_await usage_.handOver();
+  co_await scaling_.handOver();
   co_await keeper_.stop();
   while (steadyNow() < begun + kLeaveNotice) {
     co_await sleepFor(loop_, kStopPoll);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/platform_port.h"
 #include "lease/lease_watch.h"
 #include "metrics/gateway_metrics.h"
+#include "scaling/scaling_service.h"
 #include "table/table_watcher.h"
 #include "usage/usage_service.h"
 
@@ -65,8 +66,12 @@
   std::vector<Address> knownPeers() const;
   Task<void> handleMetrics(http::ResponseWriter& writer);
   metrics::GatewayState state() const;
+  /// How many engines there are and were ordered.
+  void addEngineNumbers(metrics::GatewayState& state) const;
   Task<void> stopInOrder();
   Task<void> sweepLoop();
+  /// @return how many requests the engine has, by its own account; nothing if it did not answer.
+  Task<std::optional<std::uint32_t>> loadOf(EngineId engine, Address address);
   void watchTables();
   /// While the store does not answer: asks it again and again, several questions at a time, so that
   /// its return is noticed at once.
@@ -108,6 +113,7 @@
   forward::Forwarder forwarder_;
   batch::BatchService batches_;
   versions::OrderService orders_;
+  scaling::scaling_service scaling_;
   http::Server requests_;
   http::Server readiness_;
   http::Server metrics_server_;
--- a/src/gateway/gateway_metrics_page.cpp
+++ b/src/gateway/gateway_metrics_page.cpp
@@ -6,6 +6,25 @@
 
 namespace linenpier::gateway {
 
+void Gateway::addEngineNumbers(metrics::GatewayState& state) const {
+  for (const auto& [id, engine] : registry_.all()) {
+    const engines::EngineRecord& record = engine.record;
+    if (!routes_ || record.draining) continue;
+    const auto service = routes_->services.find(record.service);
+    if (service == routes_->services.end() || !service->second.scaling) continue;
+    const auto kind = record.spot ? scaling::EngineKind::kSpot : scaling::EngineKind::kOnDemand;
+    ++state.engines_present[{record.service.str(), record.zone.str(), scaling::toText(kind)}];
+  }
+  for (const auto& [service, counts] : scaling_.ordered()) {
+    for (const auto& [group, count] : counts) {
+      state.engines_ordered[{service.str(), group.zone.str(), scaling::toText(group.kind)}] = count;
+    }
+  }
+  state.scaling_sent = scaling_.totals().sent;
+  state.scaling_refused = scaling_.totals().refused;
+  state.scaling_unanswered = scaling_.totals().unanswered;
+}
+
 metrics::GatewayState Gateway::state() const {
   metrics::GatewayState state;
   const Instant now = steadyNow();
@@ -40,6 +59,7 @@
   state.usage_requests_counted = usage_.totals().counted;
   state.usage_requests_late = usage_.totals().late;
   state.usage_windows_reported = usage_.totals().reported;
+  addEngineNumbers(state);
   state.orders_sent = orders_.counts().sent;
   state.orders_unanswered = orders_.counts().unanswered;
   const batch::BatchCounts& counts = batches_.counts();
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_settings.h"
 
+#include <boost/algorithm/string/trim.hpp>
 #include <sstream>
 
 #include "settings/toml_reader.h"
@@ -13,6 +14,23 @@
 /// Readers' clocks and the hand-in lie a little before and behind the store's.
 constexpr Duration kRemovalSlack = std::chrono::seconds(30);
 
+/// The duty, in the list of the platform's, that allows to order a number of engines.
+constexpr char kAutoscaleDuty[] = "autoscale";
+
+bool lists(const std::string& text, const std::string& word) {
+  std::istringstream list(text);
+  std::string entry;
+  while (std::getline(list, entry, ',')) {
+    if (boost::algorithm::trim_copy(entry) == word) return true;
+  }
+  return false;
+}
+
+scaling::ScalingMode scalingModeFromName(const std::string& name) {
+  if (name == "replace") return scaling::ScalingMode::kReplace;
+  return name == "demand" ? scaling::ScalingMode::kDemand : scaling::ScalingMode::kFixed;
+}
+
 std::optional<versions::LoadMode> loadModeFromName(const std::string& name) {
   if (name == "auto") return std::nullopt;
   if (name == "wait") return versions::LoadMode::kWait;
@@ -69,6 +87,11 @@
   reader.readAddress("duties.address", duties, false);
   if (duties.port != 0) settings.duties = duties;
   reader.readNumber("duties.usage_window_seconds", window_seconds, 0, 86400);
+  std::string duty_names;
+  std::string scaling_mode = "fixed";
+  reader.readString("duties.names", duty_names, false);
+  reader.readChoice("duties.scaling", scaling_mode, {"fixed", "replace", "demand"});
+  reader.readNumber("duties.scaling_items_per_slot", settings.scaling.items_per_slot, 0.1, 1e6);
   double processor_share = 1;
   double cores = 1;
   reader.readNumber("machine.processor_share", processor_share, 0.001, 1024);
@@ -98,6 +121,8 @@
   settings.handover = {fromSeconds(order_pause_ms / 1000) + kHandoverSlack, tokens == "checked"};
   settings.usage.window = fromSeconds(window_seconds);
   settings.usage.handover = settings.handover;
+  const bool autoscales = settings.duties && lists(duty_names, kAutoscaleDuty);
+  if (autoscales) settings.scaling.mode = scalingModeFromName(scaling_mode);
   settings.rollout.patience = fromSeconds(patience_ms / 1000);
   settings.rollout.mode = loadModeFromName(mode);
   settings.batch.keep_jobs = fromSeconds(keep_seconds) + kRemovalSlack;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -13,6 +13,7 @@
 #include "common/ids.h"
 #include "common/time.h"
 #include "lease/own_capacity.h"
+#include "scaling/scaling_policy.h"
 #include "usage/usage_service.h"
 #include "versions/version_rollout.h"
 
@@ -29,6 +30,7 @@
   Address store;
   std::optional<Address> duties;  ///< Where duties at the platform are carried out; absent: none.
   usage::usage_options usage;
+  scaling::scaling_options scaling;
   lease::MachineLimits machine;
   std::size_t row_bytes = 65536;                  ///< Largest value of a row.
   Duration stop_limit = std::chrono::seconds(8);  ///< From the signal to the end.
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -81,6 +81,7 @@
     for (const table::Row& row : rows) onCoordinationRow({row, false});
     orders_.onTableRead();
     usage_.onTableRead();
+    scaling_.onTableRead();
   };
   coordination.on_change = [this](const table::RowChange& change) { onCoordinationRow(change); };
   coordination.on_health = [this](bool healthy) {
@@ -234,7 +235,8 @@
 }
 
 bool Gateway::ownsWork() const {
-  return owner_pool_.offers() || batches_.ownsAny() || orders_.holdsAny() || usage_.holdsRight();
+  return owner_pool_.offers() || batches_.ownsAny() || orders_.holdsAny() || usage_.holdsRight() ||
+         scaling_.holdsRight();
 }
 
 void Gateway::onLeasesRead(bool answered) {
@@ -263,6 +265,8 @@
     change.gone ? orders_.onRightGone(service) : orders_.onRightRow(service, change.row);
   } else if (key == kRightPrefix + "usage") {
     change.gone ? usage_.onRightGone() : usage_.onRightRow(change.row);
+  } else if (key == kRightPrefix + "scaling") {
+    change.gone ? scaling_.onRightGone() : scaling_.onRightRow(change.row);
   } else if (key == kClockName && !change.gone) {
     usage_.onClockRow(change.row);
   }
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -13,6 +13,7 @@
 #include "forward/field_names.h"
 #include "http/http_types.h"
 #include "routing/route_table.h"
+#include "scaling/scaling_port.h"
 #include "table/async_table.h"
 #include "usage/duty_port.h"
 #include "versions/order_service.h"
@@ -45,6 +46,7 @@
   virtual const batch::BatchCodec& batchCodec() const = 0;
   virtual versions::EngineOrders& orders() = 0;
   virtual usage::duty_port& duties() = 0;
+  virtual scaling::scaling_port& scaling() = 0;
 
   /// Tables that the platform and its operators write.
   virtual std::string operatorTable() const = 0;
--- a/src/gateway/store_keys.h
+++ b/src/gateway/store_keys.h
@@ -33,6 +33,8 @@
 inline const std::string kRightPrefix = "right/";  ///< Of rights to carry out duties.
 inline const std::string kUsageTable = "usage";
 inline const std::string kClockTable = "clocks";
+/// A row a service: the last orders for a number of its engines.
+inline const std::string kScalingTable = "scaling";
 /// In the table of use: what was reported last.
 inline const std::string kUsageProgress = "progress";
 /// In the table that everybody watches: what true time is.
@@ -41,6 +43,9 @@
 inline std::string rightKey(const std::string& duty) {
   return kCoordinationTable + "/" + kRightPrefix + duty;
 }
+inline std::string scalingKey(const routing::ServiceName& service) {
+  return kScalingTable + "/" + service.str();
+}
 inline std::string clockKey() {
   return kCoordinationTable + "/" + kClockName;
 }
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -133,6 +133,19 @@
       number(state.usage_requests_late));
   set("usage_windows_reported", "Windows of use that the platform took from this daemon, ever.",
       number(state.usage_windows_reported));
+  for (const auto& [group, count] : state.engines_present) {
+    set("engines_present", "Engines that serve, of services whose number is ordered.",
+        number(count), {{"service", group[0]}, {"zone", group[1]}, {"kind", group[2]}});
+  }
+  for (const auto& [group, count] : state.engines_ordered) {
+    set("engines_ordered", "Engines by the last order.", number(count),
+        {{"service", group[0]}, {"zone", group[1]}, {"kind", group[2]}});
+  }
+  set("scaling_orders_sent", "Orders for a number of engines, ever.", number(state.scaling_sent));
+  set("scaling_orders_refused", "Those that the platform did not take, ever.",
+      number(state.scaling_refused));
+  set("scaling_orders_unanswered", "Those without an answer, ever.",
+      number(state.scaling_unanswered));
   set("orders_sent", "Orders sent to engines, ever.", number(state.orders_sent));
   set("orders_unanswered", "Orders without an answer, ever.", number(state.orders_unanswered));
   set("items_completed", "Results listed as completed, ever.", number(state.items_completed));
--- a/src/metrics/gateway_metrics.h
+++ b/src/metrics/gateway_metrics.h
@@ -8,6 +8,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <array>
 #include <map>
 #include <string>
 
@@ -35,6 +36,13 @@
   std::uint64_t usage_requests_counted = 0;
   std::uint64_t usage_requests_late = 0;
   std::uint64_t usage_windows_reported = 0;
+  /// Engines of services whose number is ordered, listed and not draining: by service, zone, kind.
+  std::map<std::array<std::string, 3>, std::size_t> engines_present;
+  /// The last orders for them, by the same; empty unless this daemon decides.
+  std::map<std::array<std::string, 3>, std::size_t> engines_ordered;
+  std::uint64_t scaling_sent = 0;
+  std::uint64_t scaling_refused = 0;
+  std::uint64_t scaling_unanswered = 0;
   std::uint64_t orders_sent = 0;
   std::uint64_t orders_unanswered = 0;
   std::uint64_t items_completed = 0;
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
 #include "common/time.h"
 #include "fleet/home_regions.h"
 #include "http/server.h"
+#include "scaling/scaling_bounds.h"
 #include "tenants/tenant_table.h"
 
 namespace linenpier::routing {
@@ -70,6 +72,7 @@
   Duration cold_time{};           ///< How long that is.
   double memory_tokens = 0;       ///< Tokens that an engine's memory holds; 0: not told.
   std::vector<ModelName> models;  ///< Empty for services that serve no model.
+  std::optional<scaling::scaling_bounds> scaling;  ///< Absent: its engines are not ours to count.
 };
 
 /// One version of the operator's configuration. Versions only grow.
--- /dev/null
+++ b/src/scaling/scaling_port.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/** @file
+ * Orders to the platform for a number of engines.
+ */
+
+#include "common/task.h"
+#include "routing/route_table.h"
+#include "scaling/scaling_bounds.h"
+#include "usage/duty_port.h"
+
+namespace linenpier::scaling {
+
+/** That a group of a service's engines shall have so many. */
+struct count_order {
+  routing::ServiceName service;
+  engine_group group;
+  std::size_t count = 0;
+
+  bool operator==(const count_order&) const = default;
+};
+
+class scaling_port {
+ public:
+  virtual ~scaling_port() = default;
+
+  /** @return kFenced also where there are no such engines to be had now: the platform does not
+   *     tell one from the other.
+   */
+  virtual Task<usage::DutyAnswer> orderCount(count_order order, usage::duty_right right) = 0;
+};
+
+}  // namespace linenpier::scaling
--- /dev/null
+++ b/src/scaling/scaling_record.cpp
@@ -0,0 +1,68 @@
+#include "scaling/scaling_record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace linenpier::scaling {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr char kUsual[] = "usual";
+constexpr char kOrdered[] = "ordered";
+constexpr char kZone[] = "zone";
+constexpr char kKind[] = "kind";
+constexpr char kCount[] = "count";
+
+json encodeCounts(const group_counts& counts) {
+  json list = json::array();
+  for (const auto& [group, count] : counts) {
+    list.push_back({{kZone, group.zone.str()}, {kKind, toText(group.kind)}, {kCount, count}});
+  }
+  return list;
+}
+
+group_counts decodeCounts(const json& list) {
+  group_counts counts;
+  for (const json& each : list) {
+    const bool spot = each.at(kKind).get<std::string>() == toText(EngineKind::kSpot);
+    const EngineKind kind = spot ? EngineKind::kSpot : EngineKind::kOnDemand;
+    const ZoneName zone(each.at(kZone).get<std::string>());
+    counts[{zone, kind}] = each.at(kCount).get<std::size_t>();
+  }
+  return counts;
+}
+
+}  // namespace
+
+const char* toText(EngineKind kind) {
+  return kind == EngineKind::kSpot ? "spot" : "on_demand";
+}
+
+std::size_t scaling_record::current(const engine_group& group) const {
+  const auto last = this->ordered.find(group);
+  if (last != this->ordered.end()) return last->second;
+  const auto found = this->usual.find(group);
+  return found == this->usual.end() ? 0 : found->second;
+}
+
+std::string encodeRecord(const scaling_record& record) {
+  const json document = {{kUsual, encodeCounts(record.usual)},
+                         {kOrdered, encodeCounts(record.ordered)}};
+  return document.dump();
+}
+
+std::optional<scaling_record> decodeRecord(const std::string& text) {
+  const json document = json::parse(text, nullptr, false);
+  if (!document.is_object()) return std::nullopt;
+  try {
+    scaling_record record;
+    record.usual = decodeCounts(document.at(kUsual));
+    record.ordered = decodeCounts(document.at(kOrdered));
+    return record;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace linenpier::scaling
--- /dev/null
+++ b/src/scaling/scaling_record.h
@@ -0,0 +1,29 @@
+#pragma once
+
+/** @file
+ * What must outlive the daemon that decides on a service's number of engines. A value.
+ */
+
+#include <optional>
+#include <string>
+
+#include "scaling/scaling_bounds.h"
+
+namespace linenpier::scaling {
+
+struct scaling_record {
+  /** What the service runs with while nothing is missing: what was there without an order. */
+  group_counts usual;
+  /** The last order for each group, written down before it was sent. */
+  group_counts ordered;
+
+  /** @return how many engines the group should have by the last order. */
+  std::size_t current(const engine_group& group) const;
+  bool operator==(const scaling_record&) const = default;
+};
+
+std::string encodeRecord(const scaling_record& record);
+/** @return nothing if the text is no record. */
+std::optional<scaling_record> decodeRecord(const std::string& text);
+
+}  // namespace linenpier::scaling
--- /dev/null
+++ b/src/scaling/scaling_service.cpp
@@ -0,0 +1,276 @@
+#include "scaling/scaling_service.h"
+
+#include "gateway/store_keys.h"
+#include "logging/event_log.h"
+
+namespace linenpier::scaling {
+
+using logging::LogEvent;
+using routing::ServiceName;
+using usage::DutyAnswer;
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+/// At a daemon that does not hold the right: a look whether nobody does.
+constexpr Duration kIdleTick = std::chrono::milliseconds(500);
+/// Between two looks at the engines: a reclaim leaves some 2.5 s.
+constexpr Duration kLook = std::chrono::milliseconds(200);
+/// After a write without an answer, or rows that could not be read.
+constexpr Duration kRetryPause = std::chrono::milliseconds(300);
+constexpr char kRightName[] = "scaling";
+
+std::int64_t number(std::size_t count) {
+  return static_cast<std::int64_t>(count);
+}
+
+}  // namespace
+
+scaling_service::scaling_service(dependencies deps, const scaling_options& options,
+                                 const lease::handover_rules& handover)
+    : deps_(std::move(deps)),
+      options_(options),
+      right_(deps_.right, kRightName, gateway::rightKey(kRightName), handover, [this](bool) {
+        this->rows_.reset();
+        this->services_.clear();
+      }) {}
+
+void scaling_service::start() {
+  if (this->options_.mode == ScalingMode::kFixed) return;
+  spawn(this->deps_.right.loop, [this] { return this->rightLoop(); });
+  spawn(this->deps_.right.loop, [this] { return this->orderLoop(); });
+}
+
+std::map<ServiceName, group_counts> scaling_service::ordered() const {
+  std::map<ServiceName, group_counts> found;
+  for (const auto& [name, state] : this->services_) {
+    found[name] = state.policy.record().ordered;
+  }
+  return found;
+}
+
+Task<void> scaling_service::rightLoop() {
+  for (;;) {
+    co_await sleepFor(this->deps_.right.loop, this->right_.held() ? kTick : kIdleTick);
+    const routing::RouteTablePtr routes = this->deps_.routes();
+    bool any = false;
+    if (routes) {
+      for (const auto& [name, service] : routes->services) any = any || service.scaling.has_value();
+    }
+    if (any || this->right_.held()) this->right_.onTick(steadyNow(), this->table_read_);
+  }
+}
+
+Task<void> scaling_service::orderLoop() {
+  for (;;) {
+    co_await sleepFor(this->deps_.right.loop, this->right_.held() ? kLook : kIdleTick);
+    const bool settled = this->engineListSettled(steadyNow());
+    if (!settled || !this->right_.mayAct(steadyNow())) continue;
+    co_await this->orderNext();
+  }
+}
+
+bool scaling_service::engineListSettled(Instant now) {
+  if (!this->deps_.engines_followed() || !this->deps_.right.leases.storeHealthy()) {
+    this->followed_since_ = Instant{};
+    return false;
+  }
+  if (this->followed_since_ == Instant{}) this->followed_since_ = now;
+  return now - this->followed_since_ >= this->options_.settle;
+}
+
+Task<void> scaling_service::orderNext() {
+  if (!this->rows_) {
+    const bool known = co_await this->readRecords();
+    if (!known) {
+      co_await sleepFor(this->deps_.right.loop, kRetryPause);
+      co_return;
+    }
+  }
+  const routing::RouteTablePtr routes = this->deps_.routes();
+  if (!routes) co_return;
+  for (const auto& [name, service] : routes->services) {
+    if (!service.scaling) continue;
+    const routing::Service attended = service;
+    co_await this->attend(attended);
+    if (!this->rows_) co_return;
+  }
+}
+
+Task<bool> scaling_service::readRecords() {
+  std::map<ServiceName, table::Row> rows;
+  table::RowRange range{gateway::kScalingTable, "", "", 0, Duration::zero()};
+  const FencingToken token = this->right_.token();
+  for (;;) {
+    const auto page = co_await this->deps_.right.table.read(range);
+    if (!page) co_return false;
+    for (const table::Row& row : page->rows) {
+      rows[ServiceName(row.key.substr(gateway::kScalingTable.size() + 1))] = row;
+    }
+    if (!table::moveBehind(*page, range)) break;
+  }
+  if (!this->right_.held() || this->right_.token() != token) co_return false;
+  LogEvent("scaling", "records_read")
+      .number("services", number(rows.size()))
+      .number("token", static_cast<std::int64_t>(token));
+  this->services_.clear();
+  const Instant now = steadyNow();
+  for (const auto& [name, row] : rows) {
+    auto record = decodeRecord(row.value);
+    if (!record) LogEvent("scaling", "bad_row").text("key", row.key);
+    service_state state{
+        row.revision, scaling_policy(this->options_, now, record.value_or(scaling_record{})), {}};
+    this->services_.emplace(name, std::move(state));
+  }
+  this->rows_ = std::move(rows);
+  co_return true;
+}
+
+scaling_view scaling_service::look(const routing::Service& service, work_peak& work) const {
+  scaling_view view;
+  std::uint32_t slots = 1;
+  for (const auto& [id, engine] : this->deps_.registry.all()) {
+    const engines::EngineRecord& record = engine.record;
+    if (record.service != service.name) continue;
+    slots = std::max(slots, record.slots);
+    const EngineKind kind = record.spot ? EngineKind::kSpot : EngineKind::kOnDemand;
+    observed_engines& seen = view.groups[{record.zone, kind}];
+    ++(record.draining ? seen.draining : seen.serving);
+    if (record.draining && record.leaves_in) ++seen.reclaimed;
+  }
+  for (const auto& [zone, revision] : this->deps_.registry.closedZones().all()) {
+    view.closed.insert(zone);
+  }
+  if (service.models.empty()) return view;
+  const versions::open_work_by_model open = this->deps_.open_work();
+  std::size_t items = 0;
+  for (const ModelName& model : service.models) {
+    const auto at = open.find(model);
+    if (at != open.end()) items += at->second.items;
+  }
+  view.engines_for_work = work.onOpenItems(steadyNow(), this->options_, items, slots);
+  return view;
+}
+
+Task<void> scaling_service::attend(routing::Service service) {
+  const ServiceName name = service.name;
+  const Instant now = steadyNow();
+  auto at = this->services_.find(name);
+  if (at == this->services_.end()) {
+    service_state fresh{0, scaling_policy(this->options_, now, scaling_record{}), {}};
+    at = this->services_.emplace(name, std::move(fresh)).first;
+  }
+  const scaling_view view = this->look(service, at->second.work);
+  const std::vector<count_decision> due = at->second.policy.decide(now, *service.scaling, view);
+  const std::optional<scaling_record> learned = at->second.policy.learn(now, view);
+  if (learned) {
+    const bool written = co_await this->writeRecord(name, *learned);
+    std::size_t engines = 0;
+    for (const auto& [group, count] : learned->usual) engines += count;
+    LogEvent("scaling", "usual_number")
+        .text("service", name.str())
+        .number("engines", number(engines))
+        .text("outcome", written ? "written" : "not_written");
+    co_return;
+  }
+  if (due.empty()) co_return;
+  const count_decision first = due.front();
+  co_await this->carryOut(name, first);
+}
+
+Task<bool> scaling_service::writeRecord(ServiceName name, scaling_record record) {
+  const std::string key = gateway::scalingKey(name);
+  const FencingToken token = this->right_.token();
+  table::Write write;
+  write.transaction.checks.push_back(this->right_.condition());
+  write.transaction.checks.push_back({key, this->services_.at(name).revision});
+  write.transaction.puts.push_back({key, encodeRecord(record)});
+  const auto answer = co_await this->deps_.right.table.write(std::move(write));
+  const bool done = answer && answer->committed;
+  const auto at = this->services_.find(name);
+  const bool same = this->rows_ && at != this->services_.end() && this->right_.token() == token;
+  if (!done) {
+    LogEvent("scaling", "record_not_written")
+        .text("service", name.str())
+        .number("token", static_cast<std::int64_t>(token))
+        .text("outcome", answer ? "conflict" : "no_answer");
+    // Whether it was written is read before anything else is decided.
+    this->rows_.reset();
+    co_return false;
+  }
+  if (!same) co_return false;
+  at->second.revision = answer->revision;
+  at->second.policy.onRecord(std::move(record));
+  co_return true;
+}
+
+Task<bool> scaling_service::quiet(ServiceName name, ZoneName zone) {
+  std::vector<std::pair<EngineId, Address>> engines;
+  std::uint32_t slots = 0;
+  for (const auto& [id, engine] : this->deps_.registry.all()) {
+    const engines::EngineRecord& record = engine.record;
+    if (record.service != name || record.zone != zone || record.draining) continue;
+    engines.emplace_back(id, record.address);
+    slots += record.slots;
+  }
+  std::uint32_t load = 0;
+  for (const auto& [id, address] : engines) {
+    const std::optional<std::uint32_t> told = co_await this->deps_.load(id, address);
+    if (!told) co_return false;
+    load += *told;
+  }
+  co_return load <= slots* this->options_.quiet_share;
+}
+
+Task<void> scaling_service::carryOut(ServiceName name, count_decision decision) {
+  const FencingToken token = this->right_.token();
+  if (decision.takesAway()) {
+    const bool calm = co_await this->quiet(name, decision.group.zone);
+    if (!this->rows_ || this->right_.token() != token) co_return;
+    if (!calm) {
+      this->services_.at(name).policy.onBusy(steadyNow(), decision);
+      LogEvent("scaling", "not_quiet")
+          .text("service", name.str())
+          .text("zone", decision.group.zone.str())
+          .number("have", number(decision.have))
+          .number("wanted", number(decision.wanted));
+      co_return;
+    }
+  }
+  const scaling_record changed = this->services_.at(name).policy.withOrder(decision);
+  if (changed != this->services_.at(name).policy.record()) {
+    const bool written = co_await this->writeRecord(name, changed);
+    if (!written) co_return;
+  }
+  const Instant sent_at = steadyNow();
+  if (!this->right_.mayAct(sent_at) || this->right_.token() != token) co_return;
+  const usage::duty_right right{this->deps_.holder, token, this->right_.mayActUntil()};
+  const count_order order{name, decision.group, decision.wanted};
+  this->right_.onActed(sent_at);
+  ++this->totals_.sent;
+  const DutyAnswer answer = co_await this->deps_.port.orderCount(order, right);
+  if (answer == DutyAnswer::kUnknown) ++this->totals_.unanswered;
+  if (answer == DutyAnswer::kFenced || answer == DutyAnswer::kRefused) ++this->totals_.refused;
+  LogEvent("scaling", "ordered")
+      .text("service", name.str())
+      .text("zone", decision.group.zone.str())
+      .text("kind", toText(decision.group.kind))
+      .number("have", number(decision.have))
+      .number("before", number(decision.before))
+      .number("wanted", number(decision.wanted))
+      .text("reason", toText(decision.reason))
+      .number("token", static_cast<std::int64_t>(token))
+      .milliseconds("engines_known", sent_at - this->followed_since_)
+      .text("outcome", usage::toText(answer))
+      .milliseconds("took_ms", steadyNow() - sent_at);
+  const auto at = this->services_.find(name);
+  if (at == this->services_.end() || this->right_.token() != token) co_return;
+  at->second.policy.onAnswer(steadyNow(), decision, answer);
+}
+
+Task<void> scaling_service::handOver() {
+  if (this->options_.mode == ScalingMode::kFixed) co_return;
+  co_await this->right_.handOver();
+}
+
+}  // namespace linenpier::scaling
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -153,3 +153,41 @@
   cr_assert_not(decodeBase64("abc").has_value());
   cr_assert_not(decodeBase64("ab!=").has_value());
 }
+
+Test(documents, a_service_tells_the_bounds_of_its_number_of_engines) {
+  const auto table = parseConfiguration(
+      R"({"version":1,"services":[{"name":"s","scaling":{"min":1,"max":32,"bootTimeS":4.0,
+          "spotPrice":0.22,"zonePrices":{"a":1.0,"b":0.8}}},{"name":"t"}]})");
+  cr_assert(table.has_value());
+  const auto& bounds = table->services.at(routing::ServiceName("s")).scaling;
+  cr_assert(bounds.has_value());
+  cr_assert_eq(bounds->least, 1U);
+  cr_assert_eq(bounds->most, 32U);
+  cr_assert(bounds->boot_time == std::chrono::seconds(4));
+  cr_assert_eq(bounds->spot_price, 0.22);
+  cr_assert_eq(bounds->priceOf({ZoneName("b"), scaling::EngineKind::kOnDemand}), 0.8);
+  cr_assert_eq(bounds->priceOf({ZoneName("c"), scaling::EngineKind::kOnDemand}), 1.0);
+  cr_assert_not(table->services.at(routing::ServiceName("t")).scaling.has_value());
+}
+
+Test(documents, bounds_that_contradict_themselves_are_reported) {
+  const auto table = parseConfiguration(
+      R"({"version":1,"services":[{"name":"s","scaling":{"min":5,"max":3}},
+          {"name":"t","scaling":{"min":1}}]})");
+  cr_assert_not(table.has_value());
+  cr_assert(mentions(table.error(), "services[0].scaling.max"));
+  cr_assert(mentions(table.error(), "services[1].scaling.max"));
+}
+
+Test(documents, an_engine_that_may_be_taken_away_says_so_and_when) {
+  const auto spot =
+      parseServer("i-1", R"({"service":"s","address":"10.0.0.1:8080","zone":"a","state":"draining",
+                 "spot":true,"leaves_ms":2500})");
+  cr_assert(spot.has_value());
+  cr_assert(spot->spot);
+  cr_assert(spot->draining);
+  cr_assert(*spot->leaves_in == std::chrono::milliseconds(2500));
+  const auto other = parseServer("i-2", R"({"service":"s","address":"10.0.0.2:8080","zone":"a"})");
+  cr_assert_not(other->spot);
+  cr_assert_not(other->leaves_in.has_value());
+}
--- /dev/null
+++ b/tests/scaling/scaling_policy_test.cpp
@@ -0,0 +1,402 @@
+/// @file
+/// How many engines a service should have in each zone.
+
+#include "scaling/scaling_policy.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using scaling::count_decision;
+using scaling::engine_group;
+using scaling::EngineKind;
+using scaling::observed_engines;
+using scaling::OrderReason;
+using scaling::scaling_bounds;
+using scaling::scaling_options;
+using scaling::scaling_policy;
+using scaling::scaling_record;
+using scaling::scaling_view;
+using scaling::ScalingMode;
+using usage::DutyAnswer;
+
+namespace {
+
+constexpr Instant kStart{std::chrono::seconds(100)};
+const engine_group kA{ZoneName("a"), EngineKind::kOnDemand};
+const engine_group kB{ZoneName("b"), EngineKind::kOnDemand};
+const engine_group kC{ZoneName("c"), EngineKind::kOnDemand};
+const engine_group kSpotB{ZoneName("b"), EngineKind::kSpot};
+
+Instant after(int seconds) {
+  return kStart + std::chrono::seconds(seconds);
+}
+
+scaling_bounds bounds(std::size_t most = 8) {
+  scaling_bounds all;
+  all.least = 1;
+  all.most = most;
+  all.boot_time = std::chrono::seconds(4);
+  all.spot_price = 0.22;
+  all.zone_prices = {{ZoneName("a"), 1.0}, {ZoneName("b"), 0.8}, {ZoneName("c"), 1.25}};
+  return all;
+}
+
+scaling_options options(ScalingMode mode = ScalingMode::kReplace) {
+  scaling_options made;
+  made.mode = mode;
+  return made;
+}
+
+scaling_record fourEach() {
+  scaling_record record;
+  record.usual = {{kA, 4}, {kB, 4}, {kC, 4}};
+  return record;
+}
+
+scaling_view seen(std::size_t a, std::size_t b, std::size_t c) {
+  scaling_view view;
+  view.groups = {{kA, {a, 0, 0}}, {kB, {b, 0, 0}}, {kC, {c, 0, 0}}};
+  return view;
+}
+
+scaling_view closing(scaling_view view, const char* zone) {
+  view.closed.insert(ZoneName(zone));
+  return view;
+}
+
+std::size_t wantedOf(const std::vector<count_decision>& due, const engine_group& group) {
+  for (const count_decision& each : due) {
+    if (each.group == group) return each.wanted;
+  }
+  return 0;
+}
+
+/// Carries out what is due, as the service does. @return it.
+std::vector<count_decision> step(scaling_policy& policy, int second, const scaling_view& view,
+                                 DutyAnswer answer = DutyAnswer::kTaken,
+                                 const scaling_bounds& within = bounds()) {
+  const auto due = policy.decide(after(second), within, view);
+  for (const count_decision& each : due) {
+    policy.onRecord(policy.withOrder(each));
+    policy.onAnswer(after(second), each, answer);
+  }
+  return due;
+}
+
+}  // namespace
+
+Test(scaling_policy, nothing_is_ordered_while_nothing_is_missing) {
+  scaling_policy policy(options(), kStart, fourEach());
+  for (int second = 0; second < 120; ++second) {
+    cr_assert(step(policy, second, seen(4, 4, 4)).empty());
+  }
+}
+
+Test(scaling_policy, nothing_is_ordered_before_the_usual_number_is_known) {
+  scaling_policy policy(options(), kStart, {});
+  cr_assert(policy.decide(kStart, bounds(), closing(seen(4, 4, 4), "c")).empty());
+}
+
+Test(scaling_policy, a_fixed_number_orders_nothing_whatever_is_missing) {
+  scaling_policy policy(options(ScalingMode::kFixed), kStart, fourEach());
+  for (int second = 0; second < 60; ++second) {
+    cr_assert(step(policy, second, closing(seen(4, 0, 4), "c")).empty());
+  }
+}
+
+Test(scaling_policy, the_first_look_tells_the_usual_number) {
+  scaling_policy policy(options(), kStart, {});
+  cr_assert_not(policy.learn(after(0), seen(4, 1, 0)).has_value(), "they are listed one by one");
+  cr_assert_not(policy.learn(after(2), seen(4, 3, 4)).has_value());
+  cr_assert_not(policy.learn(after(4), seen(4, 3, 4)).has_value());
+  const auto learned = policy.learn(after(5), seen(4, 3, 4));
+  cr_assert(learned.has_value());
+  cr_assert_eq(learned->usual.at(kB), 3U);
+  policy.onRecord(*learned);
+  cr_assert_not(policy.learn(after(6), seen(4, 3, 4)).has_value());
+}
+
+Test(scaling_policy, engines_that_stay_without_an_order_raise_the_usual_number) {
+  scaling_policy policy(options(), kStart, fourEach());
+  policy.decide(after(0), bounds(), seen(4, 6, 4));
+  cr_assert_not(policy.learn(after(0), seen(4, 6, 4)).has_value(), "they may be replacements");
+  policy.decide(after(11), bounds(), seen(4, 6, 4));
+  const auto learned = policy.learn(after(11), seen(4, 6, 4));
+  cr_assert(learned.has_value());
+  cr_assert_eq(learned->usual.at(kB), 6U);
+}
+
+Test(scaling_policy, a_closed_zone_is_made_up_for_at_once_in_the_zones_that_are_left) {
+  scaling_policy policy(options(), kStart, fourEach());
+  const auto due = step(policy, 0, closing(seen(4, 4, 4), "c"));
+  cr_assert_eq(due.size(), 2U, "the closed zone's number stays");
+  cr_assert_eq(wantedOf(due, kA), 6U);
+  cr_assert_eq(wantedOf(due, kB), 6U);
+  cr_assert(due.front().reason == OrderReason::kReplace);
+}
+
+Test(scaling_policy, an_odd_engine_goes_to_the_cheaper_zone) {
+  scaling_record record = fourEach();
+  record.usual[kC] = 3;
+  scaling_policy policy(options(), kStart, record);
+  const auto due = step(policy, 0, closing(seen(4, 4, 3), "c"));
+  cr_assert_eq(wantedOf(due, kB), 6U);
+  cr_assert_eq(wantedOf(due, kA), 5U);
+}
+
+Test(scaling_policy, replacements_keep_within_the_bounds) {
+  scaling_policy policy(options(), kStart, fourEach());
+  const auto due = step(policy, 0, closing(seen(4, 4, 4), "c"), DutyAnswer::kTaken, bounds(5));
+  cr_assert_eq(wantedOf(due, kA), 5U);
+  cr_assert_eq(wantedOf(due, kB), 5U);
+}
+
+Test(scaling_policy, nothing_is_ordered_where_every_zone_is_closed) {
+  scaling_policy policy(options(), kStart, fourEach());
+  const auto view = closing(closing(closing(seen(4, 4, 4), "a"), "b"), "c");
+  cr_assert(step(policy, 0, view).empty());
+}
+
+Test(scaling_policy, a_zone_that_vanished_is_made_up_for_once_it_is_not_a_lapse) {
+  scaling_policy policy(options(), kStart, fourEach());
+  cr_assert(step(policy, 0, seen(4, 4, 0)).empty());
+  cr_assert(step(policy, 2, seen(4, 4, 0)).empty());
+  const auto due = step(policy, 3, seen(4, 4, 0));
+  cr_assert_eq(wantedOf(due, kA), 6U);
+  cr_assert_eq(wantedOf(due, kB), 6U);
+}
+
+Test(scaling_policy, a_zone_that_lost_part_is_given_the_same_number_again) {
+  scaling_policy policy(options(), kStart, fourEach());
+  for (int second = 0; second < 7; ++second) {
+    cr_assert(step(policy, second, seen(4, 4, 3)).empty(), "it may come back");
+  }
+  const auto due = step(policy, 7, seen(4, 4, 3));
+  cr_assert_eq(due.size(), 1U);
+  cr_assert_eq(due.front().wanted, 4U);
+  cr_assert(due.front().reason == OrderReason::kRepeat);
+  int orders = 1;
+  for (int second = 8; second < 60; ++second) {
+    orders += static_cast<int>(step(policy, second, seen(4, 4, 3)).size());
+  }
+  cr_assert(orders <= 5, "%d orders without an effect", orders);
+}
+
+Test(scaling_policy, spot_engines_that_are_taken_back_are_made_up_for_at_their_notice) {
+  scaling_record record = fourEach();
+  record.usual[kSpotB] = 3;
+  scaling_policy policy(options(), kStart, record);
+  scaling_view view = seen(4, 4, 4);
+  view.groups[kSpotB] = {0, 3, 3};
+  const auto due = step(policy, 0, view);
+  std::size_t more = 0;
+  for (const count_decision& each : due) {
+    cr_assert(each.group.kind == EngineKind::kOnDemand, "spot engines are not to be had");
+    more += each.wanted - each.before;
+  }
+  cr_assert_eq(more, 3U);
+  // Some time after they went they are asked for again.
+  view.groups[kSpotB] = {0, 0, 0};
+  bool again = false;
+  for (int second = 1; second < 30; ++second) {
+    const auto later = step(policy, second, view);
+    again = again || wantedOf(later, kSpotB) == 3;
+    cr_assert(!again || second >= 9);
+  }
+  cr_assert(again);
+}
+
+Test(scaling_policy, an_engine_that_drains_without_notice_is_no_reclaim) {
+  scaling_policy policy(options(), kStart, fourEach());
+  scaling_view view = seen(4, 4, 3);
+  view.groups[kC].draining = 1;
+  cr_assert(step(policy, 0, view).empty());
+}
+
+Test(scaling_policy, where_none_are_to_be_had_the_other_zones_are_asked_and_it_is_left_for_longer) {
+  scaling_policy policy(options(), kStart, fourEach());
+  const scaling_view view = closing(seen(4, 4, 4), "c");
+  const auto due = policy.decide(after(0), bounds(), view);
+  for (const count_decision& each : due) {
+    policy.onRecord(policy.withOrder(each));
+    const bool refused = each.group == kA;
+    policy.onAnswer(after(0), each, refused ? DutyAnswer::kFenced : DutyAnswer::kTaken);
+  }
+  const auto next = step(policy, 1, view);
+  cr_assert_eq(next.size(), 1U);
+  cr_assert_eq(wantedOf(next, kB), 8U, "all four where they are to be had");
+  std::vector<int> asked;
+  for (int second = 2; second < 70; ++second) {
+    scaling_view now = view;
+    now.groups[kB].serving = 8;
+    const auto more = policy.decide(after(second), bounds(), now);
+    for (const count_decision& each : more) {
+      if (each.group != kA || each.takesAway()) continue;
+      asked.push_back(second);
+      policy.onRecord(policy.withOrder(each));
+      policy.onAnswer(after(second), each, DutyAnswer::kFenced);
+    }
+  }
+  cr_assert(asked.size() >= 3);
+  cr_assert(asked.size() <= 6, "asked %zu times", asked.size());
+  for (std::size_t i = 2; i < asked.size(); ++i) {
+    cr_assert(asked[i] - asked[i - 1] >= asked[i - 1] - asked[i - 2]);
+  }
+}
+
+Test(scaling_policy, no_other_group_makes_up_for_one_whose_answer_is_awaited) {
+  for (const DutyAnswer answer : {DutyAnswer::kUnknown, DutyAnswer::kRefused}) {
+    scaling_policy policy(options(), kStart, fourEach());
+    const scaling_view view = closing(seen(4, 4, 4), "c");
+    cr_assert_eq(step(policy, 0, view, answer).size(), 2U);
+    cr_assert(step(policy, 0, view).empty());
+  }
+}
+
+Test(scaling_policy, a_call_that_was_turned_away_is_sent_again_a_moment_later) {
+  scaling_policy policy(options(), kStart, fourEach());
+  const scaling_view view = closing(seen(4, 4, 4), "c");
+  cr_assert_eq(step(policy, 0, view, DutyAnswer::kRefused).size(), 2U);
+  const auto again = step(policy, 1, view);
+  cr_assert_eq(wantedOf(again, kA), 6U);
+  cr_assert_eq(wantedOf(again, kB), 6U);
+}
+
+Test(scaling_policy, going_back_is_slow_and_one_engine_at_a_time) {
+  scaling_policy policy(options(), kStart, fourEach());
+  step(policy, 0, closing(seen(4, 4, 4), "c"));
+  for (int second = 1; second < 10; ++second) {
+    cr_assert(step(policy, second, seen(6, 6, 4)).empty(), "at %d s", second);
+  }
+  const auto first = step(policy, 10, seen(6, 6, 4));
+  cr_assert_eq(first.size(), 2U);
+  for (const count_decision& each : first) {
+    cr_assert_eq(each.wanted, 5U);
+    cr_assert(each.takesAway());
+    cr_assert(each.reason == OrderReason::kSurplus);
+  }
+  cr_assert(step(policy, 11, seen(5, 5, 4)).empty());
+  cr_assert(step(policy, 12, seen(5, 5, 4)).empty());
+  const auto second = step(policy, 13, seen(5, 5, 4));
+  cr_assert_eq(wantedOf(second, kA), 4U);
+  for (int later = 20; later < 90; ++later) cr_assert(step(policy, later, seen(4, 4, 4)).empty());
+}
+
+Test(scaling_policy, an_engine_that_has_work_is_looked_at_again_later) {
+  scaling_policy policy(options(), kStart, fourEach());
+  step(policy, 0, closing(seen(4, 4, 4), "c"));
+  policy.decide(after(1), bounds(), seen(6, 6, 4));
+  const auto due = policy.decide(after(12), bounds(), seen(6, 6, 4));
+  cr_assert_eq(due.size(), 2U);
+  for (const count_decision& each : due) policy.onBusy(after(12), each);
+  cr_assert(policy.decide(after(13), bounds(), seen(6, 6, 4)).empty());
+  cr_assert_eq(policy.decide(after(15), bounds(), seen(6, 6, 4)).size(), 2U);
+}
+
+Test(scaling_policy, a_new_holder_does_not_undo_the_last_order) {
+  scaling_record record = fourEach();
+  record.ordered = {{kA, 6}, {kB, 6}};
+  scaling_policy policy(options(), kStart, record);
+  cr_assert(step(policy, 0, closing(seen(6, 6, 4), "c")).empty());
+  // Also where the zone is open again: not before the usual time.
+  scaling_policy other(options(), kStart, record);
+  for (int second = 0; second < 10; ++second) {
+    cr_assert(step(other, second, seen(6, 6, 4)).empty());
+  }
+}
+
+Test(scaling_policy, a_new_holder_sends_what_the_last_one_only_wrote_down) {
+  scaling_record record = fourEach();
+  record.ordered = {{kA, 6}, {kB, 6}};
+  scaling_policy policy(options(), kStart, record);
+  const auto due = step(policy, 0, closing(seen(4, 6, 4), "c"));
+  cr_assert_eq(due.size(), 1U);
+  cr_assert_eq(wantedOf(due, kA), 6U);
+  cr_assert(due.front().reason == OrderReason::kRepeat);
+}
+
+Test(scaling_policy, an_order_that_was_carried_out_after_newer_ones_is_put_right) {
+  scaling_options soon = options();
+  soon.hold = std::chrono::seconds(3);
+  scaling_policy policy(soon, kStart, fourEach());
+  const scaling_view view = closing(seen(4, 4, 4), "c");
+  step(policy, 0, view, DutyAnswer::kUnknown);
+  const auto again = step(policy, 1, view);
+  cr_assert_eq(wantedOf(again, kA), 6U);
+  // Open again, and back to four; then the first order comes to be carried out.
+  scaling_view now = seen(6, 6, 4);
+  int second = 2;
+  for (; second < 40 && now.groups[kA].serving > 4; ++second) {
+    for (const count_decision& each : step(policy, second, now)) {
+      now.groups[each.group].serving = each.wanted;
+    }
+  }
+  cr_assert_eq(policy.record().current(kA), 4U);
+  cr_assert(second < 13, "a call without an answer is carried out seconds later");
+  now.groups[kA].serving = 6;
+  for (int end = second + 60; second < end; ++second) {
+    for (const count_decision& each : step(policy, second, now)) {
+      now.groups[each.group].serving = each.wanted;
+    }
+  }
+  cr_assert_eq(now.groups[kA].serving, 4U);
+  cr_assert_eq(policy.record().current(kA), 4U);
+}
+
+Test(scaling_policy, demand_shrinks_in_dear_zones_and_keeps_half_of_each) {
+  scaling_policy policy(options(ScalingMode::kDemand), kStart, fourEach());
+  scaling_view view = seen(4, 4, 4);
+  view.engines_for_work = 9;
+  for (int second = 0; second < 90; ++second) {
+    for (const count_decision& each : step(policy, second, view)) {
+      view.groups[each.group].serving = each.wanted;
+    }
+  }
+  cr_assert_eq(view.groups[kC].serving, 2U);
+  cr_assert_eq(view.groups[kA].serving, 3U);
+  cr_assert_eq(view.groups[kB].serving, 4U);
+}
+
+Test(scaling_policy, demand_grows_by_spot_engines_and_by_others_where_there_are_none) {
+  scaling_policy policy(options(ScalingMode::kDemand), kStart, fourEach());
+  scaling_view view = seen(4, 4, 4);
+  view.engines_for_work = 15;
+  const auto due = step(policy, 0, view, DutyAnswer::kFenced);
+  std::size_t spot = 0;
+  for (const count_decision& each : due) {
+    cr_assert(each.group.kind == EngineKind::kSpot);
+    cr_assert(each.reason == OrderReason::kWork);
+    spot += each.wanted;
+  }
+  cr_assert_eq(spot, 3U);
+  std::size_t others = 0;
+  for (const count_decision& each : step(policy, 1, view)) {
+    if (each.group.kind == EngineKind::kOnDemand) others += each.wanted - each.before;
+  }
+  cr_assert_eq(others, 3U);
+}
+
+Test(scaling_policy, demand_never_shrinks_while_the_work_is_not_known) {
+  scaling_policy policy(options(ScalingMode::kDemand), kStart, fourEach());
+  for (int second = 0; second < 60; ++second) {
+    cr_assert(step(policy, second, seen(4, 4, 4)).empty());
+  }
+}
+
+Test(scaling_policy, work_that_was_open_lately_counts) {
+  scaling::work_peak peak;
+  const scaling_options all = options(ScalingMode::kDemand);
+  cr_assert_eq(peak.onOpenItems(after(0), all, 320, 8), 10U);
+  cr_assert_eq(peak.onOpenItems(after(9), all, 0, 8), 10U);
+  cr_assert_eq(peak.onOpenItems(after(11), all, 64, 8), 2U);
+}
+
+Test(scaling_record, is_read_as_written) {
+  scaling_record record = fourEach();
+  record.ordered = {{kA, 6}, {kSpotB, 0}};
+  const auto read = scaling::decodeRecord(scaling::encodeRecord(record));
+  cr_assert(read.has_value());
+  cr_assert(*read == record);
+  cr_assert_not(scaling::decodeRecord("6").has_value());
+  cr_assert_not(scaling::decodeRecord("{}").has_value());
+}
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -75,6 +75,10 @@
     settings.usage = *options_.usage;
     settings.usage.handover = settings.handover;
   }
+  if (options_.scaling) {
+    settings.duties = duties_->address();
+    settings.scaling = *options_.scaling;
+  }
   if (options_.keep_jobs) settings.batch.keep_jobs = *options_.keep_jobs;
   gateways_.push_back(std::make_unique<GatewayUnderTest>(loop_, settings));
 }
@@ -96,13 +100,16 @@
          {"name":"jobs","host":"h.example","pathPrefix":"/jobs/","kind":"rollout",
           "timeoutMs":5000,"targetLatencyMs":400,"targetFinishMs":7500,"maxQueueS":20,
           "service":"models","maxAttempts":2,"resumable":true})";
-  store_->put("op", "config",
-              "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes + more_routes +
-                  R"(],"services":[{"name":"desk"},{"name":"models","engine":{"slots":8,
-                     "kvCacheTokens":50000,"models":[{"name":"m"}]}}],
+  store_->put(
+      "op", "config",
+      "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes + more_routes +
+          R"(],"services":[{"name":"desk"},{"name":"models","engine":{"slots":8,
+                     "kvCacheTokens":50000,"models":[{"name":"m"}]})" +
+          (options_.scaling_bounds.empty() ? "" : ",\"scaling\":" + options_.scaling_bounds) +
+          R"(}],
                      "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":300,
                      "idleTimeoutMs":2000})" +
-                  (options_.tenants.empty() ? "" : ",\"tenants\":" + options_.tenants) + "}");
+          (options_.tenants.empty() ? "" : ",\"tenants\":" + options_.tenants) + "}");
 }
 
 void GatewayFixture::putSamplers() {
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -39,11 +39,13 @@
   int gateways = 1;
   int lookup_samplers = 2;
   int model_samplers = 2;
-  int events = 10;                            ///< Of a model sampler's stream.
-  std::optional<Duration> keep_jobs;          ///< Until an ended job may be removed.
-  std::optional<usage::usage_options> usage;  ///< Absent: the platform has no duties.
-  bool tokens_checked = false;                ///< By whom orders and duties reach.
-  std::string tenants;                        ///< Of the configuration, as its list; empty: none.
+  int events = 10;                                  ///< Of a model sampler's stream.
+  std::optional<Duration> keep_jobs;                ///< Until an ended job may be removed.
+  std::optional<usage::usage_options> usage;        ///< Absent: the platform has no duties.
+  std::optional<scaling::scaling_options> scaling;  ///< Absent: no number of engines is ordered.
+  std::string scaling_bounds;   ///< Of the service with models, as JSON; empty: none.
+  bool tokens_checked = false;  ///< By whom orders and duties reach.
+  std::string tenants;          ///< Of the configuration, as its list; empty: none.
 };
 
 /// @return options for two gateways before samplers whose streams have so many events.
--- a/tests/support/standin_duties.cpp
+++ b/tests/support/standin_duties.cpp
@@ -1,5 +1,6 @@
 #include "support/standin_duties.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace linenpier::test {
@@ -21,17 +22,40 @@
   return found;
 }
 
+std::string StandinDuties::subjectOf(const DutyCall& call) {
+  if (call.path != "/scale") return call.path;
+  const auto order = nlohmann::json::parse(call.body);
+  return call.path + " " + order["service"].get<std::string>() + " " +
+         order["zone"].get<std::string>();
+}
+
+unsigned StandinDuties::carryOut(DutyCall call) {
+  std::uint64_t& highest = highest_token_[subjectOf(call)];
+  const bool scarce =
+      !faults_.scarce_zone.empty() && subjectOf(call).ends_with(" " + faults_.scarce_zone);
+  call.status = faults_.refuse ? 429 : call.token < highest || scarce ? 409 : 200;
+  highest = std::max(highest, faults_.refuse ? 0 : call.token);
+  if (call.status == 200 && on_done_) on_done_(call);
+  calls_.push_back(call);
+  return call.status;
+}
+
 Task<void> StandinDuties::handle(http::Request& request, http::ResponseWriter& writer) {
   DutyCall call;
   call.path = std::string(request.target());
   call.holder = http::fieldText(request, "Lease-Holder");
   call.token = std::strtoull(http::fieldText(request, "Fencing-Token").c_str(), nullptr, 10);
   call.body = request.body();
-  std::uint64_t& highest = highest_token_[call.path];
-  call.status = faults_.refuse ? 429 : call.token < highest ? 409 : 200;
-  if (call.status == 200) highest = call.token;
-  const unsigned status = call.status;
-  calls_.push_back(std::move(call));
+  if (faults_.delay > 0) {
+    --faults_.delay;
+    spawn(loop_, [this, call]() -> Task<void> {
+      co_await sleepFor(loop_, std::chrono::seconds(2));
+      carryOut(call);
+    });
+    writer.breakOff();
+    co_return;
+  }
+  const unsigned status = carryOut(std::move(call));
   if (faults_.lose > 0) {
     --faults_.lose;
     co_await sleepFor(loop_, std::chrono::milliseconds(20));
