--- a/src/scaling/scaling_policy.h
+++ b/src/scaling/scaling_policy.h
@@ -159,12 +159,13 @@
 class work_peak {
  public:
   /** @param slots of one engine.
-   * @return engines that the work of the last while needs.
+   * @return engines that the work of the last while needs; nothing before it was seen for so long.
    */
-  std::size_t onOpenItems(Instant now, const scaling_options& options, std::size_t items,
-                          std::uint32_t slots);
+  std::optional<std::size_t> onOpenItems(Instant now, const scaling_options& options,
+                                         std::size_t items, std::uint32_t slots);
 
  private:
+  Instant begun_at_{};                    ///< The first look.
   std::map<Instant, std::size_t> items_;  ///< Falling towards the present.
 };
 
