--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -14,6 +14,7 @@
 #include "common/time.h"
 #include "engines/cold_budget.h"
 #include "lease/own_capacity.h"
+#include "scaling/scaling_policy.h"
 #include "usage/usage_service.h"
 #include "versions/version_rollout.h"
 
@@ -30,6 +31,7 @@
   Address store;
   std::optional<Address> duties;  ///< Where duties at the platform are carried out; absent: none.
   usage::usage_options usage;
+  scaling::scaling_options scaling;
   lease::MachineLimits machine;
   std::size_t row_bytes = 65536;                  ///< Largest value of a row.
   Duration stop_limit = std::chrono::seconds(8);  ///< From the signal to the end.
