Keep requests with homes in their regions

Routes and tenants may name the regions in which their requests may be served, cached and stored. Nothing read that: engines were picked and owners chosen anywhere.

Each daemon decides by the newest configuration when it sends or takes on: engines by PickRequest::homes (route and tenant; a reward call's own route), owners by a filter before their choice, taking over and keeping by BatchService::mayOwn. Lease rows tell the zone of a daemon, where older daemons still read capacity and address. The pool of owners has members in every set of homes. A job with nobody at home waits and says so; an owner that is no longer at home gives its job up with the text made so far; a job or request without an engine at home is refused at once.

Ruled out: homes in the job's row (the newest configuration would not bind) and passing the body from daemon to daemon (docs/design/homes.md).

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -66,14 +66,19 @@
   if (!earlier.empty()) {
     const LeaseId& owner = jobs_.at(earlier.front()).record.owner;
     if (!owner.empty() && deps_.leases.alive(now, owner)) choice.previous = owner;
+    const bool own = owner == deps_.leases.own();
+    choice.previous_zone = own ? deps_.pool.zone() : deps_.leases.zoneOf(owner);
   }
+  const std::optional<fleet::home_regions> homes = homesOf(record);
+  if (homes) choice = atHome(std::move(choice), *homes, deps_.engines.registry.layout());
   for (const auto& [id, job] : jobs_) {
     if (job.record.ended) continue;
     if (job.record.owner == choice.previous) choice.previous_items += job.record.total;
     if (job.record.model != record.model) choice.busy.insert(job.record.owner);
   }
   choice.model_index = modelIndex(record);
-  return chooseOwner(choice, deps_.leases.own());
+  const LeaseId fallback = mayOwn(record) ? deps_.leases.own() : LeaseId();
+  return chooseOwner(choice, fallback);
 }
 
 std::size_t BatchService::modelIndex(const JobRecord& record) const {
@@ -131,6 +136,22 @@
     co_await answer(writer, kBadRequest, describe(job.error()));
     co_return;
   }
+  JobRecord record;
+  record.id = id;
+  record.host = http::fieldText(request, "Host");
+  record.path = std::string(request.target().substr(0, request.target().find('?')));
+  record.tenant = from.tenant;
+  record.total = job->items.size();
+  if (!job->items.empty()) record.model = job->items.front().model;
+  const routing::RouteTablePtr table = deps_.routes();
+  record.other_routes = otherRoutes(*table, route, record.host, *job);
+  if (!servedAtHome(route, record)) {
+    ++counts_.refused;
+    ++counts_.refused_for_home;
+    logOutcome("no_engine_at_home", kUnavailable);
+    co_await answer(writer, kUnavailable);
+    co_return;
+  }
   std::vector<table::Put> body = deps_.store.bodyRows(id, request.body());
   bool stored = !body.empty();
   if (!stored) {
@@ -143,14 +164,7 @@
     co_await answer(writer, kUnavailable);
     co_return;
   }
-  JobRecord record;
-  record.id = id;
-  record.host = http::fieldText(request, "Host");
-  record.path = std::string(request.target().substr(0, request.target().find('?')));
-  record.tenant = from.tenant;
-  record.total = job->items.size();
   record.body_rows = body.size();
-  if (!job->items.empty()) record.model = job->items.front().model;
   record.accepted_ms = deps_.keeper.storeClock(steadyNow());
   record.owner = ownerFor(steadyNow(), record);
   owner = record.owner;
--- a/src/batch/batch_carry_over.cpp
+++ b/src/batch/batch_carry_over.cpp
@@ -105,6 +105,8 @@
       new carry_over_search(deps_.loop, active->run.job()));
   const Instant begun = steadyNow();
   for (const JobId& id : earlier) {
+    // Its homes may be others than those of the job that follows.
+    if (!mayOwn(jobs_.at(id).record)) continue;
     const ActivePtr other = jobs_.at(id).active;
     if (other) {
       const BatchJob& job = other->run.job();
--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -112,6 +112,7 @@
     wanted.exact_version = *progress.versions.begin();
   }
   const routing::RouteTablePtr table = deps_.routes();
+  wanted.homes = homesOfItem(active, item, *table, route);
   const auto service = table->services.find(wanted.service);
   if (service != table->services.end()) wanted.memory_tokens = service->second.memory_tokens;
   return wanted;
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -85,6 +85,9 @@
     job.active->fence = row.revision;
   } else if (!job.active && !job.activating && !record->ended && !stopping_ &&
              record->owner == deps_.leases.own()) {
+    // The next look settles whether this daemon is at home for it.
+    job.resumes_at_home = !mayOwn(*record);
+    if (job.resumes_at_home) return;
     job.activating = true;
     spawn(deps_.loop, [this, id] { return resume(id); });
   } else if (stopping_ && !job.active && !record->ended && record->owner == deps_.leases.own()) {
@@ -114,7 +117,9 @@
 void BatchService::checkOwners(Instant now) {
   // What may be removed from the store need not be kept in memory.
   const Duration keep = std::min(options_.keep_ended, options_.keep_jobs);
+  awaiting_home_ = 0;
   for (auto& [id, job] : jobs_) {
+    if (!settleHome(id, job)) continue;
     if (job.active && job.active->stopped && job.active->calls.empty() &&
         job.active->scorings.empty() && now - job.active->stopped_at > keep) {
       job.active.reset();
@@ -123,6 +128,10 @@
     if (job.active && !job.active->stopped) continue;
     if (!deps_.leases.storeHealthy() || !deps_.leases.expired(job.record.owner)) continue;
     if (job.orphaned_at == Instant{}) job.orphaned_at = now;
+    if (!mayOwn(job.record)) {
+      noteAwaitsHome(now, id, job);
+      continue;
+    }
     const bool own = deps_.leases.isEarlierSelf(job.record.owner);
     // One daemon takes all jobs of a model.
     const std::string& what = job.record.model.empty() ? id.str() : job.record.model.str();
@@ -182,6 +191,10 @@
     const auto known = jobs_.find(id);
     if (known == jobs_.end()) break;
     const JobRecord record = known->second.record;
+    if (!mayOwn(record)) {
+      known->second.resumes_at_home = true;
+      break;
+    }
     const auto bytes = co_await deps_.store.getJob(record);
     auto at = jobs_.find(id);
     const auto stillOwned = [&] {
@@ -291,6 +304,7 @@
 
 BatchService::Work BatchService::work() const {
   Work work;
+  work.awaiting_home = awaiting_home_;
   for (const auto& [id, job] : jobs_) {
     if (!job.active || job.active->stopped) continue;
     ++work.jobs;
@@ -338,10 +352,13 @@
     // Also where one was sent just now: it may come too late, after the job was given up.
     co_await writeCheckpoint(active, CheckpointNeed::kAlways);
   }
-  const FencedAnswer answer = co_await deps_.store.putRecord(std::move(record), fence, {});
+  const FencedAnswer answer = co_await deps_.store.putRecord(record, fence, {});
   LogEvent("batch", "handed_over")
       .text("batch", id.str())
       .text("outcome", answer.outcome == FencedOutcome::kDone ? "done" : "not_done");
+  if (answer.outcome == FencedOutcome::kDone) {
+    onRecordRow(id, {gateway::jobKey(id), answer.revision, encodeRecord(record)});
+  }
 }
 
 }  // namespace linenpier::batch
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -23,6 +23,7 @@
 #include "batch/moves_planned.h"
 #include "batch/run_patience.h"
 #include "forward/engine_call.h"
+#include "fleet/home_regions.h"
 #include "forward/internal_requests.h"
 #include "http/server.h"
 #include "lease/lease_keeper.h"
@@ -89,6 +90,8 @@
   std::uint64_t refused = 0;
   std::uint64_t taken_over = 0;
   std::uint64_t lost = 0;
+  std::uint64_t refused_for_home = 0;  ///< Of `refused`: no engine at home.
+  std::uint64_t given_to_home = 0;     ///< Jobs given up since this daemon is not at home.
   std::uint64_t ended = 0;
   std::uint64_t completed = 0;
   std::uint64_t terminated = 0;
@@ -151,6 +154,7 @@
     std::size_t waiting = 0;
     std::size_t running = 0;
     std::size_t unscored = 0;
+    std::size_t awaiting_home = 0;  ///< Jobs of anybody that nobody at home takes up.
   };
   Work work() const;
 
@@ -164,6 +168,8 @@
     Revision revision = 0;
     ActivePtr active;  ///< Set while this daemon owns and runs it.
     bool activating = false;
+    /// It was given to this daemon, or kept by it, while it was not known to be at home.
+    bool resumes_at_home = false;
     Instant orphaned_at{};            ///< When its owner was first seen to be gone.
     std::shared_ptr<Signal> changed;  ///< The row has changed; set while readers wait.
   };
@@ -188,7 +194,31 @@
   Task<CallResult<Inheritance>> inheritTexts(JobId id);
   void activate(const JobId& id, BatchJob job, const Inheritance& inheritance, Instant accepted_at);
 
-  /// @return who should run a job that is handed in here.
+  /// @return the routes of items and scorers that are not the job's own.
+  std::set<routing::RouteName> otherRoutes(const routing::RouteTable& table,
+                                           const routing::Route& route, const std::string& host,
+                                           const BatchJob& job) const;
+  /// @return where the job may be; nothing before there is a configuration.
+  std::optional<fleet::home_regions> homesOf(const JobRecord& record) const;
+  /// @return where an item of the job may be served.
+  fleet::home_regions homesOfItem(const Active& active, ItemIndex item,
+                                  const routing::RouteTable& table,
+                                  const routing::Route& route) const;
+  RegionName ownRegion() const;
+  /// @return whether the job may be here.
+  bool mayOwn(const JobRecord& record) const;
+  /// @return whether the job may be owned somewhere, and an engine of the route's service is where
+  ///     its items may be.
+  bool servedAtHome(const routing::Route& route, const JobRecord& record) const;
+  /// Gives the job up if this daemon owns it and it must not be here; goes on with it where that
+  /// was not known.
+  /// @return whether it was left alone.
+  bool settleHome(const JobId& id, Job& job);
+  Task<void> giveUp(JobId id);
+  /// Nobody owns the job, and this daemon must not.
+  void noteAwaitsHome(Instant now, const JobId& id, Job& job);
+
+  /// @return who should run a job that is handed in here; nobody, if those who may are not known.
   LeaseId ownerFor(Instant now, const JobRecord& record) const;
   /// @return the position of the job's model among those of the configuration.
   std::size_t modelIndex(const JobRecord& record) const;
@@ -297,6 +327,8 @@
   length_estimate lengths_;
   std::size_t scorings_ = 0;  ///< Reward requests under way.
   std::size_t waiting_readers_ = 0;
+  std::size_t awaiting_home_ = 0;  ///< Jobs that nobody at home takes up, at the last look.
+  Instant next_wait_line_{};       ///< When the next line on them may be written.
   bool stopping_ = false;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
 };
--- a/src/batch/batch_types.h
+++ b/src/batch/batch_types.h
@@ -13,6 +13,7 @@
 
 #include "common/ids.h"
 #include "common/time.h"
+#include "routing/route_table.h"
 
 namespace linenpier::batch {
 
@@ -78,6 +79,7 @@
   std::string path;
   ModelName model;  ///< Of its items; empty if none is named.
   TenantId tenant;  ///< Who handed it in; empty: nobody in particular, everybody may read it.
+  std::set<routing::RouteName> other_routes;  ///< Of items and scorers, where they are others'.
   std::size_t total = 0;
   std::size_t body_rows = 0;  ///< That hold the job as handed in; 0: an object does.
   std::size_t released = 0;   ///< Results that readers are shown; those behind are kept back.
--- a/src/batch/job_store.cpp
+++ b/src/batch/job_store.cpp
@@ -42,7 +42,7 @@
 }  // namespace
 
 std::string encodeRecord(const JobRecord& record) {
-  const json document = {{"owner", record.owner.str()},
+  json document = {{"owner", record.owner.str()},
                          {"host", record.host},
                          {"path", record.path},
                          {"model", record.model.str()},
@@ -53,6 +53,9 @@
                          {"ended", record.ended},
                          {"begun", record.begun},
                          {"accepted_ms", record.accepted_ms}};
+  for (const routing::RouteName& each : record.other_routes) {
+    document["other_routes"].push_back(each.str());
+  }
   return document.dump();
 }
 
@@ -67,6 +70,9 @@
     record.path = document.at("path").get<std::string>();
     record.model = ModelName(document.value("model", ""));
     record.tenant = TenantId(document.value("tenant", ""));
+    for (const auto& name : document.value("other_routes", std::vector<std::string>{})) {
+      record.other_routes.insert(routing::RouteName(name));
+    }
     record.total = document.at("total").get<std::size_t>();
     record.body_rows = document.value("body_rows", std::size_t{0});
     record.released = document.value("released", std::size_t{0});
--- a/src/batch/owner_choice.cpp
+++ b/src/batch/owner_choice.cpp
@@ -28,6 +28,15 @@
 
 }  // namespace
 
+OwnerChoice atHome(OwnerChoice choice, const fleet::home_regions& homes,
+                   const fleet::fleet_layout& layout) {
+  std::erase_if(choice.candidates, [&](const lease::OwnerCandidate& each) {
+    return !homes.allows(layout.regionOf(each.zone));
+  });
+  if (!homes.allows(layout.regionOf(choice.previous_zone))) choice.previous = LeaseId();
+  return choice;
+}
+
 LeaseId chooseOwner(const OwnerChoice& choice, const LeaseId& own) {
   if (keepsPrevious(choice)) return choice.previous;
   if (choice.candidates.empty()) return own;
--- a/src/batch/owner_choice.h
+++ b/src/batch/owner_choice.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "batch/batch_types.h"
+#include "fleet/fleet_layout.h"
+#include "fleet/home_regions.h"
 #include "lease/lease_table.h"
 
 namespace linenpier::batch {
@@ -17,6 +19,7 @@
   /// Owner of the model's newest job, if it lives: it has connections to the engines, and knows
   /// what it runs there and what is kept. Empty: there is none.
   LeaseId previous;
+  ZoneName previous_zone;           ///< Empty: not told.
   std::size_t previous_items = 0;   ///< Items of open jobs that `previous` owns.
   std::size_t items = 0;            ///< Of the new job.
   std::set<LeaseId> busy;           ///< Owners of open jobs of other models.
@@ -24,6 +27,10 @@
   std::size_t most_open_items = 0;  ///< That one daemon is given.
 };
 
+/// @return the choice without those that are elsewhere, or that told no zone of the layout.
+OwnerChoice atHome(OwnerChoice choice, const fleet::home_regions& homes,
+                   const fleet::fleet_layout& layout);
+
 /// @return the owner; `own` where nobody offers.
 LeaseId chooseOwner(const OwnerChoice& choice, const LeaseId& own);
 
--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -279,6 +279,20 @@
   return excluded ? EngineRefusal::kExcluded : EngineRefusal::kNone;
 }
 
+bool EngineRegistry::anyInPlace(const PickRequest& request) {
+  last_refusals_ = refusal_tally();
+  bool any = false;
+  for (const auto& [id, engine] : engines_) {
+    const EngineRefusal refusal = admitPlace(engine, request);
+    if (refusal == EngineRefusal::kNone) {
+      any = true;
+    } else if (refusal != EngineRefusal::kOtherService) {
+      last_refusals_.add(refusal);
+    }
+  }
+  return any;
+}
+
 WeightVersion EngineRegistry::newestHeld(const routing::ServiceName& service,
                                          const ModelName& model) const {
   WeightVersion newest = 0;
--- a/src/engines/engine_registry.h
+++ b/src/engines/engine_registry.h
@@ -120,6 +120,7 @@
       : zone_(std::move(zone)), options_(options), random_(seed) {}
 
   void setLayout(fleet::fleet_layout layout) { layout_ = std::move(layout); }
+  const fleet::fleet_layout& layout() const { return layout_; }
   /// Engines of these zones get nothing new from now on.
   void setClosedZones(fleet::closed_zones closed) { closed_ = std::move(closed); }
   const fleet::closed_zones& closedZones() const { return closed_; }
@@ -155,6 +156,9 @@
 
   /// @return whether the engine may be sent the request, and if not, why.
   EngineRefusal admit(Instant now, const EngineState& engine, const PickRequest& request) const;
+  /// @return whether an engine is where the request may be served; it may be full, or away for a
+  ///     while.
+  bool anyInPlace(const PickRequest& request);
   /// @return the engine that should answer soonest, or nullptr if none is admitted.
   const EngineState* pick(Instant now, const PickRequest& request);
   /// @return why engines were refused when one was last picked.
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "tenants/homes.h"
+
 namespace linenpier::forward {
 
 namespace {
@@ -70,20 +72,37 @@
   }
 }
 
-const engines::EngineState* Forwarder::pickEngine(const ForwardedRequest& forwarded,
+fleet::home_regions Forwarder::homesOf(const ForwardedRequest& forwarded) const {
+  const routing::RouteTablePtr newest = newest_ ? newest_() : forwarded.table;
+  const std::string target(forwarded.request->target());
+  const std::string path = target.substr(0, target.find('?'));
+  const routing::Route* route = newest->find(http::fieldText(*forwarded.request, "Host"), path);
+  if (route == nullptr) route = forwarded.route;
+  return tenants::homesOf(*newest, route, forwarded.from.tenant);
+}
+
+const engines::EngineState* Forwarder::pickEngine(ForwardedRequest& forwarded,
                                                   const std::set<EngineId>& tried) {
-  const Instant now = steadyNow();
   engines::PickRequest wanted;
-  wanted.service = dealer_.next(*forwarded.route);
   wanted.excluded = tried;
   wanted.most_per_slot = forwarded.most_per_slot;
   wanted.model = ModelName(http::fieldText(*forwarded.request, context_.names.model));
+  wanted.homes = homesOf(forwarded);
+  const engines::EngineState* engine = pickFrom(forwarded, wanted);
+  forwarded.refusals = engine == nullptr ? context_.registry.lastRefusals().describe() : "";
+  return engine;
+}
+
+const engines::EngineState* Forwarder::pickFrom(const ForwardedRequest& forwarded,
+                                                engines::PickRequest& wanted) {
+  const Instant now = steadyNow();
+  wanted.service = dealer_.next(*forwarded.route);
   if (const auto* engine = context_.registry.pick(now, wanted)) return engine;
   for (const routing::WeightedService& each : forwarded.route->services) {
     wanted.service = each.service;
     if (const auto* engine = context_.registry.pick(now, wanted)) return engine;
   }
-  if (!tried.empty()) return nullptr;
+  if (!wanted.excluded.empty()) return nullptr;
   wanted.desperate = true;
   for (const routing::WeightedService& each : forwarded.route->services) {
     wanted.service = each.service;
@@ -176,6 +195,7 @@
       .milliseconds("took_ms", took)
       .milliseconds("left_ms", forwarded.deadline - now);
   if (!success) addEngineCounts(*forwarded.route, now, event);
+  if (!success && !forwarded.refusals.empty()) event.text("refusals", forwarded.refusals);
   if (const auto skipped = sampler_.takeSkipped()) {
     event.number("successes_not_written", static_cast<std::int64_t>(skipped));
   }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -3,6 +3,8 @@
 /// @file
 /// Serves one client request by attempts at engines. Bytes pass unchanged in both directions.
 
+#include <functional>
+
 #include "forward/attempt_policy.h"
 #include "forward/internal_requests.h"
 #include "forward/run_recorder.h"
@@ -39,6 +41,8 @@
   double most_per_slot = 0;  ///< Engines that are fuller are left alone; 0: no limit.
   bool internal = false;     ///< The system itself sends it, not a client.
   bool recorded = false;     ///< It was recorded that it began to run.
+  /// Why no engine was found for it, with counts; empty: one was.
+  std::string refusals;
 };
 
 /// Loop thread only.
@@ -54,6 +58,9 @@
         recorder_(recorder),
         options_(options) {}
 
+  /// Homes are those of the newest table from now on, also for requests that came under an older
+  /// one.
+  void followHomes(std::function<routing::RouteTablePtr()> newest) { newest_ = std::move(newest); }
   /// Answers the request in every case, unless the client is gone.
   Task<void> serve(routing::RouteTablePtr table, const routing::Route& route, tenants::caller from,
                    const http::Request& request, Instant received, http::ResponseWriter& writer);
@@ -87,8 +94,12 @@
   Task<void> answerFinally(ForwardedRequest& forwarded, FinalAnswer answer,
                            http::ResponseWriter& writer);
 
-  const engines::EngineState* pickEngine(const ForwardedRequest& forwarded,
+  const engines::EngineState* pickEngine(ForwardedRequest& forwarded,
                                          const std::set<EngineId>& tried);
+  const engines::EngineState* pickFrom(const ForwardedRequest& forwarded,
+                                       engines::PickRequest& wanted);
+  /// @return where the request may be served.
+  fleet::home_regions homesOf(const ForwardedRequest& forwarded) const;
   http::Request outgoing(const ForwardedRequest& forwarded, Instant now) const;
   Instant deadlineOf(const routing::Route& route, const http::Request& request,
                      Instant received) const;
@@ -108,6 +119,7 @@
   metrics::GatewayMetrics& metrics_;
   run_recorder& recorder_;
   ForwarderOptions options_;
+  std::function<routing::RouteTablePtr()> newest_;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,7 +46,7 @@
       registry_(settings.zone, {}, seed),
       dealer_(seed),
       leases_(lease::makeLeaseId(settings.id.str(), Random(seed).hex16()), {}, steadyNow()),
-      owner_pool_(leases_, settings.machine),
+      owner_pool_(leases_, settings.machine, settings.zone),
       keeper_(loop, platform.table(), leases_, owner_pool_),
       lease_watch_(loop, platform.table(), leases_, keeper_, owner_pool_, {}, seed + 1),
       job_store_(platform.table(), platform.objects(), settings.row_bytes - kRowOverhead),
@@ -86,7 +86,10 @@
                    [this](http::Request& request, Instant, http::ResponseWriter& writer) {
                      return handlePeer(request, writer);
                    }),
-      random_(seed + 2) {}
+      random_(seed + 2) {
+  registry_.setLayout(settings.layout);
+  forwarder_.followHomes([this] { return routes_; });
+}
 
 Findings Gateway::start() {
   Findings findings;
@@ -130,6 +133,9 @@
   settings_.seeds = changed.seeds;
   settings_.stop_limit = changed.stop_limit;
   settings_.store = changed.store;
+  settings_.layout = changed.layout;
+  registry_.setLayout(changed.layout);
+  if (routes_) demand_ = demandOf(*routes_, settings_.layout);
   batches_.setOptions(changed.batch);
   orders_.setOptions(orderOptions(changed));
   LogEvent("settings", "applied")
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "common/random.h"
 #include "forward/forwarder.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/owner_demand.h"
 #include "gateway/peer_snapshot.h"
 #include "gateway/platform_port.h"
 #include "lease/lease_watch.h"
@@ -97,6 +98,7 @@
   metrics::GatewayMetrics& metrics_;
   engines::EngineRegistry registry_;
   routing::RouteTablePtr routes_;  ///< The newest seen in this life; empty before the first.
+  lease::pool_demand demand_ = demandWithoutModels();  ///< Of daemons that offer to own work.
   routing::WeightedDealer dealer_;
   lease::LeaseTable leases_;
   lease::OwnerPool owner_pool_;
--- a/src/gateway/gateway_metrics_page.cpp
+++ b/src/gateway/gateway_metrics_page.cpp
@@ -51,6 +51,9 @@
   state.jobs_accepted = counts.accepted;
   state.jobs_refused = counts.refused;
   state.jobs_taken_over = counts.taken_over;
+  state.jobs_waiting_for_home = work.awaiting_home;
+  state.jobs_refused_for_home = counts.refused_for_home;
+  state.jobs_given_to_home = counts.given_to_home;
   return state;
 }
 
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -35,6 +35,14 @@
   return seeds;
 }
 
+fleet::fleet_layout readLayout(settings::TomlReader& reader) {
+  std::map<std::string, std::string> named;
+  reader.readStrings("zones", named);
+  std::map<ZoneName, RegionName> regions;
+  for (const auto& [zone, region] : named) regions[ZoneName(zone)] = RegionName(region);
+  return fleet::fleet_layout(std::move(regions));
+}
+
 }  // namespace
 
 tl::expected<GatewaySettings, Findings> parseGatewaySettings(const std::string& file,
@@ -51,6 +59,7 @@
   std::string tokens = "unchecked";
   reader.readString("daemon.id", id, true);
   reader.readString("daemon.zone", zone, true);
+  settings.layout = readLayout(reader);
   reader.readAddress("listen.requests", settings.requests, true);
   reader.readAddress("listen.readiness", settings.readiness, true);
   Address metrics;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -12,6 +12,7 @@
 #include "common/error.h"
 #include "common/ids.h"
 #include "common/time.h"
+#include "fleet/fleet_layout.h"
 #include "lease/own_capacity.h"
 #include "usage/usage_service.h"
 #include "versions/version_rollout.h"
@@ -21,6 +22,7 @@
 struct GatewaySettings {
   DaemonId id;
   ZoneName zone;
+  fleet::fleet_layout layout;      ///< Which region each zone lies in.
   Address requests;                ///< Where clients connect.
   Address readiness;               ///< Where the platform asks whether this daemon is ready.
   std::optional<Address> metrics;  ///< Where metrics are told; absent: nowhere.
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -31,9 +31,6 @@
 /// Between two looks whether such questions are called for.
 constexpr Duration kProbeIdle = std::chrono::milliseconds(500);
 constexpr Duration kProbePatience = std::chrono::milliseconds(500);
-/// Daemons that offer to own work beyond one a model: one for the right to order, one that can take
-/// over at once.
-constexpr std::size_t kSpareOwners = 2;
 
 std::string keyWithoutTable(const table::Row& row) {
   return row.key.substr(row.key.find('/') + 1);
@@ -172,6 +169,7 @@
   snapshot_.config_version = parsed->version;
   snapshot_.configuration = platform_.withoutKeys(value);
   routes_ = std::make_shared<const routing::RouteTable>(std::move(*parsed));
+  demand_ = demandOf(*routes_, settings_.layout);
   requests_.setLimits(routes_->limits);
 }
 
@@ -242,14 +240,11 @@
   leases_answered_ = answered;
   updateLeaseHealth();
   if (!answered || stopping_) return;
-  std::size_t models = 0;
-  if (routes_) {
-    for (const auto& [name, service] : routes_->services) models += service.models.size();
-  }
-  if (!owner_pool_.onLeasesRead(steadyNow(), models + kSpareOwners)) return;
+  if (!owner_pool_.onLeasesRead(steadyNow(), demand_)) return;
   LogEvent("lease", owner_pool_.offers() ? "offers_to_own" : "offers_no_more")
       .real("capacity", owner_pool_.capacity())
-      .number("wanted", static_cast<std::int64_t>(models + kSpareOwners));
+      .number("wanted", static_cast<std::int64_t>(demand_.owners))
+      .number("homes", static_cast<std::int64_t>(demand_.places.size()));
 }
 
 void Gateway::onCoordinationRow(const table::RowChange& change) {
--- /dev/null
+++ b/src/gateway/owner_demand.cpp
@@ -0,0 +1,64 @@
+#include "gateway/owner_demand.h"
+
+#include <algorithm>
+
+namespace linenpier::gateway {
+
+namespace {
+
+using place = lease::pool_demand::place;
+
+/** Daemons that offer to own work beyond one a model: one for the right to order, one that can take
+ * over at once.
+ */
+constexpr std::size_t kSpareOwners = 2;
+/** The same in each set of homes: one that can take over at once. */
+constexpr std::size_t kSpareAtHome = 1;
+
+std::size_t modelsOf(const routing::RouteTable& table, const routing::Route& route) {
+  const auto service = table.services.find(route.services.front().service);
+  return service == table.services.end() ? 0 : service->second.models.size();
+}
+
+std::set<ZoneName> zonesIn(const fleet::fleet_layout& layout, const fleet::home_regions& homes) {
+  std::set<ZoneName> zones;
+  for (const auto& [zone, region] : layout.zones()) {
+    if (homes.allows(region)) zones.insert(zone);
+  }
+  return zones;
+}
+
+/** Adds what jobs under these homes need, unless another route's need as much there. */
+void addPlace(std::vector<place>& places, std::set<ZoneName> zones, std::size_t owners) {
+  if (zones.empty()) return;
+  const auto known = std::find_if(places.begin(), places.end(),
+                                  [&zones](const place& each) { return each.zones == zones; });
+  if (known == places.end()) {
+    places.push_back({std::move(zones), owners});
+  } else {
+    known->owners = std::max(known->owners, owners);
+  }
+}
+
+}  // namespace
+
+lease::pool_demand demandWithoutModels() {
+  return {kSpareOwners, {}};
+}
+
+lease::pool_demand demandOf(const routing::RouteTable& table, const fleet::fleet_layout& layout) {
+  lease::pool_demand demand = demandWithoutModels();
+  for (const auto& [name, service] : table.services) demand.owners += service.models.size();
+  for (const routing::Route& route : table.routes) {
+    if (route.kind != routing::RequestKind::kBatch) continue;
+    const std::size_t owners = modelsOf(table, route) + kSpareAtHome;
+    const auto add = [&](const fleet::home_regions& homes) {
+      if (homes.bound()) addPlace(demand.places, zonesIn(layout, homes), owners);
+    };
+    add(route.homes);
+    for (const tenants::tenant& each : table.tenants.all()) add(route.homes.both(each.homes));
+  }
+  return demand;
+}
+
+}  // namespace linenpier::gateway
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -17,7 +17,7 @@
 }
 
 table::Put LeaseKeeper::renewal() const {
-  return {gateway::leaseKey(leases_.own()), encodeLease(pool_.capacity(), peer_)};
+  return {gateway::leaseKey(leases_.own()), encodeLease(pool_.capacity(), peer_, pool_.zone())};
 }
 
 void LeaseKeeper::onRenewed(Instant sent_at) {
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -10,6 +10,7 @@
 namespace {
 constexpr char kSeparator = '#';
 constexpr char kPeerSeparator = '|';  ///< In a row's value.
+constexpr char kZoneSeparator = '@';  ///< In a row's value, before the peer.
 constexpr Duration kOldAge = std::chrono::seconds(60);
 constexpr Duration kAgeSpread = std::chrono::milliseconds(300);
 constexpr Duration kJitterSpread = std::chrono::milliseconds(80);
@@ -24,8 +25,9 @@
   return std::max(0.0, std::strtod(value.c_str(), nullptr));
 }
 
-std::string encodeLease(double capacity, const std::optional<Address>& peer) {
+std::string encodeLease(double capacity, const std::optional<Address>& peer, const ZoneName& zone) {
   std::string value = encodeCapacity(capacity);
+  if (!zone.empty()) value += kZoneSeparator + zone.str();
   if (peer) value += kPeerSeparator + toString(*peer);
   return value;
 }
@@ -36,6 +38,13 @@
   return parseAddress(value.substr(separator + 1));
 }
 
+ZoneName decodeZone(const std::string& value) {
+  const std::size_t end = std::min(value.find(kPeerSeparator), value.size());
+  const std::size_t separator = value.find(kZoneSeparator);
+  if (separator >= end) return {};
+  return ZoneName(value.substr(separator + 1, end - separator - 1));
+}
+
 LeaseId makeLeaseId(const std::string& daemon, const std::string& incarnation) {
   return LeaseId(daemon + kSeparator + incarnation);
 }
@@ -67,6 +76,7 @@
     onRow(now, lease, row.revision);
     rows_[lease].capacity = row.capacity;
     rows_[lease].peer = row.peer;
+    rows_[lease].zone = row.zone;
   }
   std::erase_if(rows_, [&](const auto& each) {
     return each.second.revision > 0 && !rows.contains(each.first);
@@ -82,7 +92,7 @@
   if (lease == own_) return false;
   if (lease.empty() || isEarlierSelf(lease)) return true;
   if (!store_healthy_since_) return false;
-  const auto [at, fresh] = rows_.try_emplace(lease, Observation{0, read_at_, 0, std::nullopt});
+  const auto [at, fresh] = rows_.try_emplace(lease, Observation{0, read_at_, 0, std::nullopt, {}});
   const Instant since = std::max(at->second.changed_at, *store_healthy_since_);
   return read_at_ - since > times_.expiry + allowance_;
 }
@@ -107,11 +117,17 @@
   std::vector<OwnerCandidate> found;
   for (const auto& [lease, seen] : rows_) {
     const bool other = lease != own_ && !isEarlierSelf(lease);
-    if (other && seen.capacity > 0 && alive(now, lease)) found.push_back({lease, seen.capacity});
+    const bool offers = other && seen.capacity > 0 && alive(now, lease);
+    if (offers) found.push_back({lease, seen.capacity, seen.zone});
   }
   return found;
 }
 
+ZoneName LeaseTable::zoneOf(const LeaseId& lease) const {
+  const auto at = rows_.find(lease);
+  return at == rows_.end() ? ZoneName() : at->second.zone;
+}
+
 std::vector<Address> LeaseTable::peers() const {
   std::set<Address> found;
   for (const auto& [lease, seen] : rows_) {
--- a/src/lease/lease_table.h
+++ b/src/lease/lease_table.h
@@ -45,20 +45,29 @@
 struct LeaseRow {
   // Not explicit: a row without a capacity is its revision.
   LeaseRow(Revision row_revision = 0, double told_capacity = 0,
-           std::optional<Address> told_peer = std::nullopt)
-      : revision(row_revision), capacity(told_capacity), peer(told_peer) {}
+           std::optional<Address> told_peer = std::nullopt, ZoneName told_zone = {})
+      : revision(row_revision),
+        capacity(told_capacity),
+        peer(told_peer),
+        zone(std::move(told_zone)) {}
 
   Revision revision;
   double capacity;              ///< See OwnCapacity::value; 0: not told.
   std::optional<Address> peer;  ///< Where other daemons ask its daemon.
+  ZoneName zone;                ///< That its daemon is in; empty: not told.
 };
 
 /// @return the value of a lease's row.
 std::string encodeCapacity(double capacity);
 /// @return 0 if the value tells none.
 double decodeCapacity(const std::string& value);
+/// @param zone that the daemon is in; empty: not told. It stands where daemons that do not look for
+///     it still read the rest.
 /// @return the value of a lease's row that tells where other daemons ask, too.
-std::string encodeLease(double capacity, const std::optional<Address>& peer);
+std::string encodeLease(double capacity, const std::optional<Address>& peer,
+                        const ZoneName& zone = {});
+/// @return empty if the value tells no zone.
+ZoneName decodeZone(const std::string& value);
 /// @return nothing if the value tells no address.
 std::optional<Address> decodePeer(const std::string& value);
 
@@ -66,6 +75,7 @@
 struct OwnerCandidate {
   LeaseId lease;
   double capacity = 0;
+  ZoneName zone = {};  ///< Empty: not told.
 
   bool operator==(const OwnerCandidate&) const = default;
 };
@@ -104,6 +114,8 @@
   bool alive(Instant now, const LeaseId& lease) const;
   /// @return the other daemons that live and told their capacity.
   std::vector<OwnerCandidate> candidates(Instant now) const;
+  /// @return the zone of the lease's daemon; empty if it was not told.
+  ZoneName zoneOf(const LeaseId& lease) const;
   /// @return where other daemons that hold leases may be asked. They reached the store when it was
   ///     last read, so that they are likely to know what a daemon without it misses.
   std::vector<Address> peers() const;
@@ -124,6 +136,7 @@
     Instant changed_at{};
     double capacity = 0;
     std::optional<Address> peer;
+    ZoneName zone;
   };
   LeaseId own_;
   LeaseTimes times_;
--- a/src/lease/owner_pool.cpp
+++ b/src/lease/owner_pool.cpp
@@ -43,18 +43,31 @@
 
 std::vector<OwnerCandidate> OwnerPool::ranked(Instant now) const {
   std::vector<OwnerCandidate> candidates = leases_.candidates(now);
-  if (offers_) candidates.push_back({leases_.own(), capacity()});
+  if (offers_) candidates.push_back({leases_.own(), capacity(), zone_});
   std::sort(candidates.begin(), candidates.end(), betterOwner);
   return candidates;
 }
 
-bool OwnerPool::onLeasesRead(Instant now, std::size_t wanted) {
-  const OwnerCandidate self{leases_.own(), capacity()};
+bool OwnerPool::lacking(const pool_demand& wanted,
+                        const std::vector<OwnerCandidate>& others) const {
+  const OwnerCandidate self{leases_.own(), capacity(), zone_};
+  std::vector<ZoneName> better;  // Where they are.
+  for (const OwnerCandidate& each : others) {
+    if (betterOwner(each, self)) better.push_back(each.zone);
+  }
+  if (better.size() < wanted.owners) return true;
+  return std::any_of(wanted.places.begin(), wanted.places.end(), [&](const auto& place) {
+    if (!place.zones.contains(zone_)) return false;
+    const auto there = std::count_if(better.begin(), better.end(), [&place](const ZoneName& zone) {
+      return place.zones.contains(zone);
+    });
+    return static_cast<std::size_t>(there) < place.owners;
+  });
+}
+
+bool OwnerPool::onLeasesRead(Instant now, const pool_demand& wanted) {
   const std::vector<OwnerCandidate> others = leases_.candidates(now);
-  const auto better = static_cast<std::size_t>(
-      std::count_if(others.begin(), others.end(),
-                    [&self](const OwnerCandidate& each) { return betterOwner(each, self); }));
-  if (better >= wanted) {
+  if (!lacking(wanted, others)) {
     lacking_since_.reset();
   } else if (!lacking_since_) {
     lacking_since_ = now;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -144,6 +144,12 @@
   set("jobs_accepted", "Jobs accepted, ever.", number(state.jobs_accepted));
   set("jobs_refused", "Jobs refused, ever.", number(state.jobs_refused));
   set("jobs_taken_over", "Jobs taken over from others, ever.", number(state.jobs_taken_over));
+  set("jobs_waiting_for_home", "Jobs that no daemon at home takes up.",
+      number(state.jobs_waiting_for_home));
+  set("jobs_refused_for_home", "Jobs refused for want of an engine at home, ever.",
+      number(state.jobs_refused_for_home));
+  set("jobs_given_to_home", "Jobs given up by this daemon since it is not at home, ever.",
+      number(state.jobs_given_to_home));
   setProcessMetrics();
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/src/metrics/gateway_metrics.h
+++ b/src/metrics/gateway_metrics.h
@@ -42,6 +42,9 @@
   std::uint64_t jobs_accepted = 0;
   std::uint64_t jobs_refused = 0;
   std::uint64_t jobs_taken_over = 0;
+  std::size_t jobs_waiting_for_home = 0;
+  std::uint64_t jobs_refused_for_home = 0;
+  std::uint64_t jobs_given_to_home = 0;
   std::uint64_t item_attempts = 0;
   std::uint64_t items_scored = 0;
   std::uint64_t scorings_failed = 0;
--- a/src/settings/toml_reader.cpp
+++ b/src/settings/toml_reader.cpp
@@ -125,6 +125,25 @@
   value = *number;
 }
 
+void TomlReader::readStrings(const std::string& key, std::map<std::string, std::string>& values) {
+  const auto node = document_->table.at_path(key);
+  if (!node) return;
+  const toml::table* table = node.as_table();
+  if (table == nullptr) {
+    known_.insert(key);
+    return report(key, "must be a table");
+  }
+  for (const auto& [name, value] : *table) {
+    const std::string full = key + "." + std::string(name.str());
+    known_.insert(full);
+    if (const auto text = value.value_exact<std::string>()) {
+      values[std::string(name.str())] = *text;
+    } else {
+      report(full, "must be a string");
+    }
+  }
+}
+
 Findings TomlReader::finish() {
   std::vector<std::string> keys;
   collectKeys(document_->table, "", keys);
--- a/src/settings/toml_reader.h
+++ b/src/settings/toml_reader.h
@@ -4,6 +4,7 @@
 /// Reads typed values from TOML by dotted key and collects what is wrong, with file, line and key.
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -28,6 +29,8 @@
   void readInteger(const std::string& key, std::int64_t& value, std::int64_t lowest,
                    std::int64_t highest);
   void readNumber(const std::string& key, double& value, double lowest, double highest);
+  /// A table of strings under names of the writer's choice, such as zones; may be absent.
+  void readStrings(const std::string& key, std::map<std::string, std::string>& values);
   /// Reports unknown keys. @return all findings.
   Findings finish();
   void report(const std::string& key, const std::string& problem);
--- /dev/null
+++ b/src/tenants/homes.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/** @file
+ * Where requests may be served, cached and stored, by their route and their tenant. Pure.
+ */
+
+#include "fleet/home_regions.h"
+#include "routing/route_table.h"
+
+namespace linenpier::tenants {
+
+/** @param route nullptr: none, it binds nothing.
+ * @param tenant empty, or not known: it binds nothing.
+ * @return the regions that both allow.
+ */
+fleet::home_regions homesOf(const routing::RouteTable& table, const routing::Route* route,
+                            const TenantId& tenant);
+
+}  // namespace linenpier::tenants
--- a/src/tenants/tenant_table.cpp
+++ b/src/tenants/tenant_table.cpp
@@ -87,4 +87,9 @@
   return at == this->by_name_.end() ? std::nullopt : this->tenants_[at->second].priority;
 }
 
+fleet::home_regions tenant_table::homesOf(const TenantId& name) const {
+  const auto at = this->by_name_.find(name);
+  return at == this->by_name_.end() ? fleet::home_regions() : this->tenants_[at->second].homes;
+}
+
 }  // namespace linenpier::tenants
--- a/src/tenants/tenant_table.h
+++ b/src/tenants/tenant_table.h
@@ -57,6 +57,8 @@
   const tenant* find(const key_digest& digest) const;
   /** @return the tenant's own priority, if it has one. */
   std::optional<int> priorityOf(const TenantId& name) const;
+  /** @return where the tenant's requests may be; anywhere if it is not known. */
+  fleet::home_regions homesOf(const TenantId& name) const;
   const std::vector<tenant>& all() const { return this->tenants_; }
 
  private:
--- /dev/null
+++ b/tests/gateway/owner_demand_test.cpp
@@ -0,0 +1,58 @@
+#include "gateway/owner_demand.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+
+namespace {
+
+const fleet::fleet_layout kLayout({{ZoneName("a"), RegionName("near")},
+                                   {ZoneName("b"), RegionName("near")},
+                                   {ZoneName("c"), RegionName("far")}});
+
+lease::pool_demand wanted(std::size_t owners, std::vector<lease::pool_demand::place> places) {
+  return {owners, std::move(places)};
+}
+
+routing::RouteTable twoModels() {
+  routing::RouteTable table;
+  routing::Service service;
+  service.name = routing::ServiceName("s");
+  service.models = {ModelName("m"), ModelName("n")};
+  table.services[service.name] = service;
+  routing::Route route;
+  route.name = routing::RouteName("jobs");
+  route.kind = routing::RequestKind::kBatch;
+  route.services = {{service.name, 1}};
+  table.routes = {route};
+  return table;
+}
+
+}  // namespace
+
+Test(owner_demand, without_homes_owners_are_wanted_anywhere) {
+  cr_assert(gateway::demandOf(twoModels(), kLayout) == wanted(4, {}));
+}
+
+Test(owner_demand, each_set_of_homes_wants_owners_of_its_own) {
+  routing::RouteTable table = twoModels();
+  table.routes.front().homes = fleet::home_regions({RegionName("near")});
+  const lease::pool_demand::place near{{ZoneName("a"), ZoneName("b")}, 3};
+  cr_assert(gateway::demandOf(table, kLayout) == wanted(4, {near}));
+  tenants::tenant far;
+  far.name = TenantId("t");
+  far.homes = fleet::home_regions({RegionName("far")});
+  table.tenants = *tenants::tenant_table::make({far});
+  cr_assert(gateway::demandOf(table, kLayout) == wanted(4, {near}),
+            "the two have no region in common");
+  table.routes.front().homes = {};
+  const lease::pool_demand::place there{{ZoneName("c")}, 3};
+  cr_assert(gateway::demandOf(table, kLayout) == wanted(4, {there}));
+}
+
+Test(owner_demand, other_routes_want_no_owners) {
+  routing::RouteTable table = twoModels();
+  table.routes.front().kind = routing::RequestKind::kIdempotent;
+  table.routes.front().homes = fleet::home_regions({RegionName("near")});
+  cr_assert(gateway::demandOf(table, kLayout).places.empty());
+}
--- a/tests/lease/lease_table_test.cpp
+++ b/tests/lease/lease_table_test.cpp
@@ -178,3 +178,20 @@
                {{kOther, lease::LeaseRow(6, 0.5, peer)}, {kOwn, lease::LeaseRow(5, 0.5, peer)}});
   cr_assert_eq(table.peers().size(), 1U);
 }
+
+Test(lease_rows, a_row_tells_capacity_zone_and_address) {
+  const Address peer{0x7f000001, 77};
+  const std::string value = lease::encodeLease(0.25, peer, ZoneName("z-1"));
+  cr_assert_eq(lease::decodeCapacity(value), 0.25);
+  cr_assert_eq(lease::decodeZone(value).str(), "z-1");
+  cr_assert_eq(*lease::decodePeer(value), peer);
+}
+
+Test(lease_rows, rows_of_daemons_that_tell_no_zone_are_read_as_before) {
+  const Address peer{0x7f000001, 77};
+  const std::string value = "0.250000|127.0.0.1:77";
+  cr_assert_eq(lease::encodeLease(0.25, peer), value);
+  cr_assert(lease::decodeZone(value).empty());
+  cr_assert(lease::decodeZone("").empty());
+  cr_assert_eq(*lease::decodePeer(value), peer);
+}
--- a/tests/lease/owner_pool_test.cpp
+++ b/tests/lease/owner_pool_test.cpp
@@ -46,6 +46,22 @@
   cr_assert_eq(small.ranked(kStart).back().lease, kOwn);
 }
 
+Test(owner_pool, a_daemon_offers_itself_where_its_place_lacks_members) {
+  const LeaseTable table =
+      tableWith({{makeLeaseId("x", "1"), LeaseRow(3, 0.5, {}, ZoneName("a"))},
+                 {makeLeaseId("y", "1"), LeaseRow(4, 0.5, {}, ZoneName("a"))}});
+  const lease::pool_demand wanted{2, {{{ZoneName("b")}, 1}}};
+  const auto settled = [&](const lease::pool_demand& demand, const char* zone) {
+    OwnerPool pool(table, kSmall, ZoneName(zone));
+    pool.onLeasesRead(kStart - std::chrono::minutes(1), demand);
+    pool.onLeasesRead(kStart, demand);
+    return pool.offers();
+  };
+  cr_assert(settled(wanted, "b"));
+  cr_assert_not(settled(wanted, "c"), "it is not in that place");
+  cr_assert_not(settled({2, {{{ZoneName("a"), ZoneName("b")}, 2}}}, "b"), "two are there");
+}
+
 Test(owner_pool, a_faster_machine_displaces_a_slower_one) {
   const LeaseTable table = tableWith({{makeLeaseId("x", "1"), LeaseRow(3, 0.06)}});
   OwnerPool large(table, kLarge);
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -1,8 +1,12 @@
 #include "documents.h"
 
-#include <criterion/criterion.h>
-
 #include "base64.h"
+#include "tenants/homes.h"
+
+// Criterion's macros clash with Boost's headers that come after it.
+// clang-format off
+#include <criterion/criterion.h>
+// clang-format on
 
 using namespace linenpier;
 using namespace linenpier::platform_adapter;
@@ -153,3 +157,33 @@
   cr_assert_not(decodeBase64("abc").has_value());
   cr_assert_not(decodeBase64("ab!=").has_value());
 }
+
+Test(documents, homes_of_routes_and_tenants_are_read) {
+  const auto table = parseConfiguration(
+      R"({"version":1,"routes":[
+        {"name":"bound","host":"h","pathPrefix":"/b/","kind":"idempotent","service":"s",
+         "allowedRegions":["r1","r2"]},
+        {"name":"free","host":"h","pathPrefix":"/f/","kind":"idempotent","service":"s"},
+        {"name":"empty","host":"h","pathPrefix":"/e/","kind":"idempotent","service":"s",
+         "allowedRegions":[]}],
+       "services":[{"name":"s"}],
+       "tenants":[{"name":"ada","apiKeys":["k"],"allowedRegions":["r2","r3"]},
+                  {"name":"bob","apiKeys":["l"]}]})");
+  cr_assert(table.has_value());
+  const routing::Route* bound = table->find("h", "/b/1");
+  const TenantId ada("ada");
+  cr_assert(bound->homes == fleet::home_regions({RegionName("r1"), RegionName("r2")}));
+  cr_assert_not(table->find("h", "/f/1")->homes.bound());
+  cr_assert_not(table->find("h", "/e/1")->homes.bound(), "no home is named");
+  cr_assert(tenants::homesOf(*table, bound, ada) == fleet::home_regions({RegionName("r2")}));
+  cr_assert(tenants::homesOf(*table, bound, TenantId("bob")) == bound->homes);
+  cr_assert_not(tenants::homesOf(*table, table->find("h", "/f/1"), TenantId()).bound());
+}
+
+Test(documents, homes_of_the_wrong_type_are_reported) {
+  const auto table = parseConfiguration(
+      R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"idempotent",
+          "service":"s","allowedRegions":"r1"}]})");
+  cr_assert_not(table.has_value());
+  cr_assert(mentions(table.error(), "allowedRegions"));
+}
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -60,6 +60,9 @@
     models_.push_back(
         std::make_unique<StandinSampler>(loop_, "model-" + std::to_string(i), options.events));
   }
+  for (std::size_t i = 0; i < options_.model_zones.size(); ++i) {
+    models_.at(i)->setZone(options_.model_zones[i]);
+  }
   putConfiguration(3);
   putSamplers();
   for (int i = 0; i < options.gateways; ++i) addGateway("d" + std::to_string(i));
@@ -69,6 +72,10 @@
   std::vector<Address> seeds;
   for (const auto& each : gateways_) seeds.push_back(each->gateway.peerAddress());
   gateway::GatewaySettings settings = settingsOf(store_->address(), name, std::move(seeds));
+  if (gateways_.size() < options_.zones.size()) {
+    settings.zone = ZoneName(options_.zones[gateways_.size()]);
+  }
+  settings.layout = options_.layout;
   settings.handover.tokens_checked = options_.tokens_checked;
   if (options_.usage) {
     settings.duties = duties_->address();
@@ -86,7 +93,8 @@
          {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent",
           "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
          {"name":"reward","host":"h.example","pathPrefix":"/reward/","kind":"idempotent",
-          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":3},
+          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":3)" +
+      options_.reward_fields + R"(},
          {"name":"open","host":"h.example","pathPrefix":"/open/","kind":"idempotent","public":true,
           "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
          {"name":"talk","host":"h.example","pathPrefix":"/talk/","kind":"streaming","resumable":true,
@@ -95,7 +103,8 @@
           "timeoutMs":5000,"targetLatencyMs":150,"service":"models","maxAttempts":3},
          {"name":"jobs","host":"h.example","pathPrefix":"/jobs/","kind":"rollout",
           "timeoutMs":5000,"targetLatencyMs":400,"targetFinishMs":7500,"maxQueueS":20,
-          "service":"models","maxAttempts":2,"resumable":true})";
+          "service":"models","maxAttempts":2,"resumable":true)" +
+      options_.job_fields + "}";
   store_->put("op", "config",
               "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes + more_routes +
                   R"(],"services":[{"name":"desk"},{"name":"models","engine":{"slots":8,
@@ -128,6 +137,15 @@
                                 steadyNow() + std::chrono::seconds(8));
 }
 
+Task<std::string> GatewayFixture::metricsPage(std::size_t gateway) {
+  http::Request request(boost::beast::http::verb::get, "/metrics", 11);
+  const Address address = gateways_.at(gateway)->gateway.metricsAddress();
+  const Instant deadline = steadyNow() + std::chrono::seconds(2);
+  http::CallOutcome outcome =
+      co_await http::call(client_pool_, address, std::move(request), deadline);
+  co_return std::move(outcome.response.body());
+}
+
 http::Request GatewayFixture::lookupRequest(const std::string& id, const std::string& path) const {
   http::Request request(boost::beast::http::verb::post, path, 11);
   request.set("Host", "h.example");
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -44,6 +44,11 @@
   std::optional<usage::usage_options> usage;  ///< Absent: the platform has no duties.
   bool tokens_checked = false;                ///< By whom orders and duties reach.
   std::string tenants;                        ///< Of the configuration, as its list; empty: none.
+  std::vector<std::string> zones;             ///< Of the gateways, by index; absent: "z".
+  fleet::fleet_layout layout;
+  std::vector<std::string> model_zones;  ///< Of the model samplers, by index; absent: "z".
+  std::string job_fields;                ///< Of the route of jobs, added to its others.
+  std::string reward_fields;             ///< Of the route of reward requests, likewise.
 };
 
 /// @return options for two gateways before samplers whose streams have so many events.
@@ -82,11 +87,18 @@
   void putSamplers();
   /// Of the configurations that are put from now on.
   void setTenants(const std::string& tenants) { options_.tenants = tenants; }
+  /// The same, such as `,"allowedRegions":["a"]`.
+  void setRouteFields(const std::string& jobs, const std::string& rewards = "") {
+    options_.job_fields = jobs;
+    options_.reward_fields = rewards;
+  }
   /// The key of `readAll`.
   void setClientKey(const std::string& key) { client_key_ = key; }
 
   /// Sends a request to a gateway and reads the whole answer.
   Task<http::CallOutcome> call(std::size_t gateway, http::Request request);
+  /// @return what the gateway tells a collector of metrics.
+  Task<std::string> metricsPage(std::size_t gateway);
   http::Request lookupRequest(const std::string& id, const std::string& path = "/look/1") const;
   /// @return the request that hands in a job of `items` items.
   http::Request jobRequest(const std::string& id, int items) const;
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -40,7 +40,7 @@
 std::string StandinSampler::entry(const std::string& service, const std::string& state) const {
   const json document = {{"service", service},
                          {"address", toString(address())},
-                         {"zone", "z"},
+                         {"zone", zone_},
                          {"slots", 8},
                          {"state", state},
                          {"coldRemainingMs", 0},
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -52,6 +52,8 @@
   const std::vector<SamplerArrival>& arrivals() const { return arrivals_; }
   const std::vector<std::string>& orders() const { return orders_; }
   std::uint64_t version() const { return version_; }
+  /// Of its entries from now on.
+  void setZone(const std::string& zone) { zone_ = zone; }
   void setVersion(std::uint64_t version) { version_ = version; }
   /// Without checks it obeys orders of any holder.
   void setChecksFences(bool checks) { checks_fences_ = checks; }
@@ -80,6 +82,7 @@
   std::deque<SamplerAct> script_;
   std::vector<SamplerArrival> arrivals_;
   std::vector<std::string> orders_;
+  std::string zone_ = "z";
   std::uint64_t version_ = 1;
   std::uint64_t sequence_ = 0;
   std::uint64_t fence_ = 0;
