--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -90,7 +90,10 @@
 engines::PickRequest BatchService::pickFor(const Active& active, ItemIndex item,
                                            const routing::Route& route) const {
   const routing::RouteTablePtr table = deps_.routes();
-  return pickRequestFor(active.run, item, route, *table, options_.requests_per_slot);
+  engines::PickRequest wanted =
+      pickRequestFor(active.run, item, route, *table, options_.requests_per_slot);
+  wanted.homes = homesOfItem(active, item, *table, route);
+  return wanted;
 }
 
 bool BatchService::startItem(const ActivePtr& active, ItemIndex item, const routing::Route& route) {
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -24,6 +24,7 @@
 #include "batch/moves_planned.h"
 #include "batch/run_moves.h"
 #include "batch/runs_leaving.h"
+#include "fleet/home_regions.h"
 #include "forward/engine_call.h"
 #include "forward/internal_requests.h"
 #include "http/server.h"
@@ -104,6 +105,7 @@
     std::size_t running = 0;
     std::size_t unscored = 0;
     std::size_t in_closed_zones = 0;  ///< Of those that run.
+    std::size_t awaiting_home = 0;    ///< Jobs of anybody that nobody at home takes up.
   };
   Work work() const;
   /// @return runs of owned jobs at engines of the zone.
@@ -119,6 +121,8 @@
     Revision revision = 0;
     ActivePtr active;  ///< Set while this daemon owns and runs it.
     bool activating = false;
+    /// It was given to this daemon, or kept by it, while it was not known to be at home.
+    bool resumes_at_home = false;
     Instant orphaned_at{};            ///< When its owner was first seen to be gone.
     std::shared_ptr<Signal> changed;  ///< The row has changed; set while readers wait.
   };
@@ -143,7 +147,31 @@
   Task<CallResult<Inheritance>> inheritTexts(JobId id);
   void activate(const JobId& id, BatchJob job, const Inheritance& inheritance, Instant accepted_at);
 
-  /// @return who should run a job that is handed in here.
+  /// @return the routes of items and scorers that are not the job's own.
+  std::set<routing::RouteName> otherRoutes(const routing::RouteTable& table,
+                                           const routing::Route& route, const std::string& host,
+                                           const BatchJob& job) const;
+  /// @return where the job may be; nothing before there is a configuration.
+  std::optional<fleet::home_regions> homesOf(const JobRecord& record) const;
+  /// @return where an item of the job may be served.
+  fleet::home_regions homesOfItem(const Active& active, ItemIndex item,
+                                  const routing::RouteTable& table,
+                                  const routing::Route& route) const;
+  RegionName ownRegion() const;
+  /// @return whether the job may be here.
+  bool mayOwn(const JobRecord& record) const;
+  /// @return whether the job may be owned somewhere, and an engine of the route's service is where
+  ///     its items may be.
+  bool servedAtHome(const routing::Route& route, const JobRecord& record) const;
+  /// Gives the job up if this daemon owns it and it must not be here; goes on with it where that
+  /// was not known.
+  /// @return whether it was left alone.
+  bool settleHome(const JobId& id, Job& job);
+  Task<void> giveUp(JobId id);
+  /// Nobody owns the job, and this daemon must not.
+  void noteAwaitsHome(Instant now, const JobId& id, Job& job);
+
+  /// @return who should run a job that is handed in here; nobody, if those who may are not known.
   LeaseId ownerFor(Instant now, const JobRecord& record) const;
   /// @return the position of the job's model among those of the configuration.
   std::size_t modelIndex(const JobRecord& record) const;
@@ -250,6 +278,8 @@
   length_estimate lengths_;
   runs_leaving leaving_;
   std::size_t waiting_readers_ = 0;
+  std::size_t awaiting_home_ = 0;  ///< Jobs that nobody at home takes up, at the last look.
+  Instant next_wait_line_{};       ///< When the next line on them may be written.
   bool stopping_ = false;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
   item_scorer scorer_;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "tenants/homes.h"
+
 namespace linenpier::forward {
 
 namespace {
@@ -74,27 +76,37 @@
   }
 }
 
+fleet::home_regions Forwarder::homesOf(const ForwardedRequest& forwarded) const {
+  const routing::RouteTablePtr newest = newest_ ? newest_() : forwarded.table;
+  const std::string target(forwarded.request->target());
+  const std::string path = target.substr(0, target.find('?'));
+  const routing::Route* route = newest->find(http::fieldText(*forwarded.request, "Host"), path);
+  if (route == nullptr) route = forwarded.route;
+  return tenants::homesOf(*newest, route, forwarded.from.tenant);
+}
+
 const engines::EngineState* Forwarder::pickEngine(ForwardedRequest& forwarded,
                                                   const std::set<EngineId>& tried) {
-  const engines::EngineState* engine = findEngine(forwarded, tried);
+  engines::PickRequest wanted;
+  wanted.excluded = tried;
+  wanted.most_per_slot = forwarded.most_per_slot;
+  wanted.model = ModelName(http::fieldText(*forwarded.request, context_.names.model));
+  wanted.homes = homesOf(forwarded);
+  const engines::EngineState* engine = pickFrom(forwarded, wanted);
   if (engine == nullptr) forwarded.refusals = context_.registry.lastRefusals();
   return engine;
 }
 
-const engines::EngineState* Forwarder::findEngine(const ForwardedRequest& forwarded,
-                                                  const std::set<EngineId>& tried) {
+const engines::EngineState* Forwarder::pickFrom(const ForwardedRequest& forwarded,
+                                                engines::PickRequest& wanted) {
   const Instant now = steadyNow();
-  engines::PickRequest wanted;
   wanted.service = dealer_.next(*forwarded.route);
-  wanted.excluded = tried;
-  wanted.most_per_slot = forwarded.most_per_slot;
-  wanted.model = ModelName(http::fieldText(*forwarded.request, context_.names.model));
   if (const auto* engine = context_.registry.pick(now, wanted)) return engine;
   for (const routing::WeightedService& each : forwarded.route->services) {
     wanted.service = each.service;
     if (const auto* engine = context_.registry.pick(now, wanted)) return engine;
   }
-  if (!tried.empty()) return nullptr;
+  if (!wanted.excluded.empty()) return nullptr;
   wanted.desperate = true;
   for (const routing::WeightedService& each : forwarded.route->services) {
     wanted.service = each.service;
@@ -169,7 +181,10 @@
     ejected += now < engine.ejected_until ? 1 : 0;
     cold += context_.registry.cold().isCold(now, engine.record.id) ? 1 : 0;
   }
-  event.number("engines", known).number("draining", draining).number("ejected", ejected).number("cold", cold);
+  event.number("engines", known)
+      .number("draining", draining)
+      .number("ejected", ejected)
+      .number("cold", cold);
 }
 
 void Forwarder::logEnd(const ForwardedRequest& forwarded, const char* outcome, unsigned status,
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -3,6 +3,8 @@
 /// @file
 /// Serves one client request by attempts at engines. Bytes pass unchanged in both directions.
 
+#include <functional>
+
 #include "forward/attempt_policy.h"
 #include "forward/internal_requests.h"
 #include "forward/run_recorder.h"
@@ -59,6 +61,9 @@
         recorder_(recorder),
         options_(options) {}
 
+  /// Homes are those of the newest table from now on, also for requests that came under an older
+  /// one.
+  void followHomes(std::function<routing::RouteTablePtr()> newest) { newest_ = std::move(newest); }
   /// Answers the request in every case, unless the client is gone.
   Task<void> serve(routing::RouteTablePtr table, const routing::Route& route, tenants::caller from,
                    const http::Request& request, Instant received, http::ResponseWriter& writer);
@@ -94,8 +99,10 @@
 
   const engines::EngineState* pickEngine(ForwardedRequest& forwarded,
                                          const std::set<EngineId>& tried);
-  const engines::EngineState* findEngine(const ForwardedRequest& forwarded,
-                                         const std::set<EngineId>& tried);
+  const engines::EngineState* pickFrom(const ForwardedRequest& forwarded,
+                                       engines::PickRequest& wanted);
+  /// @return where the request may be served.
+  fleet::home_regions homesOf(const ForwardedRequest& forwarded) const;
   http::Request outgoing(const ForwardedRequest& forwarded, Instant now) const;
   Instant deadlineOf(const routing::Route& route, const http::Request& request,
                      Instant received) const;
@@ -115,6 +122,7 @@
   metrics::GatewayMetrics& metrics_;
   run_recorder& recorder_;
   ForwarderOptions options_;
+  std::function<routing::RouteTablePtr()> newest_;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
 };
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "fleet/zone_closings.h"
 #include "forward/forwarder.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/owner_demand.h"
 #include "gateway/peer_snapshot.h"
 #include "gateway/platform_port.h"
 #include "lease/lease_watch.h"
@@ -97,8 +98,6 @@
   Task<void> dropLapsedEngines();
   /// Writes how many changes of engines were left out of the log.
   void summarizeEngineUpdates();
-  /// @return how many daemons should offer to own work.
-  std::size_t wantedOwners() const;
   /// Tells the budget of cold engines which daemons may send to them.
   void updateColdSenders();
   /// Logs which engines turned cold or warm, and what they were refused.
@@ -121,6 +120,7 @@
   engines::EngineRegistry registry_;
   fleet::zone_closings closings_;
   routing::RouteTablePtr routes_;  ///< The newest seen in this life; empty before the first.
+  lease::pool_demand demand_ = demandWithoutModels();  ///< Of daemons that offer to own work.
   routing::WeightedDealer dealer_;
   lease::LeaseTable leases_;
   lease::OwnerPool owner_pool_;
--- a/src/gateway/gateway_cold.cpp
+++ b/src/gateway/gateway_cold.cpp
@@ -19,7 +19,7 @@
   engines::cold_senders senders;
   const std::size_t others = leases_.candidates(steadyNow()).size();
   // The pool fills up to what is wanted: all of them may own work before their leases are seen.
-  senders.count = std::max(others + 1, wantedOwners());
+  senders.count = std::max(others + 1, demand_.owners);
   senders.self = ownsWork();
   if (senders == registry_.cold().senders()) return;
   registry_.cold().setSenders(senders);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -13,6 +13,7 @@
 #include "common/ids.h"
 #include "common/time.h"
 #include "engines/cold_budget.h"
+#include "fleet/fleet_layout.h"
 #include "lease/own_capacity.h"
 #include "scaling/scaling_policy.h"
 #include "usage/usage_service.h"
@@ -23,6 +24,7 @@
 struct GatewaySettings {
   DaemonId id;
   ZoneName zone;
+  fleet::fleet_layout layout;      ///< Which region each zone lies in.
   Address requests;                ///< Where clients connect.
   Address readiness;               ///< Where the platform asks whether this daemon is ready.
   std::optional<Address> metrics;  ///< Where metrics are told; absent: nowhere.
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -31,9 +31,6 @@
 /// Between two looks whether such questions are called for.
 constexpr Duration kProbeIdle = std::chrono::milliseconds(500);
 constexpr Duration kProbePatience = std::chrono::milliseconds(500);
-/// Daemons that offer to own work beyond one a model: one for the right to order, one that can take
-/// over at once.
-constexpr std::size_t kSpareOwners = 2;
 
 std::string keyWithoutTable(const table::Row& row) {
   return row.key.substr(row.key.find('/') + 1);
@@ -181,6 +178,7 @@
   snapshot_.config_version = parsed->version;
   snapshot_.configuration = platform_.withoutKeys(value);
   routes_ = std::make_shared<const routing::RouteTable>(std::move(*parsed));
+  demand_ = demandOf(*routes_, settings_.layout);
   requests_.setLimits(routes_->limits);
   registry_.cold().setServices(routes_->services);
 }
@@ -248,25 +246,17 @@
          scaling_.holdsRight();
 }
 
-std::size_t Gateway::wantedOwners() const {
-  std::size_t models = 0;
-  if (routes_) {
-    for (const auto& [name, service] : routes_->services) models += service.models.size();
-  }
-  return models + kSpareOwners;
-}
-
 void Gateway::onLeasesRead(bool answered) {
   if (answered && !leases_answered_) onStoreHeard(kUsualAnswer);
   leases_answered_ = answered;
   updateLeaseHealth();
   updateColdSenders();
   if (!answered || stopping_) return;
-  const std::size_t wanted = wantedOwners();
-  if (!owner_pool_.onLeasesRead(steadyNow(), wanted)) return;
+  if (!owner_pool_.onLeasesRead(steadyNow(), demand_)) return;
   LogEvent("lease", owner_pool_.offers() ? "offers_to_own" : "offers_no_more")
       .real("capacity", owner_pool_.capacity())
-      .number("wanted", static_cast<std::int64_t>(wanted));
+      .number("wanted", static_cast<std::int64_t>(demand_.owners))
+      .number("homes", static_cast<std::int64_t>(demand_.places.size()));
   updateColdSenders();
 }
 
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -18,7 +18,8 @@
 
 table::Put LeaseKeeper::renewal() const {
   const std::set<EngineId> awaited = awaited_ ? awaited_() : std::set<EngineId>();
-  return {gateway::leaseKey(leases_.own()), encodeLease(pool_.capacity(), peer_, awaited)};
+  return {gateway::leaseKey(leases_.own()),
+          encodeLease(pool_.capacity(), peer_, pool_.zone(), awaited)};
 }
 
 void LeaseKeeper::onRenewed(Instant sent_at) {
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 constexpr char kSeparator = '#';
-/// In a row's value: "capacity;engine,engine|peer". Earlier releases read capacity and peer of it.
+/// In a row's value: "capacity@zone;engine,engine|peer". Earlier releases read capacity and peer.
 constexpr char kPeerSeparator = '|';
+constexpr char kZoneSeparator = '@';
 constexpr char kAwaitedSeparator = ';';
 constexpr char kEngineSeparator = ',';
 constexpr Duration kOldAge = std::chrono::seconds(60);
@@ -28,9 +29,10 @@
   return std::max(0.0, std::strtod(value.c_str(), nullptr));
 }
 
-std::string encodeLease(double capacity, const std::optional<Address>& peer,
+std::string encodeLease(double capacity, const std::optional<Address>& peer, const ZoneName& zone,
                         const std::set<EngineId>& awaited) {
   std::string value = encodeCapacity(capacity);
+  if (!zone.empty()) value += kZoneSeparator + zone.str();
   char separator = kAwaitedSeparator;
   for (const EngineId& engine : awaited) {
     value += separator + engine.str();
@@ -59,6 +61,13 @@
   return awaited;
 }
 
+ZoneName decodeZone(const std::string& value) {
+  const std::string told = value.substr(0, value.find(kPeerSeparator));
+  const std::string head = told.substr(0, told.find(kAwaitedSeparator));
+  const std::size_t separator = head.find(kZoneSeparator);
+  return separator == std::string::npos ? ZoneName() : ZoneName(head.substr(separator + 1));
+}
+
 LeaseId makeLeaseId(const std::string& daemon, const std::string& incarnation) {
   return LeaseId(daemon + kSeparator + incarnation);
 }
@@ -91,6 +100,7 @@
     rows_[lease].capacity = row.capacity;
     rows_[lease].peer = row.peer;
     rows_[lease].awaited = row.awaited;
+    rows_[lease].zone = row.zone;
   }
   std::erase_if(rows_, [&](const auto& each) {
     return each.second.revision > 0 && !rows.contains(each.first);
@@ -131,11 +141,17 @@
   std::vector<OwnerCandidate> found;
   for (const auto& [lease, seen] : rows_) {
     const bool other = lease != own_ && !isEarlierSelf(lease);
-    if (other && seen.capacity > 0 && alive(now, lease)) found.push_back({lease, seen.capacity});
+    const bool offers = other && seen.capacity > 0 && alive(now, lease);
+    if (offers) found.push_back({lease, seen.capacity, seen.zone});
   }
   return found;
 }
 
+ZoneName LeaseTable::zoneOf(const LeaseId& lease) const {
+  const auto at = rows_.find(lease);
+  return at == rows_.end() ? ZoneName() : at->second.zone;
+}
+
 std::vector<Address> LeaseTable::peers() const {
   std::set<Address> found;
   for (const auto& [lease, seen] : rows_) {
--- a/src/lease/lease_table.h
+++ b/src/lease/lease_table.h
@@ -46,15 +46,18 @@
 struct LeaseRow {
   // Not explicit: a row without a capacity is its revision.
   LeaseRow(Revision row_revision = 0, double told_capacity = 0,
-           std::optional<Address> told_peer = std::nullopt, std::set<EngineId> told_awaited = {})
+           std::optional<Address> told_peer = std::nullopt, ZoneName told_zone = {},
+           std::set<EngineId> told_awaited = {})
       : revision(row_revision),
         capacity(told_capacity),
         peer(told_peer),
+        zone(std::move(told_zone)),
         awaited(std::move(told_awaited)) {}
 
   Revision revision;
   double capacity;              ///< See OwnCapacity::value; 0: not told.
   std::optional<Address> peer;  ///< Where other daemons ask its daemon.
+  ZoneName zone;                ///< That its daemon is in; empty: not told.
   std::set<EngineId> awaited;   ///< See `LeaseTable::awaited`.
 };
 
@@ -62,11 +65,15 @@
 std::string encodeCapacity(double capacity);
 /// @return 0 if the value tells none.
 double decodeCapacity(const std::string& value);
-/// @return the value of a lease's row that tells where other daemons ask, too, and which engines
-///     run what a step waits for.
+/// @param zone that the daemon is in; empty: not told. It stands where daemons that do not look for
+///     it still read the rest.
+/// @param awaited engines that run what a step waits for.
+/// @return the value of a lease's row that tells where other daemons ask, too.
 std::string encodeLease(double capacity, const std::optional<Address>& peer,
-                        const std::set<EngineId>& awaited = {});
+                        const ZoneName& zone = {}, const std::set<EngineId>& awaited = {});
 std::set<EngineId> decodeAwaited(const std::string& value);
+/// @return empty if the value tells no zone.
+ZoneName decodeZone(const std::string& value);
 /// @return nothing if the value tells no address.
 std::optional<Address> decodePeer(const std::string& value);
 
@@ -74,6 +81,7 @@
 struct OwnerCandidate {
   LeaseId lease;
   double capacity = 0;
+  ZoneName zone = {};  ///< Empty: not told.
 
   bool operator==(const OwnerCandidate&) const = default;
 };
@@ -112,6 +120,8 @@
   bool alive(Instant now, const LeaseId& lease) const;
   /// @return the other daemons that live and told their capacity.
   std::vector<OwnerCandidate> candidates(Instant now) const;
+  /// @return the zone of the lease's daemon; empty if it was not told.
+  ZoneName zoneOf(const LeaseId& lease) const;
   /// @return where other daemons that hold leases may be asked. They reached the store when it was
   ///     last read, so that they are likely to know what a daemon without it misses.
   std::vector<Address> peers() const;
@@ -137,6 +147,7 @@
     double capacity = 0;
     std::optional<Address> peer;
     std::set<EngineId> awaited;
+    ZoneName zone;
   };
   LeaseId own_;
   LeaseTimes times_;
--- a/src/lease/lease_watch.cpp
+++ b/src/lease/lease_watch.cpp
@@ -52,7 +52,7 @@
     for (const table::Row& row : page->rows) {
       const LeaseId lease(row.key.substr(gateway::kLeaseTable.size() + 1));
       rows[lease] = LeaseRow(row.revision, decodeCapacity(row.value), decodePeer(row.value),
-                             decodeAwaited(row.value));
+                             decodeZone(row.value), decodeAwaited(row.value));
     }
     if (!table::moveBehind(*page, range)) break;
   }
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -117,8 +117,8 @@
   for (const auto& [service, cold] : state.cold_engines) {
     set("cold_engines", "Engines that started lately and bear little.", number(cold.count),
         {{"service", service}});
-    set("cold_requests_sent", "Requests of this daemon to cold engines, lately.",
-        number(cold.sent), {{"service", service}});
+    set("cold_requests_sent", "Requests of this daemon to cold engines, lately.", number(cold.sent),
+        {{"service", service}});
     set("cold_requests_sent_most", "The most of them to one engine.", number(cold.most_sent),
         {{"service", service}});
   }
@@ -170,6 +170,12 @@
   set("jobs_accepted", "Jobs accepted, ever.", number(state.jobs_accepted));
   set("jobs_refused", "Jobs refused, ever.", number(state.jobs_refused));
   set("jobs_taken_over", "Jobs taken over from others, ever.", number(state.jobs_taken_over));
+  set("jobs_waiting_for_home", "Jobs that no daemon at home takes up.",
+      number(state.jobs_waiting_for_home));
+  set("jobs_refused_for_home", "Jobs refused for want of an engine at home, ever.",
+      number(state.jobs_refused_for_home));
+  set("jobs_given_to_home", "Jobs given up by this daemon since it is not at home, ever.",
+      number(state.jobs_given_to_home));
   setProcessMetrics();
   return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/tests/lease/lease_table_test.cpp
+++ b/tests/lease/lease_table_test.cpp
@@ -182,9 +182,27 @@
 Test(lease_table, a_row_tells_which_engines_its_owner_waits_for) {
   const std::optional<Address> peer = parseAddress("10.0.0.1:9000");
   const std::set<EngineId> awaited = {EngineId("e1"), EngineId("e2")};
-  const std::string value = lease::encodeLease(0.25, peer, awaited);
+  const std::string value = lease::encodeLease(0.25, peer, ZoneName("z-1"), awaited);
   cr_assert(lease::decodeAwaited(value) == awaited);
   cr_assert(lease::decodePeer(value) == peer);
+  cr_assert_eq(lease::decodeZone(value).str(), "z-1");
   cr_assert_float_eq(lease::decodeCapacity(value), 0.25, 1e-9);
   cr_assert(lease::decodeAwaited(lease::encodeLease(0.25, peer)).empty());
 }
+
+Test(lease_rows, a_row_tells_capacity_zone_and_address) {
+  const Address peer{0x7f000001, 77};
+  const std::string value = lease::encodeLease(0.25, peer, ZoneName("z-1"));
+  cr_assert_eq(lease::decodeCapacity(value), 0.25);
+  cr_assert_eq(lease::decodeZone(value).str(), "z-1");
+  cr_assert_eq(*lease::decodePeer(value), peer);
+}
+
+Test(lease_rows, rows_of_daemons_that_tell_no_zone_are_read_as_before) {
+  const Address peer{0x7f000001, 77};
+  const std::string value = "0.250000|127.0.0.1:77";
+  cr_assert_eq(lease::encodeLease(0.25, peer), value);
+  cr_assert(lease::decodeZone(value).empty());
+  cr_assert(lease::decodeZone("").empty());
+  cr_assert_eq(*lease::decodePeer(value), peer);
+}
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -66,11 +66,11 @@
   std::vector<SamplerArrival> takeArrivals() { return std::exchange(arrivals_, {}); }
   const std::vector<std::string>& orders() const { return orders_; }
   std::uint64_t version() const { return version_; }
+  /// Of its entries from now on.
+  void setZone(const std::string& zone) { zone_ = zone; }
   void setVersion(std::uint64_t version) { version_ = version; }
   /// Without checks it obeys orders of any holder.
   void setChecksFences(bool checks) { checks_fences_ = checks; }
-  /// Of the entries that are made from now on.
-  void setZone(const std::string& zone) { zone_ = zone; }
   void setEventGap(Duration gap) { event_gap_ = gap; }
   void setLie(SamplerLie lie) { lie_ = lie; }
   /// Entries name this address in place of its own, as where a proxy stands before it.
