End a job under the row that the feed told

An end asked the store for the job's row and wrote then. Each daemon follows the rows anyway: the end is written under the revision that was told last; where that is old, the store's refusal brings the row.

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -7,6 +7,7 @@
 #include "batch/batch_service.h"
 #include "batch/call_status.h"
 #include "batch/owner_choice.h"
+#include "gateway/store_keys.h"
 #include "logging/event_log.h"
 
 namespace linenpier::batch {
@@ -204,12 +205,27 @@
 
 // --- Ending -------------------------------------------------------------------------------------
 
+namespace {
+/// @param revision of the row as the feed told it; 0: it did not.
+std::optional<table::Row> toldRow(const JobRecord& record, Revision revision) {
+  if (revision == 0) return std::nullopt;
+  return table::Row{gateway::jobKey(record.id), revision, encodeRecord(record)};
+}
+}  // namespace
+
 Task<void> BatchService::end(JobId id, tenants::caller from, http::ResponseWriter& writer) {
   const Instant begun = steadyNow();
   const Instant deadline = begun + options_.end_time;
   unsigned status = kUnavailable;
+  // What the feed told, or the store with its refusal of a write: it is asked only without either.
+  std::optional<table::Row> told;
+  if (const Job* job = find(id)) told = toldRow(job->record, job->revision);
   while (steadyNow() < deadline && !writer.cancellation().requested()) {
-    const auto row = co_await deps_.store.getRecord(id);
+    CallResult<table::Row> row = told.value_or(table::Row{});
+    if (!told) {
+      row = co_await deps_.store.getRecord(id);
+    }
+    told.reset();
     if (row && row->revision == 0) {
       status = kNotFound;
       break;
@@ -233,7 +249,10 @@
         status = kOk;
         break;
       }
-      if (answer.outcome == FencedOutcome::kFenceLost) continue;
+      if (answer.outcome == FencedOutcome::kFenceLost) {
+        told = answer.current;
+        continue;
+      }
     }
     co_await sleepFor(deps_.loop, options_.store_pause);
   }
--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -355,3 +355,21 @@
       std::chrono::milliseconds(1000));
   cr_assert(given_up, "its lease would have to run out first");
 }
+
+GATEWAY_TEST(batch_jobs, an_end_at_a_daemon_that_knows_an_old_row_is_taken, twoGateways(6)) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(60));
+  co_await fixture.call(0, fixture.jobRequest("job", 4));
+  const std::string before = fixture.store().get("linenpier", "job/job").value_or("");
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(200));
+  fixture.store().faults().hang_feeds = true;
+  const bool released = co_await fixture.waitFor([&fixture] {
+    const std::string row = fixture.store().get("linenpier", "job/job").value_or("{}");
+    return json::parse(row).value("released", 0) == 4;
+  });
+  cr_assert(released && !before.empty());
+  const auto ended = co_await fixture.call(1, endRequest("job"));
+  cr_assert_eq(ended.response.result_int(), 200U);
+  const json row = json::parse(fixture.store().get("linenpier", "job/job").value_or("{}"));
+  cr_assert_eq(row.value("ended", false), true);
+  cr_assert_eq(row.value("released", 0), 4, "what was released stays");
+}
