Ask the peers where the store limits a daemon's calls

Cause: a daemon whose calls the store answers with 429 keeps its feed as healthy, so that it never asked its peers and could miss that a zone was closed, or a configuration, for as long as that lasts.

Ruled out: counting a 429 as a lost feed (it is the answer to a burst of all daemons, and the feed goes on after a pause).

Change: a feed that has not answered for 2.8 s, longer than one that works ever takes, tells nothing; peers are asked then, and closed zones are taken from them whenever they are newer.

The formatter is clean again: one test file's includes had an order that it would change into one that does not compile.

--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -20,12 +20,19 @@
 constexpr std::size_t kPeersAtOnce = 3;
 constexpr Duration kPeerCallTime = std::chrono::milliseconds(300);
 constexpr Duration kPeerWriteTime = std::chrono::milliseconds(400);
+/// After which a feed tells nothing, whatever it counts as: one that works answers within 2.7 s. A
+/// store that limits a daemon's calls refuses them without being away.
+constexpr Duration kFeedSilence = std::chrono::milliseconds(2800);
 constexpr std::size_t kWriterPeers = 3;  ///< That are asked to do one write.
 constexpr char kWritePath[] = "/write";
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnavailable = 503;
 
+bool tells(const table::TableWatcher& feed) {
+  return feed.healthy() && steadyNow() - feed.lastAnswer() < kFeedSilence;
+}
+
 bool isCountOrClock(const table::Put& put) {
   return put.key.starts_with(kUsageTable + "/" + kUsageRows) ||
          put.key.starts_with(kClockTable + "/");
@@ -104,7 +111,7 @@
   std::size_t next = 0;
   for (;;) {
     co_await sleepFor(loop_, kPeerPeriod);
-    const bool store_away = !operator_watcher_->healthy() || !engine_watcher_->healthy();
+    const bool store_away = !tells(*operator_watcher_) || !tells(*engine_watcher_);
     if (!store_away || stopping_) continue;
     const std::vector<Address> peers = knownPeers();
     for (std::size_t i = 0; i < std::min(kPeersAtOnce, peers.size()); ++i) {
@@ -136,13 +143,11 @@
   const std::uint64_t before = snapshot_.config_version;
   // Zones first: whoever has routes and engines may be sent requests.
   const bool zones_newer = told->zones_revision > zonesRevision();
-  if (!operator_watcher_->healthy()) {
-    if (zones_newer) onZoneTable(told->zones_revision, told->closed_zones, "peer");
-    onConfiguration(told->configuration);
-  }
+  if (zones_newer) onZoneTable(told->zones_revision, told->closed_zones, "peer");
+  if (!tells(*operator_watcher_)) onConfiguration(told->configuration);
   const bool newer =
       told->engines_revision > std::max(snapshot_.engines_revision, engine_watcher_->revision());
-  if (!engine_watcher_->healthy() && (newer || !engines_known_)) {
+  if (!tells(*engine_watcher_) && (newer || !engines_known_)) {
     onEngineSnapshot(told->engines);
     snapshot_.engines_revision = told->engines_revision;
   }
--- a/tests/engines/engine_admission_test.cpp
+++ b/tests/engines/engine_admission_test.cpp
@@ -1,6 +1,9 @@
 #include "engines/engine_registry.h"
 
+// Criterion's macros clash with Boost's headers that come after it.
+// clang-format off
 #include <criterion/criterion.h>
+// clang-format on
 
 using namespace linenpier;
 using engines::EngineRecord;
--- a/tests/gateway/closed_zones_test.cpp
+++ b/tests/gateway/closed_zones_test.cpp
@@ -167,6 +167,22 @@
   cr_assert(again);
 }
 
+GATEWAY_TEST(closed_zones, a_daemon_whose_calls_the_store_limits_hears_of_them_from_a_peer,
+             twoDaemons()) {
+  co_await spreadOverZones(fixture);
+  test::StandinStore limiting(fixture.loop());
+  limiting.faults().rate_limit = true;
+  fixture.moveToStore(1, limiting.address());
+  // Its feed, which waits at the other store, would still tell.
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(2800));
+  closeZone(fixture, "north");
+  // Its last answer may be 0.8 s old by now; 2.8 s after it the daemon asks its peers.
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(2600));
+  const std::size_t closed = co_await arrivalsDuring(fixture, 1, kNorth, "closed");
+  cr_assert_eq(closed, 0U);
+  std::quick_exit(0);
+}
+
 GATEWAY_TEST(closed_zones, one_that_is_taken_back_while_the_feed_is_lost_is_open_afterwards,
              test::FixtureOptions{}) {
   co_await spreadOverZones(fixture);
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -77,6 +77,10 @@
   void cutFromStore(std::size_t index) {
     gateways_.at(index)->platform.store().setAddress({0x7f000001, 1});
   }
+  /// From now on the gateway asks another store.
+  void moveToStore(std::size_t index, const Address& store) {
+    gateways_.at(index)->platform.store().setAddress(store);
+  }
   /// The platform's service for duties is elsewhere from now on.
   void moveDuties(std::size_t index, const Address& address) {
     gateways_.at(index)->platform.setAddresses(store_->address(), address);
