--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -1,6 +1,7 @@
 #include "lease/lease_keeper.h"
 
 #include "gateway/store_keys.h"
+#include "lease/store_delay.h"
 
 namespace linenpier::lease {
 
@@ -80,7 +81,9 @@
     }
     const Instant wake_at = steadyNow() + pause;
     co_await sleepFor(loop_, pause);
-    pool_.onTimer(steadyNow() - wake_at);
+    // An item waits for the store as it waits for a late timer: both put off each of its steps.
+    const Duration way = storeDelay(leases_.allowance(), leases_.times());
+    pool_.onTimer(steadyNow() - wake_at + way);
   }
 }
 
--- /dev/null
+++ b/tests/lease/store_delay_test.cpp
@@ -0,0 +1,49 @@
+#include "lease/store_delay.h"
+
+#include <criterion/criterion.h>
+
+#include "lease/owner_pool.h"
+
+using namespace linenpier;
+using lease::LeaseTable;
+using lease::OwnerPool;
+
+namespace {
+
+constexpr Instant kStart{std::chrono::seconds(100)};
+constexpr lease::MachineLimits kMachine{0.5, 600};
+
+Duration delayAfterReadsOf(Duration answer) {
+  LeaseTable table(lease::makeLeaseId("own", "a"), {}, kStart);
+  table.onStoreRegained(kStart);
+  table.onRead(kStart, kStart + answer, {});
+  return lease::storeDelay(table.allowance(), table.times());
+}
+
+double capacityAt(Duration answer) {
+  const LeaseTable table(lease::makeLeaseId("own", "a"), {}, kStart);
+  OwnerPool pool(table, kMachine);
+  for (int i = 0; i < 50; ++i) pool.onTimer(delayAfterReadsOf(answer));
+  return pool.capacity();
+}
+
+}  // namespace
+
+Test(store_delay, a_daemon_near_the_store_loses_nothing) {
+  cr_assert(delayAfterReadsOf(std::chrono::milliseconds(8)) == Duration::zero());
+  cr_assert_eq(capacityAt(std::chrono::milliseconds(8)), 0.5);
+}
+
+Test(store_delay, a_daemon_far_from_the_store_counts_about_half) {
+  const double far = capacityAt(std::chrono::milliseconds(46));
+  cr_assert(far > 0.2 && far < 0.3, "%f", far);
+  const lease::OwnerCandidate near_one{lease::makeLeaseId("n", "1"), 0.4};
+  const lease::OwnerCandidate far_one{lease::makeLeaseId("f", "1"), far};
+  cr_assert(lease::betterOwner(near_one, far_one));
+}
+
+Test(store_delay, a_store_that_is_slow_for_all_does_not_put_the_ranks_about) {
+  const Duration slow = delayAfterReadsOf(std::chrono::milliseconds(400));
+  cr_assert(slow == lease::kLongestStoreWay);
+  cr_assert(slow == delayAfterReadsOf(std::chrono::milliseconds(440)));
+}
