Take no job before the store's clock is known

The job seemed 84 s old, and all its items were listed as given up within 70 ms. Ruled out from the logs: failures (at most one an item), the queue limit (60 s), the end of the job or its route.

Change: a hand-in at a daemon that does not know the clock is refused with 503, which is true: nothing of it runs.

--- a/src/batch/batch_calls.cpp
+++ b/src/batch/batch_calls.cpp
@@ -131,6 +131,14 @@
     co_await answer(writer, kUnavailable);
     co_return;
   }
+  // A daemon that has just started may not have heard the store's clock. A job that it dated would
+  // seem as old as the store, and its items would be given up at once.
+  if (deps_.keeper.storeClock(steadyNow()) == 0) {
+    ++counts_.refused;
+    logOutcome("clock_unknown", kUnavailable);
+    co_await answer(writer, kUnavailable);
+    co_return;
+  }
   auto job = deps_.codec.parseJob(id, request.body());
   if (!job) {
     logOutcome("malformed", kBadRequest);
--- a/src/scaling/scaling_service.cpp
+++ b/src/scaling/scaling_service.cpp
@@ -174,8 +174,8 @@
     co_return;
   }
   if (due.empty()) co_return;
-  const count_decision first = due.front();
-  co_await this->carryOut(name, first);
+  count_decision first = due.front();
+  co_await this->carryOut(name, std::move(first));
 }
 
 Task<bool> scaling_service::writeRecord(ServiceName name, scaling_record record) {
--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -373,3 +373,24 @@
   cr_assert_eq(row.value("ended", false), true);
   cr_assert_eq(row.value("released", 0), 4, "what was released stays");
 }
+
+GATEWAY_TEST(batch_jobs, a_daemon_that_does_not_know_the_time_yet_takes_no_job,
+             test::FixtureOptions{}) {
+  // A daemon that has just started, before it has heard the store's clock.
+  fixture.store().faults().no_clock = true;
+  fixture.addGateway("late");
+  cr_assert(co_await fixture.waitReady(1));
+  http::Request early = fixture.jobRequest("j1", 2);
+  const http::CallOutcome refused = co_await fixture.call(1, std::move(early));
+  cr_assert_eq(refused.response.result_int(), 503U);
+  cr_assert(fixture.model(0).arrivals().empty());
+  fixture.store().faults().no_clock = false;
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(1500));
+  http::Request again = fixture.jobRequest("j1", 2);
+  const http::CallOutcome taken = co_await fixture.call(1, std::move(again));
+  cr_assert_eq(taken.response.result_int(), 202U);
+  const std::string id = "j1";
+  const std::string all = co_await fixture.readAll(1, id);
+  cr_assert_eq(all.find("terminated"), std::string::npos);
+  std::quick_exit(0);
+}
--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -76,6 +76,7 @@
 }
 
 std::int64_t StandinStore::clockMs() const {
+  if (faults_.no_clock) return 0;
   constexpr std::int64_t kFirstMs = 1000;
   const auto since =
       std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - started_at_);
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -22,6 +22,7 @@
   bool forget_history = false;  ///< The next feed call gets 410.
   bool hang_feeds = false;      ///< Feeds tell nothing, other calls go on.
   bool silent = false;          ///< Nothing is answered.
+  bool no_clock = false;        ///< Answers about rows do not tell the time.
 };
 
 class StandinStore {
