Look an engine's cold state up once where a choice asks for its room

Cause: read once more: every choice asks the budget of every engine of the service, and each time it looked the engine up twice by its id. Where a service holds a bound, that is work in the hottest loop of an owner, and grows with the engines.

Ruled out for now: keeping the state with the registry's own entry of the engine, which would save the look-up as a whole; it touches who owns the state and wants a measurement.

Change: one private function says what may be sent for a state that was found; hasRoom finds it once. Behaviour is the same.

--- a/src/engines/cold_budget.cpp
+++ b/src/engines/cold_budget.cpp
@@ -137,16 +137,23 @@
 cold_allowance cold_budget::allowance(Instant now, const routing::ServiceName& service,
                                       const EngineId& engine) const {
   const std::size_t bound = this->most(service);
-  if (bound == 0) return {};
-  const engine_state* state = this->find(engine);
+  return bound == 0 ? cold_allowance{} : this->allowance(now, this->find(engine), bound);
+}
+
+cold_allowance cold_budget::allowance(Instant now, const engine_state* state,
+                                      std::size_t most) const {
   const bool cold = state != nullptr && this->isCold(now, *state);
-  return cold ? this->coldAllowance(now, *state, bound) : this->warmAllowance(now, bound);
+  return cold ? this->coldAllowance(now, *state, most) : this->warmAllowance(now, most);
 }
 
 bool cold_budget::hasRoom(Instant now, const routing::ServiceName& service,
                           const EngineId& engine) const {
-  const cold_allowance allowed = this->allowance(now, service, engine);
-  return allowed.limit == ColdLimit::kUnbounded || this->sent(now, engine) < allowed.requests;
+  const std::size_t bound = this->most(service);
+  if (bound == 0) return true;
+  // Asked of every engine at every choice: one look-up of its state.
+  const engine_state* state = this->find(engine);
+  const std::size_t sent = state == nullptr ? 0 : this->sent(now, *state);
+  return sent < this->allowance(now, state, bound).requests;
 }
 
 std::vector<cold_change> cold_budget::takeChanges(Instant now) {
--- a/src/engines/cold_budget.h
+++ b/src/engines/cold_budget.h
@@ -146,6 +146,8 @@
   std::size_t sent(Instant now, const engine_state& state) const;
   /** @return requests a second that all daemons together may send to a cold engine; 0: no bound. */
   std::size_t most(const routing::ServiceName& service) const;
+  /** @param state nothing is known of the engine if it is not set. */
+  cold_allowance allowance(Instant now, const engine_state* state, std::size_t most) const;
   cold_allowance coldAllowance(Instant now, const engine_state& state, std::size_t most) const;
   cold_allowance warmAllowance(Instant now, std::size_t most) const;
 
