Tell which request broke off, and whether its engine ended

What the hypotheses could not be told apart by: requests carry a new id each time they come, so that the log did not show whether one and the same broke off at several engines; and an attempt that breaks off looks alike whether the engine ended, reset the connection or spoilt its answer.

Lines of attempts that broke off, of callers and of items, now carry a key of the tenant, host, path and body, and whether the engine's address refuses connections just after (asked once, 0.1 s at most; a connection that it takes is kept).

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -87,6 +87,11 @@
   return request;
 }
 
+suspects::request_key BatchService::keyOf(const Active& active, ItemIndex item) const {
+  const BatchItem& each = active.run.job().items[item];
+  return suspects::keyOf(active.record.tenant, active.record.host, each.path, each.body);
+}
+
 engines::PickRequest BatchService::pickFor(const Active& active, ItemIndex item,
                                            const routing::Route& route) const {
   const routing::RouteTablePtr table = deps_.routes();
@@ -122,6 +127,7 @@
   const ModelName model_name(model);
   RunTimes times;
   const AttemptVerdict verdict = co_await readItemEvents(*active, item, *call, model_name, times);
+  if (verdict == AttemptVerdict::kBroken) times.engine_ended = co_await call->engineHasEnded();
   active->calls.erase(item);
   deps_.engines.registry.onTokens(call->engine(), -expectedTokens(active->run.job().items[item]));
   if (active->stopped) co_return;
@@ -215,8 +221,8 @@
   active.noteWhole(item);
   const bool success = verdict == AttemptVerdict::kAnswered && status < 300;
   if (success && !sampler_.admit(now)) return;
-  LogEvent("batch", "attempt_ended")
-      .text("batch", active.record.id.str())
+  LogEvent event("batch", "attempt_ended");
+  event.text("batch", active.record.id.str())
       .text("item", active.run.job().items[item].id.str())
       .text("engine", call.engine().str())
       .text("verdict", forward::toText(verdict))
@@ -226,6 +232,10 @@
       .milliseconds("first_event_ms", times.to_first_event.value_or(Duration::zero()))
       .milliseconds("longest_gap_ms", times.longest_gap)
       .milliseconds("took_ms", now - call.startedAt());
+  if (verdict == AttemptVerdict::kBroken) {
+    event.text("key", keyOf(active, item).str())
+        .text("engine_ended", times.engine_ended ? "yes" : "no");
+  }
 }
 
 std::set<EngineId> BatchService::awaitedEngines() const {
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -32,6 +32,7 @@
 #include "lease/lease_table.h"
 #include "lease/owner_pool.h"
 #include "logging/success_sampler.h"
+#include "suspects/request_key.h"
 #include "tenants/caller.h"
 #include "versions/load_demand.h"
 
@@ -219,7 +220,8 @@
   /// How a run went, for the log.
   struct RunTimes {
     std::optional<Duration> to_first_event;
-    Duration longest_gap{};  ///< Between two of its events.
+    Duration longest_gap{};     ///< Between two of its events.
+    bool engine_ended = false;  ///< Its engine ended under it.
   };
   Task<forward::AttemptVerdict> readItemEvents(Active& active, ItemIndex item,
                                                forward::EngineCall& call, const ModelName& model,
@@ -227,6 +229,7 @@
   void settleItem(Active& active, ItemIndex item, forward::EngineCall& call,
                   forward::AttemptVerdict verdict, const ModelName& model, const RunTimes& times);
   http::Request itemRequest(const Active& active, ItemIndex item) const;
+  suspects::request_key keyOf(const Active& active, ItemIndex item) const;
 
   Task<void> checkpointLoop(ActivePtr active);
   enum class CheckpointNeed { kAlways, kIfMuchIsNew };
--- a/src/forward/engine_call.cpp
+++ b/src/forward/engine_call.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t kMostAnswer = 64 * 1024 * 1024;
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kServerError = 500;
+/// For the answer to a connection: many times what a host within reach takes.
+constexpr Duration kEndedCheckTime = std::chrono::milliseconds(100);
 }  // namespace
 
 const char* toText(AttemptVerdict verdict) {
@@ -38,7 +40,10 @@
 
 EngineCall::EngineCall(EngineCallContext context, const engines::EngineState& engine,
                        http::Request request)
-    : context_(context), engine_(engine.record.id), started_at_(steadyNow()) {
+    : context_(context),
+      engine_(engine.record.id),
+      address_(engine.record.address),
+      started_at_(steadyNow()) {
   request.set(context_.names.target_engine, engine_.str());
   request_id_ = http::fieldText(request, context_.names.request_id);
   exchange_ = std::make_shared<http::ClientExchange>(context_.pool, engine.record.address,
@@ -65,6 +70,13 @@
   exchange_->abort();
 }
 
+Task<bool> EngineCall::engineHasEnded() {
+  const auto self = shared_from_this();
+  const http::PeerState state =
+      co_await context_.pool.probe(address_, steadyNow() + kEndedCheckTime);
+  co_return state == http::PeerState::kRefuses;
+}
+
 Task<AttemptVerdict> EngineCall::start(AttemptLimits limits) {
   const auto self = shared_from_this();
   when_late_ = limits.when_late;
--- a/src/forward/engine_call.h
+++ b/src/forward/engine_call.h
@@ -64,6 +64,9 @@
   Task<AttemptVerdict> readEvents(EventParser& parser, std::vector<StreamEvent>& events,
                                   Instant deadline);
   void abort();
+  /// Asked after the attempt broke off: whether the engine's process has ended, which is so if its
+  /// address refuses connections. One that says nothing may be cut off or stand still.
+  Task<bool> engineHasEnded();
 
   const EngineId& engine() const { return engine_; }
   unsigned status() const { return exchange_->status(); }
@@ -81,6 +84,7 @@
 
   EngineCallContext context_;
   EngineId engine_;
+  Address address_;
   std::string request_id_;
   std::shared_ptr<http::ClientExchange> exchange_;
   Instant started_at_{};
--- a/src/forward/forward_plain.cpp
+++ b/src/forward/forward_plain.cpp
@@ -47,7 +47,9 @@
     }
   }
   recordAttempt(*forwarded, *call, result.verdict);
-  logAttempt(*forwarded, *call, result.verdict);
+  bool ended = false;
+  if (result.verdict == AttemptVerdict::kBroken) ended = co_await call->engineHasEnded();
+  logAttempt(*forwarded, *call, result.verdict, ended);
   std::erase(race->running, call);
   race->results.push_back(std::move(result));
   race->changed.notifyAll();
--- a/src/forward/forward_stream.cpp
+++ b/src/forward/forward_stream.cpp
@@ -43,7 +43,9 @@
     running = std::make_shared<EngineCall>(context_, *engine, std::move(request));
     policy.onStarted(now);
     const AttemptVerdict verdict = co_await relay(forwarded, *running, state, writer);
-    logAttempt(forwarded, *running, verdict);
+    bool ended = false;
+    if (verdict == AttemptVerdict::kBroken) ended = co_await running->engineHasEnded();
+    logAttempt(forwarded, *running, verdict, ended);
     policy.onEnded(verdict);
     if (verdict == AttemptVerdict::kAnswered) {
       writer.cancellation().onRequest(nullptr);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "suspects/request_key.h"
 #include "tenants/homes.h"
 
 namespace linenpier::forward {
@@ -126,7 +127,7 @@
 }
 
 void Forwarder::logAttempt(const ForwardedRequest& forwarded, EngineCall& call,
-                           AttemptVerdict verdict) {
+                           AttemptVerdict verdict, bool engine_ended) {
   const engines::EngineState* engine = context_.registry.find(call.engine());
   const std::string service = engine == nullptr ? "gone" : engine->record.service.str();
   metrics_.onAttemptEnded(service, toText(verdict));
@@ -138,6 +139,10 @@
       .text("service", service)
       .text("verdict", toText(verdict))
       .milliseconds("took_ms", steadyNow() - call.startedAt());
+  if (verdict == AttemptVerdict::kBroken) {
+    event.text("key", suspects::keyOf(forwarded.from.tenant, *forwarded.request).str())
+        .text("engine_ended", engine_ended ? "yes" : "no");
+  }
   if (engine != nullptr) {
     event.number("in_flight", engine->in_flight).number("failures", engine->failures);
     if (engine->load_at != Instant{}) {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -114,7 +114,8 @@
   void recordRun(ForwardedRequest& forwarded, Instant at);
   /// Records a run if this end of an attempt tells of one.
   void recordAttempt(ForwardedRequest& forwarded, const EngineCall& call, AttemptVerdict verdict);
-  void logAttempt(const ForwardedRequest& forwarded, EngineCall& call, AttemptVerdict verdict);
+  void logAttempt(const ForwardedRequest& forwarded, EngineCall& call, AttemptVerdict verdict,
+                  bool engine_ended);
 
   boost::asio::io_context& loop_;
   EngineCallContext context_;
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -32,20 +32,39 @@
   return nullptr;
 }
 
-Task<ClientConnectionPtr> ConnectionPool::connect(Address peer, Instant deadline) {
-  auto connection = std::make_shared<ClientConnection>(loop_);
-  connection->peer = peer;
+Task<boost::system::error_code> ConnectionPool::open(ClientConnectionPtr connection,
+                                                     Instant deadline) {
   connection->stream.expires_at(deadline);
+  const Address peer = connection->peer;
   const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(peer.ip), peer.port);
   boost::system::error_code error;
   ++opened_;
   co_await connection->stream.async_connect(endpoint,
                                             asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return error;
+  boost::system::error_code ignored;
+  connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  co_return error;
+}
+
+Task<ClientConnectionPtr> ConnectionPool::connect(Address peer, Instant deadline) {
+  auto connection = std::make_shared<ClientConnection>(loop_);
+  connection->peer = peer;
+  const boost::system::error_code error = co_await open(connection, deadline);
   if (error) co_return nullptr;
-  connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
   co_return connection;
 }
 
+Task<PeerState> ConnectionPool::probe(Address peer, Instant deadline) {
+  auto connection = std::make_shared<ClientConnection>(loop_);
+  connection->peer = peer;
+  const boost::system::error_code error = co_await open(connection, deadline);
+  if (error == asio::error::connection_refused) co_return PeerState::kRefuses;
+  if (error) co_return PeerState::kSilent;
+  giveBack(steadyNow(), connection, options_.idle_time);
+  co_return PeerState::kAccepts;
+}
+
 void ConnectionPool::giveBack(Instant now, ClientConnectionPtr connection, Duration idle_time) {
   connection->usable_until = now + idle_time;
   connection->reused = true;
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -26,6 +26,13 @@
 
 using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
 
+/// What becomes of a connection that is opened to a peer.
+enum class PeerState {
+  kAccepts,
+  kRefuses,  ///< The host answers; no process listens there.
+  kSilent,   ///< No answer in time: the host is away, cut off or stands still.
+};
+
 struct ConnectionPoolOptions {
   std::size_t idle_per_peer = 32;
   Duration idle_time = std::chrono::seconds(4);  ///< Where the peer names no time.
@@ -41,6 +48,8 @@
   ClientConnectionPtr takeIdle(Instant now, const Address& peer);
   /// Opens a connection. @return nullptr if none came up before `deadline`.
   Task<ClientConnectionPtr> connect(Address peer, Instant deadline);
+  /// Opens a connection to see whether the peer takes it; one that it takes is kept.
+  Task<PeerState> probe(Address peer, Instant deadline);
   /// Keeps a connection that is at rest between two exchanges.
   void giveBack(Instant now, ClientConnectionPtr connection, Duration idle_time);
   /// Closes the idle connections to a peer that is gone.
@@ -53,6 +62,8 @@
   std::uint64_t opened() const { return opened_; }
 
  private:
+  Task<boost::system::error_code> open(ClientConnectionPtr connection, Instant deadline);
+
   boost::asio::io_context& loop_;
   ConnectionPoolOptions options_;
   std::map<Address, std::vector<ClientConnectionPtr>> idle_;  ///< Newest last.
--- /dev/null
+++ b/src/suspects/request_key.cpp
@@ -0,0 +1,34 @@
+#include "suspects/request_key.h"
+
+#include <cstdio>
+
+#include "common/hash.h"
+
+namespace linenpier::suspects {
+
+namespace {
+/** Text before each part, so that a part's end can't be moved into the next one. */
+std::string withLength(std::string_view part) {
+  return std::to_string(part.size()) + ":" + std::string(part);
+}
+}  // namespace
+
+request_key keyOf(const TenantId& tenant, std::string_view host, std::string_view target,
+                  std::string_view body) {
+  const hash128 of_place = hashTo128(withLength(host) + withLength(target));
+  const hash128 all = hashTo128(body, of_place.low ^ of_place.high);
+  char digits[49];
+  std::snprintf(digits, sizeof(digits), "%016llx%016llx%016llx",
+                static_cast<unsigned long long>(hash64(tenant.str())),
+                static_cast<unsigned long long>(all.high),
+                static_cast<unsigned long long>(all.low));
+  return request_key(digits);
+}
+
+request_key keyOf(const TenantId& tenant, const http::Request& request) {
+  const std::string host = http::fieldText(request, "Host");
+  const std::string_view target(request.target().data(), request.target().size());
+  return keyOf(tenant, host, target, request.body());
+}
+
+}  // namespace linenpier::suspects
--- /dev/null
+++ b/tests/suspects/request_key_test.cpp
@@ -0,0 +1,46 @@
+/// @file
+/// Which requests count as the same.
+
+#include "suspects/request_key.h"
+
+#include <criterion/criterion.h>
+
+using namespace linenpier;
+using suspects::keyOf;
+
+namespace {
+http::Request makeRequest(const std::string& target, const std::string& body) {
+  http::Request request(boost::beast::http::verb::post, target, 11);
+  request.set("Host", "h.example");
+  request.body() = body;
+  return request;
+}
+}  // namespace
+
+Test(request_key, ids_and_deadlines_make_no_difference) {
+  http::Request one = makeRequest("/look/1", "a");
+  http::Request other = one;
+  one.set("Request-Id", "r1");
+  one.set("Deadline-Ms", "1000");
+  other.set("Request-Id", "r2");
+  cr_assert(keyOf(TenantId("t"), one) == keyOf(TenantId("t"), other));
+}
+
+Test(request_key, path_query_body_host_and_tenant_do) {
+  const http::Request request = makeRequest("/look/1", "a");
+  const suspects::request_key key = keyOf(TenantId("t"), request);
+  cr_assert(key != keyOf(TenantId("u"), request));
+  cr_assert(key != keyOf(TenantId("t"), makeRequest("/look/2", "a")));
+  cr_assert(key != keyOf(TenantId("t"), makeRequest("/look/1?a", "a")));
+  cr_assert(key != keyOf(TenantId("t"), makeRequest("/look/1", "b")));
+  cr_assert(key != keyOf(TenantId("t"), "other.example", "/look/1", "a"));
+  cr_assert(keyOf(TenantId("t"), "ab", "c", "") != keyOf(TenantId("t"), "a", "bc", ""));
+}
+
+Test(request_key, a_tenants_requests_begin_with_digits_of_its_own) {
+  const auto tenantDigits = [](const char* tenant, const char* body) {
+    return keyOf(TenantId(tenant), "h", "/", body).str().substr(0, 16);
+  };
+  cr_assert_eq(tenantDigits("t", "a"), tenantDigits("t", "b"));
+  cr_assert_neq(tenantDigits("t", "a"), tenantDigits("u", "a"));
+}
