--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -128,6 +128,25 @@
   for (const auto& each : models_) store_->put("servers", each->id(), each->entry("models"));
 }
 
+void GatewayFixture::setFatal(const FatalRequests& fatal) {
+  const auto follow = [this, &fatal](StandinSampler& sampler, const std::string& service) {
+    sampler.setFatal(fatal);
+    sampler.onRestart([this, &sampler, service](const std::string& before) {
+      store_->remove("servers", before);
+      store_->put("servers", sampler.id(), sampler.entry(service));
+    });
+  };
+  for (const auto& each : lookups_) follow(*each, "desk");
+  for (const auto& each : models_) follow(*each, "models");
+}
+
+int GatewayFixture::samplersEnded() const {
+  int ended = 0;
+  for (const auto& each : lookups_) ended += each->ends();
+  for (const auto& each : models_) ended += each->ends();
+  return ended;
+}
+
 void GatewayFixture::run(std::function<Task<void>(GatewayFixture&)> test) {
   bool finished = false;
   spawn(loop_, [this, &test, &finished]() -> Task<void> {
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -93,6 +93,10 @@
 
   void putConfiguration(std::uint64_t version, const std::string& more_routes = "");
   void putSamplers();
+  /// Requests with the mark in their bodies end the sampler that begins to run them.
+  void setFatal(const FatalRequests& fatal);
+  /// @return how often samplers have ended, in all.
+  int samplersEnded() const;
   /// Of the configurations that are put from now on.
   void setTenants(const std::string& tenants) { options_.tenants = tenants; }
   /// The same, such as `,"allowedRegions":["a"]`.
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -55,10 +55,49 @@
     co_await acceptor_.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return;
     const auto connection = std::make_shared<Connection>(std::move(socket));
+    std::erase_if(connections_, [](const auto& each) { return each.expired(); });
+    connections_.push_back(connection);
     spawn(loop_, [this, connection] { return serve(connection); });
   }
 }
 
+void StandinSampler::crash() {
+  const Address address = this->address();
+  ++ends_;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& each : connections_) {
+    if (const auto connection = each.lock()) connection->socket.close(ignored);
+  }
+  connections_.clear();
+  spawn(loop_, [this, address] { return comeBack(address); });
+}
+
+Task<void> StandinSampler::comeBack(Address address) {
+  co_await sleepFor(loop_, fatal_.down);
+  const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), address.port);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen();
+  const std::string before = id_;
+  id_ = before.substr(0, before.find('+')) + "+" + std::to_string(ends_);
+  spawn(loop_, [this] { return acceptLoop(); });
+  if (restarted_) restarted_(before);
+}
+
+Task<bool> StandinSampler::runFatal(Connection& connection) {
+  const int before = ends_;
+  co_await sleepFor(loop_, fatal_.after);
+  if (ends_ != before) co_return false;
+  if (connection.clientGone()) {
+    ++dropped_;
+    co_return false;
+  }
+  crash();
+  co_return false;
+}
+
 Task<bool> StandinSampler::write(Connection& connection, std::string bytes) {
   boost::system::error_code error;
   co_await asio::async_write(connection.socket, asio::buffer(bytes),
@@ -99,6 +138,12 @@
       arrival.at = steadyNow();
       arrival.version = version_;
       arrivals_.push_back(arrival);
+      const bool fatal = arrival.ran && !fatal_.mark.empty() &&
+                         arrival.body.find(fatal_.mark) != std::string::npos;
+      if (fatal) {
+        co_await runFatal(*connection);
+        co_return;
+      }
       goes_on = co_await answer(*connection, std::move(arrival), act);
     }
     if (!goes_on) co_return;
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -6,7 +6,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
+#include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,6 +54,14 @@
   Instant at{};
 };
 
+/// Requests that end the sampler that begins to run them.
+struct FatalRequests {
+  std::string mark;                                ///< In their bodies; empty: there are none.
+  Duration after = std::chrono::milliseconds(20);  ///< From the begin of such a run.
+  /// Until the sampler is back, as another incarnation at the same address.
+  Duration down = std::chrono::milliseconds(300);
+};
+
 class StandinSampler {
  public:
   /// @param events of a streamed answer; 0: answers are plain.
@@ -73,6 +83,15 @@
   void setChecksFences(bool checks) { checks_fences_ = checks; }
   void setEventGap(Duration gap) { event_gap_ = gap; }
   void setLie(SamplerLie lie) { lie_ = lie; }
+  void setFatal(FatalRequests fatal) { fatal_ = std::move(fatal); }
+  /// Told when the sampler is back, with the id that it had.
+  void onRestart(std::function<void(const std::string& before)> told) {
+    restarted_ = std::move(told);
+  }
+  /// Ends, which breaks all its connections off, and comes back a while later.
+  void crash();
+  /// How often it has ended.
+  int ends() const { return ends_; }
   /// Entries name this address in place of its own, as where a proxy stands before it.
   void setListedAddress(const Address& address) { listed_ = address; }
   /// How much longer it is cold, as its entry says from now on.
@@ -85,6 +104,9 @@
  private:
   struct Connection;
   Task<void> acceptLoop();
+  Task<void> comeBack(Address address);
+  /// Runs a request that is fatal. @return whether its connection goes on.
+  Task<bool> runFatal(Connection& connection);
   Task<void> serve(std::shared_ptr<Connection> connection);
   Task<bool> answer(Connection& connection, SamplerArrival arrival, SamplerAct act);
   Task<bool> stream(Connection& connection, const SamplerArrival& arrival, bool cut);
@@ -110,6 +132,10 @@
   std::uint64_t fence_ = 0;
   bool checks_fences_ = true;
   int dropped_ = 0;
+  FatalRequests fatal_;
+  std::function<void(const std::string&)> restarted_;
+  std::vector<std::weak_ptr<Connection>> connections_;
+  int ends_ = 0;
 };
 
 }  // namespace linenpier::test
