Let a request that ends its engines run alone, then bar it, at all daemons

Cause: what a request does to engines was known to its own attempts, and forgotten with them; each arrival at any daemon began anew, and hedges and second attempts doubled it. Ruled out: engines that end by themselves (each of 18 had an attempt of one key just before its end).

Change: a request under which an engine ended is a suspect, by tenant, host, path and body. One row a suspect in the table that every daemon follows; suspects run alone in the whole fleet (a conditional write, 0.1 s at most), get no second engine beside the first, wait 5 s after the second ended engine, and are barred after the third: 10 minutes, doubled with each further end. An engine's whole answer clears it. Attempts that run side by side count once, so that a zone that loses power proves nothing. A daemon without the store tells and asks its peers; one that starts is not ready before it knows what others knew. Lookups, streams, items, resumed runs, moves and reward calls all ask the same gate; items, for which a job waits, are tried twice more.

--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -15,6 +15,13 @@
 using forward::AttemptVerdict;
 using logging::LogEvent;
 
+namespace {
+/// Between two looks at an item whose like runs just now.
+constexpr Duration kTriedPause = std::chrono::milliseconds(100);
+/// The same at one under which engines ended: another daemon's answer may clear it.
+constexpr Duration kHeldPause = std::chrono::seconds(1);
+}  // namespace
+
 /// A job with items that wait, while engines are dealt out.
 struct BatchService::startable_item {
   ActivePtr active;
@@ -110,6 +117,8 @@
   if (placement.discard_text) active->run.discardText(item);
   const engines::EngineState* engine = placement.engine;
   if (engine == nullptr) return false;
+  const auto leave = leaveToRun(*active, item);
+  if (!leave) return true;  // It waits, and others may start.
   const auto call =
       std::make_shared<forward::EngineCall>(deps_.engines, *engine, itemRequest(*active, item));
   active->run.onStarted(now, item, engine->record.id);
@@ -117,17 +126,48 @@
   deps_.engines.registry.onTokens(call->engine(), wanted.tokens);
   ++counts_.attempts;
   const std::string model = each.model.str();
-  spawn(deps_.loop,
-        [this, active, item, call, model] { return runItem(active, item, call, model); });
+  spawn(deps_.loop, [this, active, item, call, model, attempt = *leave] {
+    return runItem(active, item, call, model, attempt);
+  });
   return true;
 }
 
+std::optional<suspects::sent_attempt> BatchService::leaveToRun(Active& active, ItemIndex item) {
+  suspects::sent_attempt attempt;
+  if (!deps_.suspects.any()) return attempt;
+  const std::string id = active.run.job().items[item].id.str();
+  const suspects::verdict told =
+      deps_.suspects.beginOwnTrial(keyOf(active, item), suspects::asker::kItem, id);
+  attempt.ends = told.ends;
+  attempt.trial = told.is == suspects::standing::kMayTry;
+  if (attempt.trial || told.is == suspects::standing::kClear) return attempt;
+  const bool tried = told.is == suspects::standing::kTried;
+  const Duration wait = std::min(told.wait, tried ? kTriedPause : kHeldPause);
+  active.run.onHeld(item, steadyNow() + wait);
+  return std::nullopt;
+}
+
+void BatchService::settleSuspicion(const Active& active, ItemIndex item,
+                                   const forward::EngineCall& call, AttemptVerdict verdict,
+                                   const suspects::sent_attempt& attempt, bool engine_ended) {
+  if (engine_ended) {
+    deps_.suspects.onEngineEnded(attempt, keyOf(active, item), call.engine(), call.startedAt(),
+                                 suspects::asker::kItem, active.run.job().items[item].id.str());
+  } else if (verdict != AttemptVerdict::kAnswered) {
+    if (attempt.trial) deps_.suspects.onUnproved(attempt, keyOf(active, item));
+  } else if (deps_.suspects.any()) {
+    deps_.suspects.onAnswered(keyOf(active, item));
+  }
+}
+
 Task<void> BatchService::runItem(ActivePtr active, ItemIndex item,
-                                 std::shared_ptr<forward::EngineCall> call, std::string model) {
+                                 std::shared_ptr<forward::EngineCall> call, std::string model,
+                                 suspects::sent_attempt attempt) {
   const ModelName model_name(model);
   RunTimes times;
   const AttemptVerdict verdict = co_await readItemEvents(*active, item, *call, model_name, times);
   if (verdict == AttemptVerdict::kBroken) times.engine_ended = co_await call->engineHasEnded();
+  settleSuspicion(*active, item, *call, verdict, attempt, times.engine_ended);
   active->calls.erase(item);
   deps_.engines.registry.onTokens(call->engine(), -expectedTokens(active->run.job().items[item]));
   if (active->stopped) co_return;
--- a/src/batch/batch_run.h
+++ b/src/batch/batch_run.h
@@ -110,6 +110,8 @@
   void onLateStart(ItemIndex item) { ++progress_[item].late_starts; }
   /// The attempt ended without it; the item goes on from what it has.
   void onInterrupted(Instant now, ItemIndex item, Duration pause);
+  /// The item must not run before `until`, since engines ended under it.
+  void onHeld(ItemIndex item, Instant until) { progress_[item].not_before = until; }
   /// The engine ran the item and failed.
   void onFailed(Instant now, ItemIndex item);
   /// The item can never be done.
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -32,7 +32,7 @@
 #include "lease/lease_table.h"
 #include "lease/owner_pool.h"
 #include "logging/success_sampler.h"
-#include "suspects/request_key.h"
+#include "suspects/suspect_gate.h"
 #include "tenants/caller.h"
 #include "versions/load_demand.h"
 
@@ -54,6 +54,7 @@
     const lease::OwnerPool& pool;
     const BatchCodec& codec;
     forward::internal_requests& rewards;
+    suspects::suspect_gate& suspects;
     std::function<routing::RouteTablePtr()> routes;  ///< The newest table; empty before the first.
   };
 
@@ -215,8 +216,14 @@
   engines::PickRequest pickFor(const Active& active, ItemIndex item,
                                const routing::Route& route) const;
   bool startItem(const ActivePtr& active, ItemIndex item, const routing::Route& route);
+  /// @return nothing if the item must wait, since engines ended under it.
+  std::optional<suspects::sent_attempt> leaveToRun(Active& active, ItemIndex item);
   Task<void> runItem(ActivePtr active, ItemIndex item, std::shared_ptr<forward::EngineCall> call,
-                     std::string model);
+                     std::string model, suspects::sent_attempt attempt);
+  /// Tells what a run has shown of the item.
+  void settleSuspicion(const Active& active, ItemIndex item, const forward::EngineCall& call,
+                       forward::AttemptVerdict verdict, const suspects::sent_attempt& attempt,
+                       bool engine_ended);
   /// How a run went, for the log.
   struct RunTimes {
     std::optional<Duration> to_first_event;
--- a/src/batch/item_scorer.cpp
+++ b/src/batch/item_scorer.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kPatience = std::chrono::milliseconds(300);
 constexpr double kWholeShare = 1.0;
 constexpr Duration kFullPause = std::chrono::milliseconds(20);  ///< No engine had room.
+/// Of a reward request under which engines ended: it is looked at again, as others may clear it.
+constexpr Duration kLongestPause = std::chrono::seconds(1);
 constexpr Duration kFailurePause = std::chrono::milliseconds(60);
 
 bool isSuccess(const forward::internal_outcome& outcome) {
@@ -99,7 +101,8 @@
     active.run.onScored(item, outcome.signature);
     ++this->deps_.counts.scored;
   } else {
-    const Duration pause = outcome.attempts == 0 ? kFullPause : kFailurePause;
+    const Duration usual = outcome.attempts == 0 ? kFullPause : kFailurePause;
+    const Duration pause = std::max(usual, std::min(outcome.wait, kLongestPause));
     active.run.onNotScored(steadyNow(), item, outcome.failures, most_failures, pause);
     ++this->deps_.counts.scorings_failed;
   }
--- a/src/forward/forward_plain.cpp
+++ b/src/forward/forward_plain.cpp
@@ -31,7 +31,8 @@
 };
 
 Task<void> Forwarder::runAttempt(std::shared_ptr<Race> race, std::shared_ptr<EngineCall> call,
-                                 std::shared_ptr<ForwardedRequest> forwarded) {
+                                 std::shared_ptr<ForwardedRequest> forwarded,
+                                 suspects::sent_attempt attempt) {
   const Instant deadline = forwarded->deadline;
   Race::Result result;
   result.engine = call->engine();
@@ -50,20 +51,26 @@
   bool ended = false;
   if (result.verdict == AttemptVerdict::kBroken) ended = co_await call->engineHasEnded();
   logAttempt(*forwarded, *call, result.verdict, ended);
+  settleSuspicion(*forwarded, *call, result.verdict, attempt, ended);
+  // The other engines that run it would end as well.
+  if (ended) race->abortAll();
   std::erase(race->running, call);
   race->results.push_back(std::move(result));
   race->changed.notifyAll();
 }
 
 bool Forwarder::startAttempt(const std::shared_ptr<ForwardedRequest>& forwarded,
-                             const std::shared_ptr<Race>& race) {
+                             const std::shared_ptr<Race>& race,
+                             const suspects::sent_attempt& attempt) {
   const engines::EngineState* engine = pickEngine(*forwarded, race->tried);
   if (engine == nullptr) return false;
   race->tried.insert(engine->record.id);
   const auto call =
       std::make_shared<EngineCall>(context_, *engine, outgoing(*forwarded, steadyNow()));
   race->running.push_back(call);
-  spawn(loop_, [this, race, call, forwarded] { return runAttempt(race, call, forwarded); });
+  spawn(loop_, [this, race, call, forwarded, attempt] {
+    return runAttempt(race, call, forwarded, attempt);
+  });
   return true;
 }
 
@@ -89,8 +96,12 @@
     if (now >= forwarded->deadline) break;
     bool exhausted = false;
     if (policy.mayStart(now)) {
-      exhausted = !startAttempt(forwarded, race);
-      if (!exhausted) policy.onStarted(now);
+      const auto leave = co_await leaveToRun(*forwarded, policy.running() == 0);
+      // Asking may have taken a moment.
+      const bool over = cancellation.requested() || steadyNow() >= forwarded->deadline;
+      exhausted = !leave || over || !startAttempt(forwarded, race, *leave);
+      if (!exhausted) policy.onStarted(steadyNow());
+      if (exhausted && leave && leave->trial) suspects_.onUnproved(*leave, keyOf(*forwarded));
     }
     if (policy.running() == 0) break;
     const Instant look = exhausted ? forwarded->deadline : policy.nextLook();
@@ -138,6 +149,7 @@
   internal_outcome outcome;
   outcome.failures = plain.failures;
   outcome.attempts = policy.started();
+  outcome.wait = forwarded->held.wait;
   if (plain.answer) {
     outcome.status = plain.answer->result_int();
     outcome.signature = http::fieldText(*plain.answer, context_.names.signature);
--- a/src/forward/forward_stream.cpp
+++ b/src/forward/forward_stream.cpp
@@ -36,6 +36,15 @@
       engine = pickEngine(forwarded, tried);
     }
     if (engine == nullptr) break;
+    const EngineId chosen = engine->record.id;
+    const auto leave = co_await leaveToRun(forwarded, true);
+    if (!leave) break;
+    // Asking may have taken a moment.
+    engine = context_.registry.find(chosen);
+    if (engine == nullptr || writer.cancellation().requested()) {
+      if (leave->trial) suspects_.onUnproved(*leave, keyOf(forwarded));
+      continue;
+    }
     tried.insert(engine->record.id);
     http::Request request = outgoing(forwarded, now);
     if (state.last_event)
@@ -46,6 +55,7 @@
     bool ended = false;
     if (verdict == AttemptVerdict::kBroken) ended = co_await running->engineHasEnded();
     logAttempt(forwarded, *running, verdict, ended);
+    settleSuspicion(forwarded, *running, verdict, *leave, ended);
     policy.onEnded(verdict);
     if (verdict == AttemptVerdict::kAnswered) {
       writer.cancellation().onRequest(nullptr);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -123,11 +123,50 @@
   if (closed && answer == FinalAnswer::kRefused) {
     response.set(context_.names.retry_after, secondsText(options_.retry_after_closed));
   }
+  // Also where it has run and can't be refused: asking sooner is of no use.
+  if (forwarded.held.wait > options_.retry_after) {
+    response.set(context_.names.retry_after, secondsText(forwarded.held.wait));
+  }
   co_await writer.send(std::move(response));
 }
 
-void Forwarder::logAttempt(const ForwardedRequest& forwarded, EngineCall& call,
-                           AttemptVerdict verdict, bool engine_ended) {
+const suspects::request_key& Forwarder::keyOf(ForwardedRequest& forwarded) const {
+  if (!forwarded.key) forwarded.key = suspects::keyOf(forwarded.from.tenant, *forwarded.request);
+  return *forwarded.key;
+}
+
+Task<std::optional<suspects::sent_attempt>> Forwarder::leaveToRun(ForwardedRequest& forwarded,
+                                                                  bool alone) {
+  suspects::sent_attempt attempt;
+  forwarded.held = {};
+  if (!suspects_.any()) co_return attempt;
+  const suspects::request_key key = keyOf(forwarded);
+  forwarded.held = suspects_.ask(key, suspects::asker::kCaller);
+  if (forwarded.held.is == suspects::standing::kClear) co_return attempt;
+  // A second engine beside the first would be lost with it.
+  if (!alone) co_return std::nullopt;
+  forwarded.held = co_await suspects_.beginTrial(key, suspects::asker::kCaller, forwarded.id);
+  attempt.ends = forwarded.held.ends;
+  attempt.trial = forwarded.held.is == suspects::standing::kMayTry;
+  if (attempt.trial || forwarded.held.is == suspects::standing::kClear) co_return attempt;
+  co_return std::nullopt;
+}
+
+void Forwarder::settleSuspicion(ForwardedRequest& forwarded, const EngineCall& call,
+                                AttemptVerdict verdict, const suspects::sent_attempt& attempt,
+                                bool engine_ended) {
+  if (engine_ended) {
+    suspects_.onEngineEnded(attempt, keyOf(forwarded), call.engine(), call.startedAt(),
+                            suspects::asker::kCaller, forwarded.id);
+  } else if (verdict != AttemptVerdict::kAnswered) {
+    if (attempt.trial) suspects_.onUnproved(attempt, keyOf(forwarded));
+  } else if (suspects_.any()) {
+    suspects_.onAnswered(keyOf(forwarded));
+  }
+}
+
+void Forwarder::logAttempt(ForwardedRequest& forwarded, EngineCall& call, AttemptVerdict verdict,
+                           bool engine_ended) {
   const engines::EngineState* engine = context_.registry.find(call.engine());
   const std::string service = engine == nullptr ? "gone" : engine->record.service.str();
   metrics_.onAttemptEnded(service, toText(verdict));
@@ -140,8 +179,7 @@
       .text("verdict", toText(verdict))
       .milliseconds("took_ms", steadyNow() - call.startedAt());
   if (verdict == AttemptVerdict::kBroken) {
-    event.text("key", suspects::keyOf(forwarded.from.tenant, *forwarded.request).str())
-        .text("engine_ended", engine_ended ? "yes" : "no");
+    event.text("key", keyOf(forwarded).str()).text("engine_ended", engine_ended ? "yes" : "no");
   }
   if (engine != nullptr) {
     event.number("in_flight", engine->in_flight).number("failures", engine->failures);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -13,6 +13,7 @@
 #include "logging/success_sampler.h"
 #include "metrics/gateway_metrics.h"
 #include "routing/route_table.h"
+#include "suspects/suspect_gate.h"
 #include "tenants/caller.h"
 
 namespace linenpier::forward {
@@ -46,6 +47,8 @@
   bool recorded = false;     ///< It was recorded that it began to run.
   /// Why there was no engine for it when one was last looked for in vain.
   engines::refusal_tally refusals;
+  std::optional<suspects::request_key> key;  ///< Worked out when it is first needed.
+  suspects::verdict held;                    ///< What it was told when it was last a suspect.
 };
 
 /// Loop thread only.
@@ -53,12 +56,13 @@
  public:
   Forwarder(boost::asio::io_context& loop, EngineCallContext context,
             routing::WeightedDealer& dealer, metrics::GatewayMetrics& metrics,
-            run_recorder& recorder, ForwarderOptions options)
+            run_recorder& recorder, suspects::suspect_gate& suspects, ForwarderOptions options)
       : loop_(loop),
         context_(context),
         dealer_(dealer),
         metrics_(metrics),
         recorder_(recorder),
+        suspects_(suspects),
         options_(options) {}
 
   /// Homes are those of the newest table from now on, also for requests that came under an older
@@ -85,10 +89,20 @@
   Task<plain_outcome> runAttempts(std::shared_ptr<ForwardedRequest> forwarded,
                                   AttemptPolicy& policy, http::Cancellation& cancellation);
   Task<void> runAttempt(std::shared_ptr<Race> race, std::shared_ptr<EngineCall> call,
-                        std::shared_ptr<ForwardedRequest> forwarded);
+                        std::shared_ptr<ForwardedRequest> forwarded,
+                        suspects::sent_attempt attempt);
   /// @return whether there was an engine for it.
   bool startAttempt(const std::shared_ptr<ForwardedRequest>& forwarded,
-                    const std::shared_ptr<Race>& race);
+                    const std::shared_ptr<Race>& race, const suspects::sent_attempt& attempt);
+  /// @return the request's key, worked out once.
+  const suspects::request_key& keyOf(ForwardedRequest& forwarded) const;
+  /// Asks whether an attempt may be sent, of nearly all requests without a wait.
+  /// @param alone whether no other attempt of the request runs.
+  /// @return nothing if not: `held` then tells why.
+  Task<std::optional<suspects::sent_attempt>> leaveToRun(ForwardedRequest& forwarded, bool alone);
+  /// Tells what an attempt has shown of the request.
+  void settleSuspicion(ForwardedRequest& forwarded, const EngineCall& call, AttemptVerdict verdict,
+                       const suspects::sent_attempt& attempt, bool engine_ended);
   Task<void> serveStream(ForwardedRequest& forwarded, http::ResponseWriter& writer);
   Task<AttemptVerdict> relay(ForwardedRequest& forwarded, EngineCall& call, StreamState& state,
                              http::ResponseWriter& writer);
@@ -114,7 +128,7 @@
   void recordRun(ForwardedRequest& forwarded, Instant at);
   /// Records a run if this end of an attempt tells of one.
   void recordAttempt(ForwardedRequest& forwarded, const EngineCall& call, AttemptVerdict verdict);
-  void logAttempt(const ForwardedRequest& forwarded, EngineCall& call, AttemptVerdict verdict,
+  void logAttempt(ForwardedRequest& forwarded, EngineCall& call, AttemptVerdict verdict,
                   bool engine_ended);
 
   boost::asio::io_context& loop_;
@@ -122,6 +136,7 @@
   routing::WeightedDealer& dealer_;
   metrics::GatewayMetrics& metrics_;
   run_recorder& recorder_;
+  suspects::suspect_gate& suspects_;
   ForwarderOptions options_;
   std::function<routing::RouteTablePtr()> newest_;
   logging::SuccessSampler sampler_{kFullLinesPerSecond, kThenOneIn};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -56,8 +56,10 @@
               timeOfDayMs,
               [this](table::Write write) { return writeByPeer(std::move(write)); }},
              settings.usage),
+      suspects_({loop, platform.table(), leases_, keeper_,
+                 [this](table::Write write) { return writeByPeer(std::move(write)); }}),
       forwarder_(loop, {engine_pool, registry_, platform.fieldNames()}, dealer_, metrics, usage_,
-                 {}),
+                 suspects_, {}),
       batches_({loop,
                 {engine_pool, registry_, platform.fieldNames()},
                 job_store_,
@@ -66,6 +68,7 @@
                 owner_pool_,
                 platform.batchCodec(),
                 forwarder_,
+                suspects_,
                 [this] { return routes_; }},
                settings.batch),
       orders_({loop, registry_, platform.table(), leases_, keeper_, owner_pool_, platform.orders(),
@@ -130,6 +133,7 @@
   orders_.start();
   usage_.start();
   scaling_.start();
+  suspects_.start();
   spawn(loop_, [this] { return sweepLoop(); });
   spawn(loop_, [this] { return probeLoop(); });
   LogEvent("gateway", "started")
@@ -161,7 +165,8 @@
 }
 
 bool Gateway::ready() const {
-  return routes_ && engines_known_ && !stopping_;
+  // Without what earlier lives learned, the first requests could end engines that are known to end.
+  return routes_ && engines_known_ && suspects_.known() && !stopping_;
 }
 
 // --- What clients ask ---------------------------------------------------------------------------
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "lease/lease_watch.h"
 #include "metrics/gateway_metrics.h"
 #include "scaling/scaling_service.h"
+#include "suspects/suspect_service.h"
 #include "table/table_watcher.h"
 #include "usage/usage_service.h"
 
@@ -110,6 +111,8 @@
   void onLeasesRead(bool answered);
   void onEngineSnapshot(const std::vector<table::Row>& rows);
   void onCoordinationRow(const table::RowChange& change);
+  /// The table of jobs, rights and suspects was read whole.
+  void onCoordinationRead(const std::vector<table::Row>& rows);
   void onConfiguration(const std::string& value);
 
   boost::asio::io_context& loop_;
@@ -129,6 +132,7 @@
   bool leases_answered_ = false;  ///< Whether the last read of the leases was answered.
   batch::JobStore job_store_;
   usage::usage_service usage_;
+  suspects::suspect_service suspects_;
   forward::Forwarder forwarder_;
   batch::BatchService batches_;
   versions::OrderService orders_;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -33,9 +33,10 @@
   return feed.healthy() && steadyNow() - feed.lastAnswer() < kFeedSilence;
 }
 
-bool isCountOrClock(const table::Put& put) {
+/// Counts, clocks and suspects only: nothing that a right or a lease stands on.
+bool maybeWrittenForPeers(const table::Put& put) {
   return put.key.starts_with(kUsageTable + "/" + kUsageRows) ||
-         put.key.starts_with(kClockTable + "/");
+         put.key.starts_with(kClockTable + "/") || put.key.starts_with(suspectKey({}));
 }
 
 }  // namespace
@@ -52,9 +53,8 @@
   http::Response response;
   response.result(kUnavailable);
   auto write = decodeWrite(request.body());
-  // Counts and clocks only: nothing that a right or a lease stands on.
   const bool allowed = write && std::all_of(write->transaction.puts.begin(),
-                                            write->transaction.puts.end(), isCountOrClock);
+                                            write->transaction.puts.end(), maybeWrittenForPeers);
   if (!allowed) {
     response.result(kBadRequest);
   } else if (leases_.storeHealthy()) {
@@ -94,12 +94,13 @@
 
 Task<void> Gateway::tellSnapshot(http::ResponseWriter& writer) {
   http::Response response;
-  if (routes_ && engines_known_) {
+  if (routes_ && engines_known_ && suspects_.known()) {
     snapshot_.engines_revision = std::max(snapshot_.engines_revision, engine_watcher_->revision());
     PeerSnapshot told = snapshot_;
     told.zones_revision = zonesRevision();
     told.closed_zones = closings_.zones().all();
     for (const auto& [key, row] : engine_rows_) told.engines.push_back(row);
+    told.suspects = suspects_.rows();
     response.body() = encodeSnapshot(told);
   } else {
     response.result(kUnavailable);
@@ -111,7 +112,8 @@
   std::size_t next = 0;
   for (;;) {
     co_await sleepFor(loop_, kPeerPeriod);
-    const bool store_away = !tells(*operator_watcher_) || !tells(*engine_watcher_);
+    const bool store_away = !tells(*operator_watcher_) || !tells(*engine_watcher_) ||
+                            !tells(*coordination_watcher_) || !suspects_.known();
     if (!store_away || stopping_) continue;
     const std::vector<Address> peers = knownPeers();
     for (std::size_t i = 0; i < std::min(kPeersAtOnce, peers.size()); ++i) {
@@ -144,6 +146,7 @@
   // Zones first: whoever has routes and engines may be sent requests.
   const bool zones_newer = told->zones_revision > zonesRevision();
   if (zones_newer) onZoneTable(told->zones_revision, told->closed_zones, "peer");
+  if (!tells(*coordination_watcher_)) suspects_.onTold(told->suspects);
   if (!tells(*operator_watcher_)) onConfiguration(told->configuration);
   const bool newer =
       told->engines_revision > std::max(snapshot_.engines_revision, engine_watcher_->revision());
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -83,10 +83,7 @@
 
   table::TableWatcher::Listener coordination;
   coordination.on_snapshot = [this](const std::vector<table::Row>& rows) {
-    for (const table::Row& row : rows) onCoordinationRow({row, false});
-    orders_.onTableRead();
-    usage_.onTableRead();
-    scaling_.onTableRead();
+    onCoordinationRead(rows);
   };
   coordination.on_change = [this](const table::RowChange& change) { onCoordinationRow(change); };
   coordination.on_health = [this](bool healthy) {
@@ -260,6 +257,19 @@
   updateColdSenders();
 }
 
+void Gateway::onCoordinationRead(const std::vector<table::Row>& rows) {
+  std::set<suspects::request_key> suspected;
+  for (const table::Row& row : rows) {
+    onCoordinationRow({row, false});
+    const std::string key = keyWithoutTable(row);
+    if (key.starts_with(kSuspectPrefix)) suspected.emplace(key.substr(kSuspectPrefix.size()));
+  }
+  orders_.onTableRead();
+  usage_.onTableRead();
+  scaling_.onTableRead();
+  suspects_.onTableRead(suspected, coordination_watcher_->revision());
+}
+
 void Gateway::onCoordinationRow(const table::RowChange& change) {
   const std::string key = keyWithoutTable(change.row);
   const auto tail = [&key](const std::string& prefix) { return key.substr(prefix.size()); };
@@ -269,6 +279,10 @@
   } else if (key.starts_with(kOrderPrefix)) {
     const routing::ServiceName service(tail(kOrderPrefix));
     change.gone ? orders_.onRightGone(service) : orders_.onRightRow(service, change.row);
+  } else if (key.starts_with(kSuspectPrefix)) {
+    const suspects::request_key suspect(tail(kSuspectPrefix));
+    change.gone ? suspects_.onRowGone(suspect, change.row.revision)
+                : suspects_.onRow(suspect, change.row);
   } else if (key == kRightPrefix + "usage") {
     change.gone ? usage_.onRightGone() : usage_.onRightRow(change.row);
   } else if (key == kRightPrefix + "scaling") {
--- a/src/gateway/peer_snapshot.cpp
+++ b/src/gateway/peer_snapshot.cpp
@@ -6,17 +6,35 @@
 
 using nlohmann::json;
 
-std::string encodeSnapshot(const PeerSnapshot& snapshot) {
-  json engines = json::array();
-  for (const table::Row& row : snapshot.engines) {
-    engines.push_back({{"key", row.key}, {"revision", row.revision}, {"value", row.value}});
+namespace {
+
+json encodeRows(const std::vector<table::Row>& rows) {
+  json entries = json::array();
+  for (const table::Row& row : rows) {
+    entries.push_back({{"key", row.key}, {"revision", row.revision}, {"value", row.value}});
+  }
+  return entries;
+}
+
+std::vector<table::Row> decodeRows(const json& entries) {
+  std::vector<table::Row> rows;
+  for (const json& entry : entries) {
+    rows.push_back({entry.at("key").get<std::string>(), entry.at("revision").get<Revision>(),
+                    entry.at("value").get<std::string>()});
   }
+  return rows;
+}
+
+}  // namespace
+
+std::string encodeSnapshot(const PeerSnapshot& snapshot) {
   json closed = json::object();
   for (const auto& [zone, revision] : snapshot.closed_zones) closed[zone.str()] = revision;
   const json document = {
       {"config_version", snapshot.config_version},     {"configuration", snapshot.configuration},
       {"zones_revision", snapshot.zones_revision},     {"closed_zones", std::move(closed)},
-      {"engines_revision", snapshot.engines_revision}, {"engines", std::move(engines)}};
+      {"engines_revision", snapshot.engines_revision}, {"engines", encodeRows(snapshot.engines)},
+      {"suspects", encodeRows(snapshot.suspects)}};
   return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -34,11 +52,9 @@
       snapshot.closed_zones[ZoneName(zone)] = revision.get<Revision>();
     }
     snapshot.engines_revision = document.at("engines_revision").get<Revision>();
-    for (const json& entry : document.at("engines")) {
-      snapshot.engines.push_back({entry.at("key").get<std::string>(),
-                                  entry.at("revision").get<Revision>(),
-                                  entry.at("value").get<std::string>()});
-    }
+    snapshot.engines = decodeRows(document.at("engines"));
+    // A daemon of before knows of none.
+    snapshot.suspects = decodeRows(document.value("suspects", json::array()));
     return snapshot;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/gateway/peer_snapshot.h
+++ b/src/gateway/peer_snapshot.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// What one daemon tells another that cannot reach the store: the configuration, the closed zones
-/// and the engines, as the platform's rows have them.
+/// What one daemon tells another that cannot reach the store: the configuration, the closed zones,
+/// the engines and the requests that end them, as the platform's rows have them.
 
 #include <map>
 #include <optional>
@@ -24,6 +24,7 @@
   std::map<ZoneName, Revision> closed_zones;
   Revision engines_revision = 0;  ///< How much of the engine table it knows.
   std::vector<table::Row> engines;
+  std::vector<table::Row> suspects;  ///< Requests under which engines ended.
 };
 
 std::string encodeSnapshot(const PeerSnapshot& snapshot);
--- a/src/gateway/store_keys.h
+++ b/src/gateway/store_keys.h
@@ -40,6 +40,13 @@
 /// In the table that everybody watches: what true time is.
 inline const std::string kClockName = "clock";
 
+/// In the table that everybody watches: requests under which engines ended.
+inline const std::string kSuspectPrefix = "suspect/";
+
+/// @param request the key of a request, as text.
+inline std::string suspectKey(const std::string& request) {
+  return kCoordinationTable + "/" + kSuspectPrefix + request;
+}
 inline std::string rightKey(const std::string& duty) {
   return kCoordinationTable + "/" + kRightPrefix + duty;
 }
--- /dev/null
+++ b/src/suspects/suspect_book.cpp
@@ -0,0 +1,273 @@
+#include "suspects/suspect_book.h"
+
+#include <algorithm>
+
+namespace linenpier::suspects {
+
+namespace {
+
+std::int64_t toMilliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/** @return when something was that the store's clock says was at `at_ms`; not after now. */
+Instant pastInstant(Instant now, std::int64_t clock_ms, std::int64_t at_ms) {
+  if (clock_ms == 0 || at_ms == 0) return now;
+  return now - std::chrono::milliseconds(std::max<std::int64_t>(0, clock_ms - at_ms));
+}
+
+}  // namespace
+
+const char* toText(standing value) {
+  switch (value) {
+    case standing::kClear:
+      return "clear";
+    case standing::kMayTry:
+      return "may_try";
+    case standing::kTried:
+      return "tried_now";
+    case standing::kMustWait:
+      return "must_wait";
+    case standing::kBarred:
+      return "barred";
+  }
+  return "unknown";
+}
+
+Duration suspect_book::barFor(int ends) const {
+  if (ends < this->rules_.proof) return Duration::zero();
+  const int doublings = std::min(ends - this->rules_.proof, this->rules_.most_doublings);
+  return this->rules_.first_bar * (1 << doublings);
+}
+
+Instant suspect_book::forgottenAt(const entry& each) const {
+  return each.last_at + this->barFor(each.ends) + this->rules_.memory;
+}
+
+std::size_t suspect_book::barred(Instant now) const {
+  return static_cast<std::size_t>(
+      std::count_if(this->entries_.begin(), this->entries_.end(), [&](const auto& each) {
+        return now < each.second.last_at + this->barFor(each.second.ends);
+      }));
+}
+
+int suspect_book::endsOf(const request_key& key) const {
+  const auto at = this->entries_.find(key);
+  return at == this->entries_.end() ? 0 : at->second.ends;
+}
+
+verdict suspect_book::ask(Instant now, const request_key& key, asker who) const {
+  verdict told;
+  const auto at = this->entries_.find(key);
+  if (at == this->entries_.end() || at->second.ends == 0) return told;
+  const entry& known = at->second;
+  if (now >= this->forgottenAt(known)) return told;
+  told.ends = known.ends;
+  told.evidence = now - known.last_at;
+  Instant free_at = known.last_at + this->barFor(known.ends);
+  told.is = standing::kBarred;
+  const bool more_trials = known.ends < this->rules_.proof + this->rules_.item_trials;
+  if (who == asker::kItem && known.ends > 1 && more_trials) {
+    free_at = known.last_at + this->rules_.item_pause;
+    told.is = standing::kMustWait;
+  } else if (known.ends > 1 && known.ends < this->rules_.proof) {
+    free_at = known.last_at + this->rules_.trial_pause;
+    told.is = standing::kMustWait;
+  }
+  if (now < free_at) {
+    told.wait = free_at - now;
+    return told;
+  }
+  const bool tried = !known.tried_by.empty() && now < known.tried_until;
+  told.is = tried ? standing::kTried : standing::kMayTry;
+  if (tried) told.wait = known.tried_until - now;
+  return told;
+}
+
+void suspect_book::addEngines(entry& into, const std::vector<EngineId>& engines) const {
+  for (const EngineId& each : engines) {
+    if (into.engines.size() >= kEnginesKept) return;
+    const bool known =
+        std::find(into.engines.begin(), into.engines.end(), each) != into.engines.end();
+    if (!known) into.engines.push_back(each);
+  }
+}
+
+void suspect_book::dropOne() {
+  const auto least = std::min_element(this->entries_.begin(), this->entries_.end(),
+                                      [](const auto& one, const auto& other) {
+                                        return std::pair(one.second.ends, one.second.last_at) <
+                                               std::pair(other.second.ends, other.second.last_at);
+                                      });
+  if (least != this->entries_.end()) this->entries_.erase(least);
+}
+
+bool suspect_book::onEnded(Instant now, const request_key& key, const EngineId& engine, int known) {
+  const bool is_new = !this->entries_.contains(key);
+  if (is_new && this->entries_.size() >= this->rules_.most) this->dropOne();
+  entry& each = this->entries_[key];
+  // What was cleared since the attempt was sent does not count any more.
+  const int counted = std::min(known, each.ends) + 1;
+  const bool news = counted > each.ends;
+  each.ends = std::max(each.ends, counted);
+  this->addEngines(each, {engine});
+  if (news) {
+    each.last_at = now;
+    each.written = false;
+  }
+  return news;
+}
+
+Revision suspect_book::onCleared(const request_key& key) {
+  const auto at = this->entries_.find(key);
+  if (at == this->entries_.end()) return 0;
+  const Revision revision = at->second.revision;
+  this->entries_.erase(at);
+  return revision;
+}
+
+void suspect_book::onTrial(Instant now, const request_key& key, const std::string& self) {
+  const auto at = this->entries_.find(key);
+  if (at == this->entries_.end()) return;
+  at->second.tried_by = self;
+  at->second.tried_until = now + this->rules_.longest_trial;
+}
+
+void suspect_book::onTrialEnded(const request_key& key, const std::string& self) {
+  const auto at = this->entries_.find(key);
+  if (at == this->entries_.end() || at->second.tried_by != self) return;
+  at->second.tried_by.clear();
+  if (at->second.shared) at->second.written = false;
+}
+
+void suspect_book::onRow(Instant now, std::int64_t clock_ms, const request_key& key,
+                         Revision revision, const suspect_record& record) {
+  entry& each = this->entries_[key];
+  if (revision <= each.revision) return;
+  const bool knew_more = each.ends > record.ends;
+  if (record.ends >= each.ends) each.last_at = pastInstant(now, clock_ms, record.last_ms);
+  each.ends = std::max(each.ends, record.ends);
+  this->addEngines(each, record.engines);
+  each.tried_by = record.tried_by;
+  each.tried_until = now + this->rules_.longest_trial;
+  if (clock_ms != 0) {
+    const auto left = std::chrono::milliseconds(record.tried_until_ms - clock_ms);
+    each.tried_until = now + std::min<Duration>(left, this->rules_.longest_trial);
+  }
+  each.revision = revision;
+  each.shared = true;
+  each.written = !knew_more;
+}
+
+void suspect_book::onTold(Instant now, std::int64_t clock_ms, const request_key& key,
+                          Revision revision, const suspect_record& record) {
+  const auto at = this->entries_.find(key);
+  if (at == this->entries_.end() || revision > at->second.revision) {
+    this->onRow(now, clock_ms, key, revision, record);
+    return;
+  }
+  at->second.ends = std::max(at->second.ends, record.ends);
+  this->addEngines(at->second, record.engines);
+}
+
+void suspect_book::onTableRead(const std::set<request_key>& present, Revision as_of) {
+  std::vector<request_key> absent;
+  for (const auto& [key, each] : this->entries_) {
+    if (each.revision == 0 || each.revision > as_of || present.contains(key)) continue;
+    absent.push_back(key);
+  }
+  for (const request_key& key : absent) this->onRowGone(key, as_of + 1);
+}
+
+void suspect_book::onRowGone(const request_key& key, Revision revision) {
+  const auto at = this->entries_.find(key);
+  if (at == this->entries_.end() || revision <= at->second.revision) return;
+  if (at->second.written) {
+    this->entries_.erase(at);
+    return;
+  }
+  // Cleared by another daemon's answer, but ended one more engine here: that stands for itself.
+  at->second.ends = 1;
+  at->second.revision = 0;
+}
+
+void suspect_book::onWritten(const request_key& key, Revision revision,
+                             const suspect_record& written) {
+  const auto at = this->entries_.find(key);
+  if (at == this->entries_.end() || revision <= at->second.revision) return;
+  at->second.revision = revision;
+  at->second.written = at->second.ends == written.ends && at->second.tried_by == written.tried_by;
+}
+
+std::string suspect_book::triedBy(const request_key& key) const {
+  const auto at = this->entries_.find(key);
+  return at == this->entries_.end() ? std::string() : at->second.tried_by;
+}
+
+suspect_record suspect_book::record(Instant now, std::int64_t clock_ms,
+                                    const request_key& key) const {
+  suspect_record record;
+  const auto at = this->entries_.find(key);
+  if (at == this->entries_.end()) return record;
+  const entry& each = at->second;
+  record.ends = each.ends;
+  record.engines = each.engines;
+  record.last_ms = clock_ms - toMilliseconds(now - each.last_at);
+  record.tried_by = each.tried_by;
+  if (!each.tried_by.empty()) {
+    record.tried_until_ms = clock_ms + toMilliseconds(each.tried_until - now);
+  }
+  return record;
+}
+
+Revision suspect_book::revisionOf(const request_key& key) const {
+  const auto at = this->entries_.find(key);
+  return at == this->entries_.end() ? 0 : at->second.revision;
+}
+
+std::vector<request_key> suspect_book::unwritten(std::size_t most) const {
+  std::vector<std::pair<int, request_key>> found;
+  for (const auto& [key, each] : this->entries_) {
+    if (each.shared && !each.written) found.emplace_back(-each.ends, key);
+  }
+  std::sort(found.begin(), found.end());
+  if (found.size() > most) found.resize(most);
+  std::vector<request_key> keys;
+  for (auto& [ends, key] : found) keys.push_back(std::move(key));
+  return keys;
+}
+
+void suspect_book::setShared(const request_key& key) {
+  const auto at = this->entries_.find(key);
+  if (at != this->entries_.end()) at->second.shared = true;
+}
+
+std::vector<table::Row> suspect_book::rows(Instant now, std::int64_t clock_ms,
+                                           const std::string& prefix) const {
+  std::vector<table::Row> rows;
+  for (const auto& [key, each] : this->entries_) {
+    if (each.revision == 0) continue;
+    rows.push_back(
+        {prefix + key.str(), each.revision, encodeSuspect(this->record(now, clock_ms, key))});
+  }
+  return rows;
+}
+
+std::vector<std::pair<request_key, Revision>> suspect_book::sweep(Instant now, Duration courtesy,
+                                                                  std::size_t most) {
+  std::vector<std::pair<request_key, Revision>> removable;
+  for (auto at = this->entries_.begin(); at != this->entries_.end();) {
+    const entry& each = at->second;
+    const bool old = now >= this->forgottenAt(each);
+    if (old && each.revision == 0) {
+      at = this->entries_.erase(at);
+      continue;
+    }
+    const bool due = old && now >= this->forgottenAt(each) + courtesy;
+    if (due && removable.size() < most) removable.emplace_back(at->first, each.revision);
+    ++at;
+  }
+  return removable;
+}
+
+}  // namespace linenpier::suspects
--- /dev/null
+++ b/src/suspects/suspect_service.cpp
@@ -0,0 +1,273 @@
+#include "suspects/suspect_service.h"
+
+#include "common/hash.h"
+#include "gateway/store_keys.h"
+#include "logging/event_log.h"
+
+namespace linenpier::suspects {
+
+using logging::LogEvent;
+
+namespace {
+
+/** For the store's word that nobody else tries a suspect: some twenty times its usual answer. A
+ * store that is slower than that must not hold innocent requests up.
+ */
+constexpr Duration kClaimPatience = std::chrono::milliseconds(100);
+constexpr int kClaimTries = 3;
+constexpr Duration kWriteIdle = std::chrono::seconds(1);
+/** Between two rows: 40 a second, a twentieth of what a small store takes of all daemons. */
+constexpr Duration kWriteGap = std::chrono::milliseconds(25);
+constexpr Duration kRetryPause = std::chrono::milliseconds(200);
+constexpr int kRemoveTries = 3;
+constexpr std::size_t kRowsAtOnce = 32;
+constexpr Duration kSweepPeriod = std::chrono::seconds(10);
+constexpr std::size_t kRemovedPerSweep = 20;
+/** Rows that are too old are left to other daemons for up to so long, so that one removes them. */
+constexpr std::uint64_t kCourtesySeconds = 60;
+
+}  // namespace
+
+void suspect_service::start() {
+  spawn(this->deps_.loop, [this] { return this->writeLoop(); });
+  spawn(this->deps_.loop, [this] { return this->sweepLoop(); });
+}
+
+verdict suspect_service::ask(const request_key& key, asker who) const {
+  return this->book_.ask(steadyNow(), key, who);
+}
+
+// --- Trials --------------------------------------------------------------------------------------
+
+verdict suspect_service::beginOwnTrial(const request_key& key, asker who, const std::string& id) {
+  const Instant now = steadyNow();
+  const verdict told = this->book_.ask(now, key, who);
+  if (told.is == standing::kMayTry) {
+    this->book_.onTrial(now, key, this->self());
+  } else if (told.is != standing::kClear) {
+    this->onRefused(told, key, id);
+  }
+  return told;
+}
+
+Task<verdict> suspect_service::beginTrial(request_key key, asker who, std::string id) {
+  verdict told;
+  for (int tries = 0; tries < kClaimTries; ++tries) {
+    told = this->beginOwnTrial(key, who, id);
+    // Without the store each daemon goes by what it knows: it can't hear of others.
+    if (told.is != standing::kMayTry || !this->deps_.leases.storeHealthy()) co_return told;
+    this->book_.setShared(key);
+    const write_outcome outcome = co_await this->claim(key);
+    const bool own = this->book_.triedBy(key) == this->self();
+    if (outcome != write_outcome::kOvertaken || own) co_return told;
+  }
+  told = this->ask(key, who);
+  if (told.is == standing::kMayTry) told.is = standing::kTried;
+  this->onRefused(told, key, id);
+  co_return told;
+}
+
+Task<suspect_service::write_outcome> suspect_service::claim(request_key key) {
+  struct pending_claim {
+    explicit pending_claim(boost::asio::io_context& loop) : settled(loop) {}
+    Signal settled;
+    std::optional<write_outcome> outcome;
+  };
+  const auto pending = std::make_shared<pending_claim>(this->deps_.loop);
+  spawn(this->deps_.loop, [this, key, pending]() -> Task<void> {
+    pending->outcome = co_await this->writeRow(key);
+    pending->settled.notifyAll();
+  });
+  if (!pending->outcome) co_await pending->settled.waitFor(kClaimPatience);
+  co_return pending->outcome.value_or(write_outcome::kNoAnswer);
+}
+
+void suspect_service::onRefused(const verdict& told, const request_key& key,
+                                const std::string& id) {
+  ++this->totals_.refused;
+  if (!this->refusal_lines_.admit(steadyNow())) return;
+  LogEvent event("suspects", "refused");
+  event.text("request", id)
+      .text("key", key.str())
+      .text("standing", toText(told.is))
+      .number("ends", told.ends)
+      .milliseconds("evidence_age_ms", told.evidence)
+      .milliseconds("wait_ms", told.wait);
+  if (const auto skipped = this->refusal_lines_.takeSkipped()) {
+    event.number("refusals_not_written", static_cast<std::int64_t>(skipped));
+  }
+}
+
+// --- What attempts came to -----------------------------------------------------------------------
+
+void suspect_service::onEngineEnded(const sent_attempt& attempt, const request_key& key,
+                                    const EngineId& engine, Instant sent_at, asker who,
+                                    const std::string& id) {
+  const Instant now = steadyNow();
+  const Duration ran = now - sent_at;
+  if (attempt.trial) this->book_.onTrialEnded(key, this->self());
+  const bool counts = ran <= this->book_.rules().longest_fatal_run;
+  if (counts) {
+    ++this->totals_.engines_ended;
+    this->book_.onEnded(now, key, engine, attempt.ends);
+    // An item is run by its owner alone: its first end tells other daemons nothing.
+    if (who == asker::kCaller || this->book_.endsOf(key) > 1) this->book_.setShared(key);
+  }
+  this->changed_.notifyAll();
+  LogEvent("suspects", "engine_ended")
+      .text("request", id)
+      .text("key", key.str())
+      .text("engine", engine.str())
+      .milliseconds("ran_ms", ran)
+      .text("counts", counts ? "yes" : "ran_too_long")
+      .number("known_when_sent", attempt.ends)
+      .number("ends", this->book_.endsOf(key))
+      .text("standing", toText(this->ask(key, who).is));
+}
+
+void suspect_service::onAnswered(const request_key& key) {
+  const int ends = this->book_.endsOf(key);
+  if (ends == 0) return;
+  const Revision revision = this->book_.onCleared(key);
+  ++this->totals_.cleared;
+  LogEvent("suspects", "cleared").text("key", key.str()).number("ends", ends);
+  if (revision == 0) return;
+  spawn(this->deps_.loop, [this, key, revision] { return this->removeRow(key, revision); });
+}
+
+void suspect_service::onUnproved(const sent_attempt& attempt, const request_key& key) {
+  if (!attempt.trial) return;
+  this->book_.onTrialEnded(key, this->self());
+  this->changed_.notifyAll();
+}
+
+// --- What others know ----------------------------------------------------------------------------
+
+void suspect_service::onRow(const request_key& key, const table::Row& row) {
+  const auto record = decodeSuspect(row.value);
+  if (!record) {
+    LogEvent("suspects", "bad_record").text("key", key.str());
+    return;
+  }
+  const int before = this->book_.endsOf(key);
+  this->book_.onRow(steadyNow(), this->clock(), key, row.revision, *record);
+  const int proof = this->book_.rules().proof;
+  if (before >= proof || this->book_.endsOf(key) < proof) return;
+  LogEvent("suspects", "barred")
+      .text("key", key.str())
+      .number("ends", record->ends)
+      .number("revision", static_cast<std::int64_t>(row.revision));
+}
+
+void suspect_service::onRowGone(const request_key& key, Revision revision) {
+  this->book_.onRowGone(key, revision);
+}
+
+void suspect_service::onTableRead(const std::set<request_key>& present, Revision as_of) {
+  this->book_.onTableRead(present, as_of);
+  this->known_ = true;
+}
+
+void suspect_service::onTold(const std::vector<table::Row>& rows) {
+  for (const table::Row& row : rows) {
+    const auto record = decodeSuspect(row.value);
+    if (!record) continue;
+    const request_key key(row.key.substr(gateway::suspectKey({}).size()));
+    this->book_.onTold(steadyNow(), this->clock(), key, row.revision, *record);
+  }
+  this->known_ = true;
+}
+
+std::vector<table::Row> suspect_service::rows() const {
+  return this->book_.rows(steadyNow(), this->clock(), gateway::suspectKey({}));
+}
+
+// --- The store -----------------------------------------------------------------------------------
+
+Task<std::optional<table::TransactionAnswer>> suspect_service::write(table::Write write) {
+  if (!this->deps_.leases.storeHealthy()) {
+    co_return co_await this->deps_.write_by_peer(std::move(write));
+  }
+  auto answer = co_await this->deps_.table.write(std::move(write));
+  if (!answer) co_return std::nullopt;
+  co_return std::move(*answer);
+}
+
+Revision suspect_service::onConflict(const request_key& key, const std::vector<table::Row>& rows) {
+  const std::string name = gateway::suspectKey(key.str());
+  for (const table::Row& row : rows) {
+    if (row.key != name) continue;
+    this->onRow(key, row);
+    return row.revision;
+  }
+  // It was removed. What this daemon knows beyond that is written anew.
+  this->book_.onRowGone(key, this->book_.revisionOf(key) + 1);
+  return 0;
+}
+
+Task<suspect_service::write_outcome> suspect_service::writeRow(request_key key) {
+  const suspect_record record = this->book_.record(steadyNow(), this->clock(), key);
+  const std::string name = gateway::suspectKey(key.str());
+  table::Write write;
+  write.transaction.checks.push_back({name, this->book_.revisionOf(key)});
+  write.transaction.puts.push_back({name, encodeSuspect(record)});
+  const auto answer = co_await this->write(std::move(write));
+  if (!answer) co_return write_outcome::kNoAnswer;
+  if (!answer->committed) {
+    this->onConflict(key, answer->conflicts);
+    co_return write_outcome::kOvertaken;
+  }
+  this->book_.onWritten(key, answer->revision, record);
+  co_return write_outcome::kDone;
+}
+
+Task<void> suspect_service::writeLoop() {
+  for (;;) {
+    const std::vector<request_key> keys = this->book_.unwritten(kRowsAtOnce);
+    if (keys.empty()) {
+      co_await this->changed_.waitFor(kWriteIdle);
+      continue;
+    }
+    // Ages are told by the store's clock.
+    bool answered = this->clock() != 0;
+    for (const request_key& key : keys) {
+      if (!answered) break;
+      const write_outcome outcome = co_await this->writeRow(key);
+      answered = outcome != write_outcome::kNoAnswer;
+      co_await sleepFor(this->deps_.loop, kWriteGap);
+    }
+    if (answered) continue;
+    LogEvent("suspects", "not_stored").number("rows", static_cast<std::int64_t>(keys.size()));
+    co_await sleepFor(this->deps_.loop, kRetryPause);
+  }
+}
+
+Task<void> suspect_service::removeRow(request_key key, Revision revision) {
+  const std::string name = gateway::suspectKey(key.str());
+  for (int tries = 0; tries < kRemoveTries && revision != 0; ++tries) {
+    table::Write write;
+    write.transaction.checks.push_back({name, revision});
+    write.removes.push_back(name);
+    const auto answer = co_await this->deps_.table.write(std::move(write));
+    if (answer && answer->committed) co_return;
+    if (!answer) {
+      co_await sleepFor(this->deps_.loop, kRetryPause);
+      continue;
+    }
+    // Whatever was written meanwhile: an answer outweighs it.
+    revision = answer->conflicts.empty() ? 0 : answer->conflicts.front().revision;
+  }
+}
+
+Task<void> suspect_service::sweepLoop() {
+  const Duration courtesy = std::chrono::seconds(hash64(this->self()) % kCourtesySeconds);
+  for (;;) {
+    co_await sleepFor(this->deps_.loop, kSweepPeriod);
+    const auto removable = this->book_.sweep(steadyNow(), courtesy, kRemovedPerSweep);
+    for (const auto& [key, revision] : removable) {
+      co_await this->removeRow(key, revision);
+    }
+  }
+}
+
+}  // namespace linenpier::suspects
