--- a/tests/gateway/fatal_requests_test.cpp
+++ b/tests/gateway/fatal_requests_test.cpp
@@ -80,3 +80,120 @@
   cr_assert_neq(listed.response.body().find("\"nextToken\":3"), std::string::npos,
                 "the three other items: %s", listed.response.body().c_str());
 }
+
+GATEWAY_TEST(fatal_requests, one_that_comes_to_all_daemons_at_once_ends_no_more_engines,
+             threeDaemons()) {
+  fixture.setFatal({.mark = "fatal"});
+  int answered = 0;
+  for (int i = 0; i < 9; ++i) {
+    spawn(fixture.loop(), [&fixture, &answered, i]() -> Task<void> {
+      http::Request request = fatalLookup(fixture, i);
+      co_await fixture.call(static_cast<std::size_t>(i % 3), std::move(request));
+      ++answered;
+    });
+  }
+  cr_assert(co_await fixture.waitFor([&answered] { return answered == 9; }));
+  cr_assert_leq(fixture.samplersEnded(), 4, "all engines, before anybody knew");
+  const int before = fixture.samplersEnded();
+  co_await sendFatal(fixture, 60, 0, 3);
+  cr_assert_leq(fixture.samplersEnded() - before, 2, "the two that prove it");
+}
+
+GATEWAY_TEST(fatal_requests, its_caller_is_told_at_once_and_truly_when_to_come_back,
+             threeDaemons()) {
+  fixture.setFatal({.mark = "fatal"});
+  http::Request first = fatalLookup(fixture, 0);
+  const auto ran = co_await fixture.call(0, std::move(first));
+  cr_assert_eq(ran.response.result_int(), 502U, "it has run: no promise");
+  cr_assert_gt(std::stod(http::fieldText(ran.response, "Retry-After")), 4.0);
+  const Instant begun = steadyNow();
+  http::Request second = fatalLookup(fixture, 1);
+  const auto refused = co_await fixture.call(1, std::move(second));
+  cr_assert(steadyNow() - begun < std::chrono::milliseconds(100));
+  cr_assert_eq(refused.response.result_int(), 503U, "this one has not run");
+  cr_assert_gt(std::stod(http::fieldText(refused.response, "Retry-After")), 4.0);
+}
+
+GATEWAY_TEST(fatal_requests, what_stood_beside_it_is_served_after_each_end, threeDaemons()) {
+  fixture.setFatal({.mark = "fatal"});
+  for (int round = 0; round < 4; ++round) {
+    // The same innocent request runs at every engine when all of them end.
+    int served = 0;
+    for (int i = 0; i < 6; ++i) {
+      fixture.lookup(static_cast<std::size_t>(i % 4)).script().push_back(test::SamplerAct::kSilent);
+      spawn(fixture.loop(), [&fixture, &served, i]() -> Task<void> {
+        http::Request request = fixture.lookupRequest("n" + std::to_string(i));
+        request.body() = "innocent";
+        request.prepare_payload();
+        co_await fixture.call(static_cast<std::size_t>(i % 3), std::move(request));
+        ++served;
+      });
+    }
+    co_await sleepFor(fixture.loop(), std::chrono::milliseconds(60));
+    for (std::size_t i = 0; i < 4; ++i) fixture.lookup(i).crash();
+    cr_assert(co_await fixture.waitFor([&served] { return served == 6; }));
+    for (std::size_t i = 0; i < 4; ++i) fixture.lookup(i).script().clear();
+    co_await sleepFor(fixture.loop(), std::chrono::milliseconds(1200));
+    http::Request again = fixture.lookupRequest("a" + std::to_string(round));
+    again.body() = "innocent";
+    again.prepare_payload();
+    const auto outcome = co_await fixture.call(0, std::move(again));
+    cr_assert_eq(outcome.response.result_int(), 200U, "round %d", round);
+  }
+}
+
+GATEWAY_TEST(fatal_requests, a_daemon_without_the_store_hears_of_it_from_its_peers,
+             threeDaemons()) {
+  fixture.setFatal({.mark = "fatal"});
+  co_await sendFatal(fixture, 50, 0, 2);
+  const int before = fixture.samplersEnded();
+  fixture.cutFromStore(2);
+  co_await sleepFor(fixture.loop(), std::chrono::seconds(4));
+  co_await sendFatal(fixture, 10, 2, 1);
+  cr_assert_eq(fixture.samplersEnded(), before);
+}
+
+GATEWAY_TEST(fatal_requests, what_a_daemon_without_the_store_saw_reaches_the_others,
+             threeDaemons()) {
+  fixture.setFatal({.mark = "fatal"});
+  fixture.cutFromStore(2);
+  co_await sleepFor(fixture.loop(), std::chrono::seconds(4));
+  co_await sendFatal(fixture, 50, 2, 1);
+  const int before = fixture.samplersEnded();
+  cr_assert_leq(before, 4);
+  co_await sendFatal(fixture, 10, 0, 2);
+  cr_assert_eq(fixture.samplersEnded(), before);
+}
+
+GATEWAY_TEST(fatal_requests, with_the_store_away_each_daemon_goes_by_what_it_saw, threeDaemons()) {
+  fixture.setFatal({.mark = "fatal"});
+  fixture.store().faults().silent = true;
+  co_await sleepFor(fixture.loop(), std::chrono::seconds(4));
+  co_await sendFatal(fixture, 45, 0, 3);
+  cr_assert_leq(fixture.samplersEnded(), 4 * 3, "at most what proves it, at each");
+  fixture.store().faults().silent = false;
+  co_await sleepFor(fixture.loop(), std::chrono::seconds(3));
+  const int before = fixture.samplersEnded();
+  co_await sendFatal(fixture, 20, 0, 3);
+  cr_assert_leq(fixture.samplersEnded() - before, 1);
+}
+
+GATEWAY_TEST(fatal_requests, a_stream_ends_few_engines, threeDaemons()) {
+  fixture.setFatal({.mark = "fatal"});
+  for (int i = 0; i < 50; ++i) {
+    http::Request request = fixture.lookupRequest("s" + std::to_string(i), "/talk/1");
+    request.body() = "fatal";
+    request.prepare_payload();
+    co_await fixture.call(static_cast<std::size_t>(i % 3), std::move(request));
+    co_await sleepFor(fixture.loop(), kBetweenTries);
+  }
+  cr_assert_leq(fixture.samplersEnded(), 3, "%d engines ended", fixture.samplersEnded());
+}
+
+GATEWAY_TEST(fatal_requests, a_reward_request_ends_few_engines, threeDaemons()) {
+  fixture.setFatal({.mark = "score j1-0"});
+  const auto handed_in = co_await fixture.call(0, fixture.scoredJobRequest("j1", 4));
+  cr_assert_eq(handed_in.response.result_int(), 202U);
+  co_await sleepFor(fixture.loop(), std::chrono::seconds(10));
+  cr_assert_leq(fixture.samplersEnded(), 3, "%d engines ended", fixture.samplersEnded());
+}
--- /dev/null
+++ b/tests/suspects/suspect_book_test.cpp
@@ -0,0 +1,218 @@
+/// @file
+/// What requests under which engines ended are allowed, as one daemon sees it.
+
+#include "suspects/suspect_book.h"
+
+// Criterion's macros clash with Boost's headers that come after it.
+// clang-format off
+#include <criterion/criterion.h>
+// clang-format on
+
+using namespace linenpier;
+using suspects::asker;
+using suspects::request_key;
+using suspects::standing;
+using suspects::suspect_book;
+using suspects::suspect_record;
+
+namespace {
+
+const request_key kKey("k");
+constexpr Duration kMinute = std::chrono::minutes(1);
+
+Instant at(double seconds) {
+  return Instant{} + std::chrono::hours(100) + fromSeconds(seconds);
+}
+
+EngineId engine(int number) {
+  return EngineId("e" + std::to_string(number));
+}
+
+/// Ends so many engines under the request, one after the other, a second apart from 0 s on.
+suspect_book bookAfter(int ends) {
+  suspect_book book;
+  for (int i = 0; i < ends; ++i) book.onEnded(at(i), kKey, engine(i), i);
+  return book;
+}
+
+standing standingAt(const suspect_book& book, double seconds, asker who = asker::kCaller) {
+  return book.ask(at(seconds), kKey, who).is;
+}
+
+}  // namespace
+
+Test(suspect_book, a_request_under_which_no_engine_ended_is_clear) {
+  const suspect_book book;
+  cr_assert(book.empty());
+  cr_assert(standingAt(book, 0) == standing::kClear);
+}
+
+Test(suspect_book, the_first_end_makes_it_run_alone) {
+  suspect_book book = bookAfter(1);
+  cr_assert(standingAt(book, 0.01) == standing::kMayTry);
+  book.onTrial(at(0.01), kKey, "a");
+  cr_assert(standingAt(book, 0.02) == standing::kTried);
+  cr_assert(standingAt(book, 3.02) == standing::kMayTry, "a trial that takes long keeps nobody");
+  book.onTrialEnded(kKey, "b");
+  cr_assert(standingAt(book, 0.02) == standing::kTried, "another daemon's trial");
+  book.onTrialEnded(kKey, "a");
+  cr_assert(standingAt(book, 0.02) == standing::kMayTry);
+}
+
+Test(suspect_book, after_the_second_end_it_waits_until_engines_are_back) {
+  const suspect_book book = bookAfter(2);
+  cr_assert(standingAt(book, 1.1) == standing::kMustWait);
+  cr_assert(standingAt(book, 5.9) == standing::kMustWait);
+  cr_assert(standingAt(book, 6.0) == standing::kMayTry);
+}
+
+Test(suspect_book, the_third_bars_it_and_each_further_one_doubles_that) {
+  suspect_book book = bookAfter(3);
+  const auto told = book.ask(at(2.5), kKey, asker::kCaller);
+  cr_assert(told.is == standing::kBarred);
+  cr_assert_eq(told.ends, 3);
+  cr_assert(told.evidence == fromSeconds(0.5));
+  cr_assert(told.wait == 10 * kMinute - fromSeconds(0.5));
+  cr_assert(standingAt(book, 2 + 599) == standing::kBarred);
+  cr_assert(standingAt(book, 2 + 600) == standing::kMayTry);
+  book.onEnded(at(602), kKey, engine(9), 3);
+  cr_assert(standingAt(book, 602 + 1199) == standing::kBarred);
+  cr_assert(standingAt(book, 602 + 1200) == standing::kMayTry);
+}
+
+Test(suspect_book, suspicion_is_forgotten) {
+  cr_assert(standingAt(bookAfter(1), 599) == standing::kMayTry);
+  cr_assert(standingAt(bookAfter(1), 600) == standing::kClear);
+  cr_assert(standingAt(bookAfter(3), 2 + 1199) == standing::kMayTry);
+  cr_assert(standingAt(bookAfter(3), 2 + 1200) == standing::kClear);
+}
+
+Test(suspect_book, attempts_that_ran_side_by_side_count_once) {
+  suspect_book book;
+  for (int i = 0; i < 8; ++i) book.onEnded(at(0), kKey, engine(i), 0);
+  cr_assert_eq(book.endsOf(kKey), 1, "a zone that loses power ends all its engines at once");
+  cr_assert(standingAt(book, 0.1) == standing::kMayTry);
+}
+
+Test(suspect_book, an_answer_clears_whoever_stood_beside_and_what_was_sent_before_counts_anew) {
+  suspect_book book = bookAfter(2);
+  cr_assert_eq(book.onCleared(kKey), Revision{0}, "no row yet");
+  cr_assert(book.empty());
+  book.onEnded(at(3), kKey, engine(5), 2);
+  cr_assert_eq(book.endsOf(kKey), 1);
+}
+
+Test(suspect_book, an_item_is_tried_twice_more_within_what_a_job_bears) {
+  suspect_book book = bookAfter(3);
+  cr_assert(standingAt(book, 5.9, asker::kItem) == standing::kMustWait);
+  cr_assert(standingAt(book, 6, asker::kItem) == standing::kMayTry);
+  book.onEnded(at(6), kKey, engine(3), 3);
+  cr_assert(standingAt(book, 10, asker::kItem) == standing::kMayTry);
+  book.onEnded(at(10), kKey, engine(4), 4);
+  cr_assert(standingAt(book, 60, asker::kItem) == standing::kBarred);
+}
+
+Test(suspect_book, rows_of_others_are_joined_with_what_was_seen_here) {
+  suspect_book book = bookAfter(1);
+  suspect_record row;
+  row.ends = 2;
+  row.engines = {engine(7)};
+  row.last_ms = 9000;
+  book.onRow(at(1), 10000, kKey, 5, row);
+  cr_assert_eq(book.endsOf(kKey), 2);
+  cr_assert_eq(book.revisionOf(kKey), Revision{5});
+  cr_assert(book.ask(at(1), kKey, asker::kCaller).evidence == fromSeconds(1));
+  const suspect_record joined = book.record(at(1), 10000, kKey);
+  cr_assert_eq(joined.engines.size(), 2U);
+  cr_assert_eq(joined.last_ms, 9000);
+  row.ends = 1;
+  book.onRow(at(2), 11000, kKey, 4, row);
+  cr_assert_eq(book.endsOf(kKey), 2, "older than what is known");
+}
+
+Test(suspect_book, a_row_that_says_less_than_is_known_here_is_written_anew) {
+  suspect_book book = bookAfter(2);
+  book.setShared(kKey);
+  cr_assert_eq(book.unwritten(9).size(), 1U);
+  suspect_record row;
+  row.ends = 1;
+  book.onRow(at(2), 10000, kKey, 5, row);
+  cr_assert_eq(book.unwritten(9).size(), 1U);
+  book.onWritten(kKey, 6, book.record(at(2), 10000, kKey));
+  cr_assert(book.unwritten(9).empty());
+}
+
+Test(suspect_book, what_only_its_owner_runs_is_not_written) {
+  cr_assert(bookAfter(1).unwritten(9).empty());
+}
+
+Test(suspect_book, a_row_that_is_gone_was_cleared_elsewhere) {
+  suspect_book book;
+  suspect_record row;
+  row.ends = 2;
+  book.onRow(at(0), 10000, kKey, 5, row);
+  book.onRowGone(kKey, 4);
+  cr_assert_eq(book.endsOf(kKey), 2, "an older removal");
+  book.onRowGone(kKey, 6);
+  cr_assert(book.empty());
+}
+
+Test(suspect_book, a_table_read_whole_clears_what_is_not_in_it) {
+  suspect_book book;
+  suspect_record row;
+  row.ends = 2;
+  book.onRow(at(0), 10000, kKey, 5, row);
+  book.onRow(at(0), 10000, request_key("newer"), 9, row);
+  book.onEnded(at(0), request_key("own"), engine(1), 0);
+  book.onTableRead({}, 8);
+  cr_assert_eq(book.endsOf(kKey), 0);
+  cr_assert_eq(book.endsOf(request_key("newer")), 2, "written after the read");
+  cr_assert_eq(book.endsOf(request_key("own")), 1, "never written");
+}
+
+Test(suspect_book, what_a_peer_tells_may_be_more_than_the_row) {
+  suspect_book book;
+  suspect_record row;
+  row.ends = 1;
+  book.onRow(at(0), 10000, kKey, 5, row);
+  row.ends = 3;
+  book.onTold(at(0), 10000, kKey, 5, row);
+  cr_assert(standingAt(book, 1) == standing::kBarred);
+}
+
+Test(suspect_book, a_flood_of_ever_new_requests_drops_those_with_least_against_them) {
+  suspects::suspect_rules rules;
+  rules.most = 10;
+  suspect_book book(rules);
+  for (int i = 0; i < 3; ++i) book.onEnded(at(i), kKey, engine(i), i);
+  for (int i = 0; i < 50; ++i) {
+    book.onEnded(at(3 + i), request_key("new" + std::to_string(i)), engine(i), 0);
+  }
+  cr_assert_eq(book.size(), 10U);
+  cr_assert_eq(book.endsOf(kKey), 3);
+}
+
+Test(suspect_book, old_rows_are_left_to_others_for_a_while_and_then_removed) {
+  suspect_book book;
+  suspect_record row;
+  row.ends = 1;
+  row.last_ms = 10000;
+  book.onRow(at(0), 10000, kKey, 5, row);
+  cr_assert(book.sweep(at(599), fromSeconds(30), 9).empty());
+  cr_assert(book.sweep(at(629), fromSeconds(30), 9).empty());
+  const auto removable = book.sweep(at(630), fromSeconds(30), 9);
+  cr_assert_eq(removable.size(), 1U);
+  cr_assert_eq(removable.front().second, Revision{5});
+}
+
+Test(suspect_book, a_record_survives_its_row) {
+  suspect_record record;
+  record.ends = 3;
+  record.engines = {engine(1), engine(2)};
+  record.last_ms = 12345;
+  record.tried_by = "d#1";
+  record.tried_until_ms = 15345;
+  const auto read = suspects::decodeSuspect(suspects::encodeSuspect(record));
+  cr_assert(read && *read == record);
+  cr_assert(!suspects::decodeSuspect("no record"));
+}
