Tell callers of an ended engine when to come back, and count suspects

A caller whose request ended an engine got 502 without a word, as its attempts were used up before the gate was asked again (fatal_requests::its_caller_is_told... failed on it). The final answer now asks once more: 502 with Retry-After where it has run, 503 with it where it has not. Metrics: suspects known, barred, cleared, refusals, engines ended. The case waits 0.2 s before it asks another daemon: that one knows after a write and a feed's answer.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -123,6 +123,7 @@
   if (closed && answer == FinalAnswer::kRefused) {
     response.set(context_.names.retry_after, secondsText(options_.retry_after_closed));
   }
+  if (forwarded.key) forwarded.held = suspects_.ask(*forwarded.key, suspects::asker::kCaller);
   // Also where it has run and can't be refused: asking sooner is of no use.
   if (forwarded.held.wait > options_.retry_after) {
     response.set(context_.names.retry_after, secondsText(forwarded.held.wait));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -105,6 +105,7 @@
   void tendColdEngines();
   void logColdRefusals(std::vector<engines::cold_refusals> refusals);
   void addColdState(Instant now, metrics::GatewayState& state) const;
+  void addSuspects(Instant now, metrics::GatewayState& state) const;
   /// @return whether this daemon owns jobs or the right to order engines, or offers to.
   bool ownsWork() const;
   /// The leases were read, or could not be.
--- a/src/gateway/gateway_metrics_page.cpp
+++ b/src/gateway/gateway_metrics_page.cpp
@@ -25,6 +25,14 @@
   state.scaling_unanswered = scaling_.totals().unanswered;
 }
 
+void Gateway::addSuspects(Instant now, metrics::GatewayState& state) const {
+  state.suspects_known = suspects_.book().size();
+  state.suspects_barred = suspects_.book().barred(now);
+  state.suspect_engines_ended = suspects_.totals().engines_ended;
+  state.suspect_refusals = suspects_.totals().refused;
+  state.suspects_cleared = suspects_.totals().cleared;
+}
+
 metrics::GatewayState Gateway::state() const {
   metrics::GatewayState state;
   const Instant now = steadyNow();
@@ -48,6 +56,7 @@
   }
   addColdState(now, state);
   const batch::BatchService::Work work = batches_.work();
+  addSuspects(now, state);
   state.jobs_known = batches_.jobCount();
   state.jobs_owned = work.jobs;
   state.items_waiting = work.waiting;
--- a/src/metrics/gateway_metrics.cpp
+++ b/src/metrics/gateway_metrics.cpp
@@ -124,6 +124,13 @@
   }
   set("cold_refusals", "Times an engine was left out as it was, or might be, cold, ever.",
       number(state.cold_refusals));
+  set("suspects_known", "Requests under which engines ended lately.", number(state.suspects_known));
+  set("suspects_barred", "Those that are not let run.", number(state.suspects_barred));
+  set("suspect_engines_ended", "Engines that ended under requests of this daemon, ever.",
+      number(state.suspect_engines_ended));
+  set("suspect_refusals", "Times a request was not let run, ever.", number(state.suspect_refusals));
+  set("suspects_cleared", "Suspects that an engine answered here, ever.",
+      number(state.suspects_cleared));
   set("jobs_known", "Batch jobs known.", number(state.jobs_known));
   set("jobs_owned", "Batch jobs owned and under way.", number(state.jobs_owned));
   set("items_waiting", "Items of owned jobs that wait for an engine.", number(state.items_waiting));
--- a/src/metrics/gateway_metrics.h
+++ b/src/metrics/gateway_metrics.h
@@ -31,6 +31,11 @@
   std::map<std::string, std::map<std::string, int>> engines;  ///< By service, by state.
   std::map<std::string, ColdEngines> cold_engines;  ///< By service; of those that are bounded.
   std::uint64_t cold_refusals = 0;
+  std::size_t suspects_known = 0;
+  std::size_t suspects_barred = 0;
+  std::uint64_t suspect_engines_ended = 0;
+  std::uint64_t suspect_refusals = 0;
+  std::uint64_t suspects_cleared = 0;
   std::size_t jobs_known = 0;
   std::size_t jobs_owned = 0;
   std::size_t items_waiting = 0;
--- a/tests/gateway/fatal_requests_test.cpp
+++ b/tests/gateway/fatal_requests_test.cpp
@@ -106,6 +106,8 @@
   const auto ran = co_await fixture.call(0, std::move(first));
   cr_assert_eq(ran.response.result_int(), 502U, "it has run: no promise");
   cr_assert_gt(std::stod(http::fieldText(ran.response, "Retry-After")), 4.0);
+  // A write to the store and an answer of the feed, which gathers changes for 0.08 s.
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(200));
   const Instant begun = steadyNow();
   http::Request second = fatalLookup(fixture, 1);
   const auto refused = co_await fixture.call(1, std::move(second));
