Measure time on the clock that counts a machine's suspensions

Cause: all times were taken from the steady clock, which stands still while a machine is suspended. A daemon that woke took its right to order, its feeds' last answers and its requests' deadlines for seconds younger than they were.

Change: Instant is a point of machine_clock (CLOCK_BOOTTIME), a type of its own, so that a mix with the steady clock does not compile; the loop's timers run on it, limits of connections are handed over as durations. An answer of the store, a peer or a duty that lay there while the machine was suspended counts as lost.

--- a/src/common/task.h
+++ b/src/common/task.h
@@ -4,11 +4,11 @@
 /// Coroutines of the event loop. Everything that uses them runs on one thread, the loop's.
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
 
@@ -34,8 +34,12 @@
   });
 }
 
+/// What passed while the machine was suspended is over when it wakes, as soon as the loop looks at
+/// any timer: within the shortest of its periods.
+using machine_timer = boost::asio::basic_waitable_timer<machine_clock>;
+
 inline Task<void> sleepFor(boost::asio::io_context& loop, Duration duration) {
-  boost::asio::steady_timer timer(loop);
+  machine_timer timer(loop);
   timer.expires_after(duration);
   boost::system::error_code error;
   co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
@@ -51,7 +55,7 @@
 
   /// Returns after `notifyAll` or after `limit`, whichever comes first.
   Task<void> waitFor(Duration limit) {
-    const auto until = std::chrono::steady_clock::now() + limit;
+    const Instant until = steadyNow() + limit;
     // Setting the expiry cancels other waiters, which then check again; so it only moves forward.
     if (waiters_ == 0 || until < timer_.expiry()) timer_.expires_at(until);
     ++waiters_;
@@ -61,7 +65,7 @@
   }
 
  private:
-  boost::asio::steady_timer timer_;
+  machine_timer timer_;
   int waiters_ = 0;
 };
 
--- a/src/common/time.h
+++ b/src/common/time.h
@@ -5,15 +5,18 @@
 
 #include <chrono>
 
+#include "common/machine_clock.h"
+
 namespace linenpier {
 
 using Duration = std::chrono::microseconds;
 /// A point on a monotonic time line. Only differences have a meaning.
-using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using Instant = machine_clock::time_point;
 
-/// @return the present on the process's monotonic clock; used by shells, never by decision code.
+/// @return the present on the machine's monotonic clock, suspensions included; used by shells,
+/// never by decision code.
 inline Instant steadyNow() {
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  return machine_clock::now();
 }
 
 inline double toSeconds(Duration duration) {
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kReadPiece = 16 * 1024;
 constexpr std::size_t kMostBody = 64 * 1024 * 1024;
 constexpr int kMostSurplusAnswers = 3;
+/// The two clocks are read one after the other; a shorter suspension is as a busy moment.
+constexpr Duration kUnnoticedSuspension = std::chrono::milliseconds(50);
 constexpr Duration kIdleSlack = std::chrono::milliseconds(600);
 
 /// @return how long the peer keeps the idle connection, by its Keep-Alive field.
@@ -73,7 +75,7 @@
     connection_.reset();
     co_return ExchangeStatus::kWithheld;
   }
-  connection_->stream.expires_at(deadline);
+  connection_->stream.expires_after(deadline - steadyNow());
   beginWrite();
   for (int surplus = 0; surplus <= kMostSurplusAnswers; ++surplus) {
     const ExchangeStatus status = co_await readHead(deadline);
@@ -104,7 +106,7 @@
     parser_->body_limit(kMostBody);
     if (request_.method() == beast_http::verb::head) parser_->skip(true);
     const auto connection = connection_;
-    connection->stream.expires_at(deadline);
+    connection->stream.expires_after(deadline - steadyNow());
     boost::system::error_code error;
     co_await beast_http::async_read_header(connection->stream, connection->buffer, *parser_,
                                            asio::redirect_error(asio::use_awaitable, error));
@@ -132,7 +134,7 @@
   parser_->get().body().data = out.data() + before;
   parser_->get().body().size = kReadPiece;
   parser_->get().body().more = true;
-  connection->stream.expires_at(deadline);
+  connection->stream.expires_after(deadline - steadyNow());
   boost::system::error_code error;
   co_await beast_http::async_read_some(connection->stream, connection->buffer, *parser_,
                                        asio::redirect_error(asio::use_awaitable, error));
@@ -196,11 +198,16 @@
 Task<CallOutcome> readWhole(std::shared_ptr<ClientExchange> exchange, Instant connect_deadline,
                             Instant deadline) {
   CallOutcome outcome;
+  const Duration suspended = machine_clock::suspended();
   outcome.status = co_await exchange->start(connect_deadline, deadline, std::nullopt, false);
   outcome.sent = exchange->sent();
   if (outcome.status != ExchangeStatus::kOk) co_return outcome;
   outcome.status = co_await exchange->readAll(outcome.response.body(), kMostBody, deadline);
   outcome.response.base() = exchange->head();
+  // An answer that lay here while the machine was suspended says nothing of now: whoever takes it
+  // for a sign of being in touch would act on what others have long changed.
+  const bool slept = machine_clock::suspended() - suspended > kUnnoticedSuspension;
+  if (slept) outcome.status = ExchangeStatus::kTimedOut;
   co_return outcome;
 }
 
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -92,7 +92,7 @@
     explicit State(boost::beast::tcp_stream& limited)
         : stream(limited), timer(limited.get_executor()) {}
     boost::beast::tcp_stream& stream;  ///< Not used once `done`.
-    asio::steady_timer timer;
+    machine_timer timer;
     bool passed = false;
     bool done = false;
   };
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -125,7 +125,7 @@
       std::string answer_text = order(arrival.body);
       goes_on = co_await write(*connection, std::move(answer_text));
     } else if (arrival.target == "/linenpier/report") {
-      const json report = {{"busy", false}, {"seq", sequence_}, {"running", 0}, {"waiting", 0}};
+      const json report = {{"busy", busy_}, {"seq", sequence_}, {"running", 0}, {"waiting", 0}};
       std::string text = plain("", 200, "", report.dump());
       goes_on = co_await write(*connection, std::move(text));
     } else {
@@ -162,6 +162,7 @@
   const auto fence = document["fence"].get<std::uint64_t>();
   if (checks_fences_ && fence < fence_) return plain("", 412, "", "");
   fence_ = fence;
+  if (busy_) return plain("", 409, "", "");
   if (document.contains("expected") && document["expected"].get<std::uint64_t>() != sequence_) {
     return plain("", 409, "", "");
   }
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -81,6 +81,8 @@
   void setVersion(std::uint64_t version) { version_ = version; }
   /// Without checks it obeys orders of any holder.
   void setChecksFences(bool checks) { checks_fences_ = checks; }
+  /// An order is under way: it takes no other one.
+  void setBusy(bool busy) { busy_ = busy; }
   void setEventGap(Duration gap) { event_gap_ = gap; }
   void setLie(SamplerLie lie) { lie_ = lie; }
   void setFatal(FatalRequests fatal) { fatal_ = std::move(fatal); }
@@ -131,6 +133,7 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t fence_ = 0;
   bool checks_fences_ = true;
+  bool busy_ = false;
   int dropped_ = 0;
   FatalRequests fatal_;
   std::function<void(const std::string&)> restarted_;
