Soak with a request that ends its engines

The soak's stand-in engines end under marked bodies and are back 0.6 s later as another incarnation; their proxies refuses connections meanwhile, as a dead port does. One such request comes each 0.4 s to any of the three gateways. A seventh promise: it ends few engines (twelve at most, since nobody is in touch for long under faults).

--- a/apps/linenpier_soak.cpp
+++ b/apps/linenpier_soak.cpp
@@ -20,7 +20,7 @@
   --directory DIR  Where the gateways' settings are written.
   --seed N         Of the faults [default: 1].
   --seconds N      With faults; some 15 more follow without [default: 20].
-  --break PROMISE  Breaks one on purpose: answer, refusal, text or job.
+  --break PROMISE  Breaks one on purpose: answer, refusal, text, job or ends.
 
 Writes "signal NAME INDEX" for each signal that a gateway's process is to be sent.
 Exit codes: 0 no violation, 1 a violation was found.
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -49,12 +49,28 @@
 fault_proxy::fault_proxy(asio::io_context& loop, Address target)
     : loop_(loop),
       acceptor_(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      target_(target) {
+      target_(target),
+      own_{0x7f000001, acceptor_.local_endpoint().port()} {
   spawn(this->loop_, [this] { return this->acceptLoop(); });
 }
 
 Address fault_proxy::address() const {
-  return {0x7f000001, this->acceptor_.local_endpoint().port()};
+  return this->own_;
+}
+
+void fault_proxy::stopListening() {
+  boost::system::error_code ignored;
+  this->acceptor_.close(ignored);
+  this->resetAll();
+}
+
+void fault_proxy::listenAgain() {
+  const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), this->own_.port);
+  this->acceptor_.open(endpoint.protocol());
+  this->acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  this->acceptor_.bind(endpoint);
+  this->acceptor_.listen();
+  spawn(this->loop_, [this] { return this->acceptLoop(); });
 }
 
 void fault_proxy::resetAll() {
@@ -71,6 +87,7 @@
     boost::system::error_code error;
     co_await this->acceptor_.async_accept(made->caller,
                                           asio::redirect_error(asio::use_awaitable, error));
+    if (!this->acceptor_.is_open()) co_return;
     if (error) continue;
     spawn(this->loop_, [this, made] { return this->serve(made); });
   }
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -34,6 +34,9 @@
   void setMode(LinkMode mode) { this->mode_ = mode; }
   LinkMode mode() const { return this->mode_; }
   void resetAll();
+  /** As the target's own address while its process is down: connections are refused. */
+  void stopListening();
+  void listenAgain();
 
  private:
   struct link;
@@ -45,6 +48,7 @@
   boost::asio::io_context& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
   Address target_;
+  Address own_;
   LinkMode mode_ = LinkMode::kPass;
   std::set<std::shared_ptr<link>> links_;
 };
--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+/** What proves it, at each of three daemons that hear nothing of each other, and three more: under
+ * faults all the time nobody is in touch for long.
+ */
+constexpr std::size_t kMostEnded = 3 * 3 + 3;
+
 bool isRefusal(unsigned status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -24,6 +29,8 @@
       return "item_once";
     case Promise::kNothingLost:
       return "nothing_lost";
+    case Promise::kFewEnds:
+      return "few_ends";
     case Promise::kServedAgain:
       return "served_again";
   }
@@ -117,6 +124,9 @@
 }
 
 void soak_checker::finish() {
+  if (this->ended_ > kMostEnded) {
+    this->report(Promise::kFewEnds, std::to_string(this->ended_) + " engines ended");
+  }
   for (const auto& [id, sent] : this->requests_) {
     const std::size_t runs = this->runsOf(id);
     if (sent.once && runs > 1) {
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -20,6 +20,7 @@
   kHonestRefusal,  ///< A refused request or job has not run and never will.
   kItemOnce,     ///< Each item stands once, at a position that keeps it, whole, with its versions.
   kNothingLost,  ///< An accepted job is read to its end.
+  kFewEnds,      ///< A request that ends its engines ends few of them, wherever it comes.
   kServedAgain,  ///< Some time after the last fault requests are served.
 };
 
@@ -58,6 +59,9 @@
   /** A daemon said that there is no such job, some time after it was accepted. */
   void onJobDenied(const std::string& job);
 
+  /** An engine ended under the one request that ends its engines. */
+  void onEngineEnded() { ++this->ended_; }
+
   /** @param served of the last requests, after the faults. */
   void onSettled(std::size_t served, std::size_t sent);
   /** Looks at what can only be said when all is over. */
@@ -65,6 +69,7 @@
 
   std::size_t requests() const { return this->requests_.size(); }
   std::size_t items() const { return this->items_; }
+  std::size_t ended() const { return this->ended_; }
   const std::vector<std::string>& violations() const { return this->violations_; }
 
  private:
@@ -86,6 +91,7 @@
   std::map<std::string, request> requests_;
   std::map<std::string, std::vector<std::uint64_t>> runs_;  ///< Versions, by request or item.
   std::map<std::string, job> jobs_;
+  std::size_t ended_ = 0;
   std::size_t items_ = 0;  ///< Results read, each position once.
   std::vector<std::string> violations_;
 };
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -15,6 +15,9 @@
 constexpr int kItems = 8;
 constexpr Duration kEventGap = std::chrono::milliseconds(15);
 constexpr Duration kCallGap = std::chrono::milliseconds(25);
+constexpr Duration kFatalGap = std::chrono::milliseconds(400);
+constexpr Duration kEngineDown = std::chrono::milliseconds(600);
+constexpr char kFatalMark[] = "ends its engine";
 constexpr Duration kJobGap = std::chrono::milliseconds(900);
 constexpr Duration kEntryGap = std::chrono::milliseconds(700);  ///< Some half a heartbeat.
 constexpr Duration kCallTime = std::chrono::milliseconds(1500);
@@ -51,6 +54,7 @@
       out_(out),
       random_(options.seed),
       choice_(options.seed + 1),
+      fatal_choice_(options.seed + 2),
       pool_(loop, {}),
       store_(loop),
       checker_(kEvents) {}
@@ -75,6 +79,17 @@
     engine.setEventGap(kEventGap);
     this->engine_links_.push_back(std::make_unique<fault_proxy>(this->loop_, engine.address()));
     engine.setListedAddress(this->engine_links_.back()->address());
+    engine.setFatal({.mark = kFatalMark, .down = kEngineDown});
+    fault_proxy& link = *this->engine_links_.back();
+    engine.onEnd([this, &link] {
+      link.stopListening();
+      this->checker_.onEngineEnded();
+    });
+    engine.onRestart([this, &engine, &link, service](const std::string& before) {
+      link.listenAgain();
+      this->store_.remove("servers", before);
+      this->store_.put("servers", engine.id(), engine.entry(service));
+    });
     this->store_.put("servers", id, engine.entry(service));
   };
   for (int i = 0; i < 2; ++i) add(this->desks_, "desk-" + std::to_string(i), "desk", 0);
@@ -139,6 +154,7 @@
   const bool up = co_await this->waitServed();
   if (!up) this->say("no gateway served in time");
   spawn(this->loop_, [this] { return this->callLoop(); });
+  spawn(this->loop_, [this] { return this->fatalLoop(); });
   spawn(this->loop_, [this] { return this->trainLoop(); });
   spawn(this->loop_, [this] { return this->versionLoop(); });
   spawn(this->loop_, [this] { return this->entryLoop(); });
@@ -163,7 +179,8 @@
   this->say("soak: seed " + std::to_string(this->options_.seed) + ", " +
             std::to_string(this->checker_.requests()) + " requests, " +
             std::to_string(this->checker_.items()) + " items, " + std::to_string(this->faults_) +
-            " faults, " + std::to_string(this->violations()) + " violations");
+            " faults, " + std::to_string(this->checker_.ended()) + " engines ended, " +
+            std::to_string(this->violations()) + " violations");
   this->loop_.stop();
 }
 
@@ -196,6 +213,31 @@
   }
 }
 
+Task<void> soak_run::fatalLoop() {
+  for (int i = 0; this->traffic_; ++i) {
+    const std::string id = "fatal-" + std::to_string(i);
+    // A request that is another one each time can't be known again.
+    const std::string what = this->options_.broken == "ends" ? id : "";
+    spawn(this->loop_, [this, id, what] { return this->sendFatal(id, kFatalMark + what); });
+    co_await sleepFor(this->loop_, kFatalGap);
+  }
+}
+
+Task<void> soak_run::sendFatal(std::string id, std::string body) {
+  http::Request request = makeRequest(boost::beast::http::verb::post, "/look/1");
+  request.set("Request-Id", id);
+  request.set("Deadline-Ms", "1000");
+  request.body() = body;
+  request.prepare_payload();
+  this->checker_.onSent(id, false);
+  const std::size_t gateway = this->fatal_choice_.below(this->gateways_.size());
+  const http::CallOutcome outcome = co_await this->call(gateway, std::move(request), kCallTime);
+  if (outcome.status != http::ExchangeStatus::kOk) co_return;
+  this->checker_.onAnswer(id, outcome.response.result_int(),
+                          http::fieldText(outcome.response, "Response-Signature"),
+                          outcome.response.body());
+}
+
 Task<void> soak_run::callOnce(std::string id, bool once) {
   http::Request request = makeRequest(boost::beast::http::verb::post, once ? "/once/1" : "/look/1");
   request.set("Request-Id", id);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -26,7 +26,7 @@
   Duration length = std::chrono::seconds(20);  ///< Of the time with faults.
   std::size_t gateways = 3;
   std::string directory;  ///< Where the gateways' settings are written.
-  /** Breaks a promise on purpose: "answer", "refusal", "text", "job"; empty: none. */
+  /** Breaks a promise on purpose: "answer", "refusal", "text", "job", "ends"; empty: none. */
   std::string broken;
 };
 
@@ -61,6 +61,9 @@
   Task<void> direct();
   Task<bool> waitServed();
   Task<void> callLoop();
+  /** Sends one and the same request, which ends the engines that run it, again and again. */
+  Task<void> fatalLoop();
+  Task<void> sendFatal(std::string id, std::string body);
   Task<void> callOnce(std::string id, bool once);
   Task<void> trainLoop();
   Task<void> runJob(job each);
@@ -87,6 +90,7 @@
   std::ostream& out_;
   Random random_;  ///< Of faults; calls have a generator of their own.
   Random choice_;
+  Random fatal_choice_;  ///< Of the gateways that get the request which ends its engines.
   http::ConnectionPool pool_;
   test::StandinStore store_;
   std::vector<std::unique_ptr<test::StandinSampler>> desks_;
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -70,6 +70,7 @@
     if (const auto connection = each.lock()) connection->socket.close(ignored);
   }
   connections_.clear();
+  if (ended_) ended_();
   spawn(loop_, [this, address] { return comeBack(address); });
 }
 
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -86,6 +86,8 @@
   void setEventGap(Duration gap) { event_gap_ = gap; }
   void setLie(SamplerLie lie) { lie_ = lie; }
   void setFatal(FatalRequests fatal) { fatal_ = std::move(fatal); }
+  /// Told when the sampler ends.
+  void onEnd(std::function<void()> told) { ended_ = std::move(told); }
   /// Told when the sampler is back, with the id that it had.
   void onRestart(std::function<void(const std::string& before)> told) {
     restarted_ = std::move(told);
@@ -136,6 +138,7 @@
   bool busy_ = false;
   int dropped_ = 0;
   FatalRequests fatal_;
+  std::function<void()> ended_;
   std::function<void(const std::string&)> restarted_;
   std::vector<std::weak_ptr<Connection>> connections_;
   int ends_ = 0;
