Share a look at an ended engine, and bound what peers are told of suspects

An engine that resets its runs to load weights breaks up to all its slots at once, and each run asked by a connection of its own whether it had ended: those who ask at the same time now share one. A daemon without the store is told the 256 suspects with most against them (80 KB) in place of up to 4,096.

--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -56,6 +56,24 @@
 }
 
 Task<PeerState> ConnectionPool::probe(Address peer, Instant deadline) {
+  const auto known = probes_.find(peer);
+  if (known != probes_.end()) {
+    const std::shared_ptr<Probe> shared = known->second;
+    while (!shared->state && steadyNow() < deadline) {
+      co_await shared->done.waitFor(deadline - steadyNow());
+    }
+    co_return shared->state.value_or(PeerState::kSilent);
+  }
+  const auto own = std::make_shared<Probe>(loop_);
+  probes_[peer] = own;
+  const PeerState state = co_await openProbe(peer, deadline);
+  own->state = state;
+  probes_.erase(peer);
+  own->done.notifyAll();
+  co_return state;
+}
+
+Task<PeerState> ConnectionPool::openProbe(Address peer, Instant deadline) {
   auto connection = std::make_shared<ClientConnection>(loop_);
   connection->peer = peer;
   const boost::system::error_code error = co_await open(connection, deadline);
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -5,6 +5,8 @@
 
 #include <cstddef>
 #include <map>
+#include <memory>
+#include <optional>
 #include <vector>
 
 #include "common/address.h"
@@ -48,7 +50,9 @@
   ClientConnectionPtr takeIdle(Instant now, const Address& peer);
   /// Opens a connection. @return nullptr if none came up before `deadline`.
   Task<ClientConnectionPtr> connect(Address peer, Instant deadline);
-  /// Opens a connection to see whether the peer takes it; one that it takes is kept.
+  /// Opens a connection to see whether the peer takes it; one that it takes is kept. Those who ask
+  /// of one peer at the same time share one: when an engine resets its runs to load weights, all of
+  /// them ask.
   Task<PeerState> probe(Address peer, Instant deadline);
   /// Keeps a connection that is at rest between two exchanges.
   void giveBack(Instant now, ClientConnectionPtr connection, Duration idle_time);
@@ -62,11 +66,20 @@
   std::uint64_t opened() const { return opened_; }
 
  private:
+  /// One that is under way, for all who ask.
+  struct Probe {
+    explicit Probe(boost::asio::io_context& loop) : done(loop) {}
+    Signal done;
+    std::optional<PeerState> state;
+  };
+
   Task<boost::system::error_code> open(ClientConnectionPtr connection, Instant deadline);
+  Task<PeerState> openProbe(Address peer, Instant deadline);
 
   boost::asio::io_context& loop_;
   ConnectionPoolOptions options_;
   std::map<Address, std::vector<ClientConnectionPtr>> idle_;  ///< Newest last.
+  std::map<Address, std::shared_ptr<Probe>> probes_;
   std::uint64_t opened_ = 0;  ///< Connections ever opened, for the metrics.
 };
 
--- a/src/suspects/suspect_book.cpp
+++ b/src/suspects/suspect_book.cpp
@@ -225,10 +225,11 @@
   return at == this->entries_.end() ? 0 : at->second.revision;
 }
 
-std::vector<request_key> suspect_book::unwritten(std::size_t most) const {
+template <typename Fits>
+std::vector<request_key> suspect_book::worst(std::size_t most, Fits fits) const {
   std::vector<std::pair<int, request_key>> found;
   for (const auto& [key, each] : this->entries_) {
-    if (each.shared && !each.written) found.emplace_back(-each.ends, key);
+    if (fits(each)) found.emplace_back(-each.ends, key);
   }
   std::sort(found.begin(), found.end());
   if (found.size() > most) found.resize(most);
@@ -237,18 +238,22 @@
   return keys;
 }
 
+std::vector<request_key> suspect_book::unwritten(std::size_t most) const {
+  return this->worst(most, [](const entry& each) { return each.shared && !each.written; });
+}
+
 void suspect_book::setShared(const request_key& key) {
   const auto at = this->entries_.find(key);
   if (at != this->entries_.end()) at->second.shared = true;
 }
 
 std::vector<table::Row> suspect_book::rows(Instant now, std::int64_t clock_ms,
-                                           const std::string& prefix) const {
+                                           const std::string& prefix, std::size_t most) const {
   std::vector<table::Row> rows;
-  for (const auto& [key, each] : this->entries_) {
-    if (each.revision == 0) continue;
-    rows.push_back(
-        {prefix + key.str(), each.revision, encodeSuspect(this->record(now, clock_ms, key))});
+  for (const request_key& key :
+       this->worst(most, [](const entry& each) { return each.revision != 0; })) {
+    rows.push_back({prefix + key.str(), this->revisionOf(key),
+                    encodeSuspect(this->record(now, clock_ms, key))});
   }
   return rows;
 }
--- a/src/suspects/suspect_book.h
+++ b/src/suspects/suspect_book.h
@@ -116,8 +116,11 @@
   std::vector<request_key> unwritten(std::size_t most) const;
   /** Other daemons are to know of it. */
   void setShared(const request_key& key);
-  /** @return the rows that other daemons are told of, as the store had them last. */
-  std::vector<table::Row> rows(Instant now, std::int64_t clock_ms, const std::string& prefix) const;
+  /** @return rows for a daemon that does not reach the store, those with most against them first.
+   * @param prefix of their keys.
+   */
+  std::vector<table::Row> rows(Instant now, std::int64_t clock_ms, const std::string& prefix,
+                               std::size_t most) const;
   /** Forgets what is too old. @return rows that may be removed now, at most `most`.
    * @param courtesy how much longer this daemon leaves that to others.
    */
@@ -141,6 +144,9 @@
   void addEngines(entry& into, const std::vector<EngineId>& engines) const;
   /** Makes room for one more. */
   void dropOne();
+  /** @return the requests that fit, those with most against them first. */
+  template <typename Fits>
+  std::vector<request_key> worst(std::size_t most, Fits fits) const;
 
   suspect_rules rules_;
   std::map<request_key, entry> entries_;
--- a/src/suspects/suspect_service.cpp
+++ b/src/suspects/suspect_service.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kRetryPause = std::chrono::milliseconds(200);
 constexpr int kRemoveTries = 3;
 constexpr std::size_t kRowsAtOnce = 32;
+/** That a daemon without the store is told each 0.3 s: 80 KB. */
+constexpr std::size_t kRowsTold = 256;
 constexpr Duration kSweepPeriod = std::chrono::seconds(10);
 constexpr std::size_t kRemovedPerSweep = 20;
 /** Rows that are too old are left to other daemons for up to so long, so that one removes them. */
@@ -179,7 +181,7 @@
 }
 
 std::vector<table::Row> suspect_service::rows() const {
-  return this->book_.rows(steadyNow(), this->clock(), gateway::suspectKey({}));
+  return this->book_.rows(steadyNow(), this->clock(), gateway::suspectKey({}), kRowsTold);
 }
 
 // --- The store -----------------------------------------------------------------------------------
