--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -137,11 +137,11 @@
   if (!deps_.suspects.any()) return attempt;
   const std::string id = active.run.job().items[item].id.str();
   const suspects::verdict told =
-      deps_.suspects.beginOwnTrial(keyOf(active, item), suspects::asker::kItem, id);
+      deps_.suspects.beginOwnTrial(keyOf(active, item), suspects::Asker::kItem, id);
   attempt.ends = told.ends;
-  attempt.trial = told.is == suspects::standing::kMayTry;
-  if (attempt.trial || told.is == suspects::standing::kClear) return attempt;
-  const bool tried = told.is == suspects::standing::kTried;
+  attempt.trial = told.is == suspects::Standing::kMayTry;
+  if (attempt.trial || told.is == suspects::Standing::kClear) return attempt;
+  const bool tried = told.is == suspects::Standing::kTried;
   const Duration wait = std::min(told.wait, tried ? kTriedPause : kHeldPause);
   active.run.onHeld(item, steadyNow() + wait);
   return std::nullopt;
@@ -152,7 +152,7 @@
                                    const suspects::sent_attempt& attempt, bool engine_ended) {
   if (engine_ended) {
     deps_.suspects.onEngineEnded(attempt, keyOf(active, item), call.engine(), call.startedAt(),
-                                 suspects::asker::kItem, active.run.job().items[item].id.str());
+                                 suspects::Asker::kItem, active.run.job().items[item].id.str());
   } else if (verdict != AttemptVerdict::kAnswered) {
     if (attempt.trial) deps_.suspects.onUnproved(attempt, keyOf(active, item));
   } else if (deps_.suspects.any()) {
@@ -166,7 +166,9 @@
   const ModelName model_name(model);
   RunTimes times;
   const AttemptVerdict verdict = co_await readItemEvents(*active, item, *call, model_name, times);
-  if (verdict == AttemptVerdict::kBroken) times.engine_ended = co_await call->engineHasEnded();
+  if (verdict == AttemptVerdict::kBroken) {
+    times.engine_ended = co_await call->engineHasEnded();
+  }
   settleSuspicion(*active, item, *call, verdict, attempt, times.engine_ended);
   active->calls.erase(item);
   deps_.engines.registry.onTokens(call->engine(), -expectedTokens(active->run.job().items[item]));
--- a/src/forward/forward_plain.cpp
+++ b/src/forward/forward_plain.cpp
@@ -49,7 +49,9 @@
   }
   recordAttempt(*forwarded, *call, result.verdict);
   bool ended = false;
-  if (result.verdict == AttemptVerdict::kBroken) ended = co_await call->engineHasEnded();
+  if (result.verdict == AttemptVerdict::kBroken) {
+    ended = co_await call->engineHasEnded();
+  }
   logAttempt(*forwarded, *call, result.verdict, ended);
   settleSuspicion(*forwarded, *call, result.verdict, attempt, ended);
   // The other engines that run it would end as well.
--- a/src/forward/forward_stream.cpp
+++ b/src/forward/forward_stream.cpp
@@ -53,7 +53,9 @@
     policy.onStarted(now);
     const AttemptVerdict verdict = co_await relay(forwarded, *running, state, writer);
     bool ended = false;
-    if (verdict == AttemptVerdict::kBroken) ended = co_await running->engineHasEnded();
+    if (verdict == AttemptVerdict::kBroken) {
+      ended = co_await running->engineHasEnded();
+    }
     logAttempt(forwarded, *running, verdict, ended);
     settleSuspicion(forwarded, *running, verdict, *leave, ended);
     policy.onEnded(verdict);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -123,7 +123,7 @@
   if (closed && answer == FinalAnswer::kRefused) {
     response.set(context_.names.retry_after, secondsText(options_.retry_after_closed));
   }
-  if (forwarded.key) forwarded.held = suspects_.ask(*forwarded.key, suspects::asker::kCaller);
+  if (forwarded.key) forwarded.held = suspects_.ask(*forwarded.key, suspects::Asker::kCaller);
   // Also where it has run and can't be refused: asking sooner is of no use.
   if (forwarded.held.wait > options_.retry_after) {
     response.set(context_.names.retry_after, secondsText(forwarded.held.wait));
@@ -142,14 +142,14 @@
   forwarded.held = {};
   if (!suspects_.any()) co_return attempt;
   const suspects::request_key key = keyOf(forwarded);
-  forwarded.held = suspects_.ask(key, suspects::asker::kCaller);
-  if (forwarded.held.is == suspects::standing::kClear) co_return attempt;
+  forwarded.held = suspects_.ask(key, suspects::Asker::kCaller);
+  if (forwarded.held.is == suspects::Standing::kClear) co_return attempt;
   // A second engine beside the first would be lost with it.
   if (!alone) co_return std::nullopt;
-  forwarded.held = co_await suspects_.beginTrial(key, suspects::asker::kCaller, forwarded.id);
+  forwarded.held = co_await suspects_.beginTrial(key, suspects::Asker::kCaller, forwarded.id);
   attempt.ends = forwarded.held.ends;
-  attempt.trial = forwarded.held.is == suspects::standing::kMayTry;
-  if (attempt.trial || forwarded.held.is == suspects::standing::kClear) co_return attempt;
+  attempt.trial = forwarded.held.is == suspects::Standing::kMayTry;
+  if (attempt.trial || forwarded.held.is == suspects::Standing::kClear) co_return attempt;
   co_return std::nullopt;
 }
 
@@ -158,7 +158,7 @@
                                 bool engine_ended) {
   if (engine_ended) {
     suspects_.onEngineEnded(attempt, keyOf(forwarded), call.engine(), call.startedAt(),
-                            suspects::asker::kCaller, forwarded.id);
+                            suspects::Asker::kCaller, forwarded.id);
   } else if (verdict != AttemptVerdict::kAnswered) {
     if (attempt.trial) suspects_.onUnproved(attempt, keyOf(forwarded));
   } else if (suspects_.any()) {
--- a/src/suspects/suspect_book.cpp
+++ b/src/suspects/suspect_book.cpp
@@ -18,17 +18,17 @@
 
 }  // namespace
 
-const char* toText(standing value) {
+const char* toText(Standing value) {
   switch (value) {
-    case standing::kClear:
+    case Standing::kClear:
       return "clear";
-    case standing::kMayTry:
+    case Standing::kMayTry:
       return "may_try";
-    case standing::kTried:
+    case Standing::kTried:
       return "tried_now";
-    case standing::kMustWait:
+    case Standing::kMustWait:
       return "must_wait";
-    case standing::kBarred:
+    case Standing::kBarred:
       return "barred";
   }
   return "unknown";
@@ -56,7 +56,7 @@
   return at == this->entries_.end() ? 0 : at->second.ends;
 }
 
-verdict suspect_book::ask(Instant now, const request_key& key, asker who) const {
+verdict suspect_book::ask(Instant now, const request_key& key, Asker who) const {
   verdict told;
   const auto at = this->entries_.find(key);
   if (at == this->entries_.end() || at->second.ends == 0) return told;
@@ -65,21 +65,21 @@
   told.ends = known.ends;
   told.evidence = now - known.last_at;
   Instant free_at = known.last_at + this->barFor(known.ends);
-  told.is = standing::kBarred;
+  told.is = Standing::kBarred;
   const bool more_trials = known.ends < this->rules_.proof + this->rules_.item_trials;
-  if (who == asker::kItem && known.ends > 1 && more_trials) {
+  if (who == Asker::kItem && known.ends > 1 && more_trials) {
     free_at = known.last_at + this->rules_.item_pause;
-    told.is = standing::kMustWait;
+    told.is = Standing::kMustWait;
   } else if (known.ends > 1 && known.ends < this->rules_.proof) {
     free_at = known.last_at + this->rules_.trial_pause;
-    told.is = standing::kMustWait;
+    told.is = Standing::kMustWait;
   }
   if (now < free_at) {
     told.wait = free_at - now;
     return told;
   }
   const bool tried = !known.tried_by.empty() && now < known.tried_until;
-  told.is = tried ? standing::kTried : standing::kMayTry;
+  told.is = tried ? Standing::kTried : Standing::kMayTry;
   if (tried) told.wait = known.tried_until - now;
   return told;
 }
@@ -234,6 +234,7 @@
   std::sort(found.begin(), found.end());
   if (found.size() > most) found.resize(most);
   std::vector<request_key> keys;
+  keys.reserve(found.size());
   for (auto& [ends, key] : found) keys.push_back(std::move(key));
   return keys;
 }
@@ -249,9 +250,10 @@
 
 std::vector<table::Row> suspect_book::rows(Instant now, std::int64_t clock_ms,
                                            const std::string& prefix, std::size_t most) const {
+  const auto keys = this->worst(most, [](const entry& each) { return each.revision != 0; });
   std::vector<table::Row> rows;
-  for (const request_key& key :
-       this->worst(most, [](const entry& each) { return each.revision != 0; })) {
+  rows.reserve(keys.size());
+  for (const request_key& key : keys) {
     rows.push_back({prefix + key.str(), this->revisionOf(key),
                     encodeSuspect(this->record(now, clock_ms, key))});
   }
--- a/src/suspects/suspect_book.h
+++ b/src/suspects/suspect_book.h
@@ -45,7 +45,7 @@
   std::size_t most = 4096;
 };
 
-enum class standing {
+enum class Standing {
   kClear,     ///< Nothing is known against it.
   kMayTry,    ///< It may run, alone.
   kTried,     ///< It runs somewhere; its turn may come when that is over.
@@ -53,11 +53,11 @@
   kBarred,    ///< It ended as many as prove what it does.
 };
 
-const char* toText(standing value);
+const char* toText(Standing value);
 
 /** What a request that wants to run is told. */
 struct verdict {
-  standing is = standing::kClear;
+  Standing is = Standing::kClear;
   int ends = 0;
   Duration wait{};      ///< Until asking again may help; zero if it may run.
   Duration evidence{};  ///< The age of the last end.
@@ -65,7 +65,7 @@
 
 /** Who asks. An item is asked for again by its owner until it is listed, a caller's request is not.
  */
-enum class asker { kCaller, kItem };
+enum class Asker { kCaller, kItem };
 
 /** Loop thread only; times are passed in. */
 class suspect_book {
@@ -77,7 +77,7 @@
   std::size_t barred(Instant now) const;
   const suspect_rules& rules() const { return this->rules_; }
 
-  verdict ask(Instant now, const request_key& key, asker who) const;
+  verdict ask(Instant now, const request_key& key, Asker who) const;
   /** @return ends known of the request: what an attempt knows when it is sent. */
   int endsOf(const request_key& key) const;
 
--- a/src/suspects/suspect_service.cpp
+++ b/src/suspects/suspect_service.cpp
@@ -35,53 +35,55 @@
   spawn(this->deps_.loop, [this] { return this->sweepLoop(); });
 }
 
-verdict suspect_service::ask(const request_key& key, asker who) const {
+verdict suspect_service::ask(const request_key& key, Asker who) const {
   return this->book_.ask(steadyNow(), key, who);
 }
 
 // --- Trials --------------------------------------------------------------------------------------
 
-verdict suspect_service::beginOwnTrial(const request_key& key, asker who, const std::string& id) {
+verdict suspect_service::beginOwnTrial(const request_key& key, Asker who, const std::string& id) {
   const Instant now = steadyNow();
   const verdict told = this->book_.ask(now, key, who);
-  if (told.is == standing::kMayTry) {
+  if (told.is == Standing::kMayTry) {
     this->book_.onTrial(now, key, this->self());
-  } else if (told.is != standing::kClear) {
+  } else if (told.is != Standing::kClear) {
     this->onRefused(told, key, id);
   }
   return told;
 }
 
-Task<verdict> suspect_service::beginTrial(request_key key, asker who, std::string id) {
+Task<verdict> suspect_service::beginTrial(request_key key, Asker who, std::string id) {
   verdict told;
   for (int tries = 0; tries < kClaimTries; ++tries) {
     told = this->beginOwnTrial(key, who, id);
     // Without the store each daemon goes by what it knows: it can't hear of others.
-    if (told.is != standing::kMayTry || !this->deps_.leases.storeHealthy()) co_return told;
+    if (told.is != Standing::kMayTry || !this->deps_.leases.storeHealthy()) co_return told;
     this->book_.setShared(key);
-    const write_outcome outcome = co_await this->claim(key);
+    const WriteOutcome outcome = co_await this->claim(key);
     const bool own = this->book_.triedBy(key) == this->self();
-    if (outcome != write_outcome::kOvertaken || own) co_return told;
+    if (outcome != WriteOutcome::kOvertaken || own) co_return told;
   }
   told = this->ask(key, who);
-  if (told.is == standing::kMayTry) told.is = standing::kTried;
+  if (told.is == Standing::kMayTry) told.is = Standing::kTried;
   this->onRefused(told, key, id);
   co_return told;
 }
 
-Task<suspect_service::write_outcome> suspect_service::claim(request_key key) {
+Task<suspect_service::WriteOutcome> suspect_service::claim(request_key key) {
   struct pending_claim {
     explicit pending_claim(boost::asio::io_context& loop) : settled(loop) {}
     Signal settled;
-    std::optional<write_outcome> outcome;
+    std::optional<WriteOutcome> outcome;
   };
   const auto pending = std::make_shared<pending_claim>(this->deps_.loop);
   spawn(this->deps_.loop, [this, key, pending]() -> Task<void> {
     pending->outcome = co_await this->writeRow(key);
     pending->settled.notifyAll();
   });
-  if (!pending->outcome) co_await pending->settled.waitFor(kClaimPatience);
-  co_return pending->outcome.value_or(write_outcome::kNoAnswer);
+  if (!pending->outcome) {
+    co_await pending->settled.waitFor(kClaimPatience);
+  }
+  co_return pending->outcome.value_or(WriteOutcome::kNoAnswer);
 }
 
 void suspect_service::onRefused(const verdict& told, const request_key& key,
@@ -103,7 +105,7 @@
 // --- What attempts came to -----------------------------------------------------------------------
 
 void suspect_service::onEngineEnded(const sent_attempt& attempt, const request_key& key,
-                                    const EngineId& engine, Instant sent_at, asker who,
+                                    const EngineId& engine, Instant sent_at, Asker who,
                                     const std::string& id) {
   const Instant now = steadyNow();
   const Duration ran = now - sent_at;
@@ -113,7 +115,7 @@
     ++this->totals_.engines_ended;
     this->book_.onEnded(now, key, engine, attempt.ends);
     // An item is run by its owner alone: its first end tells other daemons nothing.
-    if (who == asker::kCaller || this->book_.endsOf(key) > 1) this->book_.setShared(key);
+    if (who == Asker::kCaller || this->book_.endsOf(key) > 1) this->book_.setShared(key);
   }
   this->changed_.notifyAll();
   LogEvent("suspects", "engine_ended")
@@ -207,20 +209,20 @@
   return 0;
 }
 
-Task<suspect_service::write_outcome> suspect_service::writeRow(request_key key) {
+Task<suspect_service::WriteOutcome> suspect_service::writeRow(request_key key) {
   const suspect_record record = this->book_.record(steadyNow(), this->clock(), key);
   const std::string name = gateway::suspectKey(key.str());
   table::Write write;
   write.transaction.checks.push_back({name, this->book_.revisionOf(key)});
   write.transaction.puts.push_back({name, encodeSuspect(record)});
   const auto answer = co_await this->write(std::move(write));
-  if (!answer) co_return write_outcome::kNoAnswer;
+  if (!answer) co_return WriteOutcome::kNoAnswer;
   if (!answer->committed) {
     this->onConflict(key, answer->conflicts);
-    co_return write_outcome::kOvertaken;
+    co_return WriteOutcome::kOvertaken;
   }
   this->book_.onWritten(key, answer->revision, record);
-  co_return write_outcome::kDone;
+  co_return WriteOutcome::kDone;
 }
 
 Task<void> suspect_service::writeLoop() {
@@ -234,8 +236,8 @@
     bool answered = this->clock() != 0;
     for (const request_key& key : keys) {
       if (!answered) break;
-      const write_outcome outcome = co_await this->writeRow(key);
-      answered = outcome != write_outcome::kNoAnswer;
+      const WriteOutcome outcome = co_await this->writeRow(key);
+      answered = outcome != WriteOutcome::kNoAnswer;
       co_await sleepFor(this->deps_.loop, kWriteGap);
     }
     if (answered) continue;
--- a/src/suspects/suspect_service.h
+++ b/src/suspects/suspect_service.h
@@ -52,11 +52,11 @@
   void start();
 
   bool any() const override { return !this->book_.empty(); }
-  verdict ask(const request_key& key, asker who) const override;
-  Task<verdict> beginTrial(request_key key, asker who, std::string id) override;
-  verdict beginOwnTrial(const request_key& key, asker who, const std::string& id) override;
+  verdict ask(const request_key& key, Asker who) const override;
+  Task<verdict> beginTrial(request_key key, Asker who, std::string id) override;
+  verdict beginOwnTrial(const request_key& key, Asker who, const std::string& id) override;
   void onEngineEnded(const sent_attempt& attempt, const request_key& key, const EngineId& engine,
-                     Instant sent_at, asker who, const std::string& id) override;
+                     Instant sent_at, Asker who, const std::string& id) override;
   void onAnswered(const request_key& key) override;
   void onUnproved(const sent_attempt& attempt, const request_key& key) override;
 
@@ -74,14 +74,14 @@
   const suspect_totals& totals() const { return this->totals_; }
 
  private:
-  enum class write_outcome { kDone, kOvertaken, kNoAnswer };
+  enum class WriteOutcome { kDone, kOvertaken, kNoAnswer };
 
   Task<void> writeLoop();
   Task<void> sweepLoop();
   /** Writes one row as the book has it. */
-  Task<write_outcome> writeRow(request_key key);
+  Task<WriteOutcome> writeRow(request_key key);
   /** The same, waiting for a moment only. */
-  Task<write_outcome> claim(request_key key);
+  Task<WriteOutcome> claim(request_key key);
   Task<void> removeRow(request_key key, Revision revision);
   /** @return the store's answer, by a peer where the store is away. */
   Task<std::optional<table::TransactionAnswer>> write(table::Write write);
