Postmortem of the request that ends its engines; no 3 s for what is tried just now

A caller who comes while the same request is tried elsewhere was told to wait for as long as a trial may take (3 s), though an innocent one is cleared within its usual time: the usual pause is told.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -124,8 +124,10 @@
     response.set(context_.names.retry_after, secondsText(options_.retry_after_closed));
   }
   if (forwarded.key) forwarded.held = suspects_.ask(*forwarded.key, suspects::Asker::kCaller);
-  // Also where it has run and can't be refused: asking sooner is of no use.
-  if (forwarded.held.wait > options_.retry_after) {
+  // Also where it has run and can't be refused: asking sooner is of no use. What is tried just now
+  // is soon cleared if it is innocent.
+  const bool tried = forwarded.held.is == suspects::Standing::kTried;
+  if (!tried && forwarded.held.wait > options_.retry_after) {
     response.set(context_.names.retry_after, secondsText(forwarded.held.wait));
   }
   co_await writer.send(std::move(response));
