Work an attempt's key out of the request that it sent

An attempt may outlive the request it was sent for: the caller has left, or another attempt answered, while the first one's engine is asked whether it has ended. Its key was then worked out of a request that was gone. Found by reading; the attempt's own copy is taken now.

--- a/src/forward/engine_call.h
+++ b/src/forward/engine_call.h
@@ -69,6 +69,8 @@
   Task<bool> engineHasEnded();
 
   const EngineId& engine() const { return engine_; }
+  /// As it was sent.
+  const http::Request& request() const { return exchange_->request(); }
   unsigned status() const { return exchange_->status(); }
   const http::ResponseHead& head() const { return exchange_->head(); }
   bool finished() const { return exchange_->complete(); }
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -133,8 +133,9 @@
   co_await writer.send(std::move(response));
 }
 
-const suspects::request_key& Forwarder::keyOf(ForwardedRequest& forwarded) const {
-  if (!forwarded.key) forwarded.key = suspects::keyOf(forwarded.from.tenant, *forwarded.request);
+const suspects::request_key& Forwarder::keyOf(ForwardedRequest& forwarded,
+                                              const http::Request& message) const {
+  if (!forwarded.key) forwarded.key = suspects::keyOf(forwarded.from.tenant, message);
   return *forwarded.key;
 }
 
@@ -143,7 +144,7 @@
   suspects::sent_attempt attempt;
   forwarded.held = {};
   if (!suspects_.any()) co_return attempt;
-  const suspects::request_key key = keyOf(forwarded);
+  const suspects::request_key key = keyOf(forwarded, *forwarded.request);
   forwarded.held = suspects_.ask(key, suspects::Asker::kCaller);
   if (forwarded.held.is == suspects::Standing::kClear) co_return attempt;
   // A second engine beside the first would be lost with it.
@@ -159,12 +160,12 @@
                                 AttemptVerdict verdict, const suspects::sent_attempt& attempt,
                                 bool engine_ended) {
   if (engine_ended) {
-    suspects_.onEngineEnded(attempt, keyOf(forwarded), call.engine(), call.startedAt(),
-                            suspects::Asker::kCaller, forwarded.id);
+    suspects_.onEngineEnded(attempt, keyOf(forwarded, call.request()), call.engine(),
+                            call.startedAt(), suspects::Asker::kCaller, forwarded.id);
   } else if (verdict != AttemptVerdict::kAnswered) {
-    if (attempt.trial) suspects_.onUnproved(attempt, keyOf(forwarded));
+    if (attempt.trial) suspects_.onUnproved(attempt, keyOf(forwarded, call.request()));
   } else if (suspects_.any()) {
-    suspects_.onAnswered(keyOf(forwarded));
+    suspects_.onAnswered(keyOf(forwarded, call.request()));
   }
 }
 
@@ -182,7 +183,8 @@
       .text("verdict", toText(verdict))
       .milliseconds("took_ms", steadyNow() - call.startedAt());
   if (verdict == AttemptVerdict::kBroken) {
-    event.text("key", keyOf(forwarded).str()).text("engine_ended", engine_ended ? "yes" : "no");
+    event.text("key", keyOf(forwarded, call.request()).str())
+        .text("engine_ended", engine_ended ? "yes" : "no");
   }
   if (engine != nullptr) {
     event.number("in_flight", engine->in_flight).number("failures", engine->failures);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -94,8 +94,11 @@
   /// @return whether there was an engine for it.
   bool startAttempt(const std::shared_ptr<ForwardedRequest>& forwarded,
                     const std::shared_ptr<Race>& race, const suspects::sent_attempt& attempt);
-  /// @return the request's key, worked out once.
-  const suspects::request_key& keyOf(ForwardedRequest& forwarded) const;
+  /// @param message the request, or a copy that an attempt has sent: attempts may outlive the
+  ///     request itself.
+  /// @return its key, worked out once.
+  const suspects::request_key& keyOf(ForwardedRequest& forwarded,
+                                     const http::Request& message) const;
   /// Asks whether an attempt may be sent, of nearly all requests without a wait.
   /// @param alone whether no other attempt of the request runs.
   /// @return nothing if not: `held` then tells why.
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -52,6 +52,7 @@
   /// Reads the rest of the body, at most `limit` bytes.
   Task<ExchangeStatus> readAll(std::string& out, std::size_t limit, Instant deadline);
 
+  const Request& request() const { return request_; }
   const ResponseHead& head() const { return parser_->get().base(); }
   unsigned status() const { return parser_->get().result_int(); }
   bool complete() const { return complete_; }
