Let a peer write down an ended engine as soon as the store leaves a write unanswered

A daemon that is cut off counts the store as lost 2 s and more after the cut; until then its evidence waited for one hanging write after the other, while other daemons in touch could send the request on. It now goes by a peer after the first write without an answer, with what is known by then. Test that failed first (one engine more): fatal_requests::what_a_daemon_saw_just_after_it_was_cut_off_reaches_the_others.

--- a/src/suspects/suspect_service.cpp
+++ b/src/suspects/suspect_service.cpp
@@ -188,15 +188,6 @@
 
 // --- The store -----------------------------------------------------------------------------------
 
-Task<std::optional<table::TransactionAnswer>> suspect_service::write(table::Write write) {
-  if (!this->deps_.leases.storeHealthy()) {
-    co_return co_await this->deps_.write_by_peer(std::move(write));
-  }
-  auto answer = co_await this->deps_.table.write(std::move(write));
-  if (!answer) co_return std::nullopt;
-  co_return std::move(*answer);
-}
-
 Revision suspect_service::onConflict(const request_key& key, const std::vector<table::Row>& rows) {
   const std::string name = gateway::suspectKey(key.str());
   for (const table::Row& row : rows) {
@@ -209,13 +200,27 @@
   return 0;
 }
 
-Task<suspect_service::WriteOutcome> suspect_service::writeRow(request_key key) {
-  const suspect_record record = this->book_.record(steadyNow(), this->clock(), key);
+table::Write suspect_service::writeOf(const request_key& key, const suspect_record& record) const {
   const std::string name = gateway::suspectKey(key.str());
   table::Write write;
   write.transaction.checks.push_back({name, this->book_.revisionOf(key)});
   write.transaction.puts.push_back({name, encodeSuspect(record)});
-  const auto answer = co_await this->write(std::move(write));
+  return write;
+}
+
+Task<suspect_service::WriteOutcome> suspect_service::writeRow(request_key key) {
+  suspect_record record = this->book_.record(steadyNow(), this->clock(), key);
+  std::optional<table::TransactionAnswer> answer;
+  if (this->deps_.leases.storeHealthy()) {
+    auto direct = co_await this->deps_.table.write(this->writeOf(key, record));
+    if (direct) answer = std::move(*direct);
+  }
+  if (!answer) {
+    // Also before the store counts as lost, which takes it 2 s longer: others must hear of an ended
+    // engine while this daemon is still in touch. More may have ended meanwhile.
+    record = this->book_.record(steadyNow(), this->clock(), key);
+    answer = co_await this->deps_.write_by_peer(this->writeOf(key, record));
+  }
   if (!answer) co_return WriteOutcome::kNoAnswer;
   if (!answer->committed) {
     this->onConflict(key, answer->conflicts);
--- a/src/suspects/suspect_service.h
+++ b/src/suspects/suspect_service.h
@@ -78,13 +78,12 @@
 
   Task<void> writeLoop();
   Task<void> sweepLoop();
-  /** Writes one row as the book has it. */
+  table::Write writeOf(const request_key& key, const suspect_record& record) const;
+  /** Writes one row as the book has it, by a peer where the store does not answer this daemon. */
   Task<WriteOutcome> writeRow(request_key key);
   /** The same, waiting for a moment only. */
   Task<WriteOutcome> claim(request_key key);
   Task<void> removeRow(request_key key, Revision revision);
-  /** @return the store's answer, by a peer where the store is away. */
-  Task<std::optional<table::TransactionAnswer>> write(table::Write write);
   /** Takes over what the store said in place of a write. @return the row's revision, 0: none. */
   Revision onConflict(const request_key& key, const std::vector<table::Row>& rows);
   std::int64_t clock() const { return this->deps_.keeper.storeClock(steadyNow()); }
--- a/tests/gateway/fatal_requests_test.cpp
+++ b/tests/gateway/fatal_requests_test.cpp
@@ -199,3 +199,18 @@
   co_await sleepFor(fixture.loop(), std::chrono::seconds(10));
   cr_assert_leq(fixture.samplersEnded(), 3, "%d engines ended", fixture.samplersEnded());
 }
+
+GATEWAY_TEST(fatal_requests, what_a_daemon_saw_just_after_it_was_cut_off_reaches_the_others,
+             threeDaemons()) {
+  fixture.setFatal({.mark = "fatal"});
+  auto* silent = new test::StandinStore(fixture.loop());
+  silent->faults().silent = true;
+  fixture.moveToStore(2, silent->address());
+  co_await sendFatal(fixture, 1, 2, 1);
+  // Its write is given up after 1.5 s. The store counts as lost later than that.
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(1900));
+  const int before = fixture.samplersEnded();
+  cr_assert_eq(before, 2);
+  co_await sendFatal(fixture, 2, 0, 2);
+  cr_assert_eq(fixture.samplersEnded(), before);
+}
