Show a job that nobody runs after a takeover without an answer: a test that fails

From the logs: its owner was killed, batch.takeover by its next life says not_done, and nothing follows. The write was done and not answered; the feed told of it while the answer was waited for.

--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -317,6 +317,27 @@
   checkResults(results, "job", 3, 90);
 }
 
+// Seen in the soak: an accepted job was listed never. Its owner was killed; the next one's takeover
+// was done and not answered, and the feed told of it while the answer was waited for. The daemon
+// then held the job by the store's word, and nobody ran it: a daemon never takes its own life for
+// gone.
+GATEWAY_TEST(batch_jobs, a_takeover_that_the_feed_tells_of_before_its_answer_is_gone_on_with,
+             twoGateways(90)) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(25));
+  co_await fixture.call(0, fixture.jobRequest("job", 3));
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(900));
+  fixture.store().faults().lose_writes = 1000;
+  fixture.cutFromStore(0);
+  const bool taken = co_await fixture.waitFor([&fixture] {
+    const std::string record = fixture.store().get("linenpier", "job/job").value_or("");
+    return record.find("\"owner\":\"d1#") != std::string::npos;
+  });
+  fixture.store().faults().lose_writes = 0;
+  cr_assert(taken);
+  const std::string results = co_await fixture.readAll(1, "job");
+  checkResults(results, "job", 3, 90);
+}
+
 GATEWAY_TEST(named_versions, a_named_version_reaches_every_engine_under_one_token, twoGateways(3)) {
   fixture.store().put("op", "version/m", R"({"model":"m","version":2})");
   const bool reached = co_await fixture.waitFor(
