Resume a job that is one's own by its row and that is not run

Cause: a takeover whose write was done and not answered, while the feed told of it: rows are not acted on during a takeover, and nothing looked again afterwards. Ruled out: the suspects (no item of the job was one). Change: the look at the owners of jobs resumes it.

--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -85,17 +85,21 @@
     job.active->fence = row.revision;
   } else if (!job.active && !job.activating && !record->ended && !stopping_ &&
              record->owner == deps_.leases.own()) {
-    // The next look settles whether this daemon is at home for it.
-    job.resumes_at_home = !mayOwn(*record);
-    if (job.resumes_at_home) return;
-    job.activating = true;
-    spawn(deps_.loop, [this, id] { return resume(id); });
+    resumeOwn(id, job);
   } else if (stopping_ && !job.active && !record->ended && record->owner == deps_.leases.own()) {
     // It was given to this daemon before anybody knew that it stops.
     spawn(deps_.loop, [this, id] { return handOverJob(id); });
   }
 }
 
+void BatchService::resumeOwn(const JobId& id, Job& job) {
+  // The next look settles whether this daemon is at home for it.
+  job.resumes_at_home = !mayOwn(job.record);
+  if (job.resumes_at_home) return;
+  job.activating = true;
+  spawn(deps_.loop, [this, id] { return resume(id); });
+}
+
 void BatchService::deactivate(Job& job, const char* reason) {
   if (!job.active || job.active->stopped) return;
   LogEvent("batch", "job_stopped")
@@ -126,6 +130,12 @@
     }
     if (job.record.ended || stopping_ || job.activating) continue;
     if (job.active && !job.active->stopped) continue;
+    if (job.record.owner == deps_.leases.own()) {
+      // The feed told of a takeover while its answer was waited for, which then did not come. This
+      // life never counts as gone, so that nobody else would run the job.
+      if (!job.active) resumeOwn(id, job);
+      continue;
+    }
     if (!deps_.leases.storeHealthy() || !deps_.leases.expired(job.record.owner)) continue;
     if (job.orphaned_at == Instant{}) job.orphaned_at = now;
     if (!mayOwn(job.record)) {
--- a/src/batch/batch_service.h
+++ b/src/batch/batch_service.h
@@ -187,6 +187,8 @@
   /// Gives up an owned job with the text made so far.
   Task<void> handOverJob(JobId id);
   Task<void> resume(JobId id);
+  /// Begins to run a job that is this daemon's by its row.
+  void resumeOwn(const JobId& id, Job& job);
   void deactivate(Job& job, const char* reason);
   void checkOwners(Instant now);
   Task<void> tickLoop();
