--- a/src/forward/forward_plain.cpp
+++ b/src/forward/forward_plain.cpp
@@ -49,7 +49,9 @@
   }
   recordAttempt(*forwarded, *call, result.verdict);
   bool ended = false;
-  if (result.verdict == AttemptVerdict::kBroken) ended = co_await call->engineHasEnded();
+  if (result.verdict == AttemptVerdict::kBroken) {
+    ended = co_await call->engineHasEnded();
+  }
   logAttempt(*forwarded, *call, result.verdict, ended);
   settleSuspicion(*forwarded, *call, result.verdict, attempt, ended);
   // The other engines that run it would end as well.
@@ -101,7 +103,7 @@
       const bool over = cancellation.requested() || steadyNow() >= forwarded->deadline;
       exhausted = !leave || over || !startAttempt(forwarded, race, *leave);
       if (!exhausted) policy.onStarted(steadyNow());
-      if (exhausted && leave && leave->trial) suspects_.onUnproved(*leave, keyOf(*forwarded));
+      if (exhausted && leave && leave->trial) suspects_.onUnproved(*leave, *forwarded->key);
     }
     if (policy.running() == 0) break;
     const Instant look = exhausted ? forwarded->deadline : policy.nextLook();
--- a/src/forward/forward_stream.cpp
+++ b/src/forward/forward_stream.cpp
@@ -42,7 +42,7 @@
     // Asking may have taken a moment.
     engine = context_.registry.find(chosen);
     if (engine == nullptr || writer.cancellation().requested()) {
-      if (leave->trial) suspects_.onUnproved(*leave, keyOf(forwarded));
+      if (leave->trial) suspects_.onUnproved(*leave, *forwarded.key);
       continue;
     }
     tried.insert(engine->record.id);
@@ -53,7 +53,9 @@
     policy.onStarted(now);
     const AttemptVerdict verdict = co_await relay(forwarded, *running, state, writer);
     bool ended = false;
-    if (verdict == AttemptVerdict::kBroken) ended = co_await running->engineHasEnded();
+    if (verdict == AttemptVerdict::kBroken) {
+      ended = co_await running->engineHasEnded();
+    }
     logAttempt(forwarded, *running, verdict, ended);
     settleSuspicion(forwarded, *running, verdict, *leave, ended);
     policy.onEnded(verdict);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -123,16 +123,19 @@
   if (closed && answer == FinalAnswer::kRefused) {
     response.set(context_.names.retry_after, secondsText(options_.retry_after_closed));
   }
-  if (forwarded.key) forwarded.held = suspects_.ask(*forwarded.key, suspects::asker::kCaller);
-  // Also where it has run and can't be refused: asking sooner is of no use.
-  if (forwarded.held.wait > options_.retry_after) {
+  if (forwarded.key) forwarded.held = suspects_.ask(*forwarded.key, suspects::Asker::kCaller);
+  // Also where it has run and can't be refused: asking sooner is of no use. What is tried just now
+  // is soon cleared if it is innocent.
+  const bool tried = forwarded.held.is == suspects::Standing::kTried;
+  if (!tried && forwarded.held.wait > options_.retry_after) {
     response.set(context_.names.retry_after, secondsText(forwarded.held.wait));
   }
   co_await writer.send(std::move(response));
 }
 
-const suspects::request_key& Forwarder::keyOf(ForwardedRequest& forwarded) const {
-  if (!forwarded.key) forwarded.key = suspects::keyOf(forwarded.from.tenant, *forwarded.request);
+const suspects::request_key& Forwarder::keyOf(ForwardedRequest& forwarded,
+                                              const http::Request& message) const {
+  if (!forwarded.key) forwarded.key = suspects::keyOf(forwarded.from.tenant, message);
   return *forwarded.key;
 }
 
@@ -141,15 +144,15 @@
   suspects::sent_attempt attempt;
   forwarded.held = {};
   if (!suspects_.any()) co_return attempt;
-  const suspects::request_key key = keyOf(forwarded);
-  forwarded.held = suspects_.ask(key, suspects::asker::kCaller);
-  if (forwarded.held.is == suspects::standing::kClear) co_return attempt;
+  const suspects::request_key key = keyOf(forwarded, *forwarded.request);
+  forwarded.held = suspects_.ask(key, suspects::Asker::kCaller);
+  if (forwarded.held.is == suspects::Standing::kClear) co_return attempt;
   // A second engine beside the first would be lost with it.
   if (!alone) co_return std::nullopt;
-  forwarded.held = co_await suspects_.beginTrial(key, suspects::asker::kCaller, forwarded.id);
+  forwarded.held = co_await suspects_.beginTrial(key, suspects::Asker::kCaller, forwarded.id);
   attempt.ends = forwarded.held.ends;
-  attempt.trial = forwarded.held.is == suspects::standing::kMayTry;
-  if (attempt.trial || forwarded.held.is == suspects::standing::kClear) co_return attempt;
+  attempt.trial = forwarded.held.is == suspects::Standing::kMayTry;
+  if (attempt.trial || forwarded.held.is == suspects::Standing::kClear) co_return attempt;
   co_return std::nullopt;
 }
 
@@ -157,12 +160,12 @@
                                 AttemptVerdict verdict, const suspects::sent_attempt& attempt,
                                 bool engine_ended) {
   if (engine_ended) {
-    suspects_.onEngineEnded(attempt, keyOf(forwarded), call.engine(), call.startedAt(),
-                            suspects::asker::kCaller, forwarded.id);
+    suspects_.onEngineEnded(attempt, keyOf(forwarded, call.request()), call.engine(),
+                            call.startedAt(), suspects::Asker::kCaller, forwarded.id);
   } else if (verdict != AttemptVerdict::kAnswered) {
-    if (attempt.trial) suspects_.onUnproved(attempt, keyOf(forwarded));
+    if (attempt.trial) suspects_.onUnproved(attempt, keyOf(forwarded, call.request()));
   } else if (suspects_.any()) {
-    suspects_.onAnswered(keyOf(forwarded));
+    suspects_.onAnswered(keyOf(forwarded, call.request()));
   }
 }
 
@@ -180,7 +183,8 @@
       .text("verdict", toText(verdict))
       .milliseconds("took_ms", steadyNow() - call.startedAt());
   if (verdict == AttemptVerdict::kBroken) {
-    event.text("key", keyOf(forwarded).str()).text("engine_ended", engine_ended ? "yes" : "no");
+    event.text("key", keyOf(forwarded, call.request()).str())
+        .text("engine_ended", engine_ended ? "yes" : "no");
   }
   if (engine != nullptr) {
     event.number("in_flight", engine->in_flight).number("failures", engine->failures);
--- a/src/suspects/suspect_book.h
+++ b/src/suspects/suspect_book.h
@@ -45,7 +45,7 @@
   std::size_t most = 4096;
 };
 
-enum class standing {
+enum class Standing {
   kClear,     ///< Nothing is known against it.
   kMayTry,    ///< It may run, alone.
   kTried,     ///< It runs somewhere; its turn may come when that is over.
@@ -53,11 +53,11 @@
   kBarred,    ///< It ended as many as prove what it does.
 };
 
-const char* toText(standing value);
+const char* toText(Standing value);
 
 /** What a request that wants to run is told. */
 struct verdict {
-  standing is = standing::kClear;
+  Standing is = Standing::kClear;
   int ends = 0;
   Duration wait{};      ///< Until asking again may help; zero if it may run.
   Duration evidence{};  ///< The age of the last end.
@@ -65,7 +65,7 @@
 
 /** Who asks. An item is asked for again by its owner until it is listed, a caller's request is not.
  */
-enum class asker { kCaller, kItem };
+enum class Asker { kCaller, kItem };
 
 /** Loop thread only; times are passed in. */
 class suspect_book {
@@ -77,7 +77,7 @@
   std::size_t barred(Instant now) const;
   const suspect_rules& rules() const { return this->rules_; }
 
-  verdict ask(Instant now, const request_key& key, asker who) const;
+  verdict ask(Instant now, const request_key& key, Asker who) const;
   /** @return ends known of the request: what an attempt knows when it is sent. */
   int endsOf(const request_key& key) const;
 
@@ -116,8 +116,11 @@
   std::vector<request_key> unwritten(std::size_t most) const;
   /** Other daemons are to know of it. */
   void setShared(const request_key& key);
-  /** @return the rows that other daemons are told of, as the store had them last. */
-  std::vector<table::Row> rows(Instant now, std::int64_t clock_ms, const std::string& prefix) const;
+  /** @return rows for a daemon that does not reach the store, those with most against them first.
+   * @param prefix of their keys.
+   */
+  std::vector<table::Row> rows(Instant now, std::int64_t clock_ms, const std::string& prefix,
+                               std::size_t most) const;
   /** Forgets what is too old. @return rows that may be removed now, at most `most`.
    * @param courtesy how much longer this daemon leaves that to others.
    */
@@ -141,6 +144,9 @@
   void addEngines(entry& into, const std::vector<EngineId>& engines) const;
   /** Makes room for one more. */
   void dropOne();
+  /** @return the requests that fit, those with most against them first. */
+  template <typename Fits>
+  std::vector<request_key> worst(std::size_t most, Fits fits) const;
 
   suspect_rules rules_;
   std::map<request_key, entry> entries_;
