--- a/src/batch/batch_items.cpp
+++ b/src/batch/batch_items.cpp
@@ -154,7 +154,7 @@
     deps_.suspects.onEngineEnded(attempt, keyOf(active, item), call.engine(), call.startedAt(),
                                  suspects::Asker::kItem, active.run.job().items[item].id.str());
   } else if (verdict != AttemptVerdict::kAnswered) {
-    if (attempt.trial) deps_.suspects.onUnproved(attempt, keyOf(active, item));
+    if (attempt.trial) deps_.suspects.onUnproved(keyOf(active, item));
   } else if (deps_.suspects.any()) {
     deps_.suspects.onAnswered(keyOf(active, item));
   }
--- a/src/forward/forward_plain.cpp
+++ b/src/forward/forward_plain.cpp
@@ -103,7 +103,7 @@
       const bool over = cancellation.requested() || steadyNow() >= forwarded->deadline;
       exhausted = !leave || over || !startAttempt(forwarded, race, *leave);
       if (!exhausted) policy.onStarted(steadyNow());
-      if (exhausted && leave && leave->trial) suspects_.onUnproved(*leave, *forwarded->key);
+      if (exhausted && leave && leave->trial) suspects_.onUnproved(*forwarded->key);
     }
     if (policy.running() == 0) break;
     const Instant look = exhausted ? forwarded->deadline : policy.nextLook();
--- a/src/forward/forward_stream.cpp
+++ b/src/forward/forward_stream.cpp
@@ -42,7 +42,7 @@
     // Asking may have taken a moment.
     engine = context_.registry.find(chosen);
     if (engine == nullptr || writer.cancellation().requested()) {
-      if (leave->trial) suspects_.onUnproved(*leave, *forwarded.key);
+      if (leave->trial) suspects_.onUnproved(*forwarded.key);
       continue;
     }
     tried.insert(engine->record.id);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -163,7 +163,7 @@
     suspects_.onEngineEnded(attempt, keyOf(forwarded, call.request()), call.engine(),
                             call.startedAt(), suspects::Asker::kCaller, forwarded.id);
   } else if (verdict != AttemptVerdict::kAnswered) {
-    if (attempt.trial) suspects_.onUnproved(attempt, keyOf(forwarded, call.request()));
+    if (attempt.trial) suspects_.onUnproved(keyOf(forwarded, call.request()));
   } else if (suspects_.any()) {
     suspects_.onAnswered(keyOf(forwarded, call.request()));
   }
--- a/src/gateway/peer_snapshot.cpp
+++ b/src/gateway/peer_snapshot.cpp
@@ -1,32 +1,11 @@
 #include "gateway/peer_snapshot.h"
 
-#include <nlohmann/json.hpp>
+#include "gateway/peer_rows.h"
 
 namespace linenpier::gateway {
 
 using nlohmann::json;
 
-namespace {
-
-json encodeRows(const std::vector<table::Row>& rows) {
-  json entries = json::array();
-  for (const table::Row& row : rows) {
-    entries.push_back({{"key", row.key}, {"revision", row.revision}, {"value", row.value}});
-  }
-  return entries;
-}
-
-std::vector<table::Row> decodeRows(const json& entries) {
-  std::vector<table::Row> rows;
-  for (const json& entry : entries) {
-    rows.push_back({entry.at("key").get<std::string>(), entry.at("revision").get<Revision>(),
-                    entry.at("value").get<std::string>()});
-  }
-  return rows;
-}
-
-}  // namespace
-
 std::string encodeSnapshot(const PeerSnapshot& snapshot) {
   json closed = json::object();
   for (const auto& [zone, revision] : snapshot.closed_zones) closed[zone.str()] = revision;
--- a/src/gateway/peer_write.cpp
+++ b/src/gateway/peer_write.cpp
@@ -1,6 +1,6 @@
 #include "gateway/peer_write.h"
 
-#include <nlohmann/json.hpp>
+#include "gateway/peer_rows.h"
 
 namespace linenpier::gateway {
 
@@ -38,13 +38,9 @@
 }
 
 std::string encodeAnswer(const table::TransactionAnswer& answer) {
-  json conflicts = json::array();
-  for (const table::Row& row : answer.conflicts) {
-    conflicts.push_back({{"key", row.key}, {"revision", row.revision}, {"value", row.value}});
-  }
   const json document = {{"committed", answer.committed},
                          {"revision", answer.revision},
-                         {"conflicts", std::move(conflicts)}};
+                         {"conflicts", encodeRows(answer.conflicts)}};
   return document.dump();
 }
 
@@ -55,11 +51,7 @@
     table::TransactionAnswer answer;
     answer.committed = document.at("committed").get<bool>();
     answer.revision = document.at("revision").get<Revision>();
-    for (const json& row : document.at("conflicts")) {
-      answer.conflicts.push_back({row.at("key").get<std::string>(),
-                                  row.at("revision").get<Revision>(),
-                                  row.at("value").get<std::string>()});
-    }
+    answer.conflicts = decodeRows(document.at("conflicts"));
     return answer;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -75,7 +75,7 @@
     connection_.reset();
     co_return ExchangeStatus::kWithheld;
   }
-  connection_->stream.expires_after(deadline - steadyNow());
+  connection_->expireAt(deadline);
   beginWrite();
   for (int surplus = 0; surplus <= kMostSurplusAnswers; ++surplus) {
     const ExchangeStatus status = co_await readHead(deadline);
@@ -106,7 +106,7 @@
     parser_->body_limit(kMostBody);
     if (request_.method() == beast_http::verb::head) parser_->skip(true);
     const auto connection = connection_;
-    connection->stream.expires_after(deadline - steadyNow());
+    connection->expireAt(deadline);
     boost::system::error_code error;
     co_await beast_http::async_read_header(connection->stream, connection->buffer, *parser_,
                                            asio::redirect_error(asio::use_awaitable, error));
@@ -134,7 +134,7 @@
   parser_->get().body().data = out.data() + before;
   parser_->get().body().size = kReadPiece;
   parser_->get().body().more = true;
-  connection->stream.expires_after(deadline - steadyNow());
+  connection->expireAt(deadline);
   boost::system::error_code error;
   co_await beast_http::async_read_some(connection->stream, connection->buffer, *parser_,
                                        asio::redirect_error(asio::use_awaitable, error));
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -34,7 +34,7 @@
 
 Task<boost::system::error_code> ConnectionPool::open(ClientConnectionPtr connection,
                                                      Instant deadline) {
-  connection->stream.expires_after(deadline - steadyNow());
+  connection->expireAt(deadline);
   const Address peer = connection->peer;
   const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(peer.ip), peer.port);
   boost::system::error_code error;
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -24,6 +24,10 @@
   Address peer;
   Instant usable_until{};  ///< The peer closes it some time after this.
   bool reused = false;     ///< Whether it carried an exchange before.
+
+  /// Ends what is read or written after `deadline`. The stream's own timer runs on the steady
+  /// clock.
+  void expireAt(Instant deadline) { stream.expires_after(deadline - steadyNow()); }
 };
 
 using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
--- a/src/suspects/suspect_gate.h
+++ b/src/suspects/suspect_gate.h
@@ -44,8 +44,8 @@
                              const std::string& id) = 0;
   /** An engine answered it whole, whatever the status: it is none that ends its engines. */
   virtual void onAnswered(const request_key& key) = 0;
-  /** The attempt ended and says nothing: it was refused, stopped, or not answered. */
-  virtual void onUnproved(const sent_attempt& attempt, const request_key& key) = 0;
+  /** A trial ended and says nothing: it was refused, stopped, or not answered. */
+  virtual void onUnproved(const request_key& key) = 0;
 };
 
 }  // namespace linenpier::suspects
--- a/src/suspects/suspect_service.cpp
+++ b/src/suspects/suspect_service.cpp
@@ -139,8 +139,7 @@
   spawn(this->deps_.loop, [this, key, revision] { return this->removeRow(key, revision); });
 }
 
-void suspect_service::onUnproved(const sent_attempt& attempt, const request_key& key) {
-  if (!attempt.trial) return;
+void suspect_service::onUnproved(const request_key& key) {
   this->book_.onTrialEnded(key, this->self());
   this->changed_.notifyAll();
 }
@@ -188,16 +187,15 @@
 
 // --- The store -----------------------------------------------------------------------------------
 
-Revision suspect_service::onConflict(const request_key& key, const std::vector<table::Row>& rows) {
+void suspect_service::onConflict(const request_key& key, const std::vector<table::Row>& rows) {
   const std::string name = gateway::suspectKey(key.str());
   for (const table::Row& row : rows) {
     if (row.key != name) continue;
     this->onRow(key, row);
-    return row.revision;
+    return;
   }
   // It was removed. What this daemon knows beyond that is written anew.
   this->book_.onRowGone(key, this->book_.revisionOf(key) + 1);
-  return 0;
 }
 
 table::Write suspect_service::writeOf(const request_key& key, const suspect_record& record) const {
--- a/src/suspects/suspect_service.h
+++ b/src/suspects/suspect_service.h
@@ -58,7 +58,7 @@
   void onEngineEnded(const sent_attempt& attempt, const request_key& key, const EngineId& engine,
                      Instant sent_at, Asker who, const std::string& id) override;
   void onAnswered(const request_key& key) override;
-  void onUnproved(const sent_attempt& attempt, const request_key& key) override;
+  void onUnproved(const request_key& key) override;
 
   /** Rows as the feed tells them. */
   void onRow(const request_key& key, const table::Row& row);
@@ -84,8 +84,8 @@
   /** The same, waiting for a moment only. */
   Task<WriteOutcome> claim(request_key key);
   Task<void> removeRow(request_key key, Revision revision);
-  /** Takes over what the store said in place of a write. @return the row's revision, 0: none. */
-  Revision onConflict(const request_key& key, const std::vector<table::Row>& rows);
+  /** Takes over what the store said in place of a write. */
+  void onConflict(const request_key& key, const std::vector<table::Row>& rows);
   std::int64_t clock() const { return this->deps_.keeper.storeClock(steadyNow()); }
   std::string self() const { return this->deps_.leases.own().str(); }
   void onRefused(const verdict& told, const request_key& key, const std::string& id);
--- a/tests/gateway/batch_test.cpp
+++ b/tests/gateway/batch_test.cpp
@@ -37,6 +37,12 @@
   cr_assert(seen.contains(job + "-0"));
 }
 
+/// @return whether the row of the job named "job" has the daemon as its owner.
+bool ownedBy(GatewayFixture& fixture, const std::string& daemon) {
+  const std::string record = fixture.store().get("linenpier", "job/job").value_or("");
+  return record.find("\"owner\":\"" + daemon + "#") != std::string::npos;
+}
+
 }  // namespace
 
 GATEWAY_TEST(batch_jobs, a_job_is_run_and_reads_alike_at_every_daemon, twoGateways(6)) {
@@ -308,10 +314,7 @@
   co_await fixture.call(0, fixture.jobRequest("job", 3));
   co_await sleepFor(fixture.loop(), std::chrono::milliseconds(900));
   fixture.cutFromStore(0);
-  const bool taken = co_await fixture.waitFor([&fixture] {
-    const std::string record = fixture.store().get("linenpier", "job/job").value_or("");
-    return record.find("\"owner\":\"d1#") != std::string::npos;
-  });
+  const bool taken = co_await fixture.waitFor([&fixture] { return ownedBy(fixture, "d1"); });
   cr_assert(taken);
   const std::string results = co_await fixture.readAll(1, "job");
   checkResults(results, "job", 3, 90);
@@ -328,10 +331,7 @@
   co_await sleepFor(fixture.loop(), std::chrono::milliseconds(900));
   fixture.store().faults().lose_writes = 1000;
   fixture.cutFromStore(0);
-  const bool taken = co_await fixture.waitFor([&fixture] {
-    const std::string record = fixture.store().get("linenpier", "job/job").value_or("");
-    return record.find("\"owner\":\"d1#") != std::string::npos;
-  });
+  const bool taken = co_await fixture.waitFor([&fixture] { return ownedBy(fixture, "d1"); });
   fixture.store().faults().lose_writes = 0;
   cr_assert(taken);
   const std::string results = co_await fixture.readAll(1, "job");
--- a/tests/gateway/fatal_requests_test.cpp
+++ b/tests/gateway/fatal_requests_test.cpp
@@ -30,14 +30,19 @@
   return options;
 }
 
-/// The same request as every other that this makes, under an id of its own.
-http::Request fatalLookup(GatewayFixture& fixture, int number) {
-  http::Request request = fixture.lookupRequest("f" + std::to_string(number));
-  request.body() = "fatal";
+http::Request requestOf(GatewayFixture& fixture, const std::string& id, const std::string& body,
+                        const std::string& path = "/look/1") {
+  http::Request request = fixture.lookupRequest(id, path);
+  request.body() = body;
   request.prepare_payload();
   return request;
 }
 
+/// The same request as every other that this makes, under an id of its own.
+http::Request fatalLookup(GatewayFixture& fixture, int number) {
+  return requestOf(fixture, "f" + std::to_string(number), "fatal");
+}
+
 /// Sends the request again and again, to the daemons in turn from `first` on.
 Task<void> sendFatal(GatewayFixture& fixture, int times, std::size_t first, std::size_t daemons) {
   for (int i = 0; i < times; ++i) {
@@ -124,9 +129,7 @@
     for (int i = 0; i < 6; ++i) {
       fixture.lookup(static_cast<std::size_t>(i % 4)).script().push_back(test::SamplerAct::kSilent);
       spawn(fixture.loop(), [&fixture, &served, i]() -> Task<void> {
-        http::Request request = fixture.lookupRequest("n" + std::to_string(i));
-        request.body() = "innocent";
-        request.prepare_payload();
+        http::Request request = requestOf(fixture, "n" + std::to_string(i), "innocent");
         co_await fixture.call(static_cast<std::size_t>(i % 3), std::move(request));
         ++served;
       });
@@ -136,9 +139,7 @@
     cr_assert(co_await fixture.waitFor([&served] { return served == 6; }));
     for (std::size_t i = 0; i < 4; ++i) fixture.lookup(i).script().clear();
     co_await sleepFor(fixture.loop(), std::chrono::milliseconds(1200));
-    http::Request again = fixture.lookupRequest("a" + std::to_string(round));
-    again.body() = "innocent";
-    again.prepare_payload();
+    http::Request again = requestOf(fixture, "a" + std::to_string(round), "innocent");
     const auto outcome = co_await fixture.call(0, std::move(again));
     cr_assert_eq(outcome.response.result_int(), 200U, "round %d", round);
   }
@@ -183,9 +184,7 @@
 GATEWAY_TEST(fatal_requests, a_stream_ends_few_engines, threeDaemons()) {
   fixture.setFatal({.mark = "fatal"});
   for (int i = 0; i < 50; ++i) {
-    http::Request request = fixture.lookupRequest("s" + std::to_string(i), "/talk/1");
-    request.body() = "fatal";
-    request.prepare_payload();
+    http::Request request = requestOf(fixture, "s" + std::to_string(i), "fatal", "/talk/1");
     co_await fixture.call(static_cast<std::size_t>(i % 3), std::move(request));
     co_await sleepFor(fixture.loop(), kBetweenTries);
   }
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <boost/asio/write.hpp>
 
+#include "support/listen_again.h"
+
 namespace linenpier::soak {
 
 namespace asio = boost::asio;
@@ -65,11 +67,7 @@
 }
 
 void fault_proxy::listenAgain() {
-  const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), this->own_.port);
-  this->acceptor_.open(endpoint.protocol());
-  this->acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  this->acceptor_.bind(endpoint);
-  this->acceptor_.listen();
+  test::listenAgain(this->acceptor_, this->own_.port);
   spawn(this->loop_, [this] { return this->acceptLoop(); });
 }
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -224,35 +224,36 @@
 }
 
 Task<void> soak_run::sendFatal(std::string id, std::string body) {
-  http::Request request = makeRequest(boost::beast::http::verb::post, "/look/1");
-  request.set("Request-Id", id);
-  request.set("Deadline-Ms", "1000");
-  request.body() = body;
-  request.prepare_payload();
-  this->checker_.onSent(id, false);
+  sent_request each{std::move(id), "/look/1", std::move(body), false};
   const std::size_t gateway = this->fatal_choice_.below(this->gateways_.size());
-  const http::CallOutcome outcome = co_await this->call(gateway, std::move(request), kCallTime);
-  if (outcome.status != http::ExchangeStatus::kOk) co_return;
-  this->checker_.onAnswer(id, outcome.response.result_int(),
-                          http::fieldText(outcome.response, "Response-Signature"),
-                          outcome.response.body());
+  co_await this->send(std::move(each), gateway);
 }
 
 Task<void> soak_run::callOnce(std::string id, bool once) {
-  http::Request request = makeRequest(boost::beast::http::verb::post, once ? "/once/1" : "/look/1");
-  request.set("Request-Id", id);
-  request.set("Deadline-Ms", "1000");
-  request.body() = "body of " + id;
-  request.prepare_payload();
-  this->checker_.onSent(id, once);
+  sent_request each;
+  each.id = id;
+  each.path = once ? "/once/1" : "/look/1";
+  each.body = "body of " + id;
+  each.once = once;
   ++this->sent_;
   const std::size_t gateway = this->choice_.below(this->gateways_.size());
+  const unsigned status = co_await this->send(std::move(each), gateway);
+  if (status == 200) ++this->served_;
+}
+
+Task<unsigned> soak_run::send(sent_request each, std::size_t gateway) {
+  http::Request request = makeRequest(boost::beast::http::verb::post, each.path);
+  request.set("Request-Id", each.id);
+  request.set("Deadline-Ms", "1000");
+  request.body() = each.body;
+  request.prepare_payload();
+  this->checker_.onSent(each.id, each.once);
   const http::CallOutcome outcome = co_await this->call(gateway, std::move(request), kCallTime);
-  if (outcome.status != http::ExchangeStatus::kOk) co_return;
+  if (outcome.status != http::ExchangeStatus::kOk) co_return 0;
   const unsigned status = outcome.response.result_int();
-  if (status == 200) ++this->served_;
-  this->checker_.onAnswer(id, status, http::fieldText(outcome.response, "Response-Signature"),
+  this->checker_.onAnswer(each.id, status, http::fieldText(outcome.response, "Response-Signature"),
                           outcome.response.body());
+  co_return status;
 }
 
 // --- The trainer --------------------------------------------------------------------------------
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -49,6 +49,12 @@
     std::unique_ptr<fault_proxy> front;
     std::unique_ptr<fault_proxy> store;
   };
+  struct sent_request {
+    std::string id;
+    std::string path;
+    std::string body;
+    bool once = false;  ///< It may run once at most.
+  };
   struct job {
     std::string id;
     std::vector<std::string> items;
@@ -64,6 +70,8 @@
   /** Sends one and the same request, which ends the engines that run it, again and again. */
   Task<void> fatalLoop();
   Task<void> sendFatal(std::string id, std::string body);
+  /** @return the status of the answer; 0: there was none. */
+  Task<unsigned> send(sent_request each, std::size_t gateway);
   Task<void> callOnce(std::string id, bool once);
   Task<void> trainLoop();
   Task<void> runJob(job each);
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/read.hpp>
 #include <nlohmann/json.hpp>
 
+#include "support/listen_again.h"
+
 namespace linenpier::test {
 
 namespace asio = boost::asio;
@@ -76,27 +78,22 @@
 
 Task<void> StandinSampler::comeBack(Address address) {
   co_await sleepFor(loop_, fatal_.down);
-  const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), address.port);
-  acceptor_.open(endpoint.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(endpoint);
-  acceptor_.listen();
+  listenAgain(acceptor_, address.port);
   const std::string before = id_;
   id_ = before.substr(0, before.find('+')) + "+" + std::to_string(ends_);
   spawn(loop_, [this] { return acceptLoop(); });
   if (restarted_) restarted_(before);
 }
 
-Task<bool> StandinSampler::runFatal(Connection& connection) {
+Task<void> StandinSampler::runFatal(Connection& connection) {
   const int before = ends_;
   co_await sleepFor(loop_, fatal_.after);
-  if (ends_ != before) co_return false;
+  if (ends_ != before) co_return;
   if (connection.clientGone()) {
     ++dropped_;
-    co_return false;
+    co_return;
   }
   crash();
-  co_return false;
 }
 
 Task<bool> StandinSampler::write(Connection& connection, std::string bytes) {
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -109,8 +109,8 @@
   struct Connection;
   Task<void> acceptLoop();
   Task<void> comeBack(Address address);
-  /// Runs a request that is fatal. @return whether its connection goes on.
-  Task<bool> runFatal(Connection& connection);
+  /// Runs a request that is fatal.
+  Task<void> runFatal(Connection& connection);
   Task<void> serve(std::shared_ptr<Connection> connection);
   Task<bool> answer(Connection& connection, SamplerArrival arrival, SamplerAct act);
   Task<bool> stream(Connection& connection, const SamplerArrival& arrival, bool cut);
