Derive lapses of engines' entries from the platform's heartbeat

Cause: 3 s of an outage were taken to let entries lapse, which holds for heartbeats of 1.2 s; the fleet beats each 5 s. The time is 2.5 heartbeats now, of the setting engines.heartbeat_ms, and so is the age at which entries tell nothing of cold engines. Where the platform names none, 1.2 s as before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -102,6 +102,7 @@
       random_(seed + 2) {
   registry_.cold().onStart(steadyNow());
   registry_.cold().setRules(settings.cold);
+  registry_.setHeartbeat(settings.engine_heartbeat);
   registry_.setLayout(settings.layout);
   forwarder_.followHomes([this] { return routes_; });
 }
@@ -153,6 +154,7 @@
   settings_.stop_limit = changed.stop_limit;
   settings_.store = changed.store;
   registry_.cold().setRules(changed.cold);
+  registry_.setHeartbeat(changed.engine_heartbeat);
   settings_.layout = changed.layout;
   registry_.setLayout(changed.layout);
   if (routes_) demand_ = demandOf(*routes_, settings_.layout);
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -120,6 +120,8 @@
   reader.readNumber("batch.requests_per_slot", settings.batch.requests_per_slot, 0.1, 10);
   reader.readNumber("engines.cold_overshoot", settings.cold.overshoot, 0, 1000);
   reader.readNumber("engines.cold_slack", settings.cold.slack, 0, 1e6);
+  double heartbeat_ms = toSeconds(settings.engine_heartbeat) * 1000;
+  reader.readNumber("engines.heartbeat_ms", heartbeat_ms, 1, 600000);
   double keep_seconds = toSeconds(settings.batch.keep_jobs);
   reader.readNumber("batch.keep_seconds", keep_seconds, 1, 1e6);
   double leave_zone_ms = toSeconds(settings.batch.leaving.within) * 1000;
@@ -138,6 +140,7 @@
   if (autoscales) settings.scaling.mode = scalingModeFromName(scaling_mode);
   settings.rollout.patience = fromSeconds(patience_ms / 1000);
   settings.rollout.mode = loadModeFromName(mode);
+  settings.engine_heartbeat = fromSeconds(heartbeat_ms / 1000);
   settings.batch.keep_jobs = fromSeconds(keep_seconds) + kRemovalSlack;
   settings.batch.leaving.within = fromSeconds(leave_zone_ms / 1000);
   settings.log_text = format == "text";
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -41,6 +41,8 @@
   versions::RolloutOptions rollout;
   batch::BatchOptions batch;
   engines::cold_rules cold;  ///< Of engines that started lately.
+  /// Between two heartbeats of an engine, as the platform sets it.
+  Duration engine_heartbeat = engines::RegistryOptions{}.heartbeat;
   bool log_enabled = true;
   bool log_text = false;
 };
