Take entries that name no engine out of use; tell peers what changed

Cause, by reading: an entry of another writer left the engine that stood under its id in use, one without a state counted as ready, slots of 0 were believed; an engine that started again under its id was taken for the old one. A daemon that does not reach the store was told all engines at each question: 4.5 MB at 10,000 engines, wanted within 0.3 s from some 13 peers by a third of the fleet ten times a second. Each daemon kept the text of each engine's row beside its record.

Change: an entry is read whole or it names no engine, with a log line that says what is wrong; the start of an engine is read from its entries and reports, and what an earlier start says later is passed over. A question to a peer says what the asker knows and is answered with what changed since; an older build's question is answered as before, and an older build's whole list is read. Rows of a whole read are taken page by page. Lines about engines that leave are sampled.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,11 +9,13 @@
 #include "common/random.h"
 #include "fleet/zone_closings.h"
 #include "forward/forwarder.h"
+#include "gateway/engine_changes.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/owner_demand.h"
 #include "gateway/peer_snapshot.h"
 #include "gateway/platform_port.h"
 #include "lease/lease_watch.h"
+#include "logging/success_sampler.h"
 #include "metrics/gateway_metrics.h"
 #include "scaling/scaling_service.h"
 #include "suspects/suspect_service.h"
@@ -22,6 +24,11 @@
 
 namespace linenpier::gateway {
 
+/// Lines a second about engines that leave. A release of a large fleet tells every daemon of a
+/// hundred of them each second: those beyond are sampled and counted.
+inline constexpr std::uint32_t kEngineLinesPerSecond = 10;
+inline constexpr std::uint32_t kThenOneLineIn = 20;
+
 /// Loop thread only.
 class Gateway {
  public:
@@ -57,7 +64,12 @@
   bool followsOperator() const { return routes_ && operator_watcher_->healthy(); }
   Task<void> handleReadiness(http::Request& request, http::ResponseWriter& writer);
   Task<void> handlePeer(http::Request& request, http::ResponseWriter& writer);
-  Task<void> tellSnapshot(http::ResponseWriter& writer);
+  /// @param target of the call, which says what the asker knows.
+  Task<void> tellSnapshot(const std::string& target, http::ResponseWriter& writer);
+  void tellEngines(Revision known, PeerSnapshot& told) const;
+  void takeEngines(const PeerSnapshot& told);
+  /// @return how much of the engine table this daemon knows, from the store or a peer.
+  Revision enginesRevision() const;
   /// Does a write for a daemon that does not reach the store.
   Task<void> writeForPeer(http::Request& request, http::ResponseWriter& writer);
   /// Lets other daemons do a write, one after the other. @return nothing if none did.
@@ -65,6 +77,7 @@
   /// Asks other daemons while the store does not answer.
   Task<void> peerLoop();
   Task<void> askPeer(Address peer);
+  Task<void> countAsk(Address peer);
   /// @return daemons that may know what this one misses.
   std::vector<Address> knownPeers() const;
   Task<void> handleMetrics(http::ResponseWriter& writer);
@@ -110,7 +123,12 @@
   bool ownsWork() const;
   /// The leases were read, or could not be.
   void onLeasesRead(bool answered);
-  void onEngineSnapshot(const std::vector<table::Row>& rows);
+  /// A row of the whole table of engines, and its end.
+  void onEngineListed(const table::Row& row);
+  void onEnginesListed(Revision revision);
+  /// @return nothing if the row names no engine; one that stood there is out of use then.
+  std::optional<engines::EngineRecord> readEngine(const table::Row& row);
+  void noteEngine(const engines::EngineRecord& record);
   void onCoordinationRow(const table::RowChange& change);
   /// The table of jobs, rights and suspects was read whole.
   void onCoordinationRead(const std::vector<table::Row>& rows);
@@ -144,12 +162,15 @@
   http::Server peer_server_;
   /// What this daemon acts on, as rows, to be told to others; without the engines.
   PeerSnapshot snapshot_;
-  std::map<std::string, table::Row> engine_rows_;  ///< The engines of that, by key.
-  std::uint64_t engine_updates_ = 0;               ///< Changes that no line was written about.
+  engine_changes engine_changes_;
+  std::set<EngineId> listed_engines_;  ///< Of the read of the whole table that is under way.
+  std::uint64_t engine_updates_ = 0;   ///< Changes that no line was written about.
+  logging::SuccessSampler engine_lines_{kEngineLinesPerSecond, kThenOneLineIn};
   std::unique_ptr<table::TableWatcher> operator_watcher_;
   std::unique_ptr<table::TableWatcher> engine_watcher_;
   std::unique_ptr<table::TableWatcher> coordination_watcher_;
-  bool engines_known_ = false;  ///< Whether the engines were read, from the store or a peer.
+  std::size_t peers_asked_ = 0;  ///< Calls for what peers know that are under way.
+  bool engines_known_ = false;   ///< Whether the engines were read, from the store or a peer.
   Random random_;
   bool stopping_ = false;
 };
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -19,6 +19,9 @@
 /// the few that a change of keys may take.
 constexpr std::size_t kPeersAtOnce = 3;
 constexpr Duration kPeerCallTime = std::chrono::milliseconds(300);
+/// The same for one that tells a list of all engines, as to a daemon that has just started: 4 MB
+/// for ten thousand, half a second over the link of a small machine that others ask, too.
+constexpr Duration kPeerListTime = std::chrono::milliseconds(1500);
 constexpr Duration kPeerWriteTime = std::chrono::milliseconds(400);
 /// After which a feed tells nothing, whatever it counts as: one that works answers within 2.7 s. A
 /// store that limits a daemon's calls refuses them without being away.
@@ -45,7 +48,7 @@
   if (request.target() == kWritePath) {
     co_await writeForPeer(request, writer);
   } else {
-    co_await tellSnapshot(writer);
+    co_await tellSnapshot(std::string(request.target()), writer);
   }
 }
 
@@ -92,14 +95,45 @@
   co_return std::nullopt;
 }
 
-Task<void> Gateway::tellSnapshot(http::ResponseWriter& writer) {
+Revision Gateway::enginesRevision() const {
+  return std::max(snapshot_.engines_revision, engine_watcher_->revision());
+}
+
+void Gateway::tellEngines(Revision known, PeerSnapshot& told) const {
+  told.engines_revision = enginesRevision();
+  const auto toRow = [&](const engines::EngineRecord& record) {
+    return table::Row{platform_.engineTable() + "/" + record.id.str(), told.engines_revision,
+                      platform_.encodeEngine(record)};
+  };
+  const auto changed = engine_changes_.since(known);
+  if (!changed) {
+    for (const auto& [id, engine] : registry_.all()) {
+      if (!engine.lapsed) told.engines.push_back(toRow(engine.record));
+    }
+    return;
+  }
+  told.engines_since = known;
+  for (const EngineId& id : *changed) {
+    const engines::EngineState* engine = registry_.find(id);
+    if (engine == nullptr || engine->lapsed) {
+      told.engines_gone.push_back(id.str());
+    } else {
+      told.engines.push_back(toRow(engine->record));
+    }
+  }
+}
+
+Task<void> Gateway::tellSnapshot(const std::string& target, http::ResponseWriter& writer) {
   http::Response response;
   if (routes_ && engines_known_ && suspects_.known()) {
-    snapshot_.engines_revision = std::max(snapshot_.engines_revision, engine_watcher_->revision());
-    PeerSnapshot told = snapshot_;
+    const KnownByAsker known = knownByAsker(target);
+    PeerSnapshot told;
+    told.config_version = snapshot_.config_version;
+    const bool newer = snapshot_.config_version > known.config_version;
+    if (newer) told.configuration = snapshot_.configuration;
     told.zones_revision = zonesRevision();
     told.closed_zones = closings_.zones().all();
-    for (const auto& [key, row] : engine_rows_) told.engines.push_back(row);
+    tellEngines(known.engines_revision, told);
     told.suspects = suspects_.rows();
     response.body() = encodeSnapshot(told);
   } else {
@@ -116,9 +150,11 @@
                             !tells(*coordination_watcher_) || !suspects_.known();
     if (!store_away || stopping_) continue;
     const std::vector<Address> peers = knownPeers();
+    // Lists of all engines that are under way are not asked for again.
+    if (!engines_known_ && peers_asked_ > 0) continue;
     for (std::size_t i = 0; i < std::min(kPeersAtOnce, peers.size()); ++i) {
       const Address peer = peers[next++ % peers.size()];
-      spawn(loop_, [this, peer] { return askPeer(peer); });
+      spawn(loop_, [this, peer] { return countAsk(peer); });
     }
   }
 }
@@ -132,10 +168,37 @@
   return peers;
 }
 
+void Gateway::takeEngines(const PeerSnapshot& told) {
+  if (told.engines_since && *told.engines_since > enginesRevision()) return;
+  if (!told.engines_since) listed_engines_.clear();
+  for (const table::Row& row : told.engines) {
+    onEngineListed(row);
+    engine_changes_.onChange(EngineId(keyWithoutTable(row)), told.engines_revision);
+  }
+  if (!told.engines_since) {
+    onEnginesListed(told.engines_revision);
+  } else {
+    for (const std::string& id : told.engines_gone) {
+      engine_changes_.onChange(EngineId(id), told.engines_revision);
+      const auto address = registry_.onGone(steadyNow(), EngineId(id));
+      if (address) engine_pool_.forget(*address);
+    }
+    listed_engines_.clear();
+  }
+  snapshot_.engines_revision = told.engines_revision;
+}
+
+Task<void> Gateway::countAsk(Address peer) {
+  ++peers_asked_;
+  co_await askPeer(peer);
+  --peers_asked_;
+}
+
 Task<void> Gateway::askPeer(Address peer) {
-  http::Request request(boost::beast::http::verb::get, "/snapshot", 11);
+  const KnownByAsker known{snapshot_.config_version, engines_known_ ? enginesRevision() : 0};
+  http::Request request(boost::beast::http::verb::get, snapshotTarget(known), 11);
   request.set(boost::beast::http::field::host, "peer");
-  const Instant deadline = steadyNow() + kPeerCallTime;
+  const Instant deadline = steadyNow() + (engines_known_ ? kPeerCallTime : kPeerListTime);
   const http::CallOutcome outcome =
       co_await http::call(engine_pool_, peer, std::move(request), deadline);
   if (outcome.status != http::ExchangeStatus::kOk || outcome.response.result_int() != 200)
@@ -147,13 +210,10 @@
   const bool zones_newer = told->zones_revision > zonesRevision();
   if (zones_newer) onZoneTable(told->zones_revision, told->closed_zones, "peer");
   if (!tells(*coordination_watcher_)) suspects_.onTold(told->suspects);
-  if (!tells(*operator_watcher_)) onConfiguration(told->configuration);
-  const bool newer =
-      told->engines_revision > std::max(snapshot_.engines_revision, engine_watcher_->revision());
-  if (!tells(*engine_watcher_) && (newer || !engines_known_)) {
-    onEngineSnapshot(told->engines);
-    snapshot_.engines_revision = told->engines_revision;
-  }
+  const bool config_told = !told->configuration.empty();
+  if (config_told && !tells(*operator_watcher_)) onConfiguration(told->configuration);
+  const bool newer = told->engines_revision > enginesRevision();
+  if (!tells(*engine_watcher_) && (newer || !engines_known_)) takeEngines(*told);
   if (newer || snapshot_.config_version > before) {
     LogEvent("gateway", "told_by_peer")
         .text("peer", toString(peer))
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -32,10 +32,6 @@
 constexpr Duration kProbeIdle = std::chrono::milliseconds(500);
 constexpr Duration kProbePatience = std::chrono::milliseconds(500);
 
-std::string keyWithoutTable(const table::Row& row) {
-  return row.key.substr(row.key.find('/') + 1);
-}
-
 }  // namespace
 
 void Gateway::watchTables() {
@@ -63,8 +59,12 @@
       loop_, platform_.table(), platform_.operatorTable(), operator_options, operators);
 
   table::TableWatcher::Listener engine_listener;
-  engine_listener.on_snapshot = [this](const std::vector<table::Row>& rows) {
-    onEngineSnapshot(rows);
+  engine_listener.on_page = [this](const std::vector<table::Row>& rows, bool first_page) {
+    if (first_page) listed_engines_.clear();
+    for (const table::Row& row : rows) onEngineListed(row);
+  };
+  engine_listener.on_snapshot = [this](const std::vector<table::Row>&) {
+    onEnginesListed(engine_watcher_->revision());
   };
   engine_listener.on_change = [this](const table::RowChange& change) { onEngineRow(change); };
   engine_listener.on_health = [this](bool healthy) {
@@ -177,51 +177,80 @@
   routes_ = std::make_shared<const routing::RouteTable>(std::move(*parsed));
   demand_ = demandOf(*routes_, settings_.layout);
   requests_.setLimits(routes_->limits);
-  registry_.cold().setServices(routes_->services);
+  registry_.setServices(routes_->services);
 }
 
-void Gateway::onEngineSnapshot(const std::vector<table::Row>& rows) {
-  std::vector<engines::EngineRecord> records;
-  for (const table::Row& row : rows) {
-    auto record = platform_.parseEngine(keyWithoutTable(row), row.value);
-    if (record) records.push_back(std::move(*record));
-  }
-  engines_known_ = true;
-  engine_rows_.clear();
-  for (const table::Row& row : rows) engine_rows_[row.key] = row;
-  LogEvent("engines", "listed").number("count", static_cast<std::int64_t>(records.size()));
-  for (const Address& gone : registry_.onList(steadyNow(), records)) engine_pool_.forget(gone);
+void Gateway::onEngineListed(const table::Row& row) {
+  const auto record = readEngine(row);
+  if (!record) return;
+  listed_engines_.insert(record->id);
+  noteEngine(*record);
 }
 
-void Gateway::onEngineRow(const table::RowChange& change) {
-  const std::string key = keyWithoutTable(change.row);
-  const Instant now = steadyNow();
-  if (change.gone) {
-    engine_rows_.erase(change.row.key);
-    const auto address = registry_.onGone(now, EngineId(key));
-    if (address) engine_pool_.forget(*address);
-    LogEvent("engines", address ? "gone" : "lapsed").text("engine", key);
-    return;
+void Gateway::onEnginesListed(Revision revision) {
+  engines_known_ = true;
+  engine_changes_.begin(revision);
+  LogEvent("engines", "listed")
+      .number("count", static_cast<std::int64_t>(listed_engines_.size()))
+      .number("revision", static_cast<std::int64_t>(revision));
+  for (const Address& gone : registry_.keepOnly(steadyNow(), listed_engines_)) {
+    engine_pool_.forget(gone);
   }
-  engine_rows_[change.row.key] = change.row;
-  const auto record = platform_.parseEngine(key, change.row.value);
-  if (!record) {
-    LogEvent("engines", "bad_record").text("engine", key);
-    return;
+  listed_engines_.clear();
+}
+
+std::optional<engines::EngineRecord> Gateway::readEngine(const table::Row& row) {
+  const std::string key = keyWithoutTable(row);
+  auto record = platform_.parseEngine(key, row.value);
+  if (record) return std::move(*record);
+  const auto address = registry_.onUnreadable(EngineId(key));
+  if (address) engine_pool_.forget(*address);
+  LogEvent("engines", "bad_record")
+      .text("engine", key)
+      .text("findings", describe(record.error()))
+      .number("revision", static_cast<std::int64_t>(row.revision))
+      .text("was_in_use", address ? "yes" : "no");
+  return std::nullopt;
+}
+
+void Gateway::noteEngine(const engines::EngineRecord& record) {
+  const engines::EngineState* known = registry_.find(record.id);
+  const bool was_draining = known != nullptr && known->record.draining;
+  const std::optional<Address> before =
+      known == nullptr ? std::nullopt : std::optional(known->record.address);
+  const engines::RecordEffect effect = registry_.onRecord(steadyNow(), record);
+  if (effect == engines::RecordEffect::kRestarted) {
+    engine_pool_.forget(*before);
+    LogEvent("engines", "restarted").text("engine", record.id.str()).number("start", record.start);
   }
-  const engines::EngineState* known = registry_.find(record->id);
-  // New engines are counted as well: when a fleet starts every daemon hears of all of them.
-  const bool told = record->draining && (known == nullptr || !known->record.draining);
-  registry_.onRecord(now, *record);
+  // New engines are counted as well: when a fleet starts every daemon hears of all of them. Weights
+  // and the like change many times a second in a large fleet.
+  const bool told = record.draining && !was_draining && engine_lines_.admit(steadyNow());
   if (!told) {
-    // Weights and the like change many times a second in a large fleet.
     ++engine_updates_;
     return;
   }
   LogEvent("engines", "draining")
-      .text("engine", key)
-      .text("service", record->service.str())
-      .number("revision", static_cast<std::int64_t>(change.row.revision));
+      .text("engine", record.id.str())
+      .text("service", record.service.str());
+}
+
+void Gateway::onEngineRow(const table::RowChange& change) {
+  const EngineId id(keyWithoutTable(change.row));
+  engine_changes_.onChange(id, change.row.revision);
+  if (!change.gone) {
+    if (const auto record = readEngine(change.row)) noteEngine(*record);
+    return;
+  }
+  const auto address = registry_.onGone(steadyNow(), id);
+  if (address) engine_pool_.forget(*address);
+  if (engine_lines_.admit(steadyNow())) {
+    LogEvent("engines", address ? "gone" : "lapsed")
+        .text("engine", id.str())
+        .number("revision", static_cast<std::int64_t>(change.row.revision));
+  } else {
+    ++engine_updates_;
+  }
 }
 
 Task<void> Gateway::dropLapsedEngines() {
--- a/src/gateway/peer_snapshot.cpp
+++ b/src/gateway/peer_snapshot.cpp
@@ -1,19 +1,49 @@
 #include "gateway/peer_snapshot.h"
 
+#include <cstdlib>
+
 #include "gateway/peer_rows.h"
 
 namespace linenpier::gateway {
 
 using nlohmann::json;
 
+namespace {
+
+constexpr char kSnapshotPath[] = "/snapshot";
+constexpr char kConfigParameter[] = "config=";
+constexpr char kEnginesParameter[] = "engines=";
+
+std::uint64_t parameter(const std::string& target, const std::string& name) {
+  const std::size_t at = target.find(name);
+  if (at == std::string::npos) return 0;
+  return std::strtoull(target.c_str() + at + name.size(), nullptr, 10);
+}
+
+}  // namespace
+
+std::string snapshotTarget(const KnownByAsker& known) {
+  return std::string(kSnapshotPath) + "?" + kConfigParameter +
+         std::to_string(known.config_version) + "&" + kEnginesParameter +
+         std::to_string(known.engines_revision);
+}
+
+KnownByAsker knownByAsker(const std::string& target) {
+  return {parameter(target, kConfigParameter), parameter(target, kEnginesParameter)};
+}
+
 std::string encodeSnapshot(const PeerSnapshot& snapshot) {
   json closed = json::object();
   for (const auto& [zone, revision] : snapshot.closed_zones) closed[zone.str()] = revision;
-  const json document = {
+  json document = {
       {"config_version", snapshot.config_version},     {"configuration", snapshot.configuration},
       {"zones_revision", snapshot.zones_revision},     {"closed_zones", std::move(closed)},
       {"engines_revision", snapshot.engines_revision}, {"engines", encodeRows(snapshot.engines)},
       {"suspects", encodeRows(snapshot.suspects)}};
+  if (snapshot.engines_since) {
+    document["engines_since"] = *snapshot.engines_since;
+    document["engines_gone"] = snapshot.engines_gone;
+  }
   return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -32,6 +62,10 @@
     }
     snapshot.engines_revision = document.at("engines_revision").get<Revision>();
     snapshot.engines = decodeRows(document.at("engines"));
+    if (document.contains("engines_since")) {
+      snapshot.engines_since = document["engines_since"].get<Revision>();
+      snapshot.engines_gone = document.at("engines_gone").get<std::vector<std::string>>();
+    }
     // A daemon of before knows of none.
     snapshot.suspects = decodeRows(document.value("suspects", json::array()));
     return snapshot;
--- a/src/gateway/peer_snapshot.h
+++ b/src/gateway/peer_snapshot.h
@@ -23,10 +23,26 @@
   Revision zones_revision = 0;  ///< How much of the operator's table the closed zones are as of.
   std::map<ZoneName, Revision> closed_zones;
   Revision engines_revision = 0;  ///< How much of the engine table it knows.
+  /// All engines; or, where `engines_since` is set, those whose entries were written after it.
   std::vector<table::Row> engines;
-  std::vector<table::Row> suspects;  ///< Requests under which engines ended.
+  /// Not told: `engines` is the whole list.
+  std::optional<Revision> engines_since;
+  std::vector<std::string> engines_gone;  ///< Ids of engines whose entries went after that.
+  std::vector<table::Row> suspects;       ///< Requests under which engines ended.
 };
 
+/// What an asker knows; 0: nothing.
+struct KnownByAsker {
+  std::uint64_t config_version = 0;
+  Revision engines_revision = 0;
+};
+
+/// @return the target of a call that asks for what is newer. Daemons that do not look for it answer
+///     with all they know.
+std::string snapshotTarget(const KnownByAsker& known);
+/// @return nothing known, if the target does not tell.
+KnownByAsker knownByAsker(const std::string& target);
+
 std::string encodeSnapshot(const PeerSnapshot& snapshot);
 /// @return nothing if the text is no snapshot.
 std::optional<PeerSnapshot> decodeSnapshot(const std::string& text);
--- a/src/gateway/platform_port.h
+++ b/src/gateway/platform_port.h
@@ -64,9 +64,12 @@
   /// @return the zone whose engines are sent nothing while the operator's row is there; nothing if
   ///     the row is about something else.
   virtual std::optional<ZoneName> parseZoneClosing(const std::string& key) const = 0;
-  /// @return nothing if the row describes no engine.
-  virtual std::optional<engines::EngineRecord> parseEngine(const std::string& key,
-                                                           const std::string& value) const = 0;
+  /// @return why the row names no engine, if it does not.
+  virtual tl::expected<engines::EngineRecord, Findings> parseEngine(
+      const std::string& key, const std::string& value) const = 0;
+  /// @return the value of a row that names the same engine, for daemons that do not reach the
+  /// store.
+  virtual std::string encodeEngine(const engines::EngineRecord& engine) const = 0;
 
   virtual bool isReadinessCall(const http::Request& request) const = 0;
   /// @return nothing if the request is none of these calls.
--- a/src/gateway/store_keys.h
+++ b/src/gateway/store_keys.h
@@ -10,6 +10,7 @@
 
 #include "batch/batch_types.h"
 #include "routing/route_table.h"
+#include "table/table_client.h"
 
 namespace linenpier::gateway {
 
@@ -21,6 +22,11 @@
 inline const std::string kJobPrefix = "job/";
 inline const std::string kOrderPrefix = "order/";
 
+/// @return the row's key as the table's writers spell it.
+inline std::string keyWithoutTable(const table::Row& row) {
+  return row.key.substr(row.key.find('/') + 1);
+}
+
 inline std::string jobKey(const batch::JobId& id) {
   return kCoordinationTable + "/" + kJobPrefix + id.str();
 }
--- a/src/table/table_watcher.cpp
+++ b/src/table/table_watcher.cpp
@@ -1,5 +1,8 @@
 #include "table/table_watcher.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include "logging/event_log.h"
 
 namespace linenpier::table {
@@ -56,14 +59,19 @@
       if (page.error().failure != CallFailure::kRateLimited) setHealthy(false);
       co_return false;
     }
-    if (revision == 0) revision = page->revision;
+    const bool first_page = revision == 0;
+    if (first_page) revision = page->revision;
+    // A read from before what was told already would turn time back.
+    if (page->revision < revision_) co_return false;
     if (listener_.on_clock) listener_.on_clock(page->clock_ms);
-    for (Row& row : page->rows) rows.push_back(std::move(row));
-    if (!page->has_more || rows.empty()) break;
-    range.from = rows.back().key.substr(name_.size() + 1) + '\x01';
+    const bool more = moveBehind(*page, range);
+    if (listener_.on_page) {
+      listener_.on_page(page->rows, first_page);
+    } else {
+      std::move(page->rows.begin(), page->rows.end(), std::back_inserter(rows));
+    }
+    if (!more) break;
   }
-  // A read from before what was told already would turn time back.
-  if (revision < revision_) co_return false;
   revision_ = revision;
   have_rows_ = true;
   setHealthy(true);
--- a/src/table/table_watcher.h
+++ b/src/table/table_watcher.h
@@ -33,6 +33,9 @@
   struct Listener {
     std::function<void(const std::vector<Row>&)>
         on_snapshot;  ///< All rows, as of one moment or later.
+    /// Where it is set, rows of the whole table are told here page by page as they come, and
+    /// `on_snapshot` is told none: a large table is never held twice.
+    std::function<void(const std::vector<Row>&, bool first_page)> on_page;
     std::function<void(const RowChange&)> on_change;
     std::function<void(bool healthy)> on_health;          ///< Called on each change only.
     std::function<void(std::int64_t clock_ms)> on_clock;  ///< May be empty.
