--- /dev/null
+++ b/tests/compat/earlier_build_test.cpp
@@ -0,0 +1,107 @@
+/// @file
+/// What the build before this one wrote is read by this one, and the other way round: while
+/// machines are replaced one after the other both run side by side. The bytes were recorded from
+/// that build's own encoders.
+
+#include "batch/checkpoint.h"
+#include "batch/job_store.h"
+#include "documents.h"
+#include "gateway/peer_snapshot.h"
+#include "lease/exclusive_right.h"
+#include "lease/lease_table.h"
+#include "suspects/suspect_record.h"
+
+// Criterion's macros clash with Boost's headers that come after it.
+// clang-format off
+#include <criterion/criterion.h>
+// clang-format on
+
+using namespace linenpier;
+
+namespace {
+
+constexpr char kLease[] = "0.480000@north;i-1,i-2|10.1.0.3:8166";
+constexpr char kRight[] = "d-1#0123456789abcdef|98765";
+constexpr char kJob[] =
+    R"({"accepted_ms":1234567,"begun":true,"body_rows":2,"ended":false,"host":"h.example","model":"m",)"
+    R"("owner":"d-1#0123456789abcdef","path":"/jobs/x","released":7,"tenant":"","total":208})";
+constexpr char kSuspect[] =
+    R"({"ends":2,"engines":["i-1","i-2"],"last_ms":4321,"tried_by":"d-1#0123456789abcdef",)"
+    R"("tried_until_ms":5000})";
+constexpr char kCheckpoint[] =
+    "81a66b61667465725f6576656e74026866696e6973686564f4646974656d036a6c6173745f6576656e7405647465"
+    "787463610a626876657273696f6e73820607";
+constexpr char kSnapshot[] =
+    R"({"closed_zones":{"north":6},"config_version":7,"configuration":"{}","engines":[{"key":)"
+    R"("servers/i-1","revision":5,"value":"{\"service\":\"s\"}"}],"engines_revision":9,)"
+    R"("suspects":[],"zones_revision":8})";
+constexpr char kResult[] = R"({"id":"i","state":"completed","text":"a\nb","versions":[6,7]})";
+
+std::string fromHex(const std::string& text) {
+  std::string bytes;
+  for (std::size_t i = 0; i + 1 < text.size(); i += 2) {
+    bytes.push_back(static_cast<char>(std::stoi(text.substr(i, 2), nullptr, 16)));
+  }
+  return bytes;
+}
+
+}  // namespace
+
+Test(earlier_build, its_leases_are_read_and_written_alike) {
+  cr_assert_float_eq(lease::decodeCapacity(kLease), 0.48, 1e-9);
+  cr_assert_eq(lease::decodeZone(kLease).str(), "north");
+  cr_assert(lease::decodeAwaited(kLease) == std::set<EngineId>({EngineId("i-1"), EngineId("i-2")}));
+  const Address peer{0x0a010003, 8166};
+  cr_assert(*lease::decodePeer(kLease) == peer);
+  const std::string written =
+      lease::encodeLease(0.48, peer, ZoneName("north"), {EngineId("i-1"), EngineId("i-2")});
+  cr_assert_eq(written, kLease);
+}
+
+Test(earlier_build, its_rights_are_read_and_written_alike) {
+  const lease::right_value right = lease::decodeRight(kRight);
+  cr_assert_eq(right.owner.str(), "d-1#0123456789abcdef");
+  cr_assert_eq(right.last_action_ms, 98765);
+  cr_assert_eq(lease::encodeRight(right), kRight);
+}
+
+Test(earlier_build, its_jobs_are_read_and_written_alike) {
+  const auto job = batch::decodeRecord(batch::JobId("j"), kJob);
+  cr_assert(job.has_value());
+  cr_assert_eq(job->total, 208U);
+  cr_assert_eq(job->released, 7U);
+  cr_assert(job->begun);
+  cr_assert_eq(batch::encodeRecord(*job), kJob);
+}
+
+Test(earlier_build, its_suspects_are_read_and_written_alike) {
+  const auto suspect = suspects::decodeSuspect(kSuspect);
+  cr_assert(suspect.has_value());
+  cr_assert_eq(suspect->ends, 2);
+  cr_assert_eq(suspects::encodeSuspect(*suspect), kSuspect);
+}
+
+Test(earlier_build, its_kept_texts_are_read_and_written_alike) {
+  const std::string bytes = fromHex(kCheckpoint);
+  const auto kept = batch::decodeCheckpoint(bytes);
+  cr_assert(kept.has_value());
+  cr_assert_eq(kept->at(0).text, "a\nb");
+  cr_assert_eq(kept->at(0).after_event, 2U);
+  cr_assert_eq(batch::encodeCheckpoint(*kept), bytes);
+}
+
+Test(earlier_build, its_results_are_read_and_written_alike) {
+  const platform_adapter::BatchDocuments documents;
+  const auto result = documents.decodeResult(kResult);
+  cr_assert(result.has_value());
+  cr_assert_eq(documents.encodeResult(*result), kResult);
+}
+
+Test(earlier_build, what_its_daemons_tell_is_a_whole_list) {
+  const auto told = gateway::decodeSnapshot(kSnapshot);
+  cr_assert(told.has_value());
+  cr_assert_not(told->engines_since.has_value());
+  cr_assert_eq(told->engines.at(0).key, "servers/i-1");
+  cr_assert_eq(told->closed_zones.at(ZoneName("north")), 6U);
+  cr_assert_eq(gateway::encodeSnapshot(*told), kSnapshot, "its daemons ask for a whole list");
+}
--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -31,6 +31,8 @@
       return "nothing_lost";
     case Promise::kFewEnds:
       return "few_ends";
+    case Promise::kNamedEngine:
+      return "named_engine";
     case Promise::kServedAgain:
       return "served_again";
   }
@@ -50,6 +52,10 @@
   this->runs_[request].push_back(version);
 }
 
+void soak_checker::onUnnamedReached(const std::string& target) {
+  this->report(Promise::kNamedEngine, target);
+}
+
 void soak_checker::onSent(const std::string& request, bool once) {
   this->requests_[request].once = once;
 }
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -21,6 +21,7 @@
   kItemOnce,     ///< Each item stands once, at a position that keeps it, whole, with its versions.
   kNothingLost,  ///< An accepted job is read to its end.
   kFewEnds,      ///< A request that ends its engines ends few of them, wherever it comes.
+  kNamedEngine,  ///< Nothing is sent to an address that only a spoilt entry names.
   kServedAgain,  ///< Some time after the last fault requests are served.
 };
 
@@ -59,6 +60,8 @@
   /** A daemon said that there is no such job, some time after it was accepted. */
   void onJobDenied(const std::string& job);
 
+  /** A request came to an address that no whole entry names. */
+  void onUnnamedReached(const std::string& target);
   /** An engine ended under the one request that ends its engines. */
   void onEngineEnded() { ++this->ended_; }
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -80,6 +80,8 @@
     this->engine_links_.push_back(std::make_unique<fault_proxy>(this->loop_, engine.address()));
     engine.setListedAddress(this->engine_links_.back()->address());
     engine.setFatal({.mark = kFatalMark, .down = kEngineDown});
+    // Every other engine starts again under the id that it had.
+    if (engines.size() % 2 == 0) engine.setKeepsId();
     fault_proxy& link = *this->engine_links_.back();
     engine.onEnd([this, &link] {
       link.stopListening();
@@ -87,13 +89,14 @@
     });
     engine.onRestart([this, &engine, &link, service](const std::string& before) {
       link.listenAgain();
-      this->store_.remove("servers", before);
+      if (before != engine.id()) this->store_.remove("servers", before);
       this->store_.put("servers", engine.id(), engine.entry(service));
     });
     this->store_.put("servers", id, engine.entry(service));
   };
   for (int i = 0; i < 2; ++i) add(this->desks_, "desk-" + std::to_string(i), "desk", 0);
   for (int i = 0; i < 2; ++i) add(this->models_, "model-" + std::to_string(i), "models", kEvents);
+  this->stray_ = std::make_unique<test::StandinSampler>(this->loop_, "stray", 0);
 }
 
 void soak_run::putConfiguration() {
@@ -158,6 +161,7 @@
   spawn(this->loop_, [this] { return this->trainLoop(); });
   spawn(this->loop_, [this] { return this->versionLoop(); });
   spawn(this->loop_, [this] { return this->entryLoop(); });
+  spawn(this->loop_, [this] { return this->strayLoop(); });
   spawn(this->loop_, [this] { return this->faultLoop(); });
   co_await sleepFor(this->loop_, this->options_.length);
   this->striking_ = false;
@@ -382,6 +386,9 @@
 }
 
 void soak_run::noteRuns() {
+  for (const test::SamplerArrival& each : this->stray_->takeArrivals()) {
+    this->checker_.onUnnamedReached(each.target);
+  }
   for (auto* engines : {&this->desks_, &this->models_}) {
     for (auto& engine : *engines) {
       for (const test::SamplerArrival& each : engine->takeArrivals()) {
@@ -411,6 +418,21 @@
   }
 }
 
+Task<void> soak_run::strayLoop() {
+  const json whole = json::parse(this->stray_->entry("desk"));
+  const std::map<std::string, json> spoilt = {
+      {"state", nullptr}, {"slots", 0}, {"zone", 7}, {"born", 1.5}, {"models", "none"}};
+  while (this->traffic_) {
+    for (const auto& [field, value] : spoilt) {
+      json entry = whole;
+      if (this->options_.broken != "entry") entry[field] = value;
+      this->store_.put("servers", "stray", entry.dump());
+      this->store_.put("servers", "unreadable", "\xff\xfe{");
+      co_await sleepFor(this->loop_, kEntryGap);
+    }
+  }
+}
+
 // --- Faults -------------------------------------------------------------------------------------
 
 Task<void> soak_run::faultLoop() {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -82,6 +82,8 @@
   Task<void> versionLoop();
   /** Engines tell of their weights in their entries, a little late. */
   Task<void> entryLoop();
+  /** Another writer leaves entries that name no engine beside those of the engines. */
+  Task<void> strayLoop();
   Task<void> endJob(std::string id);
   Task<void> faultLoop();
   Task<void> strikeLink();
@@ -103,6 +105,7 @@
   test::StandinStore store_;
   std::vector<std::unique_ptr<test::StandinSampler>> desks_;
   std::vector<std::unique_ptr<test::StandinSampler>> models_;
+  std::unique_ptr<test::StandinSampler> stray_;  ///< Only spoilt entries give its address.
   std::vector<std::unique_ptr<fault_proxy>> engine_links_;
   std::vector<gateway_links> gateways_;
   soak_checker checker_;
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -40,13 +40,14 @@
 }
 
 std::string StandinSampler::entry(const std::string& service, const std::string& state) const {
-  const json document = {{"service", service},
-                         {"address", toString(listed_.value_or(address()))},
-                         {"zone", zone_},
-                         {"slots", 8},
-                         {"state", state},
-                         {"coldRemainingMs", toSeconds(cold_for_) * 1000},
-                         {"models", json::array({{{"name", "m"}, {"version", version_}}})}};
+  json document = {{"service", service},
+                   {"address", toString(listed_.value_or(address()))},
+                   {"zone", zone_},
+                   {"slots", 8},
+                   {"state", state},
+                   {"coldRemainingMs", toSeconds(cold_for_) * 1000},
+                   {"models", json::array({{{"name", "m"}, {"version", version_}}})}};
+  if (start_ != 0) document["born"] = start_;
   return document.dump();
 }
 
@@ -80,7 +81,13 @@
   co_await sleepFor(loop_, fatal_.down);
   listenAgain(acceptor_, address.port);
   const std::string before = id_;
-  id_ = before.substr(0, before.find('+')) + "+" + std::to_string(ends_);
+  if (start_ != 0) {
+    start_ += 1 + std::chrono::duration_cast<std::chrono::milliseconds>(fatal_.down).count();
+    sequence_ = 0;
+    fence_ = 0;
+  } else {
+    id_ = before.substr(0, before.find('+')) + "+" + std::to_string(ends_);
+  }
   spawn(loop_, [this] { return acceptLoop(); });
   if (restarted_) restarted_(before);
 }
@@ -123,7 +130,8 @@
       std::string answer_text = order(arrival.body);
       goes_on = co_await write(*connection, std::move(answer_text));
     } else if (arrival.target == "/linenpier/report") {
-      const json report = {{"busy", busy_}, {"seq", sequence_}, {"running", 0}, {"waiting", 0}};
+      json report = {{"busy", busy_}, {"seq", sequence_}, {"running", 0}, {"waiting", 0}};
+      if (start_ != 0) report["born"] = start_;
       std::string text = plain("", 200, "", report.dump());
       goes_on = co_await write(*connection, std::move(text));
     } else {
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -5,6 +5,7 @@
 /// it can also break it. Test code.
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -86,6 +87,8 @@
   void setEventGap(Duration gap) { event_gap_ = gap; }
   void setLie(SamplerLie lie) { lie_ = lie; }
   void setFatal(FatalRequests fatal) { fatal_ = std::move(fatal); }
+  /// It starts again under the id that it has; its entries and reports tell when it started.
+  void setKeepsId() { start_ = 1'700'000'000'000; }
   /// Told when the sampler ends.
   void onEnd(std::function<void()> told) { ended_ = std::move(told); }
   /// Told when the sampler is back, with the id that it had.
@@ -142,6 +145,7 @@
   std::function<void(const std::string&)> restarted_;
   std::vector<std::weak_ptr<Connection>> connections_;
   int ends_ = 0;
+  std::int64_t start_ = 0;  ///< Unix time in milliseconds; 0: not told.
 };
 
 }  // namespace linenpier::test
