--- a/src/engines/engine_registry.cpp
+++ b/src/engines/engine_registry.cpp
@@ -246,7 +246,7 @@
   EngineState* engine = mutableFind(id);
   if (engine == nullptr) return;
   const double seconds = toSeconds(duration);
-  const bool fresh = engine->pace > 0 && now - engine->pace_at < options_.pace_lifetime;
+  const bool fresh = usedLately(now, *engine);
   engine->pace = fresh ? engine->pace + options_.pace_weight * (seconds - engine->pace) : seconds;
   engine->pace_at = now;
   used_.insert(engine);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -128,7 +128,9 @@
   void onEnginesListed(Revision revision);
   /// @return nothing if the row names no engine; one that stood there is out of use then.
   std::optional<engines::EngineRecord> readEngine(const table::Row& row);
-  void noteEngine(const engines::EngineRecord& record);
+  void noteEngine(const engines::EngineRecord& record, Revision revision);
+  /// The engine's entry went. @return its address, if it is out of use now.
+  std::optional<Address> dropEngine(const EngineId& id);
   void onCoordinationRow(const table::RowChange& change);
   /// The table of jobs, rights and suspects was read whole.
   void onCoordinationRead(const std::vector<table::Row>& rows);
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -180,8 +180,7 @@
   } else {
     for (const std::string& id : told.engines_gone) {
       engine_changes_.onChange(EngineId(id), told.engines_revision);
-      const auto address = registry_.onGone(steadyNow(), EngineId(id));
-      if (address) engine_pool_.forget(*address);
+      dropEngine(EngineId(id));
     }
     listed_engines_.clear();
   }
--- a/src/gateway/gateway_tables.cpp
+++ b/src/gateway/gateway_tables.cpp
@@ -184,7 +184,7 @@
   const auto record = readEngine(row);
   if (!record) return;
   listed_engines_.insert(record->id);
-  noteEngine(*record);
+  noteEngine(*record, row.revision);
 }
 
 void Gateway::onEnginesListed(Revision revision) {
@@ -213,7 +213,7 @@
   return std::nullopt;
 }
 
-void Gateway::noteEngine(const engines::EngineRecord& record) {
+void Gateway::noteEngine(const engines::EngineRecord& record, Revision revision) {
   const engines::EngineState* known = registry_.find(record.id);
   const bool was_draining = known != nullptr && known->record.draining;
   const std::optional<Address> before =
@@ -232,18 +232,24 @@
   }
   LogEvent("engines", "draining")
       .text("engine", record.id.str())
-      .text("service", record.service.str());
+      .text("service", record.service.str())
+      .number("revision", static_cast<std::int64_t>(revision));
+}
+
+std::optional<Address> Gateway::dropEngine(const EngineId& id) {
+  const auto address = registry_.onGone(steadyNow(), id);
+  if (address) engine_pool_.forget(*address);
+  return address;
 }
 
 void Gateway::onEngineRow(const table::RowChange& change) {
   const EngineId id(keyWithoutTable(change.row));
   engine_changes_.onChange(id, change.row.revision);
   if (!change.gone) {
-    if (const auto record = readEngine(change.row)) noteEngine(*record);
+    if (const auto record = readEngine(change.row)) noteEngine(*record, change.row.revision);
     return;
   }
-  const auto address = registry_.onGone(steadyNow(), id);
-  if (address) engine_pool_.forget(*address);
+  const auto address = dropEngine(id);
   if (engine_lines_.admit(steadyNow())) {
     LogEvent("engines", address ? "gone" : "lapsed")
         .text("engine", id.str())
