Log each write of a submission or an end that was not committed

What callers saw: 503 for jobs that ran. The logs gave the final answer of a submission, not what was tried before it, so they could not tell whether an earlier unanswered write, a misread single write, or another daemon wrote the row. Each write that is not committed now has a line with its number, outcome and the failure of the call to the store. No decision changes.

--- a/src/gateway/batch/job_acceptance.cpp
+++ b/src/gateway/batch/job_acceptance.cpp
@@ -20,6 +20,18 @@
   if (job == nullptr || job->revision == 0) return std::nullopt;
   return table::Row{table::jobKey(job->record.id), job->revision, encodeRecord(job->record)};
 }
+
+/** Logs a write of a job's row that was not committed. @param attempt number of the write, from 1.
+ */
+void logFailedWrite(const char* event, const JobId& id, int attempt,
+                    const fenced_write_result& answer, Instant sent_at) {
+  LogEvent("batch", event)
+      .text("batch", id.str())
+      .number("attempt", attempt)
+      .text("outcome", toText(answer.outcome))
+      .text("failure", answer.failure)
+      .milliseconds("took_ms", steadyNow() - sent_at);
+}
 }  // namespace
 
 // --- Submitting ---------------------------------------------------------------------------------
@@ -114,7 +126,7 @@
 Task<fenced_write_result> job_acceptance::acceptRecord(job_record record,
                                                        std::vector<table::Put> body,
                                                        Instant deadline) {
-  for (;;) {
+  for (int attempt = 1;; ++attempt) {
     const Instant sent_at = steadyNow();
     const bool own = record.owner == this->deps_.leases.own();
     std::vector<table::Put> also = body;
@@ -123,6 +135,8 @@
         co_await this->deps_.store.putRecord(record, 0, std::move(also));
     if (own && answer.outcome == FencedWriteOutcome::kCommitted)
       this->deps_.keeper.onRenewed(sent_at);
+    if (answer.outcome != FencedWriteOutcome::kCommitted)
+      logFailedWrite("submit_write", record.id, attempt, answer, sent_at);
     if (answer.outcome != FencedWriteOutcome::kUnknown) co_return answer;
     // The write may still succeed. Repeating it is safe, since it requires that the row is absent.
     if (steadyNow() + this->deps_.options.store_retry_delay >= deadline) co_return answer;
@@ -219,7 +233,7 @@
   // The row is read from the store only if neither the feed nor a failed conditional write has
   // returned it.
   std::optional<table::Row> known = rowOf(this->deps_.jobs.find(id));
-  while (steadyNow() < deadline && !writer.cancellation().requested()) {
+  for (int attempt = 1; steadyNow() < deadline && !writer.cancellation().requested(); ++attempt) {
     CallResult<table::Row> row = known.value_or(table::Row{});
     if (!known) {
       row = co_await this->deps_.store.getRecord(id);
@@ -234,6 +248,7 @@
     }
     if (record) {
       record->ended = true;
+      const Instant sent_at = steadyNow();
       const fenced_write_result answer =
           co_await this->deps_.store.putRecord(*record, row->revision, {});
       if (answer.outcome == FencedWriteOutcome::kCommitted) {
@@ -241,6 +256,7 @@
         this->deps_.jobs.onRow(id, ended);
         co_return kOk;
       }
+      logFailedWrite("end_write", id, attempt, answer, sent_at);
       if (answer.outcome == FencedWriteOutcome::kFenceLost) {
         known = answer.current;
         continue;
--- a/src/gateway/batch/job_store.cpp
+++ b/src/gateway/batch/job_store.cpp
@@ -44,6 +44,20 @@
 
 }  // namespace
 
+const char* toText(FencedWriteOutcome outcome) {
+  switch (outcome) {
+    case FencedWriteOutcome::kCommitted:
+      return "committed";
+    case FencedWriteOutcome::kFenceLost:
+      return "fence_lost";
+    case FencedWriteOutcome::kNotCommitted:
+      return "not_committed";
+    case FencedWriteOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 std::string encodeRecord(const job_record& record) {
   json document = {{"owner", record.owner.str()},
                    {"host", record.host},
@@ -135,6 +149,7 @@
     write_result.outcome = certainlyNotProcessed(answer.error().failure)
                                ? FencedWriteOutcome::kNotCommitted
                                : FencedWriteOutcome::kUnknown;
+    write_result.failure = answer.error().detail;
     return write_result;
   }
   if (answer->committed) {
@@ -202,7 +217,10 @@
     } else {
       const std::string name = largeResultName(id, position, fence);
       const auto put = co_await this->objects_.put(name, result.encoded);
-      if (!put) co_return fenced_write_result{FencedWriteOutcome::kNotCommitted, 0, std::nullopt};
+      if (!put) {
+        co_return fenced_write_result{FencedWriteOutcome::kNotCommitted, 0, std::nullopt,
+                                      put.error().detail};
+      }
       value += kObject + name;
     }
     const std::string key = resultRowKey(id, position);
--- a/src/gateway/batch/job_store.h
+++ b/src/gateway/batch/job_store.h
@@ -61,10 +61,14 @@
   kUnknown,       ///< The write may be committed; only the identical write may be retried.
 };
 
+/** @return the name of the outcome in log lines. */
+const char* toText(FencedWriteOutcome outcome);
+
 struct fenced_write_result {
   FencedWriteOutcome outcome = FencedWriteOutcome::kUnknown;
   Revision revision = 0;              ///< Revision of the written rows.
   std::optional<table::Row> current;  ///< The job's row, if the fence is lost and the row exists.
+  std::string failure = {};  ///< Why the call to the store failed, for the log; empty: answered.
 };
 
 std::string encodeRecord(const job_record& record);
