--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -1,5 +1,6 @@
 #include "support/standin_store.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "base64.h"
@@ -194,6 +195,77 @@
   }
 }
 
+void StandinStore::transactLater(const std::string& body, Duration delay) {
+  spawn(loop_, [this, body, delay]() -> Task<void> {
+    co_await sleepFor(loop_, delay);
+    transact(body);
+  });
+}
+
+StoreAct StandinStore::takeAct(const std::string& body) {
+  if (script_.acts.empty()) return StoreAct::kAnswer;
+  const json document = json::parse(body);
+  const bool matches =
+      std::any_of(document["put"].begin(), document["put"].end(), [this](const json& entry) {
+        const std::string key =
+            entry["table"].get<std::string>() + "/" + entry["key"].get<std::string>();
+        return key.starts_with(script_.prefix);
+      });
+  if (!matches) return StoreAct::kAnswer;
+  const StoreAct act = script_.acts.front();
+  script_.acts.pop_front();
+  return act;
+}
+
+Task<void> StandinStore::carryOut(StoreAct act, const std::string& body,
+                                  http::ResponseWriter& writer) {
+  switch (act) {
+    case StoreAct::kAnswer:
+      break;
+    case StoreAct::kRefuse:
+      co_await reply(writer, 503, "{}");
+      co_return;
+    case StoreAct::kRateLimit:
+      co_await reply(writer, 429, "{}");
+      co_return;
+    case StoreAct::kBreakExecuted:
+      transact(body);
+      writer.abortConnection();
+      co_return;
+    case StoreAct::kBreakExecuteLate:
+      transactLater(body, script_.delay);
+      writer.abortConnection();
+      co_return;
+    case StoreAct::kGarble:
+      transact(body);
+      co_await reply(writer, 200, "<html>");
+      co_return;
+    case StoreAct::kHang:
+      transact(body);
+      co_await hang(writer);
+      co_return;
+  }
+  auto [status, answer] = transact(body);
+  co_await reply(writer, status, std::move(answer));
+}
+
+Task<void> StandinStore::handleWrite(const std::string& body, http::ResponseWriter& writer) {
+  if (faults_.delay_writes > 0) {
+    --faults_.delay_writes;
+    transactLater(body, kWriteDelay);
+    co_await hang(writer);
+    co_return;
+  }
+  if (faults_.lose_writes > 0) {
+    --faults_.lose_writes;
+    transact(body);
+    co_await hang(writer);
+    co_return;
+  }
+  const StoreAct act = takeAct(body);
+  co_await carryOut(act, body, writer);
+}
+
 Task<void> StandinStore::handle(http::Request& request, http::ResponseWriter& writer) {
   const std::string target(request.target());
   const std::string path = target.substr(0, target.find('?'));
@@ -210,23 +282,8 @@
     co_return;
   }
   if (path == "/linenpier/rows-tx") {
-    if (faults_.delay_writes > 0) {
-      --faults_.delay_writes;
-      const std::string body = request.body();
-      spawn(loop_, [this, body]() -> Task<void> {
-        co_await sleepFor(loop_, kWriteDelay);
-        transact(body);
-      });
-      co_await hang(writer);
-      co_return;
-    }
-    auto [status, body] = transact(request.body());
-    if (faults_.lose_writes > 0) {
-      --faults_.lose_writes;
-      co_await hang(writer);
-      co_return;
-    }
-    co_await reply(writer, status, std::move(body));
+    const std::string body = request.body();
+    co_await handleWrite(body, writer);
   } else if (path == "/linenpier/rows-get") {
     std::string rows = readRows(target);
     co_await reply(writer, 200, std::move(rows));
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -4,6 +4,7 @@
 /// A stand-in for the platform's metadata store. Implements its published protocol on a socket,
 /// with fault injection. Test code.
 
+#include <deque>
 #include <map>
 #include <string>
 
@@ -25,12 +26,34 @@
   bool no_clock = false;        ///< Row responses without the store's time.
 };
 
+/// What the store does with one write.
+enum class StoreAct {
+  kAnswer,
+  kRefuse,            ///< 503 without any effect.
+  kRateLimit,         ///< 429 without any effect.
+  kBreakExecuted,     ///< Executes the write and resets the connection without a response.
+  kBreakExecuteLate,  ///< Resets the connection and executes the write later.
+  kGarble,            ///< Executes the write and responds with a body that is not JSON.
+  kHang,              ///< Executes the write and never responds.
+};
+
+/// Acts for the next writes that put a row whose "TABLE/KEY" starts with `prefix`. Other calls are
+/// not affected.
+struct WriteScript {
+  std::string prefix;
+  std::deque<StoreAct> acts = {};
+  Duration delay = std::chrono::milliseconds(400);  ///< Delay of writes that are executed late.
+};
+
 class StandinStore {
  public:
   explicit StandinStore(boost::asio::io_context& loop);
 
   Address address() const { return server_.address(); }
   StoreFaults& faults() { return faults_; }
+  void setScript(WriteScript script) { script_ = std::move(script); }
+  /// @return the number of acts that no write has taken yet.
+  std::size_t actsLeft() const { return script_.acts.size(); }
 
   /// Writes like the platform or its operator.
   void put(const std::string& table, const std::string& key, const std::string& value);
@@ -63,6 +86,11 @@
   std::string readRows(const std::string& target) const;
   /// @return the status and body of the response.
   std::pair<unsigned, std::string> transact(const std::string& body);
+  void transactLater(const std::string& body, Duration delay);
+  Task<void> handleWrite(const std::string& body, http::ResponseWriter& writer);
+  /// @return the script's act for the write.
+  StoreAct takeAct(const std::string& body);
+  Task<void> carryOut(StoreAct act, const std::string& body, http::ResponseWriter& writer);
   std::string rowJson(const Key& key, const Row& row) const;
   std::uint64_t versionOf(const Key& key) const;
 
@@ -71,6 +99,7 @@
   http::Server server_;
   Signal change_signal_;
   StoreFaults faults_;
+  WriteScript script_;
   std::map<Key, Row> rows_;  ///< Includes removed rows, which are marked.
   std::map<std::string, std::string> objects_;
   std::map<std::string, int> feed_answers_;
