Refuse a job only if none of the attempts to write it may be committed

What callers saw: each submission of a job answered 503, which promises that nothing of it runs, and the job ran. Cause: a submission repeats a write that got no answer, and the answer to the client was made from the last attempt alone. When the store refused the repetition for certain (429 when its queue is full, 503, no connection), the client got 503, although the first write had been executed or still would be. Why this works: write_attempts keeps, over all attempts under one fence, whether one may be committed, so that a later refusal cannot hide it. Such a submission goes on until the store or the feed tells of the row, which is answered 202, or until its time is over, which is answered 502; the client's next attempt finds the job once. A refusal without an unanswered write before it is given at once, as before.

--- a/src/gateway/batch/job_acceptance.cpp
+++ b/src/gateway/batch/job_acceptance.cpp
@@ -4,6 +4,7 @@
 #include "gateway/batch/active_job.h"
 #include "gateway/batch/call_status.h"
 #include "gateway/batch/new_job_owner.h"
+#include "gateway/batch/write_attempts.h"
 #include "gateway/table/store_keys.h"
 
 namespace linenpier::batch {
@@ -126,24 +127,35 @@
 Task<fenced_write_result> job_acceptance::acceptRecord(job_record record,
                                                        std::vector<table::Put> body,
                                                        Instant deadline) {
-  for (int attempt = 1;; ++attempt) {
-    const Instant sent_at = steadyNow();
-    const bool own = record.owner == this->deps_.leases.own();
-    std::vector<table::Put> also = body;
-    if (own) also.push_back(this->deps_.keeper.renewal());
-    const fenced_write_result answer =
-        co_await this->deps_.store.putRecord(record, 0, std::move(also));
-    if (own && answer.outcome == FencedWriteOutcome::kCommitted)
-      this->deps_.keeper.onRenewed(sent_at);
-    if (answer.outcome != FencedWriteOutcome::kCommitted)
-      logFailedWrite("submit_write", record.id, attempt, answer, sent_at);
+  write_attempts attempts;
+  for (;;) {
+    fenced_write_result answer = co_await this->tryWrite(record, body, attempts.count() + 1);
+    answer.outcome = attempts.add(0, answer.outcome);
     if (answer.outcome != FencedWriteOutcome::kUnknown) co_return answer;
     // The write may still succeed. Repeating it is safe, since it requires that the row is absent.
     if (steadyNow() + this->deps_.options.store_retry_delay >= deadline) co_return answer;
     co_await sleepFor(this->deps_.loop, this->deps_.options.store_retry_delay);
+    // The feed may have reported the row in the meantime.
+    if (auto row = rowOf(this->deps_.jobs.find(record.id))) {
+      co_return fenced_write_result{FencedWriteOutcome::kFenceLost, 0, std::move(row)};
+    }
   }
 }
 
+Task<fenced_write_result> job_acceptance::tryWrite(job_record record, std::vector<table::Put> also,
+                                                   int attempt) {
+  const Instant sent_at = steadyNow();
+  const JobId id = record.id;
+  const bool own = record.owner == this->deps_.leases.own();
+  if (own) also.push_back(this->deps_.keeper.renewal());
+  const fenced_write_result answer =
+      co_await this->deps_.store.putRecord(std::move(record), 0, std::move(also));
+  const bool committed = answer.outcome == FencedWriteOutcome::kCommitted;
+  if (own && committed) this->deps_.keeper.onRenewed(sent_at);
+  if (!committed) logFailedWrite("submit_write", id, attempt, answer, sent_at);
+  co_return answer;
+}
+
 job_acceptance::submission_outcome job_acceptance::toOutcome(const submission& call,
                                                              const fenced_write_result& answer) {
   switch (answer.outcome) {
--- a/src/gateway/batch/job_acceptance.h
+++ b/src/gateway/batch/job_acceptance.h
@@ -84,9 +84,13 @@
   job_record recordOf(const submission& call, const batch_job& job) const;
   /** Stores a job that is too large for rows as an object. @return whether it succeeded. */
   Task<bool> storeObject(JobId id, std::string bytes, Instant deadline);
-  /** @param body rows to write together with the job's row. */
+  /** Attempts to write the job's row until the outcome is known or the deadline passes.
+   * @param body rows to write together with the job's row.
+   */
   Task<fenced_write_result> acceptRecord(job_record record, std::vector<table::Put> body,
                                          Instant deadline);
+  /** @param attempt number of the attempt, from 1, for the log. */
+  Task<fenced_write_result> tryWrite(job_record record, std::vector<table::Put> also, int attempt);
   submission_outcome toOutcome(const submission& call, const fenced_write_result& answer);
   void logOutcome(const submission& call, const submission_outcome& outcome) const;
   /** Registers the job, and starts it if this daemon is its owner. */
