Refuse an end of a job only if no attempt to write it may be committed

What callers saw: 503 for an end that the store carried out. When the time for an end was over, the answer was 503 whatever the attempts had done. Another revision of the row rules out what was tried under the earlier one, so that 502 is given only where an attempt may still be committed.

--- a/src/gateway/batch/job_acceptance.cpp
+++ b/src/gateway/batch/job_acceptance.cpp
@@ -245,7 +245,8 @@
   // The row is read from the store only if neither the feed nor a failed conditional write has
   // returned it.
   std::optional<table::Row> known = rowOf(this->deps_.jobs.find(id));
-  for (int attempt = 1; steadyNow() < deadline && !writer.cancellation().requested(); ++attempt) {
+  write_attempts attempts;
+  while (steadyNow() < deadline && !writer.cancellation().requested()) {
     CallResult<table::Row> row = known.value_or(table::Row{});
     if (!known) {
       row = co_await this->deps_.store.getRecord(id);
@@ -263,12 +264,13 @@
       const Instant sent_at = steadyNow();
       const fenced_write_result answer =
           co_await this->deps_.store.putRecord(*record, row->revision, {});
+      attempts.add(row->revision, answer.outcome);
       if (answer.outcome == FencedWriteOutcome::kCommitted) {
         const table::Row ended{row->key, answer.revision, encodeRecord(*record)};
         this->deps_.jobs.onRow(id, ended);
         co_return kOk;
       }
-      logFailedWrite("end_write", id, attempt, answer, sent_at);
+      logFailedWrite("end_write", id, attempts.count(), answer, sent_at);
       if (answer.outcome == FencedWriteOutcome::kFenceLost) {
         known = answer.current;
         continue;
@@ -276,7 +278,7 @@
     }
     co_await sleepFor(this->deps_.loop, this->deps_.options.store_retry_delay);
   }
-  co_return kUnavailable;
+  co_return attempts.mayBeCommitted() ? kUnknown : kUnavailable;
 }
 
 Task<void> job_acceptance::end(JobId id, tenants::caller from, http::ResponseWriter& writer) {
