Refuse no job whose earlier submission here is unresolved

What callers saw: after a submission without an answer or with 502, the same daemon refused the next submission of that job with 503 (store away), and the job ran by the first one's write. Cause: each submission was judged by itself; the daemon forgot what it had sent before for the same job. What another daemon did for the job isn't known here: its 503 is about its own writes alone.

--- a/src/gateway/batch/job_acceptance.cpp
+++ b/src/gateway/batch/job_acceptance.cpp
@@ -54,6 +54,9 @@
     co_return;
   }
   submission_outcome outcome = co_await this->accept(call);
+  // An earlier submission of the job at this daemon may still take effect.
+  if (outcome.status == kUnavailable && this->unresolved_.contains(steadyNow(), call.id))
+    outcome.status = kUnknown;
   if (outcome.status == kUnavailable) ++this->deps_.counts.jobs_refused;
   if (outcome.revision) ++this->deps_.counts.jobs_accepted;
   this->logOutcome(call, outcome);
@@ -127,6 +130,17 @@
 Task<fenced_write_result> job_acceptance::acceptRecord(job_record record,
                                                        std::vector<table::Put> body,
                                                        Instant deadline) {
+  const JobId id = record.id;
+  this->unresolved_.onWriteStarted(id);
+  const fenced_write_result answer =
+      co_await this->writeUntilKnown(std::move(record), std::move(body), deadline);
+  this->unresolved_.onWriteEnded(steadyNow(), id, answer.outcome != FencedWriteOutcome::kUnknown);
+  co_return answer;
+}
+
+Task<fenced_write_result> job_acceptance::writeUntilKnown(job_record record,
+                                                          std::vector<table::Put> body,
+                                                          Instant deadline) {
   write_attempts attempts;
   for (;;) {
     fenced_write_result answer = co_await this->tryWrite(record, body, attempts.count() + 1);
--- a/src/gateway/batch/job_acceptance.h
+++ b/src/gateway/batch/job_acceptance.h
@@ -17,6 +17,7 @@
 #include "gateway/batch/job_activation.h"
 #include "gateway/batch/job_registry.h"
 #include "gateway/batch/job_residency.h"
+#include "gateway/batch/unresolved_jobs.h"
 #include "gateway/http/server.h"
 #include "gateway/lease/lease_keeper.h"
 #include "gateway/lease/lease_table.h"
@@ -84,11 +85,14 @@
   job_record recordOf(const submission& call, const batch_job& job) const;
   /** Stores a job that is too large for rows as an object. @return whether it succeeded. */
   Task<bool> storeObject(JobId id, std::string bytes, Instant deadline);
-  /** Attempts to write the job's row until the outcome is known or the deadline passes.
+  /** Writes the job's row; the job is unresolved in the meantime.
    * @param body rows to write together with the job's row.
    */
   Task<fenced_write_result> acceptRecord(job_record record, std::vector<table::Put> body,
                                          Instant deadline);
+  /** Attempts the write until its outcome is known or the deadline passes. */
+  Task<fenced_write_result> writeUntilKnown(job_record record, std::vector<table::Put> body,
+                                            Instant deadline);
   /** @param attempt number of the attempt, from 1, for the log. */
   Task<fenced_write_result> tryWrite(job_record record, std::vector<table::Put> also, int attempt);
   submission_outcome toOutcome(const submission& call, const fenced_write_result& answer);
@@ -108,6 +112,7 @@
                             http::ResponseWriter& writer);
 
   dependencies deps_;
+  unresolved_jobs unresolved_;
   bool stopping_ = false;
 };
 
