Answer a submission by what the daemon knows of the job when it ends

What callers saw: 502 or 503 for a job that the daemon had learned of from the feed meanwhile; 502 without Retry-After; up to five more writes to a store that answers 429, for a client that had gone. Cause: only the start of a submission looked at the known jobs, and the new retries after an unanswered write did not look at the client. Change: a submission that would end with 503 or 502 is answered from the known jobs first; retries end when the client is gone (the job stays unresolved); 502 carries Retry-After; a known job's submission has a log line too; 502 is counted (linenpier_jobs_unknown). The tests now expect 202 in all six cases, play the traced sequence (a timeout, then 429, executed 5 s late), the feed that reports the job, and an end that is only refused (503).

--- a/src/gateway/batch/batch_options.h
+++ b/src/gateway/batch/batch_options.h
@@ -74,9 +74,10 @@
 struct batch_counts {
   std::uint64_t jobs_accepted = 0;
   std::uint64_t jobs_refused = 0;
+  std::uint64_t jobs_unknown = 0;  ///< Submissions that may have been accepted or may still be.
   std::uint64_t jobs_taken_over = 0;
   std::uint64_t jobs_lost = 0;  ///< Running jobs stopped because another daemon owns them.
-  /// Jobs counted in `jobs_refused` because no engine is within their residency.
+  /// Submissions that were rejected because no engine is within their residency.
   std::uint64_t jobs_refused_for_residency = 0;
   /// Jobs handed over because this daemon is outside their residency.
   std::uint64_t jobs_handed_over_for_residency = 0;
--- a/src/gateway/batch/call_status.cpp
+++ b/src/gateway/batch/call_status.cpp
@@ -10,7 +10,7 @@
 Task<void> sendStatus(http::ResponseWriter& writer, const forward::field_names& names,
                       unsigned status, std::string body) {
   http::Response response(static_cast<boost::beast::http::status>(status), 11);
-  if (status == kUnavailable) response.set(names.retry_after, kRetryAfter);
+  if (status == kUnavailable || status == kUnknown) response.set(names.retry_after, kRetryAfter);
   response.body() = std::move(body);
   co_await writer.send(std::move(response));
 }
--- a/src/gateway/batch/job_acceptance.cpp
+++ b/src/gateway/batch/job_acceptance.cpp
@@ -41,29 +41,47 @@
                                   const http::Request& request, Instant received,
                                   http::ResponseWriter& writer) {
   const forward::field_names& names = this->deps_.names;
-  submission call{route,    request,
-                  from,     JobId(http::fieldText(request, names.request_id)),
-                  received, received + this->deps_.options.accept_timeout};
+  submission call{route,
+                  request,
+                  from,
+                  JobId(http::fieldText(request, names.request_id)),
+                  received,
+                  received + this->deps_.options.accept_timeout,
+                  writer.cancellation()};
   if (call.id.empty()) {
     co_await sendStatus(writer, names, kBadRequest, "The job has no id.");
     co_return;
   }
-  if (const job_entry* known = this->deps_.jobs.find(call.id)) {
-    const unsigned status = mayAccess(known->record, from) ? kAccepted : kConflict;
-    co_await sendStatus(writer, names, status, {});
-    co_return;
-  }
-  submission_outcome outcome = co_await this->accept(call);
-  // An earlier submission of the job at this daemon may still take effect.
-  if (outcome.status == kUnavailable && this->unresolved_.contains(steadyNow(), call.id))
-    outcome.status = kUnknown;
+  submission_outcome outcome = co_await this->outcomeOf(call);
   if (outcome.status == kUnavailable) ++this->deps_.counts.jobs_refused;
+  if (outcome.status == kUnknown) ++this->deps_.counts.jobs_unknown;
   if (outcome.revision) ++this->deps_.counts.jobs_accepted;
   this->logOutcome(call, outcome);
   if (outcome.revision) this->onAccepted(call, *outcome.revision);
   co_await sendStatus(writer, names, outcome.status, std::move(outcome.text));
 }
 
+Task<job_acceptance::submission_outcome> job_acceptance::outcomeOf(submission& call) {
+  auto known = this->knownOutcome(call);
+  if (known) co_return *known;
+  submission_outcome outcome = co_await this->accept(call);
+  if (outcome.status != kUnavailable && outcome.status != kUnknown) co_return outcome;
+  // The feed may have reported the job in the meantime.
+  known = this->knownOutcome(call);
+  if (known) co_return *known;
+  // An earlier submission of the job at this daemon may still take effect.
+  if (this->unresolved_.contains(steadyNow(), call.id)) outcome.status = kUnknown;
+  co_return outcome;
+}
+
+std::optional<job_acceptance::submission_outcome> job_acceptance::knownOutcome(
+    const submission& call) const {
+  const job_entry* known = this->deps_.jobs.find(call.id);
+  if (known == nullptr) return std::nullopt;
+  return submission_outcome{"known_already",
+                            mayAccess(known->record, call.from) ? kAccepted : kConflict};
+}
+
 Task<const char*> job_acceptance::rejectionReason(JobId id) {
   // A lost feed does not imply that the store is unavailable.
   bool reachable = this->deps_.leases.storeHealthy();
@@ -100,8 +118,7 @@
   call.record.accepted_ms = this->deps_.keeper.storeClock(steadyNow());
   call.record.owner = this->ownerFor(steadyNow(), call.record);
   call.job = std::move(*job);
-  const fenced_write_result accepted =
-      co_await this->acceptRecord(call.record, std::move(body), call.deadline);
+  const fenced_write_result accepted = co_await this->acceptRecord(call, std::move(body));
   co_return this->toOutcome(call, accepted);
 }
 
@@ -127,30 +144,30 @@
   }
 }
 
-Task<fenced_write_result> job_acceptance::acceptRecord(job_record record,
-                                                       std::vector<table::Put> body,
-                                                       Instant deadline) {
-  const JobId id = record.id;
-  this->unresolved_.onWriteStarted(id);
-  const fenced_write_result answer =
-      co_await this->writeUntilKnown(std::move(record), std::move(body), deadline);
-  this->unresolved_.onWriteEnded(steadyNow(), id, answer.outcome != FencedWriteOutcome::kUnknown);
+Task<fenced_write_result> job_acceptance::acceptRecord(const submission& call,
+                                                       std::vector<table::Put> body) {
+  this->unresolved_.onWriteStarted(call.id);
+  const fenced_write_result answer = co_await this->writeUntilKnown(call, std::move(body));
+  const bool known = answer.outcome != FencedWriteOutcome::kUnknown;
+  this->unresolved_.onWriteEnded(steadyNow(), call.id, known);
   co_return answer;
 }
 
-Task<fenced_write_result> job_acceptance::writeUntilKnown(job_record record,
-                                                          std::vector<table::Put> body,
-                                                          Instant deadline) {
+Task<fenced_write_result> job_acceptance::writeUntilKnown(const submission& call,
+                                                          std::vector<table::Put> body) {
+  const Duration retry_delay = this->deps_.options.store_retry_delay;
   write_attempts attempts;
   for (;;) {
-    fenced_write_result answer = co_await this->tryWrite(record, body, attempts.count() + 1);
+    const int attempt = attempts.count() + 1;
+    fenced_write_result answer = co_await this->tryWrite(call.record, body, attempt);
     answer.outcome = attempts.add(0, answer.outcome);
     if (answer.outcome != FencedWriteOutcome::kUnknown) co_return answer;
     // The write may still succeed. Repeating it is safe, since it requires that the row is absent.
-    if (steadyNow() + this->deps_.options.store_retry_delay >= deadline) co_return answer;
-    co_await sleepFor(this->deps_.loop, this->deps_.options.store_retry_delay);
+    const bool expired = steadyNow() + retry_delay >= call.deadline;
+    if (expired || call.cancellation.requested()) co_return answer;
+    co_await sleepFor(this->deps_.loop, retry_delay);
     // The feed may have reported the row in the meantime.
-    if (auto row = rowOf(this->deps_.jobs.find(record.id))) {
+    if (auto row = rowOf(this->deps_.jobs.find(call.id))) {
       co_return fenced_write_result{FencedWriteOutcome::kFenceLost, 0, std::move(row)};
     }
   }
@@ -182,13 +199,8 @@
     case FencedWriteOutcome::kFenceLost:
       break;
   }
-  std::optional<job_record> known;
-  if (answer.current) {
-    this->deps_.jobs.onRow(call.id, *answer.current);
-    known = decodeRecord(call.id, answer.current->value);
-  }
-  const bool accessible = !known || mayAccess(*known, call.from);
-  return {"known_already", accessible ? kAccepted : kConflict};
+  if (answer.current) this->deps_.jobs.onRow(call.id, *answer.current);
+  return this->knownOutcome(call).value_or(submission_outcome{"known_already", kAccepted});
 }
 
 void job_acceptance::onAccepted(submission& call, Revision revision) {
--- a/src/gateway/batch/job_acceptance.h
+++ b/src/gateway/batch/job_acceptance.h
@@ -26,7 +26,7 @@
 
 namespace linenpier::batch {
 
-/** Holds no state of individual calls. The class must be used from the event loop thread only. */
+/** The class must be used from the event loop thread only. */
 class job_acceptance {
  public:
   struct dependencies {
@@ -65,7 +65,8 @@
     tenants::caller from;
     JobId id;
     Instant received;
-    Instant deadline;        ///< Time limit for writing the job to the store.
+    Instant deadline;  ///< Time limit for writing the job to the store.
+    const http::Cancellation& cancellation;
     job_record record = {};  ///< Record of the job; its owner is set when selected.
     std::optional<batch_job> job = {};
   };
@@ -81,6 +82,12 @@
    * accepted.
    */
   Task<const char*> rejectionReason(JobId id);
+  /** Accepts the job unless it is known. @return an outcome that is true of all submissions of the
+   * job at this daemon.
+   */
+  Task<submission_outcome> outcomeOf(submission& call);
+  /** @return the outcome if the job is known. */
+  std::optional<submission_outcome> knownOutcome(const submission& call) const;
   Task<submission_outcome> accept(submission& call);
   job_record recordOf(const submission& call, const batch_job& job) const;
   /** Stores a job that is too large for rows as an object. @return whether it succeeded. */
@@ -88,11 +95,9 @@
   /** Writes the job's row; the job is unresolved in the meantime.
    * @param body rows to write together with the job's row.
    */
-  Task<fenced_write_result> acceptRecord(job_record record, std::vector<table::Put> body,
-                                         Instant deadline);
-  /** Attempts the write until its outcome is known or the deadline passes. */
-  Task<fenced_write_result> writeUntilKnown(job_record record, std::vector<table::Put> body,
-                                            Instant deadline);
+  Task<fenced_write_result> acceptRecord(const submission& call, std::vector<table::Put> body);
+  /** Attempts the write until its outcome is known, the deadline passes or the client is gone. */
+  Task<fenced_write_result> writeUntilKnown(const submission& call, std::vector<table::Put> body);
   /** @param attempt number of the attempt, from 1, for the log. */
   Task<fenced_write_result> tryWrite(job_record record, std::vector<table::Put> also, int attempt);
   submission_outcome toOutcome(const submission& call, const fenced_write_result& answer);
--- a/src/gateway/metrics/gateway_metrics.cpp
+++ b/src/gateway/metrics/gateway_metrics.cpp
@@ -188,6 +188,8 @@
   setGauge("item_attempts", "Attempts for items, ever.", number(state.item_attempts));
   setGauge("jobs_accepted", "Jobs accepted, ever.", number(state.jobs_accepted));
   setGauge("jobs_refused", "Jobs refused, ever.", number(state.jobs_refused));
+  setGauge("jobs_unknown", "Submissions that may have been accepted or may still be.",
+           number(state.jobs_unknown));
   setGauge("jobs_taken_over", "Jobs taken over from others, ever.", number(state.jobs_taken_over));
   setGauge("jobs_waiting_for_home", "Jobs that no daemon at home takes up.",
            number(state.jobs_without_eligible_owner));
--- a/src/gateway/metrics/gateway_metrics.h
+++ b/src/gateway/metrics/gateway_metrics.h
@@ -75,6 +75,7 @@
   std::uint64_t items_terminated = 0;
   std::uint64_t jobs_accepted = 0;
   std::uint64_t jobs_refused = 0;
+  std::uint64_t jobs_unknown = 0;  ///< Submissions whose outcome could not be determined.
   std::uint64_t jobs_taken_over = 0;
   /// Jobs that no daemon within the zones of their data residency has taken over yet.
   std::size_t jobs_without_eligible_owner = 0;
--- a/src/gateway/service/metrics_exporter.cpp
+++ b/src/gateway/service/metrics_exporter.cpp
@@ -80,6 +80,7 @@
   state.scorings_failed = counts.scorings_failed;
   state.jobs_accepted = counts.jobs_accepted;
   state.jobs_refused = counts.jobs_refused;
+  state.jobs_unknown = counts.jobs_unknown;
   state.jobs_taken_over = counts.jobs_taken_over;
   state.jobs_refused_for_residency = counts.jobs_refused_for_residency;
   state.jobs_handed_over_for_residency = counts.jobs_handed_over_for_residency;
--- a/tests/gateway/service/batch_submission_test.cpp
+++ b/tests/gateway/service/batch_submission_test.cpp
@@ -27,6 +27,11 @@
   return fixture.model(0).arrivals().size() + fixture.model(1).arrivals().size();
 }
 
+bool isEnded(GatewayFixture& fixture, const std::string& job) {
+  const std::string record = fixture.store().get("linenpier", "job/" + job).value_or("");
+  return record.find("\"ended\":true") != std::string::npos;
+}
+
 /// @return the status of submitting the job to a daemon while the store follows the script.
 Task<unsigned> submitWith(GatewayFixture& fixture, std::string job, std::deque<StoreAct> acts) {
   test::WriteScript script{kJobRows, std::move(acts)};
@@ -61,6 +66,7 @@
       const std::string job = "job-" + std::to_string(number++);
       const unsigned status = co_await submitWith(fixture, job, thenTwo(first, second));
       cr_expect(!isRefusal(status), "%s got %u and may run", job.c_str(), status);
+      cr_expect_eq(status, 202U, "%s got %u although the store took it", job.c_str(), status);
       const std::string results = co_await fixture.readAll(1, job);
       cr_expect(results.find(job + "-1") != std::string::npos, "%s did not run", job.c_str());
     }
@@ -95,7 +101,9 @@
   test::WriteScript script{kJobRows, thenRefusals(StoreAct::kBreakExecuteLate), delay};
   fixture.store().setScript(std::move(script));
   http::Request first = fixture.jobRequest("job", kItems);
-  co_await fixture.call(0, std::move(first));
+  const auto unknown = co_await fixture.call(0, std::move(first));
+  cr_expect_eq(unknown.response.result_int(), 502U);
+  cr_expect(!http::fieldText(unknown.response, "Retry-After").empty());
   fixture.store().faults().refuse = true;
   http::Request again = fixture.jobRequest("job", kItems);
   const auto outcome = co_await fixture.call(0, std::move(again));
@@ -110,6 +118,38 @@
   cr_assert_eq(itemsRun(fixture), static_cast<std::size_t>(kItems));
 }
 
+// Guards against a false refusal after a timeout: the store's queue is full by the time of the
+// retry, and the first write is executed seconds later.
+GATEWAY_TEST(batch_submission, a_write_that_timed_out_and_a_rate_limited_retry_refuse_no_job,
+             twoGateways(3)) {
+  std::deque<StoreAct> acts(100, StoreAct::kRateLimit);
+  acts.push_front(StoreAct::kHangExecuteLate);
+  const Duration delay = std::chrono::seconds(5);
+  test::WriteScript script{kJobRows, std::move(acts), delay};
+  fixture.store().setScript(std::move(script));
+  http::Request request = fixture.jobRequest("job", kItems);
+  const auto unknown = co_await fixture.call(0, std::move(request));
+  cr_expect_eq(unknown.response.result_int(), 502U, "got %u", unknown.response.result_int());
+  cr_expect(fixture.store().actsLeft() < 100, "the retry was not refused");
+  fixture.store().setScript({});
+  const std::string results = co_await fixture.readAll(1, "job");
+  cr_assert(results.find("job-1") != std::string::npos, "the late write was not executed");
+  cr_assert_eq(itemsRun(fixture), static_cast<std::size_t>(kItems));
+}
+
+// Guards against a refusal of a job that this daemon has learned of during the submission.
+GATEWAY_TEST(batch_submission, a_job_that_the_feed_reports_during_a_submission_is_accepted,
+             twoGateways(3)) {
+  std::deque<StoreAct> acts(1, StoreAct::kHangExecuteLate);
+  test::WriteScript script{kJobRows, std::move(acts), std::chrono::milliseconds(100)};
+  fixture.store().setScript(std::move(script));
+  http::Request request = fixture.jobRequest("job", kItems);
+  const auto accepted = co_await fixture.call(0, std::move(request));
+  cr_assert_eq(accepted.response.result_int(), 202U, "got %u", accepted.response.result_int());
+  co_await fixture.readAll(1, "job");
+  cr_assert_eq(itemsRun(fixture), static_cast<std::size_t>(kItems));
+}
+
 // Guards against a false refusal of a job's end, which the store may execute later.
 GATEWAY_TEST(batch_submission, an_end_that_may_still_be_executed_is_not_refused, twoGateways(3)) {
   http::Request request = fixture.jobRequest("job", kItems);
@@ -120,4 +160,20 @@
   fixture.store().setScript(std::move(script));
   const auto unknown = co_await fixture.call(0, endRequest("job"));
   cr_expect_eq(unknown.response.result_int(), 502U, "got %u", unknown.response.result_int());
+  co_await fixture.waitFor([&fixture] { return isEnded(fixture, "job"); });
+  cr_assert(isEnded(fixture, "job"), "the late end was not executed");
+  fixture.store().setScript({});
+  const auto again = co_await fixture.call(0, endRequest("job"));
+  cr_assert_eq(again.response.result_int(), 200U);
+}
+
+GATEWAY_TEST(batch_submission, an_end_that_the_store_only_refuses_is_refused, twoGateways(3)) {
+  http::Request request = fixture.jobRequest("job", kItems);
+  co_await fixture.call(0, std::move(request));
+  co_await fixture.readAll(0, "job");
+  test::WriteScript script{kJobRows, thenRefusals(StoreAct::kRefuse)};
+  fixture.store().setScript(std::move(script));
+  const auto refused = co_await fixture.call(0, endRequest("job"));
+  cr_expect_eq(refused.response.result_int(), 503U, "got %u", refused.response.result_int());
+  cr_assert(!isEnded(fixture, "job"));
 }
--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -240,8 +240,8 @@
       transact(body);
       co_await reply(writer, 200, "<html>");
       co_return;
-    case StoreAct::kHang:
-      transact(body);
+    case StoreAct::kHangExecuteLate:
+      transactLater(body, script_.delay);
       co_await hang(writer);
       co_return;
   }
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -34,7 +34,7 @@
   kBreakExecuted,     ///< Executes the write and resets the connection without a response.
   kBreakExecuteLate,  ///< Resets the connection and executes the write later.
   kGarble,            ///< Executes the write and responds with a body that is not JSON.
-  kHang,              ///< Executes the write and never responds.
+  kHangExecuteLate,   ///< Executes the write later and never responds.
 };
 
 /// Acts for the next writes that put a row whose "TABLE/KEY" starts with `prefix`. Other calls are
