Answer no end with 404 while a submission here may still write the job

What callers saw: a job that got 502, an end of it that got 404, and then the job ran: its write was carried out after the end had looked for its row. Cause: the end judged by the row alone, although the same daemon had a write of it under way or without an answer. Found by a review of the mend. Evidence: the new test fails without the change (404 where 200 is due; run as a mutant) and passes with it. Why this works: while the job is unresolved here, an end is tried again until the row appears and can be ended; if its time is over before, it gets 502.

--- a/src/gateway/batch/job_acceptance.cpp
+++ b/src/gateway/batch/job_acceptance.cpp
@@ -278,7 +278,10 @@
       row = co_await this->deps_.store.getRecord(id);
     }
     known.reset();
-    if (row && row->revision == 0) co_return kNotFound;
+    const bool absent = row && row->revision == 0;
+    // A submission at this daemon may still write the row.
+    const bool unresolved = this->unresolved_.contains(steadyNow(), id);
+    if (absent && !unresolved) co_return kNotFound;
     auto record = row ? decodeRecord(id, row->value) : std::nullopt;
     if (record && !mayAccess(*record, from)) co_return kNotFound;
     if (record && record->ended) {
@@ -304,7 +307,8 @@
     }
     co_await sleepFor(this->deps_.loop, this->deps_.options.store_retry_delay);
   }
-  co_return attempts.mayBeCommitted() ? kUnknown : kUnavailable;
+  const bool unresolved = this->unresolved_.contains(steadyNow(), id);
+  co_return attempts.mayBeCommitted() || unresolved ? kUnknown : kUnavailable;
 }
 
 Task<void> job_acceptance::end(JobId id, tenants::caller from, http::ResponseWriter& writer) {
--- a/tests/gateway/service/batch_submission_test.cpp
+++ b/tests/gateway/service/batch_submission_test.cpp
@@ -177,3 +177,19 @@
   cr_expect_eq(refused.response.result_int(), 503U, "got %u", refused.response.result_int());
   cr_assert(!isEnded(fixture, "job"));
 }
+
+// Guards against a job that runs after its end was answered as not found: the write of its
+// submission is still to be executed.
+GATEWAY_TEST(batch_submission, an_end_of_a_job_that_may_still_be_accepted_is_not_answered_not_found,
+             twoGateways(3)) {
+  const Duration delay = std::chrono::milliseconds(4000);
+  test::WriteScript script{kJobRows, thenRefusals(StoreAct::kBreakExecuteLate), delay};
+  fixture.store().setScript(std::move(script));
+  http::Request request = fixture.jobRequest("job", kItems);
+  const auto unknown = co_await fixture.call(0, std::move(request));
+  cr_assert_eq(unknown.response.result_int(), 502U);
+  fixture.store().setScript({});
+  const auto ended = co_await fixture.call(0, endRequest("job"));
+  cr_assert_eq(ended.response.result_int(), 200U, "got %u", ended.response.result_int());
+  cr_assert(isEnded(fixture, "job"));
+}
