Hand over a job that is accepted during a shutdown

What callers saw: a job that was accepted while its owner shut down waited until the owner's lease expired. Cause: a submission that still tries its write after SIGTERM commits the row, with a renewal of the lease that has just been given back, and starts the job in the process that ends. Retries after an unanswered write made this window longer; a review of the mend found it. Why this works: the row goes the way of any row that comes during a shutdown, which is handed over at once.

--- a/src/gateway/batch/job_acceptance.cpp
+++ b/src/gateway/batch/job_acceptance.cpp
@@ -206,6 +206,11 @@
 void job_acceptance::onAccepted(submission& call, Revision revision) {
   job_entry& mine = this->deps_.jobs.findOrCreate(call.id);
   if (revision <= mine.revision || mine.transition_pending || mine.active) return;
+  if (this->stopping_) {
+    // The job was accepted during the shutdown: like any other row, it is handed over.
+    this->deps_.jobs.onRow(call.id, {table::jobKey(call.id), revision, encodeRecord(call.record)});
+    return;
+  }
   mine.record = call.record;
   mine.revision = revision;
   if (call.record.owner != this->deps_.leases.own()) return;
--- a/tests/gateway/service/batch_submission_test.cpp
+++ b/tests/gateway/service/batch_submission_test.cpp
@@ -27,6 +27,12 @@
   return fixture.model(0).arrivals().size() + fixture.model(1).arrivals().size();
 }
 
+/// @return whether the daemon owns the job.
+bool isOwnedBy(GatewayFixture& fixture, const std::string& job, const std::string& daemon) {
+  const std::string record = fixture.store().get("linenpier", "job/" + job).value_or("");
+  return record.find("\"owner\":\"" + daemon + "#") != std::string::npos;
+}
+
 bool isEnded(GatewayFixture& fixture, const std::string& job) {
   const std::string record = fixture.store().get("linenpier", "job/" + job).value_or("");
   return record.find("\"ended\":true") != std::string::npos;
@@ -150,6 +156,36 @@
   cr_assert_eq(itemsRun(fixture), static_cast<std::size_t>(kItems));
 }
 
+// Guards against a job that nobody runs until a lease expires: its submission is completed while
+// the daemon that would own it shuts down.
+GATEWAY_TEST(batch_submission, a_job_accepted_during_a_shutdown_is_run_by_another_daemon,
+             twoGateways(90)) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(std::chrono::milliseconds(15));
+  // A model's next job gets the owner of the one before.
+  http::Request earlier = fixture.jobRequest("earlier", kItems);
+  co_await fixture.call(0, std::move(earlier));
+  co_await fixture.readAll(0, "earlier");
+  const std::size_t owner = isOwnedBy(fixture, "earlier", "d0") ? 0 : 1;
+  const std::string other = owner == 0 ? "d1" : "d0";
+  // The write succeeds after the daemon has handed over its jobs and its lease.
+  std::deque<StoreAct> acts(5, StoreAct::kRefuse);
+  acts.push_front(StoreAct::kBreakExecuteLate);
+  test::WriteScript script{kJobRows, std::move(acts), std::chrono::seconds(20)};
+  fixture.store().setScript(std::move(script));
+  spawn(fixture.loop(), [&fixture, owner]() -> Task<void> {
+    co_await sleepFor(fixture.loop(), std::chrono::milliseconds(80));
+    fixture.gateway(owner).stop();
+  });
+  http::Request request = fixture.jobRequest("job", kItems);
+  const auto accepted = co_await fixture.call(owner, std::move(request));
+  cr_assert_eq(accepted.response.result_int(), 202U, "got %u", accepted.response.result_int());
+  // A lease expires after more than a second.
+  const bool taken = co_await fixture.waitFor(
+      [&fixture, &other] { return isOwnedBy(fixture, "job", other); }, std::chrono::seconds(1));
+  cr_assert(taken);
+  co_await fixture.readAll(1 - owner, "job");
+}
+
 // Guards against a false refusal of a job's end, which the store may execute later.
 GATEWAY_TEST(batch_submission, an_end_that_may_still_be_executed_is_not_refused, twoGateways(3)) {
   http::Request request = fixture.jobRequest("job", kItems);
