Let each new leader wait, however it learns that it has the lock

What callers saw: a new leader could send orders to engines, usage reports and scaling orders without the handover pause after another leader. Cause: only the answer to the write that acquires a lock set the end of the pause and told the lock's users. If that answer was lost, or later than the feed, the row alone made the daemon the leader, with the pause of an earlier time or none. The reverse too: an answer told the users that the lock is held even if a newer row had named another leader by then. Why this works: answer and feed both pass through onRow, which knows the row that was replaced and ignores outdated ones. The change from not holding to holding, in one place, starts the pause, discards confirmations of earlier tokens and tells the users once. The answer adds only that the lock was confirmed when the write was sent. A new line, lease.right_acquired, tells the wait.

--- a/src/gateway/lease/leader_lock.cpp
+++ b/src/gateway/lease/leader_lock.cpp
@@ -60,12 +60,18 @@
 void leader_lock::onRow(const table::Row& row) {
   if (row.revision <= this->revision_) return;
   const bool was_held = this->held();
+  const bool existed = this->revision_ > 0;
+  const leader_lock_row before{this->owner_, this->previous_leader_action_ms_};
   const leader_lock_row value = decodeLockRow(row.value);
   this->revision_ = row.revision;
   this->owner_ = value.owner;
   this->previous_leader_action_ms_ = value.last_action_ms;
   this->vacant_since_ = Instant{};
-  if (!was_held || this->held()) return;
+  if (this->held() == was_held) return;
+  if (this->held()) {
+    this->onAcquired(existed ? std::optional(before) : std::nullopt);
+    return;
+  }
   LogEvent("lease", "right_lost")
       .text("right", this->name_)
       .text("to", row.value)
@@ -73,6 +79,22 @@
   this->on_change_(false);
 }
 
+void leader_lock::onAcquired(const std::optional<leader_lock_row>& before) {
+  const bool other_leader = before && !this->deps_.leases.isPreviousIncarnation(before->owner);
+  const Duration delay = other_leader
+                             ? this->handoverDelayAfter(before->owner, before->last_action_ms)
+                             : Duration::zero();
+  this->may_act_at_ = steadyNow() + delay;
+  // Nothing has been confirmed under the new token.
+  this->confirmed_at_ = Instant{};
+  LogEvent("lease", "right_acquired")
+      .text("right", this->name_)
+      .text("from", before ? before->owner.str() : std::string())
+      .number("revision", static_cast<std::int64_t>(this->revision_))
+      .milliseconds("acts_in_ms", delay);
+  this->on_change_(true);
+}
+
 void leader_lock::onRowRemoved() {
   this->revision_ = 0;
   this->owner_ = LeaseId();
@@ -149,11 +171,10 @@
   }
   const Revision before = this->revision_;
   const std::int64_t last_action_ms = this->previous_leader_action_ms_;
-  const bool first = before == 0 || this->deps_.leases.isPreviousIncarnation(from);
+  const std::string value = encodeLockRow({this->deps_.leases.own(), last_action_ms});
   table::Write write;
   write.transaction.checks.push_back({this->key_, before});
-  write.transaction.puts.push_back(
-      {this->key_, encodeLockRow({this->deps_.leases.own(), last_action_ms})});
+  write.transaction.puts.push_back({this->key_, value});
   write.transaction.puts.push_back(this->deps_.keeper.renewal());
   const Instant sent_at = steadyNow();
   const auto answer = co_await this->deps_.table.write(std::move(write));
@@ -171,14 +192,11 @@
     co_return;
   }
   this->deps_.keeper.onRenewed(sent_at);
-  this->confirmed_at_ = sent_at;
-  this->may_act_at_ =
-      steadyNow() + (first ? Duration::zero() : this->handoverDelayAfter(from, last_action_ms));
-  if (answer->revision > this->revision_) {
-    this->revision_ = answer->revision;
-    this->owner_ = this->deps_.leases.own();
+  // The feed may have reported the row already, or a later one.
+  this->onRow({this->key_, answer->revision, value});
+  if (this->revision_ == answer->revision) {
+    this->confirmed_at_ = std::max(this->confirmed_at_, sent_at);
   }
-  this->on_change_(true);
 }
 
 Task<void> leader_lock::handOver() {
--- a/src/gateway/lease/leader_lock.h
+++ b/src/gateway/lease/leader_lock.h
@@ -26,6 +26,7 @@
  */
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "gateway/lease/lease_keeper.h"
@@ -101,6 +102,11 @@
   /** Renews the lease by a write conditional on the lock's row being unchanged. */
   Task<void> confirm();
   Task<void> acquire();
+  /** Handles the transition to being the leader, which is known from the response to the write or
+   * from the feed: the response may be lost, or later than the feed.
+   * @param before the row that was replaced; empty: the row was created.
+   */
+  void onAcquired(const std::optional<leader_lock_row>& before);
   /** @return how long a new leader waits before its first action after the leader `from`. */
   Duration handoverDelayAfter(const LeaseId& from, std::int64_t last_action_ms) const;
   /** @return how long a new leader waits before its first action if tokens are checked: until the
