Show with a failing test that a write for a peer is refused although it ran

What callers saw: a gateway that writes a row for a peer answers 503, which promises that nothing was done, also when the store gave no answer.

--- a/tests/gateway/service/peers_test.cpp
+++ b/tests/gateway/service/peers_test.cpp
@@ -2,10 +2,54 @@
 /// End-to-end tests of daemons that get the shared state from peers while the store is unreachable.
 
 #include "gateway/service/peer_snapshot.h"
+#include "gateway/service/peer_write.h"
 #include "support/gateway_fixture.h"
 
 using namespace linenpier;
 using test::GatewayFixture;
+using test::StoreAct;
+
+namespace {
+
+/// Asks the first gateway to write a row for a peer while the store treats the write as `act` says.
+/// @return the status of the gateway's response.
+Task<unsigned> writeForPeer(GatewayFixture& fixture, StoreAct act) {
+  const std::string key = "clocks/peer";
+  fixture.store().setScript({key, {act}});
+  table::Write write;
+  write.transaction.puts.push_back({key, "1"});
+  http::Request request(boost::beast::http::verb::post, "/write", 11);
+  request.set(boost::beast::http::field::host, "peer");
+  request.body() = gateway::encodeWrite(write);
+  request.prepare_payload();
+  http::ConnectionPool pool(fixture.loop(), {});
+  const Instant deadline = steadyNow() + std::chrono::seconds(5);
+  const Address peer = fixture.gateway(0).peerAddress();
+  const auto outcome = co_await http::call(pool, peer, std::move(request), deadline);
+  cr_assert(fixture.store().actsLeft() == 0, "the write did not reach the store");
+  co_return outcome.response.result_int();
+}
+
+}  // namespace
+
+// Guards against a peer that is told that a write was not executed although it was, or will be.
+GATEWAY_TEST(peers, a_write_for_a_peer_is_refused_only_if_the_store_will_not_execute_it,
+             test::FixtureOptions{}) {
+  const bool ready = co_await fixture.waitReady(0);
+  cr_assert(ready);
+  const unsigned answered = co_await writeForPeer(fixture, StoreAct::kAnswer);
+  cr_assert_eq(answered, 200U);
+  const unsigned refused = co_await writeForPeer(fixture, StoreAct::kRefuse);
+  cr_assert_eq(refused, 503U);
+  const unsigned limited = co_await writeForPeer(fixture, StoreAct::kRateLimit);
+  cr_assert_eq(limited, 503U);
+  const std::vector<StoreAct> without_answer = {StoreAct::kBreakExecuted,
+                                                StoreAct::kBreakExecuteLate, StoreAct::kGarble};
+  for (const StoreAct act : without_answer) {
+    const unsigned unknown = co_await writeForPeer(fixture, act);
+    cr_assert_eq(unknown, 502U, "act %d got %u", static_cast<int>(act), unknown);
+  }
+}
 
 GATEWAY_TEST(peers, a_daemon_that_starts_without_the_store_serves_from_a_peer_snapshot,
              test::FixtureOptions{}) {
