Refuse a write for a peer only if the store does not execute it

What callers saw: a gateway answered 503 to a peer whose row it was asked to write when the store gave no answer, though the store had executed the write. Cause: any failure of the store's call became 503. No caller of today relies on that 503: whoever asked treats each answer but 200 as unknown. Why this works: 502 unless certainlyNotProcessed holds for the failure; 503 is left for refusals by the store and for writes that were not tried.

--- a/src/gateway/service/peer_exchange.cpp
+++ b/src/gateway/service/peer_exchange.cpp
@@ -32,6 +32,7 @@
 constexpr char kWritePath[] = "/write";
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kOutcomeUnknown = 502;
 constexpr unsigned kUnavailable = 503;
 
 bool isFresh(const table::TableWatcher& feed) {
@@ -74,6 +75,8 @@
     if (answer) {
       response.result(kOk);
       response.body() = encodeAnswer(*answer);
+    } else if (!certainlyNotProcessed(answer.error().failure)) {
+      response.result(kOutcomeUnknown);
     }
   }
   LogEvent("gateway", "wrote_for_peer").number("status", response.result_int());
