Show that a refused order settles no earlier one without an answer

What was looked for: orders to engines or to the control plane where a refusal of the newer order hides that an older one may still be carried out. Found sound, but no test held it. For engines, a refusal after an order without an answer makes the leader read the engine's sequence before the next order; for scaling, a refusal leaves the unanswered order to be corrected if it comes late, also after a newer order was accepted.

--- a/tests/gateway/scaling/scaling_policy_test.cpp
+++ b/tests/gateway/scaling/scaling_policy_test.cpp
@@ -344,6 +344,30 @@
   cr_assert_eq(policy.record().current(kA), 4U);
 }
 
+// Guards against a refusal that settles an earlier order, which may still be executed.
+Test(scaling_policy, an_unanswered_order_executed_after_a_refused_one_is_corrected) {
+  scaling_options soon = options();
+  soon.stabilization_window = std::chrono::seconds(3);
+  scaling_policy policy(soon, kStart, fourEach());
+  const scaling_view view = closing(seen(4, 4, 4), "c");
+  step(policy, 0, view, FencedCallResult::kUnknown);
+  cr_assert_eq(wantedOf(step(policy, 1, view, FencedCallResult::kRefused), kA), 6U);
+  cr_assert_eq(wantedOf(step(policy, 2, view), kA), 6U);
+  scaling_view now = seen(6, 6, 4);
+  const auto follow = [&](int from, int until) {
+    for (int second = from; second < until; ++second) {
+      for (const scaling_decision& each : step(policy, second, now)) {
+        now.groups[each.group].serving = each.wanted;
+      }
+    }
+  };
+  follow(3, 14);
+  cr_assert_eq(now.groups[kA].serving, 4U, "scaled back before the first order is executed");
+  now.groups[kA].serving = 6;
+  follow(14, 74);
+  cr_assert_eq(now.groups[kA].serving, 4U);
+}
+
 Test(scaling_policy, demand_mode_scales_down_expensive_zones_to_half_their_baseline) {
   scaling_policy policy(options(ScalingMode::kDemand), kStart, fourEach());
   scaling_view view = seen(4, 4, 4);
--- a/tests/gateway/versions/version_rollout_test.cpp
+++ b/tests/gateway/versions/version_rollout_test.cpp
@@ -105,6 +105,23 @@
                "at most one of both may be executed");
 }
 
+// Guards against a refusal that settles an earlier order, which may have been executed.
+Test(version_rollout, an_order_refused_after_an_unanswered_one_requires_a_new_report) {
+  for (const OrderResult refusal : {OrderResult::kBusy, OrderResult::kRejected}) {
+    Fixture fixture(1);
+    fixture.rollout.onVersionAnnounced(kStart, kModel, 2);
+    fixture.reportAll(kStart);
+    fixture.rollout.onAnswer(kStart, fixture.tick(kStart).at(0), OrderResult::kUnknown);
+    const Instant repeated_at = kStart + std::chrono::seconds(1);
+    fixture.rollout.onAnswer(repeated_at, fixture.tick(repeated_at).at(0), refusal);
+    const Instant later = kStart + std::chrono::seconds(5);
+    cr_assert(fixture.tick(later).empty());
+    cr_assert_eq(fixture.rollout.reportsNeeded().size(), 1U);
+    fixture.rollout.onReport(later, EngineId("e0"), {fixture.states[0].record.start, 1, false, 0});
+    cr_assert_eq(fixture.tick(later).at(0).expected_sequence, 1U, "the first order was executed");
+  }
+}
+
 Test(version_rollout, an_engines_response_overrides_discovery_for_a_time) {
   Fixture fixture(1);
   fixture.rollout.onVersionAnnounced(kStart, kModel, 2);
