Show with a failing test that a late usage count is lost silently

What callers saw: a request that was executed is in no usage report, and the metric of late counts does not show it either. Cause: usage_writer takes a missing row for "already summed" only if it knew the row before. If all writes of a window's first row fail until the window was summed, the write that then succeeds creates a row that nobody adds up, and the count is taken as stored.

--- a/tests/gateway/service/usage_test.cpp
+++ b/tests/gateway/service/usage_test.cpp
@@ -66,6 +66,15 @@
   return fixture.duties().calls().back().holder == "d0" ? 0 : 1;
 }
 
+/// @return the number of requests that the gateway reports as counted too late.
+Task<std::uint64_t> lateTotal(GatewayFixture& fixture, std::size_t gateway) {
+  const std::string page = co_await fixture.metricsPage(gateway);
+  const std::string name = "\nlinenpier_usage_requests_late ";
+  const std::size_t at = page.find(name);
+  cr_assert_neq(at, std::string::npos);
+  co_return std::strtoull(page.c_str() + at + name.size(), nullptr, 10);
+}
+
 }  // namespace
 
 GATEWAY_TEST(usage_reports, each_executed_request_counts_once_for_its_tenant, withUsageReports(2)) {
@@ -223,6 +232,23 @@
   }
 }
 
+// Guards against requests that are neither reported nor counted as late.
+GATEWAY_TEST(usage_reports, a_count_refused_until_its_window_was_summed_is_late,
+             withUsageReports(1)) {
+  const bool reports = co_await waitForReports(fixture);
+  cr_assert(reports);
+  test::WriteScript script{"usage/w/"};
+  script.acts.assign(1000, test::StoreAct::kRefuse);
+  fixture.store().setScript(script);
+  const unsigned status = co_await sendLookup(fixture, 0, "key-a", 0);
+  cr_assert_eq(status, 200U);
+  co_await sleepFor(fixture.loop(), std::chrono::seconds(5));
+  fixture.store().setScript({});
+  co_await sleepFor(fixture.loop(), std::chrono::seconds(3));
+  const std::uint64_t late = co_await lateTotal(fixture, 0);
+  cr_assert_eq(reportedTotal(fixture, "ada") + late, 1U, "the request was lost silently");
+}
+
 GATEWAY_TEST(usage_reports, reports_are_sent_to_a_changed_service_address, withUsageReports(1)) {
   const bool reports = co_await waitForReports(fixture);
   cr_assert(reports);
