--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -20,6 +20,7 @@
   explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) {}
   tcp::socket socket;
   boost::beast::flat_buffer buffer;
+  std::string surplus;  ///< Response that is sent once more when the next request has arrived.
 
   bool clientDisconnected() {
     char byte = 0;
@@ -140,10 +141,15 @@
         act = script_.front();
         script_.pop_front();
       }
-      arrival.ran = act != SamplerAct::kShed && arrival.fields["target-instance"] == id_;
+      const bool shed = act == SamplerAct::kShed || act == SamplerAct::kShedTwice;
+      arrival.ran = !shed && arrival.fields["target-instance"] == id_;
       arrival.at = steadyNow();
       arrival.version = version_;
       arrivals_.push_back(arrival);
+      if (!connection->surplus.empty()) {
+        std::string surplus = std::exchange(connection->surplus, {});
+        if (!co_await write(*connection, std::move(surplus))) co_return;
+      }
       const bool fatal = arrival.ran && !fatal_.mark.empty() &&
                          arrival.body.find(fatal_.mark) != std::string::npos;
       if (fatal) {
@@ -201,6 +207,13 @@
     case SamplerAct::kShed:
       bytes = makeResponse(id, 503, "Not-Executed: 1\r\n", "");
       break;
+    case SamplerAct::kShedTwice:
+      bytes = makeResponse(id, 503, "Not-Executed: 1\r\n", "");
+      connection.surplus = bytes;
+      break;
+    case SamplerAct::kSignedRefusal:
+      bytes = makeResponse(id, refusal_status_, signature, "failed");
+      break;
     case SamplerAct::kFail:
       bytes = makeResponse(id, 500, signature, "failed");
       break;
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -22,18 +22,20 @@
 
 /// How the sampler handles a request.
 enum class SamplerAct {
-  kAnswer,        ///< According to the protocol.
-  kShed,          ///< 503: not executed.
-  kFail,          ///< 500 from the engine.
-  kReject,        ///< 422 from the engine.
-  kCutShort,      ///< Closes the connection in the middle of the response.
-  kSurplusFirst,  ///< Sends a response to another request first.
-  kExtraAfter,    ///< Sends a second response after a complete one.
-  kNonsense,      ///< Bytes that are not HTTP.
-  kUnframed,      ///< A response delimited by the end of its connection.
-  kUnsigned,      ///< A 200 response without its signature.
-  kClose,         ///< Closes without a response.
-  kSilent,        ///< Never responds.
+  kAnswer,         ///< According to the protocol.
+  kShed,           ///< 503: not executed.
+  kFail,           ///< 500 from the engine.
+  kReject,         ///< 422 from the engine.
+  kCutShort,       ///< Closes the connection in the middle of the response.
+  kSurplusFirst,   ///< Sends a response to another request first.
+  kExtraAfter,     ///< Sends a second response after a complete one.
+  kNonsense,       ///< Bytes that are not HTTP.
+  kUnframed,       ///< A response delimited by the end of its connection.
+  kUnsigned,       ///< A 200 response without its signature.
+  kSignedRefusal,  ///< Executes the request, then responds with a signed refusal status.
+  kShedTwice,  ///< As kShed; sends the response again in place of the connection's next response.
+  kClose,      ///< Closes without a response.
+  kSilent,     ///< Never responds.
 };
 
 /// Protocol violations that test whether a checker detects them.
@@ -87,6 +89,8 @@
   void setBusy(bool busy) { busy_ = busy; }
   void setEventGap(Duration gap) { event_gap_ = gap; }
   void setViolation(SamplerViolation violation) { violation_ = violation; }
+  /// Sets the status of kSignedRefusal.
+  void setRefusalStatus(unsigned status) { refusal_status_ = status; }
   void setFatal(FatalRequests fatal) { fatal_ = std::move(fatal); }
   /// Makes it keep its id on restarts; its entries and reports then contain its start time.
   void setKeepsId() { start_ = 1'700'000'000'000; }
@@ -132,6 +136,7 @@
   Duration cold_for_{};
   std::deque<SamplerAct> script_;
   SamplerViolation violation_ = SamplerViolation::kNone;
+  unsigned refusal_status_ = 503;
   std::optional<Address> listed_address_;
   std::vector<SamplerArrival> arrivals_;
   std::vector<std::string> orders_;
