Forward no engine's 408, 429 or 503 that lacks Not-Executed

What callers saw: the signed 503 (429, 408) of an engine as the response to a request that this engine, or one of an earlier attempt, had executed. To a client these statuses promise that the request has not run and never will. Cause: an engine says that it has not run a request by Not-Executed (or 421) alone. A refusal status without that field counted as an ordinary response, was passed on, and was counted as usage. Why this works: engine_call takes such a response for a malformed one, as it does one without a signature. So the request is retried only where it may be repeated, and the reply is the gateway's own 502. Not-Executed is judged before, so a true rejection is handled as ever.

--- a/src/gateway/forward/engine_call.cpp
+++ b/src/gateway/forward/engine_call.cpp
@@ -14,8 +14,17 @@
 /** HTTP status "Misdirected Request": the request names another engine. */
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kServerError = 500;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kUnavailable = 503;
 /** Maximum time for a host to accept or refuse a connection. */
 constexpr Duration kCrashCheckTimeout = std::chrono::milliseconds(100);
+
+/** @return whether the status tells a client that its request was not executed. */
+bool isRefusal(unsigned status) {
+  return status == kMisdirected || status == kRequestTimeout || status == kTooManyRequests ||
+         status == kUnavailable;
+}
 }  // namespace
 
 const char* toText(AttemptOutcome outcome) {
@@ -104,7 +113,9 @@
     this->reportEnd(HealthOutcome::kRejected);
     return AttemptOutcome::kNotExecuted;
   }
-  if (this->head().count(this->context_.names.signature) == 0) {
+  // Without Not-Executed a refusal promises nothing, so it must not be forwarded.
+  if (isRefusal(this->exchange_->status()) ||
+      this->head().count(this->context_.names.signature) == 0) {
     this->exchange_->abort();
     this->reportEnd(HealthOutcome::kBroken);
     return AttemptOutcome::kBroken;
