Show with a failing test that a request is refused by a former engine's 421

What callers saw: 503 for a request that may not be repeated and that an engine executed. While the entry of an engine that is gone is still listed beside that of the engine that has its address now, both attempts of a request can go to one address, hence over one connection. The test lets the stand-in repeat its 421 in place of the next response: the request ran and got 503, each time that the former engine was asked first.

--- a/tests/gateway/service/refusals_test.cpp
+++ b/tests/gateway/service/refusals_test.cpp
@@ -117,6 +117,31 @@
   }
 }
 
+// Guards against taking a repeated response to an attempt at an engine that is gone for that of the
+// engine that has its address now.
+GATEWAY_TEST(refusals, a_response_for_a_former_engine_of_an_address_does_not_refuse_a_request,
+             test::FixtureOptions{}) {
+  StandinSampler& engine = fixture.lookup(0);
+  fixture.store().remove("servers", fixture.lookup(1).id());
+  int executed = 0;
+  for (int i = 0; i < 8; ++i) {
+    const std::string former = "former-" + std::to_string(i);
+    fixture.store().put("servers", former, engine.entry("desk"));
+    co_await sleepFor(fixture.loop(), std::chrono::milliseconds(200));
+    engine.script() = {SamplerAct::kShedTwice};
+    const auto outcome =
+        co_await fixture.call(0, fixture.lookupRequest("r" + std::to_string(i), "/once/1"));
+    const unsigned status = outcome.response.result_int();
+    if (anyRan(engine.takeArrivals())) {
+      ++executed;
+      cr_assert_not(isRefusal(status), "executed, and answered with %u", status);
+    }
+    engine.script().clear();
+    fixture.store().remove("servers", former);
+  }
+  cr_assert_gt(executed, 0, "no request went to the former engine first");
+}
+
 // Guards against a reply that is made from the last attempt alone.
 GATEWAY_TEST(refusals, a_rejection_after_an_attempt_that_may_have_run_is_not_a_refusal,
              test::FixtureOptions{}) {
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -189,6 +189,7 @@
   const std::string signature = "Response-Signature: s-" + id + "\r\n";
   if (arrival.fields["target-instance"] != id_) {
     std::string misdirected = makeResponse(id, 421, "Instance-Id: " + id_ + "\r\n", "");
+    if (act == SamplerAct::kShedTwice) connection.surplus = misdirected;
     co_return co_await write(connection, std::move(misdirected));
   }
   const std::string body =
