Send the attempts of a request on different connections

What callers saw: 503 for a request that may not be repeated and that an engine executed. Cause: two listed engines can have one address while the entry of a former engine is not removed yet. Their attempts have one request id and used one connection, so that the 421 of the first, repeated in place of the next response, passed for the response to the second. Why this works: a request notes the addresses of all its attempts, plain and streamed, and an attempt at a noted address opens a new connection. This takes in what a stream noted by engine id: one rule, in useAddress.

--- a/src/gateway/forward/attempt_group.cpp
+++ b/src/gateway/forward/attempt_group.cpp
@@ -10,15 +10,18 @@
   const auto call = std::make_shared<engine_call>(
       engines, *engine, makeEngineRequest(engines.names, *this->forwarded_, steadyNow()));
   this->running_.push_back(call);
-  spawn(this->context_.loop,
-        [self = this->shared_from_this(), call, attempt] { return self->run(call, attempt); });
+  const bool fresh_connection = useAddress(*this->forwarded_, engine->record.address);
+  spawn(this->context_.loop, [self = this->shared_from_this(), call, attempt, fresh_connection] {
+    return self->run(call, attempt, fresh_connection);
+  });
   return true;
 }
 
-Task<void> attempt_group::run(std::shared_ptr<engine_call> call, suspects::sent_attempt attempt) {
+Task<void> attempt_group::run(std::shared_ptr<engine_call> call, suspects::sent_attempt attempt,
+                              bool fresh_connection) {
   const auto self = this->shared_from_this();
   result ended;
-  ended.outcome = co_await this->readResponse(*call, ended.response);
+  ended.outcome = co_await this->readResponse(*call, fresh_connection, ended.response);
   this->context_.runs.onAttemptEnded(*this->forwarded_, *call, ended.outcome);
   bool engine_crashed = false;
   if (ended.outcome == AttemptOutcome::kBroken) {
@@ -34,9 +37,10 @@
   this->changed_.notifyAll();
 }
 
-Task<AttemptOutcome> attempt_group::readResponse(engine_call& call, http::Response& response) {
+Task<AttemptOutcome> attempt_group::readResponse(engine_call& call, bool fresh_connection,
+                                                 http::Response& response) {
   const Instant deadline = this->forwarded_->deadline;
-  attempt_limits limits{steadyNow() + this->context_.timeouts.connect, deadline};
+  attempt_limits limits{steadyNow() + this->context_.timeouts.connect, deadline, fresh_connection};
   const AttemptOutcome started = co_await call.start(limits);
   if (started != AttemptOutcome::kAnswered) co_return started;
   const AttemptOutcome read = co_await call.readWhole(response.body(), deadline);
--- a/src/gateway/forward/attempt_group.h
+++ b/src/gateway/forward/attempt_group.h
@@ -39,9 +39,11 @@
   void abortAll();
 
  private:
-  Task<void> run(std::shared_ptr<engine_call> call, suspects::sent_attempt attempt);
+  Task<void> run(std::shared_ptr<engine_call> call, suspects::sent_attempt attempt,
+                 bool fresh_connection);
   /** Reads the complete engine response into `response`. */
-  Task<AttemptOutcome> readResponse(engine_call& call, http::Response& response);
+  Task<AttemptOutcome> readResponse(engine_call& call, bool fresh_connection,
+                                    http::Response& response);
 
   forwarding_context context_;
   std::shared_ptr<forwarded_request> forwarded_;
--- a/src/gateway/forward/forwarded_request.cpp
+++ b/src/gateway/forward/forwarded_request.cpp
@@ -43,6 +43,10 @@
   return copy;
 }
 
+bool useAddress(forwarded_request& forwarded, const Address& address) {
+  return !forwarded.used_addresses.insert(address).second;
+}
+
 const suspects::request_key& keyOf(forwarded_request& forwarded, const http::Request& message) {
   if (!forwarded.key) forwarded.key = suspects::keyOf(forwarded.caller.tenant, message);
   return *forwarded.key;
--- a/src/gateway/forward/forwarded_request.h
+++ b/src/gateway/forward/forwarded_request.h
@@ -5,8 +5,10 @@
  */
 
 #include <optional>
+#include <set>
 #include <string>
 
+#include "common/address.h"
 #include "gateway/engines/engine_admission.h"
 #include "gateway/forward/field_names.h"
 #include "gateway/http/http_types.h"
@@ -36,6 +38,7 @@
   engines::admission_failure_counts refusals;
   std::optional<suspects::request_key> key;  ///< Key of the request; computed on first use.
   suspects::suspect_admission admission;     ///< Result of the last suspect check.
+  std::set<Address> used_addresses;          ///< Engine addresses of all attempts.
 };
 
 /** @return the deadline: `received` plus the shorter of the route's timeout and the sender's
@@ -50,6 +53,13 @@
 http::Request makeEngineRequest(const field_names& names, const forwarded_request& forwarded,
                                 Instant now);
 
+/** Records the engine address of a new attempt. All attempts have the same request id, so that on a
+ * connection of an earlier attempt a repeated response to that attempt could not be told from the
+ * response to the new one.
+ * @return whether the attempt needs a new connection, since an earlier attempt used the address.
+ */
+bool useAddress(forwarded_request& forwarded, const Address& address);
+
 /** @return the request's key; computed on the first call.
  * @param message the request, or the copy that an attempt sent.
  */
--- a/src/gateway/forward/stream_session.cpp
+++ b/src/gateway/forward/stream_session.cpp
@@ -74,7 +74,7 @@
 
 void stream_session::startCall(Instant now, const engines::engine_state& engine) {
   this->tried_.insert(engine.record.id);
-  this->engine_used_before_ = !this->used_.insert(engine.record.id).second;
+  this->fresh_connection_ = useAddress(this->forwarded_, engine.record.address);
   const field_names& names = this->context_.engines.names;
   http::Request request = makeEngineRequest(names, this->forwarded_, now);
   if (this->last_event_id_) request.set(names.last_event_id, std::to_string(*this->last_event_id_));
@@ -99,9 +99,7 @@
 Task<AttemptOutcome> stream_session::relay() {
   engine_call& call = *this->latest_call_;
   attempt_limits limits{steadyNow() + this->context_.timeouts.connect, this->readDeadline()};
-  // All attempts have the same request id. On a connection of an earlier attempt, a repeated
-  // response to that attempt could not be told from the response to this one.
-  limits.fresh_connection = this->engine_used_before_;
+  limits.fresh_connection = this->fresh_connection_;
   const AttemptOutcome started = co_await call.start(limits);
   if (started != AttemptOutcome::kAnswered) co_return started;
   if (call.status() >= kFirstRedirection) {
--- a/src/gateway/forward/stream_session.h
+++ b/src/gateway/forward/stream_session.h
@@ -67,9 +67,7 @@
   /** Id of the last event sent to the client, in this or an earlier request. */
   std::optional<std::uint64_t> last_event_id_;
   std::set<EngineId> tried_;
-  /** Engines of all attempts, including those that may be tried again. */
-  std::set<EngineId> used_;
-  bool engine_used_before_ = false;  ///< Whether an earlier attempt used the current engine.
+  bool fresh_connection_ = false;  ///< Whether the current attempt needs a new connection.
   /** Latest attempt; remains set after the attempt ended. */
   std::shared_ptr<engine_call> latest_call_;
 };
