--- a/src/gateway/forward/stream_session.cpp
+++ b/src/gateway/forward/stream_session.cpp
@@ -74,6 +74,7 @@
 
 void stream_session::startCall(Instant now, const engines::engine_state& engine) {
   this->tried_.insert(engine.record.id);
+  this->fresh_connection_ = useAddress(this->forwarded_, engine.record.address);
   const field_names& names = this->context_.engines.names;
   http::Request request = makeEngineRequest(names, this->forwarded_, now);
   if (this->last_event_id_) request.set(names.last_event_id, std::to_string(*this->last_event_id_));
@@ -98,6 +99,7 @@
 Task<AttemptOutcome> stream_session::relay() {
   engine_call& call = *this->latest_call_;
   attempt_limits limits{steadyNow() + this->context_.timeouts.connect, this->readDeadline()};
+  limits.fresh_connection = this->fresh_connection_;
   const AttemptOutcome started = co_await call.start(limits);
   if (started != AttemptOutcome::kAnswered) co_return started;
   if (call.status() >= kFirstRedirection) {
--- a/src/gateway/forward/stream_session.h
+++ b/src/gateway/forward/stream_session.h
@@ -67,6 +67,7 @@
   /** Id of the last event sent to the client, in this or an earlier request. */
   std::optional<std::uint64_t> last_event_id_;
   std::set<EngineId> tried_;
+  bool fresh_connection_ = false;  ///< Whether the current attempt needs a new connection.
   /** Latest attempt; remains set after the attempt ended. */
   std::shared_ptr<engine_call> latest_call_;
 };
