Teach the stand-in store to be slow, to queue writes and to lose answers

The stand-in store could refuse everything, be silent, or lose two writes. It could not be what callers met: a store that is slow, answers 429 when over a second of writes waits, leaves a share of the calls without an answer and carries those writes out seconds later, and resets a share of the connections, all at once and for long.

StoreOverload has an option for each of these. The queue refuses a write before anything else can happen to it, as the protocol says of 429. The faults that were there are unchanged.

--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -249,6 +249,37 @@
   co_await reply(writer, status, std::move(answer));
 }
 
+Task<bool> StandinStore::loseCall(bool write, const std::string& body,
+                                  http::ResponseWriter& writer) {
+  const StoreOverload overload = faults_.overload;
+  if (random_.below(100) < overload.reset_percent) {
+    writer.abortConnection();
+    co_return true;
+  }
+  if (random_.below(100) >= overload.lost_percent) co_return false;
+  if (write) {
+    const auto range = static_cast<std::uint64_t>((overload.max_late - overload.min_late).count());
+    transactLater(body, overload.min_late + Duration(random_.below(range + 1)));
+    ++executed_late_;
+  }
+  co_await hang(writer);
+  co_return true;
+}
+
+Task<bool> StandinStore::waitForTurn() {
+  const StoreOverload overload = faults_.overload;
+  if (overload.write_time == Duration::zero()) co_return true;
+  const Instant now = steadyNow();
+  const Instant begin = std::max(now, queue_end_);
+  if (begin - now > overload.max_wait) {
+    ++rate_limited_;
+    co_return false;
+  }
+  queue_end_ = begin + overload.write_time;
+  co_await sleepFor(loop_, queue_end_ - now);
+  co_return true;
+}
+
 Task<void> StandinStore::handleWrite(const std::string& body, http::ResponseWriter& writer) {
   if (faults_.delay_writes > 0) {
     --faults_.delay_writes;
@@ -267,8 +298,6 @@
 }
 
 Task<void> StandinStore::handle(http::Request& request, http::ResponseWriter& writer) {
-  const std::string target(request.target());
-  const std::string path = target.substr(0, target.find('?'));
   if (faults_.silent) {
     co_await hang(writer);
     co_return;
@@ -281,6 +310,25 @@
     co_await reply(writer, 200, "<html>");
     co_return;
   }
+  const bool write = request.target().starts_with("/linenpier/rows-tx");
+  // The queue refuses a call before anything else can happen to it.
+  if (write) {
+    const bool served = co_await waitForTurn();
+    if (!served) {
+      co_await reply(writer, 429, "{}");
+      co_return;
+    }
+  } else if (faults_.overload.read_time > Duration::zero()) {
+    co_await sleepFor(loop_, faults_.overload.read_time);
+  }
+  const std::string body = request.body();
+  const bool lost = co_await loseCall(write, body, writer);
+  if (!lost) co_await handleCall(request, writer);
+}
+
+Task<void> StandinStore::handleCall(http::Request& request, http::ResponseWriter& writer) {
+  const std::string target(request.target());
+  const std::string path = target.substr(0, target.find('?'));
   if (path == "/linenpier/rows-tx") {
     const std::string body = request.body();
     co_await handleWrite(body, writer);
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -13,6 +13,19 @@
 
 namespace linenpier::test {
 
+/// A store under load. Percentages are shares of the calls, drawn by `StandinStore::setSeed`.
+struct StoreOverload {
+  /// Time of one write. Writes are served one after another. 0: no queue.
+  Duration write_time{};
+  /// 429 without any effect for writes that would wait longer.
+  Duration max_wait = std::chrono::seconds(1);
+  Duration read_time{};             ///< Time of one read; reads are served side by side.
+  std::uint64_t lost_percent = 0;   ///< Calls that get no response.
+  Duration min_late{};              ///< Minimum delay of the execution of a lost write.
+  Duration max_late{};              ///< Maximum of that delay.
+  std::uint64_t reset_percent = 0;  ///< Calls without any effect whose connection is reset.
+};
+
 /// Active faults of the store.
 struct StoreFaults {
   bool refuse = false;          ///< 503 without any effect.
@@ -24,6 +37,7 @@
   bool hang_feeds = false;      ///< No feed responses; other calls work.
   bool silent = false;          ///< No responses.
   bool no_clock = false;        ///< Row responses without the store's time.
+  StoreOverload overload = {};
 };
 
 /// What the store does with one write.
@@ -51,7 +65,12 @@
 
   Address address() const { return server_.address(); }
   StoreFaults& faults() { return faults_; }
+  /// Seeds the draws of `StoreOverload`.
+  void setSeed(std::uint64_t seed) { random_ = Random(seed); }
   void setScript(WriteScript script) { script_ = std::move(script); }
+  /// @return counts of what the overload did, for the summary of a soak.
+  std::uint64_t rateLimited() const { return rate_limited_; }
+  std::uint64_t executedLate() const { return executed_late_; }
   /// @return the number of acts that no write has taken yet.
   std::size_t actsLeft() const { return script_.acts.size(); }
 
@@ -86,6 +105,11 @@
   std::string readRows(const std::string& target) const;
   /// @return the status and body of the response.
   std::pair<unsigned, std::string> transact(const std::string& body);
+  /// @return whether the overload left the call without a response.
+  Task<bool> loseCall(bool write, const std::string& body, http::ResponseWriter& writer);
+  /// Waits for the turn of a write. @return false if too many are waiting.
+  Task<bool> waitForTurn();
+  Task<void> handleCall(http::Request& request, http::ResponseWriter& writer);
   void transactLater(const std::string& body, Duration delay);
   Task<void> handleWrite(const std::string& body, http::ResponseWriter& writer);
   /// @return the script's act for the write.
@@ -105,6 +129,10 @@
   std::map<std::string, int> feed_answers_;
   std::uint64_t version_ = 0;
   std::uint64_t writes_ = 0;
+  Random random_{1};
+  Instant queue_end_{};  ///< When the last write in the queue is served.
+  std::uint64_t rate_limited_ = 0;
+  std::uint64_t executed_late_ = 0;
 };
 
 }  // namespace linenpier::test
