Teach the soak long overload phases of the store and clients that give up

A job counted as refused only if all four were refused, which a single attempt that met a dead gateway or a lost answer undid. - Processes: SIGKILL and SIGSTOP, but neither SIGTERM with a restart nor SIGHUP.

The short faults go on meanwhile, and gain SIGTERM and SIGHUP with another address of the store. The checker counts the attempts that were not refused: a job or request with none must not run.

The ports of gateways lie below the range of outgoing connections, and are drawn by process id. soak_run is split into the world, the trainer, the faults and the run.

--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -11,12 +11,12 @@
  */
 constexpr std::size_t kMaxCrashes = 3 * 3 + 3;
 
+}  // namespace
+
 bool isRefusal(unsigned status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-}  // namespace
-
 const char* toText(Guarantee guarantee) {
   switch (guarantee) {
     case Guarantee::kMatchingResponse:
@@ -57,12 +57,17 @@
 }
 
 void soak_checker::onSent(const std::string& request, bool at_most_once) {
-  this->requests_[request].at_most_once = at_most_once;
+  soak_checker::request& sent = this->requests_[request];
+  sent.at_most_once = at_most_once;
+  ++sent.possible;
 }
 
 void soak_checker::onResponse(const std::string& request, unsigned status,
                               const std::string& signature, const std::string& body) {
-  if (isRefusal(status)) this->requests_.at(request).refused = true;
+  if (isRefusal(status)) {
+    this->requests_.at(request).refused = true;
+    --this->requests_.at(request).possible;
+  }
   if (status != 200) return;
   const bool matches = signature == "s-" + request && body == "answer to " + request;
   if (!matches) this->report(Guarantee::kMatchingResponse, request + " got \"" + body + "\"");
@@ -139,7 +144,7 @@
     if (sent.at_most_once && runs > 1) {
       this->report(Guarantee::kAtMostOnce, id + " ran " + std::to_string(runs) + " times");
     }
-    if (sent.refused && runs > 0) {
+    if (sent.refused && runs > 0 && sent.possible == 0) {
       this->report(Guarantee::kRefusedNotRun, id + " was refused and ran");
     }
   }
@@ -150,7 +155,7 @@
                                               " results");
     }
     for (const std::string& item : each.items) {
-      if (each.refused && this->runsOf(item) > 0) {
+      if (each.possible == 0 && this->runsOf(item) > 0) {
         this->report(Guarantee::kRefusedNotRun, id + " was refused and " + item + " ran");
       }
     }
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -25,6 +25,8 @@
 };
 
 const char* toText(Guarantee guarantee);
+/** @return whether the status promises that the request has not run and never will. */
+bool isRefusal(unsigned status);
 
 struct read_result {
   std::string item;
@@ -45,6 +47,7 @@
   void onRun(const std::string& request, std::uint64_t version);
 
   // Events at clients.
+  /** An attempt to send the request has begun. */
   void onSent(const std::string& request, bool at_most_once);
   void onResponse(const std::string& request, unsigned status, const std::string& signature,
                   const std::string& body);
@@ -52,8 +55,10 @@
   // Events at trainers.
   void onJobSent(const std::string& job, const std::vector<std::string>& items);
   void onJobAccepted(const std::string& job) { this->jobs_.at(job).accepted = true; }
-  /** All attempts to submit the job were refused. */
-  void onJobRefused(const std::string& job) { this->jobs_.at(job).refused = true; }
+  /** An attempt to submit the job has begun. It may take effect unless it is refused. */
+  void onJobAttempt(const std::string& job) { ++this->jobs_.at(job).possible; }
+  /** The attempt was refused, or not sent for lack of a connection. */
+  void onJobAttemptRefused(const std::string& job) { --this->jobs_.at(job).possible; }
   void onResult(const std::string& job, std::size_t position, const read_result& result);
   /** A daemon reported an accepted job as unknown. */
   void onJobDenied(const std::string& job);
@@ -76,12 +81,13 @@
  private:
   struct request {
     bool at_most_once = false;
-    bool refused = false;
+    bool refused = false;      ///< At least one attempt was refused.
+    std::size_t possible = 0;  ///< Attempts that were not refused and may have run.
   };
   struct job {
     std::vector<std::string> items;
     bool accepted = false;
-    bool refused = false;
+    std::size_t possible = 0;  ///< Attempts that were not refused and may take effect.
     std::map<std::size_t, read_result> results;  ///< By position.
   };
   void report(Guarantee guarantee, const std::string& what);
--- /dev/null
+++ b/tests/soak/soak_faults.cpp
@@ -0,0 +1,216 @@
+#include "soak/soak_faults.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace linenpier::soak {
+
+namespace {
+
+constexpr Duration kMinPhase = std::chrono::seconds(6);
+/// From the end of an overload phase to the end of the faults.
+constexpr Duration kPhaseMargin = std::chrono::milliseconds(2500);
+/// How much slower the store is under load.
+constexpr int kSlowdown = 60;
+
+Duration milliseconds(std::uint64_t count) {
+  return std::chrono::milliseconds(count);
+}
+
+}  // namespace
+
+soak_faults::soak_faults(soak_world& world)
+    : world_(world), random_(world.options.seed), phase_random_(world.options.seed + 3) {}
+
+void soak_faults::start() {
+  this->end_ = steadyNow() + this->world_.options.length;
+  spawn(this->world_.loop, [this] { return this->faultLoop(); });
+  spawn(this->world_.loop, [this] { return this->phaseLoop(); });
+}
+
+Task<void> soak_faults::faultLoop() {
+  while (this->world_.faults_enabled) {
+    co_await sleepFor(this->world_.loop,
+                      std::chrono::milliseconds(200 + this->random_.below(1200)));
+    if (!this->world_.faults_enabled) co_return;
+    ++this->faults_;
+    // Faults may overlap, as some last longer than the interval between them.
+    switch (this->random_.below(4)) {
+      case 0:
+        spawn(this->world_.loop, [this] { return this->injectLinkFault(); });
+        break;
+      case 1:
+        spawn(this->world_.loop, [this] { return this->injectProcessFault(); });
+        break;
+      case 2:
+        spawn(this->world_.loop, [this] { return this->injectStoreFault(); });
+        break;
+      default:
+        spawn(this->world_.loop, [this] { return this->injectEngineFault(); });
+    }
+  }
+}
+
+Task<void> soak_faults::injectLinkFault() {
+  std::vector<fault_proxy*> links;
+  for (auto& each : this->world_.gateways)
+    links.insert(links.end(), {each.front.get(), each.store.get(), each.other_store.get()});
+  for (auto& each : this->world_.engine_links) links.push_back(each.get());
+  fault_proxy& link = *links.at(this->random_.below(links.size()));
+  const auto kind = this->random_.below(4);
+  if (kind == 3) {
+    link.resetAll();
+    co_return;
+  }
+  const LinkMode modes[] = {LinkMode::kBlockAll, LinkMode::kBlockResponses, LinkMode::kDelay};
+  link.setMode(modes[kind]);
+  const auto duration = std::chrono::milliseconds(500 + this->random_.below(3000));
+  co_await sleepFor(this->world_.loop, duration);
+  link.setMode(LinkMode::kForward);
+}
+
+Task<void> soak_faults::injectProcessFault() {
+  const std::size_t gateway = this->random_.below(this->world_.gateways.size());
+  const std::string index = std::to_string(gateway);
+  switch (this->random_.below(4)) {
+    case 0:
+      this->world_.print("signal KILL " + index);
+      co_return;
+    case 1:
+      this->world_.print("signal TERM " + index);
+      co_return;
+    case 2: {
+      gateway_links& links = this->world_.gateways.at(gateway);
+      links.use_other_store = !links.use_other_store;
+      this->world_.writeSettings(gateway);
+      this->world_.print("signal HUP " + index);
+      co_return;
+    }
+    default:
+      break;
+  }
+  this->world_.print("signal STOP " + index);
+  const auto duration = std::chrono::milliseconds(500 + this->random_.below(3000));
+  co_await sleepFor(this->world_.loop, duration);
+  this->world_.print("signal CONT " + index);
+}
+
+Task<void> soak_faults::injectStoreFault() {
+  test::StoreFaults& faults = this->world_.store.faults();
+  switch (this->random_.below(6)) {
+    case 0:
+      faults.lose_writes = 2;
+      co_return;
+    case 1:
+      faults.delay_writes = 2;
+      co_return;
+    case 2:
+      faults.forget_history = true;
+      co_return;
+    case 3:
+      faults.refuse = true;
+      break;
+    case 4:
+      faults.silent = true;
+      break;
+    default:
+      faults.hang_feeds = true;
+  }
+  const auto duration = std::chrono::milliseconds(500 + this->random_.below(2500));
+  co_await sleepFor(this->world_.loop, duration);
+  faults.refuse = false;
+  faults.silent = false;
+  faults.hang_feeds = false;
+}
+
+Task<void> soak_faults::injectEngineFault() {
+  using test::SamplerAct;
+  const SamplerAct acts[] = {
+      SamplerAct::kShed,     SamplerAct::kFail,  SamplerAct::kCutShort, SamplerAct::kSurplusFirst,
+      SamplerAct::kNonsense, SamplerAct::kClose, SamplerAct::kUnsigned};
+  auto& engines =
+      this->random_.below(2) == 0 ? this->world_.lookup_engines : this->world_.model_engines;
+  auto& engine = engines.at(this->random_.below(engines.size()));
+  for (int i = 0; i < 3; ++i) {
+    engine->script().push_back(acts[this->random_.below(std::size(acts))]);
+  }
+  co_return;
+}
+
+// --- Overload phases ----------------------------------------------------------------------------
+
+Task<void> soak_faults::phaseLoop() {
+  for (;;) {
+    co_await sleepFor(this->world_.loop, milliseconds(500 + this->phase_random_.below(1500)));
+    const Duration drawn = milliseconds(10000 + this->phase_random_.below(8000));
+    const Duration length = std::min<Duration>(drawn, this->end_ - steadyNow() - kPhaseMargin);
+    if (length < kMinPhase) co_return;
+    ++this->faults_;
+    this->world_.overloaded = true;
+    this->world_.store.faults().overload = this->drawOverload();
+    const Instant until = steadyNow() + length;
+    spawn(this->world_.loop, [this, until] { return this->restartInTurn(until); });
+    this->disturbStoreLinks(until);
+    co_await sleepFor(this->world_.loop, length);
+    this->world_.store.faults().overload = {};
+    this->world_.overloaded = false;
+    co_await sleepFor(this->world_.loop, milliseconds(4000 + this->phase_random_.below(4000)));
+  }
+}
+
+test::StoreOverload soak_faults::drawOverload() {
+  test::StoreOverload overload;
+  overload.write_time = milliseconds(kSlowdown * (2 + this->phase_random_.below(4)));
+  overload.read_time = milliseconds(kSlowdown * (1 + this->phase_random_.below(2)));
+  overload.lost_percent = 30 + this->phase_random_.below(21);
+  overload.min_late = std::chrono::seconds(1);
+  overload.max_late = std::chrono::seconds(6);
+  overload.reset_percent = this->phase_random_.below(8);
+  return overload;
+}
+
+Task<void> soak_faults::restartInTurn(Instant until) {
+  std::vector<std::size_t> order(this->world_.gateways.size());
+  std::iota(order.begin(), order.end(), 0);
+  for (std::size_t i = order.size(); i > 1; --i)
+    std::swap(order[i - 1], order[this->phase_random_.below(i)]);
+  const Duration pause = (until - steadyNow()) / static_cast<int>(order.size() + 1);
+  for (const std::size_t gateway : order) {
+    co_await sleepFor(this->world_.loop, pause);
+    this->world_.print("signal TERM " + std::to_string(gateway));
+  }
+}
+
+void soak_faults::disturbStoreLinks(Instant until) {
+  const std::size_t count = this->world_.gateways.size();
+  const std::size_t first = this->phase_random_.below(count);
+  const std::size_t affected = 1 + this->phase_random_.below(std::max<std::size_t>(count - 1, 1));
+  const bool refuse = this->phase_random_.below(2) == 0;
+  for (std::size_t i = 0; i < affected; ++i) {
+    gateway_links& links = this->world_.gateways.at((first + i) % count);
+    for (fault_proxy* link : {links.store.get(), links.other_store.get()}) {
+      const std::uint64_t seed = this->phase_random_.below(1U << 30U);
+      spawn(this->world_.loop, [this, link, until, refuse, seed] {
+        return this->disturbLink(link, until, refuse, seed);
+      });
+    }
+  }
+}
+
+Task<void> soak_faults::disturbLink(fault_proxy* link, Instant until, bool refuse,
+                                    std::uint64_t seed) {
+  Random random(seed);
+  for (;;) {
+    co_await sleepFor(this->world_.loop, milliseconds(300 + random.below(1500)));
+    if (steadyNow() >= until) co_return;
+    if (!refuse) {
+      link->resetAll();
+      continue;
+    }
+    link->stopListening();
+    co_await sleepFor(this->world_.loop, milliseconds(300 + random.below(1000)));
+    link->listenAgain();
+  }
+}
+
+}  // namespace linenpier::soak
--- /dev/null
+++ b/tests/soak/soak_world.cpp
@@ -0,0 +1,164 @@
+#include "soak/soak_world.h"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace linenpier::soak {
+
+namespace {
+
+constexpr int kEvents = 12;
+constexpr Duration kEventInterval = std::chrono::milliseconds(15);
+constexpr Duration kRestartDelay = std::chrono::milliseconds(600);
+/// The listening ports of gateways. Below the range of outgoing connections, so that no connection
+/// takes a port before its gateway listens, also after a restart.
+constexpr unsigned kFirstPort = 12000;
+constexpr unsigned kPorts = 20000;
+constexpr unsigned kPortsPerProcess = 100;
+
+/// @return a port that is currently free. Runs with other process ids start at other ports.
+std::uint16_t unusedPort(boost::asio::io_context& loop) {
+  using tcp = boost::asio::ip::tcp;
+  static unsigned next = static_cast<unsigned>(::getpid()) * kPortsPerProcess;
+  for (;;) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    tcp::acceptor acceptor(loop);
+    boost::system::error_code error;
+    acceptor.open(tcp::v4(), error);
+    if (!error) acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+    if (!error) return port;
+  }
+}
+
+}  // namespace
+
+soak_world::soak_world(boost::asio::io_context& event_loop, const soak_options& run_options,
+                       std::ostream& output)
+    : loop(event_loop),
+      options(run_options),
+      out(output),
+      call_random(run_options.seed + 1),
+      pool(event_loop, {}),
+      store(event_loop),
+      checker(kEvents) {
+  this->store.setSeed(run_options.seed);
+}
+
+void soak_world::print(const std::string& line) {
+  this->out << line << std::endl;
+}
+
+void soak_world::makeEngines() {
+  const auto add = [this](auto& engines, const std::string& id, const std::string& service,
+                          int events) {
+    engines.push_back(std::make_unique<test::StandinSampler>(this->loop, id, events));
+    test::StandinSampler& engine = *engines.back();
+    engine.setEventGap(kEventInterval);
+    this->engine_links.push_back(std::make_unique<fault_proxy>(this->loop, engine.address()));
+    engine.setListedAddress(this->engine_links.back()->address());
+    engine.setFatal({.mark = kFatalMark, .down = kRestartDelay});
+    // Every other engine keeps its id when it restarts.
+    if (engines.size() % 2 == 0) engine.setKeepsId();
+    fault_proxy& link = *this->engine_links.back();
+    engine.onCrash([this, &link] {
+      link.stopListening();
+      this->checker.onEngineCrashed();
+    });
+    engine.onRestart([this, &engine, &link, service](const std::string& before) {
+      link.listenAgain();
+      if (before != engine.id()) this->store.remove("servers", before);
+      this->store.put("servers", engine.id(), engine.entry(service));
+    });
+    this->store.put("servers", id, engine.entry(service));
+  };
+  for (int i = 0; i < 2; ++i) add(this->lookup_engines, "desk-" + std::to_string(i), "desk", 0);
+  for (int i = 0; i < 2; ++i)
+    add(this->model_engines, "model-" + std::to_string(i), "models", kEvents);
+  this->unregistered_engine = std::make_unique<test::StandinSampler>(this->loop, "stray", 0);
+}
+
+void soak_world::putConfiguration() {
+  this->store.put("op", "config",
+                  R"({"version":3,"routes":[
+        {"name":"look","host":"h.example","pathPrefix":"/look/","kind":"idempotent",
+         "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
+        {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent",
+         "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
+        {"name":"jobs","host":"h.example","pathPrefix":"/jobs/","kind":"rollout",
+         "timeoutMs":5000,"targetLatencyMs":400,"targetFinishMs":7500,"maxQueueS":60,
+         "service":"models","maxAttempts":3,"resumable":true}],
+        "services":[{"name":"desk"},{"name":"models","engine":{"slots":8,
+         "kvCacheTokens":50000,"models":[{"name":"m"}]}}],
+        "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":3000,
+         "idleTimeoutMs":2000}})");
+}
+
+void soak_world::makeGateways() {
+  std::string seeds;
+  std::vector<std::uint16_t> peers;
+  for (std::size_t i = 0; i < this->options.gateways; ++i) {
+    peers.push_back(unusedPort(this->loop));
+    seeds += (i > 0 ? "," : "") + toString(Address{0x7f000001, peers.back()});
+  }
+  for (std::size_t i = 0; i < this->options.gateways; ++i) {
+    const Address front{0x7f000001, unusedPort(this->loop)};
+    gateway_links links;
+    links.front = std::make_unique<fault_proxy>(this->loop, front);
+    links.store = std::make_unique<fault_proxy>(this->loop, this->store.address());
+    links.other_store = std::make_unique<fault_proxy>(this->loop, this->store.address());
+    links.fixed_settings =
+        "[daemon]\nid = \"g" + std::to_string(i) + "\"\nzone = \"z\"\n[listen]\nrequests = \"" +
+        toString(front) + "\"\nreadiness = \"" +
+        toString(Address{0x7f000001, unusedPort(this->loop)}) + "\"\npeers = \"" +
+        toString(Address{0x7f000001, peers[i]}) + "\"\n[peers]\nseeds = \"" + seeds + "\"\n";
+    this->gateways.push_back(std::move(links));
+    this->writeSettings(i);
+  }
+  this->print("settings written");
+}
+
+void soak_world::writeSettings(std::size_t gateway) {
+  const gateway_links& links = this->gateways.at(gateway);
+  const fault_proxy& store = links.use_other_store ? *links.other_store : *links.store;
+  const std::string path = this->options.directory + "/g" + std::to_string(gateway) + ".toml";
+  // Renamed into place, so that a gateway never reads a part of the file.
+  std::ofstream(path + ".new") << links.fixed_settings << "[store]\naddress = \""
+                               << toString(store.address()) << "\"\n";
+  std::filesystem::rename(path + ".new", path);
+}
+
+void soak_world::violateGuarantee() {
+  const auto setViolations = [this](auto& engines, test::SamplerViolation violation) {
+    for (auto& each : engines) each->setViolation(violation);
+  };
+  if (this->options.broken == "answer")
+    setViolations(this->lookup_engines, test::SamplerViolation::kWrongResponse);
+  if (this->options.broken == "refusal")
+    setViolations(this->lookup_engines, test::SamplerViolation::kFalseRefusal);
+  if (this->options.broken == "text")
+    setViolations(this->model_engines, test::SamplerViolation::kRepeatsEvents);
+}
+
+Task<http::CallOutcome> soak_world::call(std::size_t gateway, http::Request request,
+                                         Duration limit) {
+  const Address front = this->gateways.at(gateway).front->address();
+  const Instant deadline = steadyNow() + limit;
+  co_return co_await http::call(this->pool, front, std::move(request), deadline);
+}
+
+void soak_world::recordRuns() {
+  for (const test::SamplerArrival& each : this->unregistered_engine->takeArrivals()) {
+    this->checker.onUnregisteredRequest(each.target);
+  }
+  for (auto* engines : {&this->lookup_engines, &this->model_engines}) {
+    for (auto& engine : *engines) {
+      for (const test::SamplerArrival& each : engine->takeArrivals()) {
+        if (each.ran) this->checker.onRun(each.fields.at("request-id"), each.version);
+      }
+    }
+  }
+}
+
+}  // namespace linenpier::soak
--- /dev/null
+++ b/tests/soak/soak_world.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/** @file
+ * What surrounds the gateways in a soak test: the stand-in store, the stand-in engines, a fault
+ * proxy on every link, and the checker of the guarantees. Test code.
+ */
+
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "common/random.h"
+#include "gateway/http/client_exchange.h"
+#include "soak/fault_proxy.h"
+#include "soak/soak_checker.h"
+#include "support/standin_sampler.h"
+#include "support/standin_store.h"
+
+namespace linenpier::soak {
+
+/** Body of the request that crashes the engines that run it. */
+constexpr char kFatalMark[] = "ends its engine";
+
+struct soak_options {
+  std::uint64_t seed = 1;
+  Duration length = std::chrono::seconds(20);  ///< Duration of the fault phase.
+  std::size_t gateways = 3;
+  std::string directory;  ///< Receives the gateways' settings files.
+  /** Guarantee to violate on purpose, to test the checker: "answer", "refusal", "text", "job",
+   * "ends", "entry" or "refused_job"; empty: none.
+   */
+  std::string broken;
+};
+
+/** Proxies on a gateway's links. */
+struct gateway_links {
+  std::unique_ptr<fault_proxy> front;
+  std::unique_ptr<fault_proxy> store;
+  std::unique_ptr<fault_proxy> other_store;  ///< Another address of the store.
+  std::string fixed_settings;                ///< Settings that stay the same.
+  bool use_other_store = false;
+};
+
+/** Shared by the clients, the trainer and the faults of a run. Loop thread only. */
+struct soak_world {
+  soak_world(boost::asio::io_context& event_loop, const soak_options& run_options,
+             std::ostream& output);
+
+  void makeEngines();
+  void putConfiguration();
+  /** Makes the links of the gateways and writes their settings. */
+  void makeGateways();
+  void writeSettings(std::size_t gateway);
+  void violateGuarantee();
+  Task<http::CallOutcome> call(std::size_t gateway, http::Request request, Duration limit);
+  /** Passes the requests that the engines ran to the checker. */
+  void recordRuns();
+  void print(const std::string& line);
+
+  boost::asio::io_context& loop;
+  soak_options options;
+  std::ostream& out;
+  Random call_random;
+  http::ConnectionPool pool;
+  test::StandinStore store;
+  std::vector<std::unique_ptr<test::StandinSampler>> lookup_engines;
+  std::vector<std::unique_ptr<test::StandinSampler>> model_engines;
+  /** Its address is only listed in malformed entries. */
+  std::unique_ptr<test::StandinSampler> unregistered_engine;
+  std::vector<std::unique_ptr<fault_proxy>> engine_links;
+  std::vector<gateway_links> gateways;
+  soak_checker checker;
+  std::size_t open_jobs = 0;
+  bool traffic_enabled = true;
+  bool faults_enabled = true;
+  bool overloaded = false;  ///< An overload phase is under way.
+};
+
+}  // namespace linenpier::soak
