--- a/src/gateway/batch/batch_options.h
+++ b/src/gateway/batch/batch_options.h
@@ -41,7 +41,7 @@
   /// Time from the receipt of a request to end a job within which the end must be stored.
   Duration end_timeout = std::chrono::milliseconds(3500);
   /// How long the results of an ended job stay in memory, where jobs of the trainer's next steps
-  /// can reuse them.
+  /// can reuse them. A trainer submits the step after the next some eight seconds later.
   Duration ended_job_cache_time = std::chrono::seconds(10);
   /// Minimum time from a job's acceptance to its removal. Only ended jobs are removed.
   Duration job_retention = std::chrono::seconds(120);
@@ -53,8 +53,8 @@
   /// Maximum number of earlier jobs searched for partial results. Trainers keep one or two steps in
   /// flight.
   std::size_t max_earlier_jobs = 3;
-  /// Maximum number of items in the open jobs of an owner. Bounds the processor time spent on their
-  /// events.
+  /// Maximum number of items in the open jobs of an owner, some four steps of a large trainer.
+  /// Bounds the processor time spent on their events.
   std::size_t max_open_items = 1000;
   /// Maximum number of requests per slot of an engine, including those of other daemons. An item is
   /// not started on an engine where it would exceed this limit.
@@ -64,7 +64,8 @@
   std::size_t max_page_bytes = 900 * 1024;    ///< Maximum size of a page's results.
   std::size_t max_append_bytes = 640 * 1024;  ///< Maximum size of the results in an append.
   /// Results that are stored but not published are published as soon as their size reaches this
-  /// limit. It is below `max_page_bytes`, so that they usually fit in one page.
+  /// limit. It is below `max_page_bytes`, so that they usually fit in one page: a trainer reads
+  /// successive pages half a second apart.
   std::size_t max_unpublished_bytes = 640 * 1024;
   /// Maximum number of results per append. The store accepts 100 entries per write, one of them for
   /// the job's row.
--- a/src/gateway/batch/call_status.cpp
+++ b/src/gateway/batch/call_status.cpp
@@ -3,7 +3,8 @@
 namespace linenpier::batch {
 
 namespace {
-/// Value of the `Retry-After` field, in seconds.
+/// Value of the `Retry-After` field, in seconds. It is short, because a client should retry soon
+/// even if it is unknown when the call can succeed.
 constexpr const char* kRetryAfter = "0.3";
 }  // namespace
 
--- a/src/gateway/batch/checkpoint_tracker.cpp
+++ b/src/gateway/batch/checkpoint_tracker.cpp
@@ -7,7 +7,8 @@
 /// Minimum number of events of a checkpointed text. Shorter ones are generated again instead.
 constexpr std::uint64_t kMinCheckpointEvents = 5;
 /// Number of parts, including the last full one, after which a full part is written. Bounds the
-/// number of rows to read when resuming a job.
+/// number of rows to read when resuming a job. A step of eight seconds writes about this many parts
+/// at two per second, so that usually only its first part is full, when the texts are short.
 constexpr std::size_t kMaxParts = 16;
 
 bool isTextComplete(const item_progress& progress) {
--- a/src/gateway/batch/job_acceptance.cpp
+++ b/src/gateway/batch/job_acceptance.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 constexpr int kMaxPutAttempts = 2;  ///< Attempts to store a job as an object.
-/// Time limit of the check whether the store responds.
+/// Time limit of the check whether the store responds; many times its usual response time.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(150);
 
 /** @return the job's row, if it is known and need not be read from the store. */
--- a/src/gateway/batch/job_rules.cpp
+++ b/src/gateway/batch/job_rules.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 /// Added to the route's target finish time to get the time at which results are due. A step that
-/// completes within this time after the target is still on time and can be read in one page.
+/// completes within this time after the target is still on time and can be read in one page. The
+/// value leaves time for the results to reach the reader.
 constexpr Duration kDueGrace = std::chrono::milliseconds(450);
 /// Added to the route's queue limit to get the time after which unfinished items are terminated.
 constexpr Duration kTerminationSlack = std::chrono::milliseconds(1500);
--- a/src/gateway/batch/run_timeouts.h
+++ b/src/gateway/batch/run_timeouts.h
@@ -1,8 +1,9 @@
 #pragma once
 
 /** @file
- * Timeouts of a run, after which the item is sent to another engine. Restarting a run costs little,
- * whereas a stalled one delays the whole step. Pure.
+ * Timeouts of a run, after which the item is sent to another engine. Restarting a run costs only a
+ * request and a few milliseconds of processing its prompt and text again, whereas a stalled one
+ * delays the whole step. Pure.
  */
 
 #include <algorithm>
@@ -12,7 +13,8 @@
 namespace linenpier::batch {
 
 struct run_timeouts {
-  /// Timeout for the first event of a run.
+  /// Timeout for the first event of a run. An engine with free slots sends it after about 20 ms
+  /// plus its time per event, so that the timeout is several times the usual delay.
   Duration first_event = std::chrono::milliseconds(600);
   /// Maximum timeout for the first event. The timeout is doubled each time it expires: if all
   /// engines are full, a run that is sent elsewhere loses its place in the queue.
--- a/src/gateway/lease/capacity_estimator.h
+++ b/src/gateway/lease/capacity_estimator.h
@@ -46,7 +46,8 @@
   /// so the average covers about two seconds.
   static constexpr double kNewestWeight = 0.2;
   /// Bandwidth that one processor can use. Encoding results is assumed to take a processor about as
-  /// long as sending the results over a link of this bandwidth.
+  /// long as sending the results over a link of this bandwidth: about 10 ms for 1 MB, the results
+  /// of a large step.
   static constexpr double kMbpsPerProcessor = 1000;
 
   machine_limits limits_;
--- a/src/gateway/lease/owner_pool.cpp
+++ b/src/gateway/lease/owner_pool.cpp
@@ -18,7 +18,8 @@
 constexpr double kMinCapacity = 1e-6;  ///< Lower bound for the logarithm.
 
 /// Time over which the joins to a pool that lacks members are spread, so that most daemons of a
-/// large fleet see a full pool before they would join.
+/// large fleet see a full pool before they would join. Of 300 daemons, some 20 may join per second,
+/// and each sees the new members after about a second.
 constexpr Duration kJoinSpread = std::chrono::seconds(12);
 /// Maximum factor by which a daemon with less capacity than the best member joins later. The factor
 /// is limited, so that a fleet of slow machines still gets owners.
--- a/src/gateway/service/peer_exchange.cpp
+++ b/src/gateway/service/peer_exchange.cpp
@@ -19,8 +19,8 @@
  */
 constexpr std::size_t kPeersPerInterval = 3;
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(300);
-/** Timeout of fetching a full engine list, which is 4 MB for ten thousand engines and may be
- * fetched over a slow, shared link.
+/** Timeout of fetching a full engine list, which is 4 MB for ten thousand engines. This takes half
+ * a second over the link of a small machine, and other gateways may be using the link, too.
  */
 constexpr Duration kFullFetchTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kWriteTimeout = std::chrono::milliseconds(400);
--- a/src/gateway/usage/usage_counter.cpp
+++ b/src/gateway/usage/usage_counter.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Maximum number of requests kept while their window is unknown because this daemon has not
-/// reached the store since its start.
+/// reached the store since its start. Enough for some minutes of a daemon's share of the peak load.
 constexpr std::size_t kMaxUnassigned = 20000;
 
 }  // namespace
