Give engines and proxies of the soak ports that nobody else is given

Cause, likely and not shown: an engine's proxy gives up its port while its engine is down; the port came from the range that the system hands out, and the proxy of a gateway in the run beside it got it. A fault of the soak, not of the gateway. Change: the ports of all that stops listening come from the range of the run's own, below that range. Checks and draws are as they were.

--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -48,9 +48,9 @@
   }
 };
 
-fault_proxy::fault_proxy(asio::io_context& loop, Address target)
+fault_proxy::fault_proxy(asio::io_context& loop, Address target, std::uint16_t port)
     : loop_(loop),
-      acceptor_(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      acceptor_(loop, tcp::endpoint(asio::ip::address_v4::loopback(), port)),
       target_(target),
       address_{0x7f000001, acceptor_.local_endpoint().port()} {
   spawn(this->loop_, [this] { return this->acceptLoop(); });
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -26,8 +26,10 @@
 /** Loop thread only; must outlive the loop. */
 class fault_proxy {
  public:
-  /** @param target the address that connections are forwarded to. */
-  fault_proxy(boost::asio::io_context& loop, Address target);
+  /** @param target the address that connections are forwarded to.
+   * @param port the port to listen on.
+   */
+  fault_proxy(boost::asio::io_context& loop, Address target, std::uint16_t port);
 
   /** @return the address that clients connect to instead of the target. */
   Address address() const;
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -12,8 +12,8 @@
 constexpr int kEvents = 12;
 constexpr Duration kEventInterval = std::chrono::milliseconds(15);
 constexpr Duration kRestartDelay = std::chrono::milliseconds(600);
-/// The listening ports of gateways. Below the range of outgoing connections, so that no connection
-/// takes a port before its gateway listens, also after a restart.
+/// The listening ports of gateways, engines and proxies, which all stop listening for a time. Below
+/// the range of outgoing connections, so that nobody else is given such a port in the meantime.
 constexpr unsigned kFirstPort = 12000;
 constexpr unsigned kPorts = 20000;
 constexpr unsigned kPortsPerProcess = 100;
@@ -53,10 +53,12 @@
 void soak_world::makeEngines() {
   const auto add = [this](auto& engines, const std::string& id, const std::string& service,
                           int events) {
-    engines.push_back(std::make_unique<test::StandinSampler>(this->loop, id, events));
+    engines.push_back(
+        std::make_unique<test::StandinSampler>(this->loop, id, events, unusedPort(this->loop)));
     test::StandinSampler& engine = *engines.back();
     engine.setEventGap(kEventInterval);
-    this->engine_links.push_back(std::make_unique<fault_proxy>(this->loop, engine.address()));
+    this->engine_links.push_back(
+        std::make_unique<fault_proxy>(this->loop, engine.address(), unusedPort(this->loop)));
     engine.setListedAddress(this->engine_links.back()->address());
     engine.setFatal({.mark = kFatalMark, .down = kRestartDelay});
     // Every other engine keeps its id when it restarts.
@@ -105,9 +107,11 @@
   for (std::size_t i = 0; i < this->options.gateways; ++i) {
     const Address front{0x7f000001, unusedPort(this->loop)};
     gateway_links links;
-    links.front = std::make_unique<fault_proxy>(this->loop, front);
-    links.store = std::make_unique<fault_proxy>(this->loop, this->store.address());
-    links.other_store = std::make_unique<fault_proxy>(this->loop, this->store.address());
+    links.front = std::make_unique<fault_proxy>(this->loop, front, unusedPort(this->loop));
+    links.store =
+        std::make_unique<fault_proxy>(this->loop, this->store.address(), unusedPort(this->loop));
+    links.other_store =
+        std::make_unique<fault_proxy>(this->loop, this->store.address(), unusedPort(this->loop));
     links.fixed_settings =
         "[daemon]\nid = \"g" + std::to_string(i) + "\"\nzone = \"z\"\n[listen]\nrequests = \"" +
         toString(front) + "\"\nreadiness = \"" +
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -28,9 +28,10 @@
   }
 };
 
-StandinSampler::StandinSampler(asio::io_context& loop, std::string id, int events)
+StandinSampler::StandinSampler(asio::io_context& loop, std::string id, int events,
+                               std::uint16_t port)
     : loop_(loop),
-      acceptor_(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      acceptor_(loop, tcp::endpoint(asio::ip::address_v4::loopback(), port)),
       id_(std::move(id)),
       events_(events) {
   spawn(loop_, [this] { return acceptLoop(); });
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -69,7 +69,8 @@
 class StandinSampler {
  public:
   /// @param events number of events of a streamed response; 0: responses are not streamed.
-  StandinSampler(boost::asio::io_context& loop, std::string id, int events);
+  /// @param port the port to listen on; 0: any.
+  StandinSampler(boost::asio::io_context& loop, std::string id, int events, std::uint16_t port = 0);
 
   Address address() const;
   const std::string& id() const { return id_; }
