Review: a late append overwrites results of a job that changes homes and back

It takes the place of the case on memory, which left the folder; the case on split routes is case 2 now.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,4 +1,4 @@
-"""The operator splits the route of batch jobs between two services; a trainer then asks for a step."""
+"""A job's homes change and change back while answers of the store are lost and writes are done late."""
 import json
 import os
 import sys
@@ -6,111 +6,138 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 from world import *
 
-GROUPS, SIZE, DESIRED = 32, 4, 29  # the trainer waits for 90% of the groups
-EVENTS, EVENT_S = 20, 0.1  # an item takes some 2.1 s
-SLOTS, FIRST_SAMPLERS, NEW_SAMPLERS = 16, 3, 1
-STEPS, STEP_S, TRAIN_S = 3, 12.0, 0.5  # a step runs out of time after 12 s
-STEADY_S = 5.0
+ITEMS, SIZE = 320, 4
+REGIONS = {"hall-thamel": "bagmati", "hall-patan": "gandaki", "hall-bhaktapur": "bagmati"}
+LOST_S = 4.5  # for so long writes may be lost; they are done 1 to 6 s after they were sent
+LATE_S = 5.8
+BACK_AFTER_S = 2.5  # between the two changes of the configuration
+READ_S = 40.0
 
 
-def routes(split):
-    route = rollout_route("r-wording", "/wording/", "model-servers")
-    if split:
-        del route["service"]
-        route["trafficSplit"] = [{"service": "model-servers-b", "weight": 10},
-                                 {"service": "model-servers", "weight": 90}]
-    return [route]
+class LateStore(Store):
+    """Loses the answers of some writes to one job and does these writes late, if their condition holds."""
 
+    def __init__(self, record):
+        super().__init__(record)
+        self.record, self.job = record, ""
+        self.losing = False
+        self.writes = self.lost = 0
+        self.append_lost = asyncio.Event()
 
-def services():
-    return [llm_service("model-servers", ["m0"]), llm_service("model-servers-b", ["m0"])]
+    def loses(self, document):
+        """One append of results, and then the writes by which the owner would give the job up."""
+        tables = {each["table"] for each in document["put"]}
+        keys = {each["key"] for each in document["put"] if each["table"] == "linenpier"}
+        if not self.append_lost.is_set():
+            return "results" in tables and not keys and len(document["put"]) >= 5
+        return "checkpoints" in tables or f"job/{self.job}" in keys
 
+    async def handle(self, method, target, headers, body, reader, writer):
+        if self.losing and target == "/linenpier/rows-tx":
+            document = json.loads(body)
+            self.writes += 1
+            if self.loses(document):
+                self.lost += 1
+                tables = sorted({each["table"] for each in document["put"]})
+                self.record.line("write_lost", tables=",".join(tables), rows=len(document["put"]))
+                if "results" in tables:
+                    self.append_lost.set()
+                asyncio.get_running_loop().call_later(LATE_S, self.late, document, tables)
+                await gone(reader)
+                return False
+        return await super().handle(method, target, headers, body, reader, writer)
 
-async def step(world, number, breaks):
-    """Hands a step in, and reads its results until it is whole or out of time."""
-    job = new_id()
-    items = [(new_id(), f"g{number}-{i // SIZE}") for i in range(GROUPS * SIZE)]
-    group_of = dict((item, group) for item, group in items)
-    headers = {"Host": "desk.example", "Request-Id": job, "Content-Type": "application/json"}
-    body = hand_in(items, "/wording/", "m0", step=number, desired=DESIRED)
-    sent, turn, position, listed = now(), 0, 0, set()
+    def late(self, document, tables):
+        status, _ = self.transact(document)
+        self.record.line("write_done_late", tables=",".join(tables), status=status)
+
+
+def config(version, regions):
+    route = rollout_route("r-wording", "/wording/", "model-servers", targetFinishMs=14000,
+                          allowedRegions=regions)
+    return configuration(version, [route], [llm_service("model-servers", ["m0"])])
+
+
+async def disturb(world, job):
+    store = world.store
+    owner = world.owner_of(job)
+    home = REGIONS[owner.zone]
+    other = next(region for region in REGIONS.values() if region != home)
+    store.job, store.losing = job, True
+    begun = now()
+    await asyncio.wait_for(store.append_lost.wait(), 3)
+    world.record.line("config", version=2, allowed=other, owner=owner.name, home=home)
+    store.put("op", "config", config(2, [other]))
+    await asyncio.sleep(BACK_AFTER_S)
+    world.record.line("config", version=3, allowed="bagmati,gandaki")
+    store.put("op", "config", config(3, ["bagmati", "gandaki"]))
+    await asyncio.sleep(max(0.0, begun + LOST_S - now()))
+    store.losing = False
+    print(f"owner {owner.name} in {home}; {store.lost} of {store.writes} writes lost in {LOST_S} s")
+
+
+async def read_all(world, gateway, job):
+    """All results that a daemon lists now."""
+    listed = []
     while True:
-        status, _, _ = await world.ask(world.gateways[turn % 3].front, "POST",
-                                       f"/wording/{job[:6]}", headers, body)
-        world.record.line("hand_in", job=job, status=status)
-        turn += 1
-        if status == 202:
-            break
-        if now() - sent > 5:
-            raise RuntimeError("a step is not accepted")
-        await asyncio.sleep(0.3)
-    whole = 0
-    while whole < DESIRED and now() - sent < STEP_S:
-        turn += 1
         status, _, page = await world.ask(
-            world.gateways[turn % 3].front, "GET", f"/linenpier/lots/{job}?afterRev={position}",
-            {"Host": "desk.example", "Wait-Ms": "500"}, timeout=2.5)
-        if status == 200:
-            for result in json.loads(page)["results"]:
-                world.record.line("result", job=job, position=position, item=result["id"],
-                                  state=result["state"], age=f"{now() - sent:.2f}")
-                listed.add(result["id"])
-                position += 1
-        left = {group for item, group in group_of.items() if item not in listed}
-        whole = GROUPS - len(left)
-        await asyncio.sleep(0.3)
-    over = now()
-    took = over - sent
-    if whole < DESIRED:
-        breaks += lost(world, number, group_of, over)
-    await world.ask(world.gateways[turn % 3].front, "DELETE", f"/linenpier/lots/{job}",
-                    {"Host": "desk.example"})
-    arrivals = {}
-    for sampler in world.samplers:
-        count = sum(run[0] in group_of for run in sampler.runs)
-        arrivals[sampler.service] = arrivals.get(sampler.service, 0) + count
-    world.record.line("step", number=number, whole=whole, desired=DESIRED, took=f"{took:.2f}",
-                      runs=arrivals)
-    print(f"step {number}: {whole} of {DESIRED} groups whole after {took:.1f} s; runs ended {arrivals}")
-
-
-def lost(world, number, group_of, over):
-    """Items that LOST counts: at no sampler for 5 s, while the samplers were under half full."""
-    running = sum(sampler.running + sampler.waiting for sampler in world.samplers)
-    slots = sum(sampler.slots for sampler in world.samplers)
-    if running * 2 >= slots:
-        return []
-    at_sampler = set(each for sampler in world.samplers for each in sampler.open)
-    last = {}
-    for sampler in world.samplers:
-        for request, _, ended, outcome in sampler.runs:
-            done = outcome in ("answered", "422", "500")
-            last[request] = max(last.get(request, 0), over if done else ended)
-    waiting = [item for item in group_of
-               if item not in at_sampler and over - last.get(item, 0) >= STEADY_S]
-    if not waiting:
-        return []
-    return [f"step {number} ran out of time while {len(waiting)} of its {len(group_of)} items had been "
-            f"at no sampler for {STEADY_S:.0f} s; {running} of {slots} places were taken"]
+            gateway.front, "GET", f"/linenpier/lots/{job}?afterRev={len(listed)}",
+            {"Host": "desk.example"}, timeout=2.5)
+        results = json.loads(page)["results"] if status == 200 else []
+        if not results:
+            return listed
+        listed += results
 
 
 async def play(world):
-    world.store.put("op", "config", configuration(1, routes(split=False), services()))
-    for service, count in (("model-servers", FIRST_SAMPLERS), ("model-servers-b", NEW_SAMPLERS)):
-        for sampler in await world.add_samplers(service, world.zones[0], count, SLOTS, "m0"):
-            sampler.events, sampler.event_s = (lambda item: EVENTS), EVENT_S
+    world.regions = REGIONS
+    world.store.put("op", "config", config(1, ["bagmati", "gandaki"]))
+    for zone in world.zones:
+        for sampler in await world.add_samplers("model-servers", zone, 1, 16, "m0"):
+            sampler.events, sampler.event_s = (lambda item: 6 + int(item[:2], 16) % 40), 0.1
+            sampler.pace = lambda: random.uniform(0.8, 1.3)  # runs differ with what runs beside them
     await world.start_gateways(3)
-    await asyncio.sleep(8)
-    breaks = []
-    await step(world, 0, breaks)
-    if TROUBLE:
-        world.record.line("config", version=2, split="model-servers-b 10, model-servers 90")
-        world.store.put("op", "config", configuration(2, routes(split=True), services()))
-    await asyncio.sleep(4)
-    for number in range(1, STEPS):
-        await step(world, number, breaks)
-        await asyncio.sleep(TRAIN_S + 6)
-    return breaks
-
-
-main(__file__, play)
+    await asyncio.sleep(10)
+
+    job, items = new_id(), [(new_id(), f"g{i // SIZE}") for i in range(ITEMS)]
+    headers = {"Host": "desk.example", "Request-Id": job, "Content-Type": "application/json"}
+    status, _, _ = await world.ask(world.gateways[0].front, "POST", f"/wording/{job[:6]}", headers,
+                                   hand_in(items, "/wording/", "m0", desired=ITEMS // SIZE))
+    world.record.line("hand_in", job=job, status=status)
+    if status != 202:
+        raise RuntimeError("the job is not accepted")
+    sent = now()
+    await asyncio.sleep(1.6)
+    trouble = asyncio.ensure_future(disturb(world, job)) if TROUBLE else None
+
+    held, breaks, whole = {}, {}, {}
+    while now() - sent < READ_S and min(whole.values(), default=0) < ITEMS:
+        for gateway in world.gateways:
+            listed = await read_all(world, gateway, job)
+            whole[gateway.name] = len(listed)
+            places = {}
+            for position, result in enumerate(listed):
+                item = result["id"]
+                first = held.setdefault(position, (item, gateway.name))
+                if first[0] != item:
+                    breaks.setdefault(("position", position),
+                                      f"position {position} held {first[0]} at {first[1]}, and "
+                                      f"{item} at {gateway.name}")
+                if item in places:
+                    breaks.setdefault(("item", item), f"item {item} stands at positions "
+                                      f"{places[item]} and {position} at {gateway.name}")
+                places[item] = position
+            world.record.line("read", gateway=gateway.name, listed=len(listed),
+                              age=f"{now() - sent:.2f}", breaks=len(breaks))
+        await asyncio.sleep(0.5)
+    if trouble:
+        await trouble
+    for position, (item, name) in sorted(held.items()):
+        world.record.line("held", position=position, item=item, first_read_at=name)
+    positions = sum(kind == "position" for kind, _ in breaks)
+    print(f"listed {whole}; positions with two results: {positions}, items at two positions: "
+          f"{len(breaks) - positions}")
+    return list(breaks.values())
+
+
+main(__file__, play, LateStore)
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,155 +1,115 @@
-"""Some clients upload long bodies, within the limits of the configuration, while others use kept connections."""
+"""The operator splits the route of batch jobs between two services; a trainer then asks for a step."""
+import json
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 from world import *
 
-MEMORY_MB = 120  # `limits.memoryMb` of the small machines; a process that exceeds it is killed
-LONG_BYTES = 31 * 1024 * 1024  # `maxBodyBytes` is 33,554,432
-UPLOADERS, UPLOAD_AT_S = 3, (8.0, 13.0, 18.0)
-CLIENTS, EVERY_S, WORK_S = 90, (0.8, 1.6), (0.3, 0.5)
-END_S = 24.0
+GROUPS, SIZE, DESIRED = 32, 4, 29  # the trainer waits for 90% of the groups
+EVENTS, EVENT_S = 20, 0.1  # an item takes some 2.1 s
+SLOTS, FIRST_SAMPLERS, NEW_SAMPLERS = 16, 3, 1
+STEPS, STEP_S, TRAIN_S = 3, 12.0, 0.5  # a step runs out of time after 12 s
+STEADY_S = 5.0
 
 
-def resident_mb(pid):
-    try:
-        with open(f"/proc/{pid}/status") as file:
-            for line in file:
-                if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) / 1024
-    except OSError:
-        pass
-    return 0.0
+def routes(split):
+    route = rollout_route("r-wording", "/wording/", "model-servers")
+    if split:
+        del route["service"]
+        route["trafficSplit"] = [{"service": "model-servers-b", "weight": 10},
+                                 {"service": "model-servers", "weight": 90}]
+    return [route]
 
 
-async def watch_memory(world, peaks):
-    """The platform kills a process whose memory exceeds that of its machine."""
-    while True:
-        for gateway in world.gateways:
-            process = gateway.process
-            used = resident_mb(process.pid) if process.returncode is None else 0.0
-            peaks[gateway.name] = max(peaks.get(gateway.name, 0.0), used)
-            if used > MEMORY_MB:
-                world.record.line("over_memory", gateway=gateway.name, mb=f"{used:.0f}")
-                process.kill()
-                await process.wait()
-        await asyncio.sleep(0.005)
-
-
-class Client:
-    """Keeps a connection to a daemon of its zone, and sends small requests on it."""
-
-    def __init__(self, world, zone, sent):
-        self.world, self.zone, self.sent = world, zone, sent
-        self.reader = self.writer = None
-        self.on_connection = 0
-
-    async def connect(self):
-        home = [g for g in self.world.gateways if g.zone == self.zone and g.takes_clients()]
-        self.gateway = random.choice(home or [g for g in self.world.gateways if g.takes_clients()])
-        ip, port = self.gateway.front.rsplit(":", 1)
-        self.reader, self.writer = await asyncio.wait_for(
-            asyncio.open_connection(ip, int(port)), 1.0)
-        self.on_connection = 0
-
-    def drop(self):
-        if self.writer:
-            self.writer.close()
-        self.reader = self.writer = None
-
-    async def run(self, until):
-        await asyncio.sleep(random.uniform(0, EVERY_S[1]))
-        while now() < until:
-            try:
-                if self.reader is None or self.reader.at_eof():
-                    self.drop()
-                    await self.connect()
-                await self.request()
-            except (OSError, asyncio.TimeoutError):
-                self.drop()
-            await asyncio.sleep(random.uniform(*EVERY_S))
-        self.drop()
+def services():
+    return [llm_service("model-servers", ["m0"]), llm_service("model-servers-b", ["m0"])]
 
-    async def request(self):
-        self.on_connection += 1
-        each = {"id": new_id(), "gateway": self.gateway.name, "kept": self.on_connection > 1,
-                "status": 0, "closed": False}
-        self.sent.append(each)
-        headers = {"Host": "desk.example", "Request-Id": each["id"], "Deadline-Ms": "4000"}
-        each["sent"] = now()
-        try:
-            self.writer.write(message("POST /desk/2f HTTP/1.1", headers, b"licence" * 80))
-            start, fields, _ = await asyncio.wait_for(read_message(self.reader), 5.0)
-            each["status"] = int(start.split(" ")[1])
-            if fields.get("connection", "").lower() == "close":
-                self.drop()
-        except asyncio.TimeoutError:
-            self.drop()
-        except (asyncio.IncompleteReadError, OSError):
-            each["closed"] = True
-            self.drop()
-        self.world.record.line("request", id=each["id"], gateway=each["gateway"],
-                               kept=int(each["kept"]), status=each["status"],
-                               closed=int(each["closed"]), took=f"{now() - each['sent']:.3f}")
 
-
-async def upload(world, zone, body):
-    """A client that sends one long body, and once more after a failure."""
-    for attempt in (1, 2):
-        home = [g for g in world.gateways if g.zone == zone and g.takes_clients()]
-        gateway = random.choice(home or world.gateways)
-        begun, request = now(), new_id()
-        status, _, _ = await world.ask(
-            gateway.front, "POST", "/scans/7a", {"Host": "desk.example", "Request-Id": request,
-                                                 "Deadline-Ms": "4000"}, body, timeout=5.0)
-        world.record.line("upload", id=request, gateway=gateway.name, attempt=attempt,
-                          bytes=len(body), status=status, took=f"{now() - begun:.3f}")
-        if status:
-            return
-        await asyncio.sleep(0.2)
+async def step(world, number, breaks):
+    """Hands a step in, and reads its results until it is whole or out of time."""
+    job = new_id()
+    items = [(new_id(), f"g{number}-{i // SIZE}") for i in range(GROUPS * SIZE)]
+    group_of = dict((item, group) for item, group in items)
+    headers = {"Host": "desk.example", "Request-Id": job, "Content-Type": "application/json"}
+    body = hand_in(items, "/wording/", "m0", step=number, desired=DESIRED)
+    sent, turn, position, listed = now(), 0, 0, set()
+    while True:
+        status, _, _ = await world.ask(world.gateways[turn % 3].front, "POST",
+                                       f"/wording/{job[:6]}", headers, body)
+        world.record.line("hand_in", job=job, status=status)
+        turn += 1
+        if status == 202:
+            break
+        if now() - sent > 5:
+            raise RuntimeError("a step is not accepted")
+        await asyncio.sleep(0.3)
+    whole = 0
+    while whole < DESIRED and now() - sent < STEP_S:
+        turn += 1
+        status, _, page = await world.ask(
+            world.gateways[turn % 3].front, "GET", f"/linenpier/lots/{job}?afterRev={position}",
+            {"Host": "desk.example", "Wait-Ms": "500"}, timeout=2.5)
+        if status == 200:
+            for result in json.loads(page)["results"]:
+                world.record.line("result", job=job, position=position, item=result["id"],
+                                  state=result["state"], age=f"{now() - sent:.2f}")
+                listed.add(result["id"])
+                position += 1
+        left = {group for item, group in group_of.items() if item not in listed}
+        whole = GROUPS - len(left)
+        await asyncio.sleep(0.3)
+    over = now()
+    took = over - sent
+    if whole < DESIRED:
+        breaks += lost(world, number, group_of, over)
+    await world.ask(world.gateways[turn % 3].front, "DELETE", f"/linenpier/lots/{job}",
+                    {"Host": "desk.example"})
+    arrivals = {}
+    for sampler in world.samplers:
+        count = sum(run[0] in group_of for run in sampler.runs)
+        arrivals[sampler.service] = arrivals.get(sampler.service, 0) + count
+    world.record.line("step", number=number, whole=whole, desired=DESIRED, took=f"{took:.2f}",
+                      runs=arrivals)
+    print(f"step {number}: {whole} of {DESIRED} groups whole after {took:.1f} s; runs ended {arrivals}")
+
+
+def lost(world, number, group_of, over):
+    """Items that LOST counts: at no sampler for 5 s, while the samplers were under half full."""
+    running = sum(sampler.running + sampler.waiting for sampler in world.samplers)
+    slots = sum(sampler.slots for sampler in world.samplers)
+    if running * 2 >= slots:
+        return []
+    at_sampler = set(each for sampler in world.samplers for each in sampler.open)
+    last = {}
+    for sampler in world.samplers:
+        for request, _, ended, outcome in sampler.runs:
+            done = outcome in ("answered", "422", "500")
+            last[request] = max(last.get(request, 0), over if done else ended)
+    waiting = [item for item in group_of
+               if item not in at_sampler and over - last.get(item, 0) >= STEADY_S]
+    if not waiting:
+        return []
+    return [f"step {number} ran out of time while {len(waiting)} of its {len(group_of)} items had been "
+            f"at no sampler for {STEADY_S:.0f} s; {running} of {slots} places were taken"]
 
 
 async def play(world):
-    def route(name, prefix, kind):
-        return {"name": name, "host": "desk.example", "pathPrefix": prefix, "kind": kind,
-                "timeoutMs": 5000, "targetLatencyMs": 800, "priority": 2, "service": "permit-desk",
-                "maxAttempts": 2}
-    world.store.put("op", "config", configuration(
-        1, [route("r-desk", "/desk/", "non_idempotent"), route("r-scans", "/scans/", "idempotent")],
-        [{"name": "permit-desk", "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1",
-          "tls": False}]))
-    for zone in world.zones:
-        for sampler in await world.add_samplers("permit-desk", zone, 1, 24):
-            sampler.work_s = lambda: random.uniform(*WORK_S)
+    world.store.put("op", "config", configuration(1, routes(split=False), services()))
+    for service, count in (("model-servers", FIRST_SAMPLERS), ("model-servers-b", NEW_SAMPLERS)):
+        for sampler in await world.add_samplers(service, world.zones[0], count, SLOTS, "m0"):
+            sampler.events, sampler.event_s = (lambda item: EVENTS), EVENT_S
     await world.start_gateways(3)
-    peaks = {}
-    asyncio.ensure_future(watch_memory(world, peaks))
-
-    sent, begun = [], now()
-    tasks = [asyncio.ensure_future(Client(world, world.zones[i % 3], sent).run(begun + END_S))
-             for i in range(CLIENTS)]
-    if TROUBLE:
-        body = bytes(LONG_BYTES)
-        for at in UPLOAD_AT_S:
-            await asyncio.sleep(max(0.0, begun + at - now()))
-            tasks += [asyncio.ensure_future(upload(world, world.zones[0], body))
-                      for _ in range(UPLOADERS)]
-    await asyncio.gather(*tasks)
-
-    passed_on = {run[0] for sampler in world.samplers for run in sampler.runs}
+    await asyncio.sleep(8)
     breaks = []
-    for gateway in world.gateways:
-        closed = [each for each in sent if each["gateway"] == gateway.name and each["kept"]
-                  and each["closed"] and each["id"] in passed_on]
-        ended = gateway.life - 1
-        print(f"{gateway.name}: peak {peaks[gateway.name]:.0f} MB, killed for its memory {ended} times, "
-              f"requests of kept connections closed without an answer: {len(closed)}")
-        if len(closed) > 3:
-            breaks.append(f"{gateway.name} passed {len(closed)} requests from kept connections on and "
-                          f"closed the connections without an answer")
-    answered = sum(each["status"] == 200 for each in sent)
-    print(f"small requests {len(sent)}, answered {answered}")
+    await step(world, 0, breaks)
+    if TROUBLE:
+        world.record.line("config", version=2, split="model-servers-b 10, model-servers 90")
+        world.store.put("op", "config", configuration(2, routes(split=True), services()))
+    await asyncio.sleep(4)
+    for number in range(1, STEPS):
+        await step(world, number, breaks)
+        await asyncio.sleep(TRAIN_S + 6)
     return breaks
 
 
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -125,7 +125,7 @@
 class Store(Listener):
     """The platform's metadata store in the form of tables."""
 
-    def __init__(self):
+    def __init__(self, record=None):
         super().__init__()
         self.rows = {}  # (table, key) -> [value (base64), version, gone]
         self.version = 0
@@ -133,7 +133,6 @@
         self.changed = asyncio.Event()
         self.silent = False  # no call is answered
         self.silent_tables = set()  # no call that names one of these tables is answered
-        self.on_call = None
 
     def put(self, table, key, document):
         self.version += 1
@@ -185,8 +184,6 @@
             document = json.loads(body)
             tables = [e["table"] for part in ("expected", "put", "remove")
                       for e in document.get(part, [])]
-        if self.on_call:
-            self.on_call(path, tables)
         if self.is_silent(tables):
             await gone(reader)
             return False
@@ -260,6 +257,7 @@
         self.work_s = lambda: 0.025  # of a request that is no item
         self.events = lambda item: 20  # of an item
         self.event_s = 0.02
+        self.pace = lambda: 1.0  # of one run: how long its events take, as a factor
         self.fails = lambda item: None  # status to answer an item with instead of running it
         self.runs = []  # (request id, begun, ended, outcome)
         self.open = []  # ids of the requests that are here now
@@ -350,13 +348,13 @@
                 writer.write(answer(status, head))
                 await writer.drain()
                 return str(status)
-            first = int(headers.get("last-event-id", "0")) + 1
+            first, pace = int(headers.get("last-event-id", "0")) + 1, self.pace()
             head.update({"Weight-Versions": self.version, "Content-Type": "text/event-stream",
                          "Transfer-Encoding": "chunked"})
             lines = ["HTTP/1.1 200 OK"] + [f"{k}: {v}" for k, v in head.items()]
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
             for number in range(first, self.events(request) + 1):
-                await asyncio.sleep(self.event_s)
+                await asyncio.sleep(self.event_s * pace)
                 event = f"id: {number}\ndata: {request}.{number}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
@@ -440,7 +438,7 @@
     def settings(self):
         with open(os.path.join(ROOT, "deploy/gateway.toml.template")) as file:
             template = file.read()
-        zones = {zone: "bagmati" for zone in self.world.zones}
+        zones = {zone: self.world.regions.get(zone, "bagmati") for zone in self.world.zones}
         return render(template, {
             "node": self.name, "zone": self.zone, "zones": zones, "ip": self.ip,
             "listen": {"front": self.front, "ready": self.ready, "control": self.control},
@@ -508,13 +506,13 @@
 
 
 class World:
-    def __init__(self, folder, zones):
-        self.case = folder
+    def __init__(self, folder, zones, store_type):
         self.record = Record(folder)
         self.temporary = tempfile.TemporaryDirectory(prefix="linenpier-review-")
         self.folder = self.temporary.name
         self.zones = zones
-        self.store = Store()
+        self.regions = {}
+        self.store = store_type(self.record)
         self.samplers = []
         self.gateways = []
 
@@ -610,12 +608,12 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def main(case_file, play):
+def main(case_file, play, store_type=Store):
     """Runs `play(world)`, which returns the list of breaks of the rule. Exits with 0, 1 or 2."""
     folder = os.path.dirname(os.path.abspath(case_file))
 
     async def run():
-        world = World(folder, ["hall-thamel", "hall-patan", "hall-bhaktapur"])
+        world = World(folder, ["hall-thamel", "hall-patan", "hall-bhaktapur"], store_type)
         try:
             await world.store.listen()
             return await asyncio.wait_for(play(world), 110), world
