Review: one file of stand-ins, and records named by the cases

A folder beside the cases is gone: the stand-ins are review/world.py. The disruptions, loads and checks are as they were.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -3,7 +3,8 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.dirname(HERE))
 from world import *
 
 ITEMS, SIZE = 320, 4
@@ -140,4 +141,4 @@
     return list(breaks.values())
 
 
-main(__file__, play, LateStore)
+main(os.path.join(HERE, "record.txt"), play, LateStore)
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -3,7 +3,8 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.dirname(HERE))
 from world import *
 
 GROUPS, SIZE, DESIRED = 32, 4, 29  # the trainer waits for 90% of the groups
@@ -113,4 +114,4 @@
     return breaks
 
 
-main(__file__, play)
+main(os.path.join(HERE, "record.txt"), play)
--- a/review/common/world.py
+++ b/review/world.py
@@ -11,7 +11,7 @@
 import tempfile
 import time
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 now = time.monotonic
 
@@ -20,10 +20,10 @@
 
 
 class Record:
-    """Writes record.txt: one line an event, with seconds since the start of the script."""
+    """Writes the record of a run: one line an event, with seconds since the start of the script."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.start = now()
         self.line("start", trouble=int(TROUBLE))
 
@@ -506,8 +506,8 @@
 
 
 class World:
-    def __init__(self, folder, zones, store_type):
-        self.record = Record(folder)
+    def __init__(self, record, zones, store_type):
+        self.record = Record(record)
         self.temporary = tempfile.TemporaryDirectory(prefix="linenpier-review-")
         self.folder = self.temporary.name
         self.zones = zones
@@ -608,12 +608,12 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def main(case_file, play, store_type=Store):
-    """Runs `play(world)`, which returns the list of breaks of the rule. Exits with 0, 1 or 2."""
-    folder = os.path.dirname(os.path.abspath(case_file))
+def main(record, play, store_type=Store):
+    """Runs `play(world)`, which returns the list of breaks of the rule. Exits with 0, 1 or 2.
+    `record` is the file that gets what was sent, answered and run."""
 
     async def run():
-        world = World(folder, ["hall-thamel", "hall-patan", "hall-bhaktapur"], store_type)
+        world = World(record, ["hall-thamel", "hall-patan", "hall-bhaktapur"], store_type)
         try:
             await world.store.listen()
             return await asyncio.wait_for(play(world), 110), world
