Give each run of a batch job a fence of its own

Cause: an owner that could not release a job ran it again under the revision that its earlier run had used. An append that does not publish leaves the job's row as it is, so an unanswered append of the earlier run still met its condition and overwrote results. Besides, the later run did not read the stored results if the job's row did not say yet that an owner had started it; then results were overwritten although no answer was lost.

Why it works: the row is written before the progress is read, unless its revision is newer than the last fence that a run here has used. Whatever an earlier run has sent requires the older revision and can no longer be executed, and what was executed before is read. The progress counts only if the row has not changed meanwhile. Ruled out: a check that each position is empty, which costs an entry for each result and makes a repeated append fail on its own rows.

--- a/src/gateway/batch/job_activation.cpp
+++ b/src/gateway/batch/job_activation.cpp
@@ -51,7 +51,7 @@
   const auto active = std::make_shared<active_job>(this->deps_.loop, job.record, std::move(parsed),
                                                    run_rules{}, this->deps_.options.result_timing);
   job.active = active;
-  active->fence = job.revision;
+  job.adoptFence();
   active->accepted_at = accepted_at;
   // The rules must be set first: they determine which checkpointed texts are allowed.
   applyRules(*active, this->deps_.routes());
--- a/src/gateway/batch/job_activation.h
+++ b/src/gateway/batch/job_activation.h
@@ -30,8 +30,10 @@
 
   explicit job_activation(dependencies deps) : deps_(std::move(deps)) {}
 
-  /** The known row of the job must name this daemon as its owner.
-   * @param progress stored results and checkpoints of earlier owners; empty for a new job.
+  /** The known row of the job must name this daemon as its owner, and its revision must be a fence
+   * under which this daemon has not run the job.
+   * @param progress stored results and checkpoints of earlier runs, read under that fence; empty
+   *     for a new job.
    * @param accepted_at when the job was accepted, by this daemon's clock.
    */
   void activate(const JobId& id, batch_job job, const stored_progress& progress,
--- a/src/gateway/batch/job_ownership.cpp
+++ b/src/gateway/batch/job_ownership.cpp
@@ -35,8 +35,8 @@
   job.orphaned_at = Instant{};
   if (job.active && (record.ended || !this->isOwn(job))) {
     this->deactivate(job, record.ended ? "ended" : "taken_by_another");
-  } else if (job.active && job.active->fence != job.revision) {
-    job.active->fence = job.revision;
+  } else if (job.active && !job.active->stopped) {
+    job.adoptFence();
   } else if (!job.active && !job.transition_pending && !record.ended && !this->stopping_ &&
              this->isOwn(job)) {
     this->startResume(id, job);
@@ -165,31 +165,11 @@
 }
 
 Task<void> job_ownership::resume(JobId id) {
-  for (;;) {
-    job_entry* known = this->deps_.jobs.find(id);
-    if (known == nullptr) break;
-    const job_record record = known->record;
-    if (!this->deps_.residency.mayOwn(record)) {
-      known->resume_when_in_residency = true;
-      break;
-    }
-    const auto bytes = co_await this->deps_.store.getJob(record);
-    job_entry* at = this->deps_.jobs.find(id);
-    const auto stillOwned = [&] {
-      return at != nullptr && !at->record.ended && !this->stopping_ && this->isOwn(*at);
-    };
-    if (!stillOwned()) break;
-    const auto progress = co_await this->readProgress(at->record);
-    const bool complete = bytes.has_value() && progress.has_value();
-    at = this->deps_.jobs.find(id);
-    if (!stillOwned()) break;
-    if (complete) {
-      auto job = this->deps_.codec.parseJob(id, *bytes);
-      if (!job) break;
-      const Duration age = std::chrono::milliseconds(progress->clock_ms - at->record.accepted_ms);
-      this->deps_.activation.activate(id, std::move(*job), *progress,
-                                      steadyNow() - std::max(age, Duration::zero()));
-      break;
+  while (this->mayResume(id)) {
+    const bool unused = co_await this->acquireUnusedFence(id);
+    if (unused) {
+      const bool done = co_await this->readAndActivate(id);
+      if (done) break;
     }
     co_await sleepFor(this->deps_.loop, this->deps_.options.store_retry_delay);
   }
@@ -197,6 +177,57 @@
   if (at != nullptr) at->transition_pending = false;
 }
 
+bool job_ownership::mayResume(const JobId& id) {
+  job_entry* job = this->deps_.jobs.find(id);
+  if (job == nullptr || job->record.ended || this->stopping_ || !this->isOwn(*job)) return false;
+  job->resume_when_in_residency = !this->deps_.residency.mayOwn(job->record);
+  return !job->resume_when_in_residency;
+}
+
+Task<bool> job_ownership::acquireUnusedFence(JobId id) {
+  const job_entry* job = this->deps_.jobs.find(id);
+  if (job->hasUnusedFence()) co_return true;
+  const Revision fence = job->revision;
+  job_record record = job->record;
+  // The earlier run may have stored results and checkpoints.
+  record.started = true;
+  const fenced_write_result answer = co_await this->deps_.store.putRecord(record, fence, {});
+  LogEvent("batch", "fence_renewed")
+      .text("batch", id.str())
+      .number("before", static_cast<std::int64_t>(fence))
+      .number("fence", static_cast<std::int64_t>(answer.revision))
+      .text("outcome", toText(answer.outcome));
+  if (answer.outcome == FencedWriteOutcome::kCommitted) {
+    this->deps_.jobs.onRow(id, {table::jobKey(id), answer.revision, encodeRecord(record)});
+  } else if (answer.current) {
+    this->deps_.jobs.onRow(id, *answer.current);
+  }
+  co_return answer.outcome == FencedWriteOutcome::kCommitted;
+}
+
+Task<bool> job_ownership::readAndActivate(JobId id) {
+  const job_entry* known = this->deps_.jobs.find(id);
+  if (known == nullptr) co_return false;
+  const job_record record = known->record;
+  const Revision fence = known->revision;
+  const auto bytes = co_await this->deps_.store.getJob(record);
+  if (!bytes) co_return false;
+  const auto progress = co_await this->readProgress(record);
+  if (!progress) co_return false;
+  // The progress is complete only if nothing was written under an earlier fence since.
+  const job_entry* at = this->deps_.jobs.find(id);
+  if (at == nullptr || at->revision != fence || this->stopping_) co_return false;
+  auto job = this->deps_.codec.parseJob(id, *bytes);
+  if (!job) {
+    LogEvent("batch", "bad_job").text("batch", id.str()).text("reason", describe(job.error()));
+    co_return true;
+  }
+  const Duration age = std::chrono::milliseconds(progress->clock_ms - record.accepted_ms);
+  this->deps_.activation.activate(id, std::move(*job), *progress,
+                                  steadyNow() - std::max(age, Duration::zero()));
+  co_return true;
+}
+
 Task<CallResult<stored_progress>> job_ownership::readProgress(job_record record) {
   stored_progress progress;
   if (!record.started) {
--- a/src/gateway/batch/job_ownership.h
+++ b/src/gateway/batch/job_ownership.h
@@ -7,7 +7,9 @@
  *
  * Invariant: a daemon runs the items of a job only while the newest row that it knows names it as
  * the owner. All of its writes are conditional on the job's fence, so that a daemon that has not
- * yet noticed the loss of a job cannot change it.
+ * yet noticed the loss of a job cannot change it. Each run of a job has a fence that no earlier run
+ * has used, also if both are runs of the same daemon: an unanswered write of the earlier run can
+ * therefore not be executed after the later run has read the job's progress.
  */
 
 #include "gateway/batch/batch_codec.h"
@@ -70,8 +72,20 @@
 
   /** Starts resuming a job whose row names this daemon as its owner. */
   void startResume(const JobId& id, job_entry& job);
-  /** Reads the job and its progress from the store, and activates it. */
+  /** Runs an owned job that was stopped here or assigned to this daemon. */
   Task<void> resume(JobId id);
+  /** @return whether this daemon owns the job and may run it now. If only the residency forbids
+   *     that, the job is resumed later.
+   */
+  bool mayResume(const JobId& id);
+  /** Makes sure that the job's fence is one under which this daemon has not run the job. Writes the
+   * job's row if necessary, so that open writes of an earlier run fail.
+   */
+  Task<bool> acquireUnusedFence(JobId id);
+  /** Reads the job and its progress from the store, and activates the job.
+   * @return false if a read failed or the job's row has changed in the meantime.
+   */
+  Task<bool> readAndActivate(JobId id);
   /** @return the job's results and checkpoints that earlier owners stored. */
   Task<CallResult<stored_progress>> readProgress(job_record record);
   void deactivate(job_entry& job, const char* reason);
--- a/src/gateway/batch/job_registry.cpp
+++ b/src/gateway/batch/job_registry.cpp
@@ -3,11 +3,17 @@
 #include <algorithm>
 
 #include "common/event_log.h"
+#include "gateway/batch/active_job.h"
 
 namespace linenpier::batch {
 
 using logging::LogEvent;
 
+void job_entry::adoptFence() {
+  this->active->fence = this->revision;
+  this->used_fence = this->revision;
+}
+
 void job_registry::onRow(const JobId& id, const table::Row& row) {
   const auto record = decodeRecord(id, row.value);
   if (!record) {
--- a/src/gateway/batch/job_registry.h
+++ b/src/gateway/batch/job_registry.h
@@ -38,6 +38,13 @@
   bool resume_when_in_residency = false;
   /// Owned by `job_ownership`: time at which the job's owner was first seen to be lost.
   Instant orphaned_at{};
+  /// Newest fence under which this daemon has run the job; 0: none. A stopped run may have left
+  /// writes under it that the store executes later, so no other run may use it.
+  Revision used_fence = 0;
+
+  bool hasUnusedFence() const { return revision > used_fence; }
+  /** Makes the newest revision the fence of the job's run. `active` must be set. */
+  void adoptFence();
 };
 
 /** Invariant: the revision of a known job never decreases. */
--- a/src/gateway/batch/result_writer.h
+++ b/src/gateway/batch/result_writer.h
@@ -14,8 +14,8 @@
 
 namespace linenpier::batch {
 
-/** Results are kept in `active_job`. The store writes each position only once and only under the
- * job's fence. The class must be used from the event loop thread only.
+/** Results are kept in `active_job`. Each position is written only under the job's fence, and
+ * always with the same result. The class must be used from the event loop thread only.
  */
 class result_writer {
  public:
