Let items of a batch job use all services of their route

What callers saw: after an operator split a batch route, all items went to the first service of the split, whatever its weight.

Cause: requests chose among the services of a route by weight, in engine_picker. Items had a copy of the rule that took services.front(), and so had the mover of slow runs, the check of residency, the owners wanted and the label of a metric.

Why it works: weighted_round_robin alone says in which order the services of a route are tried; requests and items ask it. A service that cannot take its turn (no engine, none with the model or in the region, all full) loses it to the next. Scaling counts each service's share of the open items, owners are wanted for the models of all services. Ruled out: holding items back for a full service, which keeps the weights and leaves places empty while items wait.

--- a/src/gateway/batch/batch_service.cpp
+++ b/src/gateway/batch/batch_service.cpp
@@ -1,5 +1,7 @@
 #include "gateway/batch/batch_service.h"
 
+#include <cmath>
+
 #include "gateway/batch/active_job.h"
 #include "gateway/batch/job_rules.h"
 
@@ -74,6 +76,17 @@
   return workload;
 }
 
+std::size_t batch_service::openItemsOf(const ServiceName& service) const {
+  const routing::ConfigurationPtr table = this->deps_.routes();
+  double items = 0;
+  for (const auto& [id, job] : this->jobs_.all()) {
+    if (job.record.ended || job.record.model.empty()) continue;
+    const routing::Route* route = routeOf(job.record, table);
+    if (route != nullptr) items += static_cast<double>(job.record.total) * route->shareOf(service);
+  }
+  return static_cast<std::size_t>(std::ceil(items));
+}
+
 Task<void> batch_service::handOver() {
   this->acceptance_.stop();
   this->reader_.stop();
--- a/src/gateway/batch/batch_service.h
+++ b/src/gateway/batch/batch_service.h
@@ -57,6 +57,7 @@
     const batch_codec& codec;
     forward::internal_requests& rewards;
     suspects::suspect_tracker& suspects;
+    routing::weighted_round_robin& round_robin;
     /// Returns the newest routing table; null before the first one is loaded.
     std::function<routing::ConfigurationPtr()> routes;
   };
@@ -103,6 +104,10 @@
    *     including those of other owners.
    */
   versions::open_work_by_model openWork() const;
+  /** @return the service's share, by the weights of the routes, of the items in known jobs that
+   * have not ended.
+   */
+  std::size_t openItemsOf(const ServiceName& service) const;
   /** @return the engines that run the longest remaining items of owned jobs. These items determine
    *     when the jobs' steps end.
    */
@@ -134,7 +139,8 @@
   job_registry jobs_;
   batch_counts counts_;
   job_residency residency_{{deps_.engines.registry, deps_.pool, deps_.routes}};
-  engine_requirements_builder engine_requirements_{{residency_, deps_.routes, options_}};
+  engine_requirements_builder engine_requirements_{
+      {residency_, deps_.routes, deps_.round_robin, options_}};
   item_runner runner_{{deps_.loop, deps_.engines, deps_.rewards, deps_.suspects, jobs_,
                        engine_requirements_, deps_.routes, counts_, options_}};
   slow_run_mover slow_run_mover_{{deps_.engines.registry, jobs_, runner_.lengths(),
--- a/src/gateway/batch/engine_requirements_builder.h
+++ b/src/gateway/batch/engine_requirements_builder.h
@@ -1,8 +1,9 @@
 #pragma once
 
 /** @file
- * Determines what an item requires of the engine that runs it: version, capacity and residency.
- * Used for both starting and moving runs, so that both follow the same rules.
+ * Determines which services may run an item, in which order they are tried, and what the item
+ * requires of their engines: version, capacity and residency. Used for both starting and moving
+ * runs, so that both follow the same rules.
  */
 
 #include <functional>
@@ -10,6 +11,7 @@
 #include "gateway/batch/batch_options.h"
 #include "gateway/batch/item_placement.h"
 #include "gateway/batch/job_residency.h"
+#include "gateway/routing/weighted_round_robin.h"
 
 namespace linenpier::batch {
 
@@ -19,14 +21,19 @@
   struct dependencies {
     const job_residency& residency;
     std::function<routing::ConfigurationPtr()> routes;
+    routing::weighted_round_robin& round_robin;
     const batch_options& options;
   };
 
   explicit engine_requirements_builder(dependencies deps) : deps_(std::move(deps)) {}
 
-  /** @param route the job's route in the newest table. */
-  engines::engine_request build(const active_job& active, ItemIndex item,
-                                const routing::Route& route) const;
+  /** @param route the job's route in the newest table.
+   * @return the requirements in each service of the route, in the order to try them.
+   */
+  std::vector<engines::engine_request> build(const active_job& active, ItemIndex item,
+                                             const routing::Route& route) const;
+  /** Called when an item of the route was started. */
+  void onStarted(const routing::Route& route) const { this->deps_.round_robin.advance(route); }
 
  private:
   dependencies deps_;
--- a/src/gateway/batch/item_runner.cpp
+++ b/src/gateway/batch/item_runner.cpp
@@ -28,6 +28,15 @@
 constexpr unsigned kFirstErrorStatus = 300;
 constexpr unsigned kUnprocessable = 422;  ///< The item cannot be processed; retrying is useless.
 
+/** @return the longest of the median event times of the route's services, in seconds; 0: none. */
+double slowestEventTime(Instant now, const engines::engine_registry& registry,
+                        const routing::Route& route) {
+  double slowest = 0;
+  for (const routing::WeightedService& each : route.services)
+    slowest = std::max(slowest, registry.medianEventTime(now, each.service));
+  return slowest;
+}
+
 const batch_item& itemOf(const active_job& active, ItemIndex item) {
   return active.run.job().items[item];
 }
@@ -69,8 +78,7 @@
   if (!item) return false;
   const double events = this->lengths_.remainingEvents(itemOf(*job.active, *item).length_hint,
                                                        job.active->run.progress(*item).last_event);
-  const ServiceName& service = job.route->services.front().service;
-  const double event_time = this->deps_.engines.registry.medianEventTime(now, service);
+  const double event_time = slowestEventTime(now, this->deps_.engines.registry, *job.route);
   job.item = *item;
   job.latest_start =
       job.active->accepted_at + job.route->target_finish - fromSeconds(events * event_time);
@@ -97,9 +105,9 @@
                             const routing::Route& route) {
   const Instant now = steadyNow();
   engines::engine_registry& registry = this->deps_.engines.registry;
-  const engines::engine_request wanted =
-      this->deps_.engine_requirements.build(*active, item, route);
-  const item_placement placement = placeItem(now, registry, active->run.progress(item), wanted);
+  const item_placement placement =
+      placeItem(now, registry, active->run.progress(item),
+                this->deps_.engine_requirements.build(*active, item, route));
   if (placement.discard_text) active->run.discardText(item);
   if (placement.engine == nullptr) return false;
   const auto admission = this->admitItem(*active, item);
@@ -109,7 +117,8 @@
       itemRequest(*active, item, this->deps_.engines.names, this->deps_.routes()));
   active->run.onStarted(now, item, placement.engine->record.id);
   active->calls[item] = call;
-  registry.addExpectedTokens(call->engine(), wanted.tokens);
+  this->deps_.engine_requirements.onStarted(route);
+  registry.addExpectedTokens(call->engine(), expectedTokens(itemOf(*active, item)));
   ++this->deps_.counts.item_attempts;
   const item_attempt attempt{active, item, call, itemOf(*active, item).model, *admission};
   spawn(this->deps_.loop, [this, attempt] { return this->runItem(attempt); });
--- a/src/gateway/batch/job_residency.cpp
+++ b/src/gateway/batch/job_residency.cpp
@@ -87,17 +87,19 @@
   const bool owned_nowhere = owners->isRestricted() && owners->regions().empty();
   const routing::ConfigurationPtr table = this->deps_.routes();
   engines::engine_request wanted;
-  wanted.service = route.services.front().service;
   wanted.residency = tenants::residencyOf(*table, &route, record.tenant);
   if (!wanted.residency.isRestricted() && !owned_nowhere) return true;
-  const bool any = this->deps_.registry.isPlaceable(wanted);
-  if (any && !owned_nowhere) return true;
-  LogEvent("batch", "no_engine_at_home")
-      .text("batch", record.id.str())
-      .text("service", wanted.service.str())
-      .text("homes", namesOf(wanted.residency))
-      .text("homes_of_owner", namesOf(*owners))
-      .text("refusals", this->deps_.registry.lastAdmissionFailures().describe());
+  for (const routing::WeightedService& each : route.services) {
+    wanted.service = each.service;
+    const bool any = this->deps_.registry.isPlaceable(wanted);
+    if (any && !owned_nowhere) return true;
+    LogEvent("batch", "no_engine_at_home")
+        .text("batch", record.id.str())
+        .text("service", wanted.service.str())
+        .text("homes", namesOf(wanted.residency))
+        .text("homes_of_owner", namesOf(*owners))
+        .text("refusals", this->deps_.registry.lastAdmissionFailures().describe());
+  }
   return false;
 }
 
--- a/src/gateway/batch/job_residency.h
+++ b/src/gateway/batch/job_residency.h
@@ -51,7 +51,7 @@
   /** @return whether this daemon may own the job. */
   bool mayOwn(const job_record& record) const;
   /** @return whether the job can run within its residency: it may be owned in some region, and the
-   *     route's service has an engine that may serve its items.
+   *     one of the route's services has an engine that may serve its items.
    */
   bool servedWithinResidency(const routing::Route& route, const job_record& record) const;
 
--- a/src/gateway/batch/run_moves.cpp
+++ b/src/gateway/batch/run_moves.cpp
@@ -5,15 +5,18 @@
 namespace linenpier::batch {
 
 std::vector<item_run> movableRuns(Instant now, const engines::engine_registry& registry,
-                                  const ServiceName& service, const batch_job& job,
-                                  const std::vector<item_run>& runs, const run_move_rules& rules) {
-  const double median = registry.medianEventTime(now, service);
+                                  const batch_job& job, const std::vector<item_run>& runs,
+                                  const run_move_rules& rules) {
+  std::map<ServiceName, double> medians;  // Computed once for each service.
   std::vector<item_run> movable;
   for (const item_run& each : runs) {
     if (now - each.started_at < rules.min_run_time) continue;
     const engines::engine_state* engine = registry.find(each.engine);
-    if (engine == nullptr || registry.latencyRatio(now, *engine, median) < rules.min_speedup)
-      continue;
+    if (engine == nullptr) continue;
+    const ServiceName& service = engine->record.service;
+    const auto [median, fresh] = medians.try_emplace(service, 0);
+    if (fresh) median->second = registry.medianEventTime(now, service);
+    if (registry.latencyRatio(now, *engine, median->second) < rules.min_speedup) continue;
     movable.push_back(each);
   }
   std::sort(movable.begin(), movable.end(), [&job](const item_run& one, const item_run& other) {
--- a/src/gateway/batch/run_moves.h
+++ b/src/gateway/batch/run_moves.h
@@ -34,8 +34,8 @@
 
 /** @return the runs that may be moved, those with the longest expected texts first. */
 std::vector<item_run> movableRuns(Instant now, const engines::engine_registry& registry,
-                                  const ServiceName& service, const batch_job& job,
-                                  const std::vector<item_run>& runs, const run_move_rules& rules);
+                                  const batch_job& job, const std::vector<item_run>& runs,
+                                  const run_move_rules& rules);
 
 /** @param wanted the item's requirements, which exclude the current engine.
  * @return the move, if it is worth its cost.
--- a/src/gateway/batch/slow_run_mover.cpp
+++ b/src/gateway/batch/slow_run_mover.cpp
@@ -1,5 +1,7 @@
 #include "gateway/batch/slow_run_mover.h"
 
+#include <algorithm>
+
 #include "common/event_log.h"
 #include "gateway/batch/active_job.h"
 #include "gateway/batch/job_rules.h"
@@ -26,8 +28,8 @@
   for (const auto& [item, call] : active.calls) {
     runs.push_back({item, call->engine(), call->startedAt()});
   }
-  const auto movable = movableRuns(now, this->deps_.registry, route->services.front().service,
-                                   active.run.job(), runs, this->deps_.options.move_rules);
+  const auto movable = movableRuns(now, this->deps_.registry, active.run.job(), runs,
+                                   this->deps_.options.move_rules);
   for (const item_run& run : movable) {
     if (moves.exhausted()) return;
     this->moveRun(now, active, run, *route, moves);
@@ -37,10 +39,17 @@
 void slow_run_mover::moveRun(Instant now, active_job& active, const item_run& run,
                              const routing::Route& route, planned_moves& moves) {
   engines::engine_registry& registry = this->deps_.registry;
-  engines::engine_request wanted = this->deps_.engine_requirements.build(active, run.item, route);
-  wanted.excluded = moves.fullEngines();
-  wanted.excluded.insert(run.engine);
-  const auto move = planMove(now, registry, this->deps_.lengths, active.run, run, wanted,
+  const engines::engine_state* engine = registry.find(run.engine);
+  if (engine == nullptr) return;
+  // Engines are compared within their service, so that moves do not change the services' shares.
+  auto services = this->deps_.engine_requirements.build(active, run.item, route);
+  const auto wanted = std::find_if(services.begin(), services.end(), [engine](const auto& each) {
+    return each.service == engine->record.service;
+  });
+  if (wanted == services.end()) return;
+  wanted->excluded = moves.fullEngines();
+  wanted->excluded.insert(run.engine);
+  const auto move = planMove(now, registry, this->deps_.lengths, active.run, run, *wanted,
                              this->deps_.options.move_rules);
   if (!move) return;
   LogEvent("batch", "run_moved")
--- a/src/gateway/batch/zone_drainer.cpp
+++ b/src/gateway/batch/zone_drainer.cpp
@@ -54,10 +54,9 @@
   const routing::ConfigurationPtr table = this->deps_.routes();
   const routing::Route* route = routeOf(run.active->record, table);
   if (route == nullptr) return false;
-  engines::engine_request wanted =
-      this->deps_.engine_requirements.build(*run.active, run.item, *route);
-  wanted.excluded = moves.fullEngines();
-  const engines::engine_state* target = this->deps_.registry.pick(now, wanted);
+  auto wanted = this->deps_.engine_requirements.build(*run.active, run.item, *route);
+  for (engines::engine_request& each : wanted) each.excluded = moves.fullEngines();
+  const engines::engine_state* target = pickFrom(now, this->deps_.registry, wanted);
   if (target == nullptr) return false;
   const EngineId towards = target->record.id;
   moves.add(towards, this->deps_.registry.freeSlots(now, towards));
--- a/src/gateway/engines/engine_admission.cpp
+++ b/src/gateway/engines/engine_admission.cpp
@@ -34,6 +34,8 @@
                                                 const engine_request& request) {
   if (request.model.empty()) return AdmissionFailure::kNone;
   const WeightVersion version = engine.versionOf(request.model);
+  const bool lacks_model = version == 0 && !engine.record.models.empty();
+  if (lacks_model) return AdmissionFailure::kVersionMismatch;
   const bool other = request.exact_version && version != *request.exact_version;
   const bool fits = !other && version >= request.minimum_version;
   return fits ? AdmissionFailure::kNone : AdmissionFailure::kVersionMismatch;
--- a/src/gateway/forward/engine_picker.cpp
+++ b/src/gateway/forward/engine_picker.cpp
@@ -12,6 +12,7 @@
   criteria.model = ModelName(http::fieldText(*forwarded.request, this->names_.model));
   criteria.residency = this->residencyOf(forwarded);
   const engines::engine_state* engine = this->pickWithFallbacks(*forwarded.route, criteria);
+  forwarded.service = criteria.service;
   if (engine == nullptr) forwarded.refusals = this->registry_.lastAdmissionFailures();
   return engine;
 }
@@ -19,20 +20,20 @@
 const engines::engine_state* engine_picker::pickWithFallbacks(const routing::Route& route,
                                                               engines::engine_request& criteria) {
   const Instant now = steadyNow();
-  criteria.service = this->round_robin_.next(route);
-  if (const auto* engine = this->registry_.pick(now, criteria)) return engine;
-  if (const auto* engine = this->pickInServiceOrder(now, route, criteria)) return engine;
+  const std::vector<ServiceName> services = this->round_robin_.order(route);
+  this->round_robin_.advance(route);
+  if (const auto* engine = this->pickFrom(now, services, criteria)) return engine;
   // Only the first attempt may fall back to an ejected engine.
   if (!criteria.excluded.empty()) return nullptr;
   criteria.last_resort = true;
-  return this->pickInServiceOrder(now, route, criteria);
+  return this->pickFrom(now, services, criteria);
 }
 
-const engines::engine_state* engine_picker::pickInServiceOrder(Instant now,
-                                                               const routing::Route& route,
-                                                               engines::engine_request& criteria) {
-  for (const routing::WeightedService& each : route.services) {
-    criteria.service = each.service;
+const engines::engine_state* engine_picker::pickFrom(Instant now,
+                                                     const std::vector<ServiceName>& services,
+                                                     engines::engine_request& criteria) {
+  for (const ServiceName& service : services) {
+    criteria.service = service;
     if (const auto* engine = this->registry_.pick(now, criteria)) return engine;
   }
   return nullptr;
--- a/src/gateway/forward/engine_picker.h
+++ b/src/gateway/forward/engine_picker.h
@@ -27,9 +27,9 @@
     this->residency_source_ = std::move(newest);
   }
 
-  /** Selects an engine. Tries the next service by weighted round robin, then the route's other
-   * services. If no engine is found for the first attempt of a request, tries all services again
-   * with ejected engines admitted.
+  /** Selects an engine. Tries the route's services in the order of `weighted_round_robin`. If no
+   * engine is found for the first attempt of a request, tries all services again with ejected
+   * engines admitted.
    * @param tried engines to exclude.
    * @return nullptr if no engine is admitted; `forwarded.refusals` holds the reasons.
    */
@@ -38,9 +38,9 @@
  private:
   const engines::engine_state* pickWithFallbacks(const routing::Route& route,
                                                  engines::engine_request& criteria);
-  /** Tries the route's services in the order of the configuration. */
-  const engines::engine_state* pickInServiceOrder(Instant now, const routing::Route& route,
-                                                  engines::engine_request& criteria);
+  /** Tries the services in order. */
+  const engines::engine_state* pickFrom(Instant now, const std::vector<ServiceName>& services,
+                                        engines::engine_request& criteria);
   fleet::data_residency residencyOf(const forwarded_request& forwarded) const;
 
   engines::engine_registry& registry_;
--- a/src/gateway/forward/forwarded_request.h
+++ b/src/gateway/forward/forwarded_request.h
@@ -34,6 +34,7 @@
   double max_per_slot = 0;  ///< Engines with more requests per slot are skipped; 0 means unlimited.
   bool internal = false;    ///< Whether the gateway itself sends the request, not a client.
   bool run_reported = false;  ///< Whether the usage recorder was notified of the execution.
+  ServiceName service;        ///< Service of the route that was tried last; empty: none yet.
   /** Reasons why the last unsuccessful engine selection found no engine. */
   engines::admission_failure_counts refusals;
   std::optional<suspects::request_key> key;  ///< Key of the request; computed on first use.
--- a/src/gateway/forward/request_log.cpp
+++ b/src/gateway/forward/request_log.cpp
@@ -61,8 +61,10 @@
   const Instant now = steadyNow();
   const Duration took = now - forwarded.received;
   const char* kind = forwarded.internal ? "internal" : routing::toText(forwarded.route->kind);
-  this->metrics_.onRequestEnded(kind, forwarded.route->services.front().service.str(), outcome,
-                                policy.started(), took);
+  const bool tried = !forwarded.service.empty();
+  const ServiceName& service =
+      tried ? forwarded.service : forwarded.route->services.front().service;
+  this->metrics_.onRequestEnded(kind, service.str(), outcome, policy.started(), took);
   const bool success = status >= kFirstSuccess && status < kFirstRedirection;
   if (success && !this->successes_.admit(now)) return;
   logging::LogEvent event("forward", "request_ended");
--- a/src/gateway/routing/configuration.cpp
+++ b/src/gateway/routing/configuration.cpp
@@ -16,6 +16,16 @@
   return "unknown";
 }
 
+double Route::shareOf(const ServiceName& service) const {
+  double own = 0;
+  double total = 0;
+  for (const WeightedService& each : this->services) {
+    total += each.weight;
+    if (each.service == service) own += each.weight;
+  }
+  return total > 0 ? own / total : 0;
+}
+
 const Route* Configuration::find(const std::string& host, const std::string& path) const {
   const std::string host_name = host.substr(0, host.find(':'));
   const Route* best = nullptr;
--- a/src/gateway/routing/configuration.h
+++ b/src/gateway/routing/configuration.h
@@ -58,6 +58,8 @@
   bool single_version = false;  ///< Batch: a single weight version generates all of an item.
   bool is_public = false;       ///< Whether requests need no key.
 
+  /** @return the share of the route's requests that the service gets by its weight, from 0 to 1. */
+  double shareOf(const ServiceName& service) const;
   /** @return whether a request may be sent again after an engine may have run it. */
   bool repeatable() const {
     return kind == RequestKind::kIdempotent || (kind == RequestKind::kStreaming && resumable);
--- a/src/gateway/routing/weighted_round_robin.cpp
+++ b/src/gateway/routing/weighted_round_robin.cpp
@@ -1,6 +1,7 @@
 #include "gateway/routing/weighted_round_robin.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "common/hash.h"
 
@@ -21,30 +22,48 @@
 
 }  // namespace
 
-std::size_t weighted_round_robin::pickService(route_state& state, double total) {
-  std::size_t best = 0;
+std::vector<std::size_t> weighted_round_robin::orderOf(const route_state& state) {
+  std::vector<std::size_t> order(state.services.size());
+  std::iota(order.begin(), order.end(), 0);
+  const auto due = [&state](std::size_t i) { return state.credits[i] + state.services[i].weight; };
+  std::stable_sort(order.begin(), order.end(),
+                   [&due](std::size_t one, std::size_t other) { return due(one) > due(other); });
+  return order;
+}
+
+void weighted_round_robin::endTurn(route_state& state) {
+  const std::size_t first = orderOf(state).front();
+  double total = 0;
   for (std::size_t i = 0; i < state.services.size(); ++i) {
     state.credits[i] += state.services[i].weight;
-    if (state.credits[i] > state.credits[best]) best = i;
+    total += state.services[i].weight;
   }
-  state.credits[best] -= total;
-  return best;
+  state.credits[first] -= total;
 }
 
-ServiceName weighted_round_robin::next(const Route& route) {
-  if (route.services.size() == 1) return route.services.front().service;
+weighted_round_robin::route_state& weighted_round_robin::stateOf(const Route& route) {
   route_state& state = this->states_[route.name];
-  double total = 0;
-  for (const WeightedService& each : route.services) total += each.weight;
-  if (!sameServices(state.services, route.services)) {
-    state.services = route.services;
-    state.credits.assign(route.services.size(), 0);
-    // Each daemon skips some turns at first, so that the daemons don't all start with the same
-    // service, which would skew the shares of the services at low load.
-    const std::uint64_t skipped = hash64(route.name.str(), this->start_) % kMaxInitialTurns;
-    for (std::uint64_t i = 0; i < skipped; ++i) pickService(state, total);
-  }
-  return route.services[pickService(state, total)].service;
+  if (sameServices(state.services, route.services)) return state;
+  state.services = route.services;
+  state.credits.assign(route.services.size(), 0);
+  // Each daemon skips some turns at first, so that the daemons don't all start with the same
+  // service, which would skew the shares of the services at low load.
+  const std::uint64_t skipped = hash64(route.name.str(), this->start_) % kMaxInitialTurns;
+  for (std::uint64_t i = 0; i < skipped; ++i) endTurn(state);
+  return state;
+}
+
+std::vector<ServiceName> weighted_round_robin::order(const Route& route) {
+  if (route.services.size() == 1) return {route.services.front().service};
+  const route_state& state = this->stateOf(route);
+  std::vector<ServiceName> services;
+  services.reserve(state.services.size());
+  for (const std::size_t i : orderOf(state)) services.push_back(state.services[i].service);
+  return services;
+}
+
+void weighted_round_robin::advance(const Route& route) {
+  if (route.services.size() > 1) endTurn(this->stateOf(route));
 }
 
 }  // namespace linenpier::routing
--- a/src/gateway/scaling/scaling_service.cpp
+++ b/src/gateway/scaling/scaling_service.cpp
@@ -145,12 +145,7 @@
     view.closed.insert(zone);
   }
   if (service.models.empty()) return view;
-  const versions::open_work_by_model open = this->deps_.open_work();
-  std::size_t items = 0;
-  for (const ModelName& model : service.models) {
-    const auto at = open.find(model);
-    if (at != open.end()) items += at->second.items;
-  }
+  const std::size_t items = this->deps_.open_items(service.name);
   view.engines_for_work = demand.onOpenItems(steadyNow(), this->options_, items, slots);
   return view;
 }
--- a/src/gateway/scaling/scaling_service.h
+++ b/src/gateway/scaling/scaling_service.h
@@ -41,8 +41,8 @@
     std::string holder;  ///< Name of this daemon in orders.
     const engines::engine_registry& registry;
     std::function<routing::ConfigurationPtr()> routes;
-    /// Returns the open work of active jobs.
-    std::function<versions::open_work_by_model()> open_work;
+    /// Returns the number of items of open jobs that a service should run.
+    std::function<std::size_t(const ServiceName&)> open_items;
     std::function<bool()> engine_list_current;  ///< Whether the list of engines is up to date.
     load_query load;
   };
--- a/src/gateway/service/owner_demand.cpp
+++ b/src/gateway/service/owner_demand.cpp
@@ -1,6 +1,7 @@
 #include "gateway/service/owner_demand.h"
 
 #include <algorithm>
+#include <set>
 
 namespace linenpier::gateway {
 
@@ -15,9 +16,15 @@
 /** Number of standby owners wanted within the zones of each zone requirement. */
 constexpr std::size_t kSpareOwnersPerZoneRequirement = 1;
 
+/** @return the number of different models of the route's services. */
 std::size_t modelCount(const routing::Configuration& configuration, const routing::Route& route) {
-  const auto service = configuration.services.find(route.services.front().service);
-  return service == configuration.services.end() ? 0 : service->second.models.size();
+  std::set<ModelName> models;
+  for (const routing::WeightedService& each : route.services) {
+    const auto service = configuration.services.find(each.service);
+    if (service == configuration.services.end()) continue;
+    models.insert(service->second.models.begin(), service->second.models.end());
+  }
+  return models.size();
 }
 
 std::set<ZoneName> allowedZones(const fleet::fleet_layout& layout,
@@ -52,8 +59,10 @@
 lease::pool_requirements computeOwnerDemand(const routing::Configuration& configuration,
                                             const fleet::fleet_layout& layout) {
   lease::pool_requirements demand = defaultOwnerDemand();
+  std::set<ModelName> models;
   for (const auto& [name, service] : configuration.services)
-    demand.min_candidates += service.models.size();
+    models.insert(service.models.begin(), service.models.end());
+  demand.min_candidates += models.size();
   for (const routing::Route& route : configuration.routes) {
     if (route.kind != routing::RequestKind::kBatch) continue;
     const std::size_t min_candidates =
--- a/tests/gateway/batch/item_placement_test.cpp
+++ b/tests/gateway/batch/item_placement_test.cpp
@@ -47,7 +47,8 @@
 Test(item_placement, the_request_has_the_items_model_version_and_expected_memory) {
   routing::Configuration table;
   table.services[kService].memory_tokens = 30000;
-  const auto wanted = batch::engineRequirementsFor(oneItem(), 0, route(false), table, 1.0);
+  const auto wanted =
+      batch::engineRequirementsFor(oneItem(), 0, route(false), kService, table, 1.0);
   cr_assert_eq(wanted.model.str(), "m");
   cr_assert_eq(wanted.minimum_version, 2U);
   cr_assert_eq(wanted.tokens, 1200, "length hint plus a typical prompt");
@@ -61,10 +62,10 @@
   batch::item_progress progress;
   progress.failures = 1;
   progress.last_engine = EngineId("a");
-  const auto wanted = batch::engineRequirementsFor(oneItem(), 0, route(false), {}, 1.0);
-  cr_assert_eq(batch::placeItem(kStart, registry, progress, wanted).engine->record.id.str(), "b");
+  const auto wanted = batch::engineRequirementsFor(oneItem(), 0, route(false), kService, {}, 1.0);
+  cr_assert_eq(batch::placeItem(kStart, registry, progress, {wanted}).engine->record.id.str(), "b");
   registry.onRemoved(kStart, EngineId("b"));
-  cr_assert_eq(batch::placeItem(kStart, registry, progress, wanted).engine->record.id.str(), "a");
+  cr_assert_eq(batch::placeItem(kStart, registry, progress, {wanted}).engine->record.id.str(), "a");
 }
 
 Test(item_placement, a_single_version_text_is_discarded_if_its_version_is_gone) {
@@ -73,8 +74,28 @@
   batch_run run = oneItem();
   run.onStarted(kStart, 0, EngineId("a"));
   run.onEvent(kStart, 0, 1, "text", 2);
-  const auto wanted = batch::engineRequirementsFor(run, 0, route(true), {}, 1.0);
-  const auto placement = batch::placeItem(kStart, registry, run.progress(0), wanted);
+  const auto wanted = batch::engineRequirementsFor(run, 0, route(true), kService, {}, 1.0);
+  const auto placement = batch::placeItem(kStart, registry, run.progress(0), {wanted});
   cr_assert_not_null(placement.engine);
   cr_assert(placement.discard_text);
 }
+
+// Guards against items that wait for a service of a split route while another one could run them.
+Test(item_placement, the_next_service_is_tried_if_the_first_has_no_engine_for_the_item) {
+  engine_registry registry(ZoneName("z"), {}, 1);
+  engine_record other = record("b", 2);
+  other.service = ServiceName("t");
+  engine_record without_model = record("a", 2);
+  without_model.models = {{ModelName("n"), 2}};
+  const std::vector<engines::engine_request> wanted = {
+      batch::engineRequirementsFor(oneItem(), 0, route(false), kService, {}, 1.0),
+      batch::engineRequirementsFor(oneItem(), 0, route(false), other.service, {}, 1.0)};
+  test::listEngines(registry, kStart, {other});
+  cr_assert_eq(batch::placeItem(kStart, registry, {}, wanted).engine->record.id.str(), "b",
+               "the first service has no engine");
+  test::listEngines(registry, kStart, {other, without_model});
+  cr_assert_eq(batch::placeItem(kStart, registry, {}, wanted).engine->record.id.str(), "b",
+               "the first service has the model on no engine");
+  test::listEngines(registry, kStart, {other, without_model, record("c", 2)});
+  cr_assert_eq(batch::placeItem(kStart, registry, {}, wanted).engine->record.id.str(), "c");
+}
--- a/tests/gateway/batch/run_moves_test.cpp
+++ b/tests/gateway/batch/run_moves_test.cpp
@@ -57,7 +57,7 @@
 Test(run_moves, runs_on_slow_engines_may_be_moved_longest_first) {
   const std::vector<item_run> runs = {{0, kSlow, kStart}, {1, kSlow, kStart}, {1, kQuick, kStart}};
   const batch_run run = twoItems();
-  const auto movable = batch::movableRuns(kLater, registry(), kService, run.job(), runs, kRules);
+  const auto movable = batch::movableRuns(kLater, registry(), run.job(), runs, kRules);
   cr_assert_eq(movable.size(), 2U);
   cr_assert_eq(movable[0].item, 1U);
 }
@@ -65,7 +65,7 @@
 Test(run_moves, a_recently_started_run_is_not_moved) {
   const batch_run run = twoItems();
   const auto movable =
-      batch::movableRuns(kLater, registry(), kService, run.job(), {{1, kSlow, kLater}}, kRules);
+      batch::movableRuns(kLater, registry(), run.job(), {{1, kSlow, kLater}}, kRules);
   cr_assert(movable.empty());
 }
 
--- a/tests/gateway/service/owner_demand_test.cpp
+++ b/tests/gateway/service/owner_demand_test.cpp
@@ -57,3 +57,15 @@
   table.routes.front().residency = fleet::data_residency({RegionName("near")});
   cr_assert(gateway::computeOwnerDemand(table, kLayout).zone_requirements.empty());
 }
+
+Test(owner_demand, a_split_route_requires_an_owner_for_each_different_model_of_its_services) {
+  routing::Configuration table = twoModels();
+  routing::Service other;
+  other.name = ServiceName("t");
+  other.models = {ModelName("n"), ModelName("o")};
+  table.services[other.name] = other;
+  table.routes.front().services = {
+      {ServiceName("absent"), 1}, {ServiceName("s"), 1}, {other.name, 8}};
+  table.routes.front().residency = fleet::data_residency({RegionName("far")});
+  cr_assert(gateway::computeOwnerDemand(table, kLayout) == wanted(5, {{{ZoneName("c")}, 4}}));
+}
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -108,16 +108,16 @@
           "timeoutMs":5000,"targetLatencyMs":150,"service":"models","maxAttempts":3},
          {"name":"jobs","host":"h.example","pathPrefix":"/jobs/","kind":"rollout",
           "timeoutMs":5000,"targetLatencyMs":400,"targetFinishMs":7500,"maxQueueS":20,
-          "service":"models","maxAttempts":2,"resumable":true)" +
-      options_.job_fields + "}";
+          "maxAttempts":2,"resumable":true,)" +
+      options_.job_services + options_.job_fields + "}";
   store_->put(
       "op", "config",
       "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes + more_routes +
           R"(],"services":[{"name":"desk"},{"name":"models","coldStartS":3,"coldPerS":)" +
           std::to_string(options_.cold_per_second) + R"(,"engine":{"slots":8,
                      "kvCacheTokens":50000,"models":[{"name":"m"}]})" +
-          (options_.scaling_bounds.empty() ? "" : ",\"scaling\":" + options_.scaling_bounds) +
-          R"(}],
+          (options_.scaling_bounds.empty() ? "" : ",\"scaling\":" + options_.scaling_bounds) + "}" +
+          options_.more_services + R"(],
                      "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":300,
                      "idleTimeoutMs":2000})" +
           (options_.tenants.empty() ? "" : ",\"tenants\":" + options_.tenants) + "}");
@@ -125,7 +125,11 @@
 
 void GatewayFixture::putSamplers() {
   for (const auto& each : lookups_) store_->put("servers", each->id(), each->entry("desk"));
-  for (const auto& each : models_) store_->put("servers", each->id(), each->entry("models"));
+  for (std::size_t i = 0; i < models_.size(); ++i) {
+    const bool named = i < options_.model_services.size();
+    const std::string service = named ? options_.model_services[i] : "models";
+    store_->put("servers", models_[i]->id(), models_[i]->entry(service));
+  }
 }
 
 void GatewayFixture::setFatal(const FatalRequests& fatal) {
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -50,9 +50,13 @@
   engines::cold_limit_options cold;
   std::vector<std::string> zones;  ///< Zones of the gateways, by index; absent: "z".
   fleet::fleet_layout layout;
-  std::vector<std::string> model_zones;  ///< Zones of the model samplers, by index; absent: "z".
-  std::string job_fields;                ///< Additional fields of the job route.
-  std::string reward_fields;             ///< Additional fields of the reward route.
+  std::vector<std::string> model_zones;     ///< Zones of the model samplers, by index; absent: "z".
+  std::vector<std::string> model_services;  ///< Services of the model samplers; absent: "models".
+  std::string more_services;                ///< Additional services, as JSON; empty: none.
+  /// Services of the job route, as JSON fields.
+  std::string job_services = R"("service":"models")";
+  std::string job_fields;     ///< Additional fields of the job route.
+  std::string reward_fields;  ///< Additional fields of the reward route.
 };
 
 /// @return options for two gateways and samplers whose streams have `events` events.
@@ -104,6 +108,8 @@
     options_.job_fields = jobs;
     options_.reward_fields = rewards;
   }
+  /// Sets the services of the job route in subsequent configurations, as JSON fields.
+  void setJobServices(const std::string& services) { options_.job_services = services; }
   /// Sets the API key that `readAll` uses.
   void setClientKey(const std::string& key) { client_key_ = key; }
 
