Run items again soon after engines crashed under them

What callers saw: an item of a batch job under which engines had crashed five times, as in a burst, was held for 40 minutes although the engines served again, so that its step ran out of time. A reward request was barred at its third crash, and its item, complete, was never listed. Crashes under an item also barred a caller's equal request for 10 minutes, and the reverse.

Cause: the rule against requests that crash engines by themselves took items and reward requests for such requests, items with a higher threshold. A job owes the results of its items, so a verdict that they must not run is never right for them.

Why it works: items are no suspects. Reward requests have keys of their own, wait 5 s from the second crash on, and are never barred. Callers' requests are treated as before.

--- a/src/gateway/batch/batch_options.h
+++ b/src/gateway/batch/batch_options.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 
 #include "common/time.h"
+#include "gateway/batch/crash_delays.h"
 #include "gateway/batch/result_schedule.h"
 #include "gateway/batch/run_move_rules.h"
 #include "gateway/batch/run_timeouts.h"
@@ -23,6 +24,7 @@
   Duration rejected_retry_delay = std::chrono::milliseconds(40);
   /// Delay before an item whose run was interrupted is sent again.
   Duration interrupted_retry_delay{};
+  crash_delays crash_delay;  ///< Delays after runs whose engine crashed.
   result_timing_options result_timing;
   /// Minimum time between checkpoints of a job.
   Duration checkpoint_interval = std::chrono::milliseconds(500);
--- a/src/gateway/batch/batch_run.cpp
+++ b/src/gateway/batch/batch_run.cpp
@@ -224,6 +224,19 @@
   progress.not_before = now + pause;
 }
 
+Duration batch_run::onEngineCrashed(Instant now, ItemIndex item, Duration ran,
+                                    const crash_delays& delays) {
+  item_progress& progress = this->progress_[item];
+  if (ran > delays.max_run_before_crash) {
+    progress.engine_crashes = 0;
+    return Duration::zero();
+  }
+  ++progress.engine_crashes;
+  const Duration delay = delays.after(progress.engine_crashes);
+  progress.not_before = std::max(progress.not_before, now + delay);
+  return delay;
+}
+
 void batch_run::onFailed(Instant now, ItemIndex item) {
   constexpr Duration kPauseAfterFailure = std::chrono::milliseconds(100);
   item_progress& progress = this->progress_[item];
--- a/src/gateway/batch/batch_run.h
+++ b/src/gateway/batch/batch_run.h
@@ -9,6 +9,7 @@
 
 #include "common/ids.h"
 #include "gateway/batch/batch_types.h"
+#include "gateway/batch/crash_delays.h"
 #include "gateway/batch/partial_results.h"
 
 namespace linenpier::batch {
@@ -45,6 +46,8 @@
   std::uint32_t text_revision = 0;
   std::set<WeightVersion> versions;
   int failures = 0;
+  /// Number of consecutive runs during which the engine crashed soon after the start.
+  int engine_crashes = 0;
   std::string score;
   int score_failures = 0;
   /// Number of consecutive runs stopped because their first event did not arrive in time.
@@ -118,8 +121,11 @@
   void onFirstEventTimeout(ItemIndex item) { ++this->progress_[item].first_event_timeouts; }
   /** The run ended before the item was complete; the item will resume from its current text. */
   void onInterrupted(Instant now, ItemIndex item, Duration pause);
-  /** Delays the item's next run, because engines crashed while running it. */
-  void holdUntil(ItemIndex item, Instant until) { this->progress_[item].not_before = until; }
+  /** The engine crashed during the run, which was interrupted.
+   * @param ran time from the start of the run to the crash.
+   * @return the delay of the item's next run.
+   */
+  Duration onEngineCrashed(Instant now, ItemIndex item, Duration ran, const crash_delays& delays);
   /** The engine reported a failure of the item. */
   void onFailed(Instant now, ItemIndex item);
   /** The engine reported that the item cannot be processed. */
--- a/src/gateway/batch/batch_service.h
+++ b/src/gateway/batch/batch_service.h
@@ -37,7 +37,6 @@
 #include "gateway/lease/lease_keeper.h"
 #include "gateway/lease/lease_table.h"
 #include "gateway/lease/owner_pool.h"
-#include "gateway/suspects/suspect_tracker.h"
 #include "gateway/tenants/caller.h"
 #include "gateway/versions/load_demand.h"
 
@@ -56,7 +55,6 @@
     const lease::owner_pool& pool;
     const batch_codec& codec;
     forward::internal_requests& rewards;
-    suspects::suspect_tracker& suspects;
     routing::weighted_round_robin& round_robin;
     /// Returns the newest routing table; null before the first one is loaded.
     std::function<routing::ConfigurationPtr()> routes;
@@ -141,8 +139,8 @@
   job_residency residency_{{deps_.engines.registry, deps_.pool, deps_.routes}};
   engine_requirements_builder engine_requirements_{
       {residency_, deps_.routes, deps_.round_robin, options_}};
-  item_runner runner_{{deps_.loop, deps_.engines, deps_.rewards, deps_.suspects, jobs_,
-                       engine_requirements_, deps_.routes, counts_, options_}};
+  item_runner runner_{{deps_.loop, deps_.engines, deps_.rewards, jobs_, engine_requirements_,
+                       deps_.routes, counts_, options_}};
   slow_run_mover slow_run_mover_{{deps_.engines.registry, jobs_, runner_.lengths(),
                                   engine_requirements_, deps_.routes, options_}};
   zone_drainer zone_drainer_{
--- a/src/gateway/batch/item_request.cpp
+++ b/src/gateway/batch/item_request.cpp
@@ -29,9 +29,4 @@
   return request;
 }
 
-suspects::request_key keyOf(const active_job& active, ItemIndex item) {
-  const batch_item& each = active.run.job().items[item];
-  return suspects::keyOf(active.record.tenant, active.record.host, each.path, each.body);
-}
-
 }  // namespace linenpier::batch
--- a/src/gateway/batch/item_request.h
+++ b/src/gateway/batch/item_request.h
@@ -1,15 +1,13 @@
 #pragma once
 
 /** @file
- * Builds the HTTP request of an item, and the key under which engine crashes caused by it are
- * counted. Pure.
+ * Builds the HTTP request of an item. Pure.
  */
 
 #include "gateway/batch/batch_run.h"
 #include "gateway/forward/field_names.h"
 #include "gateway/http/http_types.h"
 #include "gateway/routing/configuration.h"
-#include "gateway/suspects/suspect_tracker.h"
 
 namespace linenpier::batch {
 
@@ -22,6 +20,4 @@
                           const forward::field_names& names,
                           const routing::ConfigurationPtr& table);
 
-suspects::request_key keyOf(const active_job& active, ItemIndex item);
-
 }  // namespace linenpier::batch
--- a/src/gateway/batch/item_runner.cpp
+++ b/src/gateway/batch/item_runner.cpp
@@ -15,15 +15,6 @@
 using logging::LogEvent;
 
 namespace {
-// A suspect is an item whose earlier attempts ended with an engine crash. It may run on only one
-// engine at a time, in an isolated run; see `suspect_tracker`.
-
-/// Poll interval for a suspect while an isolated run of the same request is in progress.
-constexpr Duration kSuspectRunningPoll = std::chrono::milliseconds(100);
-/// Poll interval for a suspect that must wait for any other reason. Another daemon may report in
-/// the meantime that the request is harmless.
-constexpr Duration kSuspectHeldPoll = std::chrono::seconds(1);
-
 /// HTTP status codes of engines.
 constexpr unsigned kFirstErrorStatus = 300;
 constexpr unsigned kUnprocessable = 422;  ///< The item cannot be processed; retrying is useless.
@@ -110,8 +101,6 @@
                 this->deps_.engine_requirements.build(*active, item, route));
   if (placement.discard_text) active->run.discardText(item);
   if (placement.engine == nullptr) return false;
-  const auto admission = this->admitItem(*active, item);
-  if (!admission) return true;  // The item must wait, other items may start.
   const auto call = std::make_shared<forward::engine_call>(
       this->deps_.engines, *placement.engine,
       itemRequest(*active, item, this->deps_.engines.names, this->deps_.routes()));
@@ -120,27 +109,11 @@
   this->deps_.engine_requirements.onStarted(route);
   registry.addExpectedTokens(call->engine(), expectedTokens(itemOf(*active, item)));
   ++this->deps_.counts.item_attempts;
-  const item_attempt attempt{active, item, call, itemOf(*active, item).model, *admission};
+  const item_attempt attempt{active, item, call, itemOf(*active, item).model};
   spawn(this->deps_.loop, [this, attempt] { return this->runItem(attempt); });
   return true;
 }
 
-std::optional<suspects::sent_attempt> item_runner::admitItem(active_job& active, ItemIndex item) {
-  suspects::sent_attempt sent;
-  if (!this->deps_.suspects.hasSuspects()) return sent;
-  const std::string id = itemOf(active, item).id.str();
-  const suspects::suspect_admission admission = this->deps_.suspects.beginLocalIsolatedRun(
-      keyOf(active, item), suspects::RequestSource::kItem, id);
-  sent.crashes = admission.crashes;
-  sent.isolated = admission.state == suspects::AdmissionState::kMayRunAlone;
-  if (sent.isolated || admission.state == suspects::AdmissionState::kNotSuspect) return sent;
-  const bool runs_isolated = admission.state == suspects::AdmissionState::kRunning;
-  const Duration wait =
-      std::min(admission.retry_after, runs_isolated ? kSuspectRunningPoll : kSuspectHeldPoll);
-  active.run.holdUntil(item, steadyNow() + wait);
-  return std::nullopt;
-}
-
 // --- Running and evaluating ---------------------------------------------------------------------
 
 Task<void> item_runner::runItem(item_attempt attempt) {
@@ -150,7 +123,6 @@
   if (outcome == AttemptOutcome::kBroken) {
     report.engine_crashed = co_await attempt.call->engineHasCrashed();
   }
-  this->reportToSuspectTracker(attempt, outcome, report.engine_crashed);
   attempt.active->calls.erase(attempt.item);
   this->deps_.engines.registry.addExpectedTokens(
       attempt.call->engine(), -expectedTokens(itemOf(*attempt.active, attempt.item)));
@@ -159,21 +131,6 @@
   this->startRunnableItems();
 }
 
-void item_runner::reportToSuspectTracker(const item_attempt& attempt, AttemptOutcome outcome,
-                                         bool engine_crashed) {
-  suspects::suspect_tracker& tracker = this->deps_.suspects;
-  if (engine_crashed) {
-    tracker.onEngineCrashed(attempt.sent, keyOf(*attempt.active, attempt.item),
-                            attempt.call->engine(), attempt.call->startedAt(),
-                            suspects::RequestSource::kItem,
-                            itemOf(*attempt.active, attempt.item).id.str());
-  } else if (outcome != AttemptOutcome::kAnswered) {
-    if (attempt.sent.isolated) tracker.onInconclusive(keyOf(*attempt.active, attempt.item));
-  } else if (tracker.hasSuspects()) {
-    tracker.onAnswered(keyOf(*attempt.active, attempt.item));
-  }
-}
-
 void item_runner::finishAttempt(const item_attempt& attempt, AttemptOutcome outcome,
                                 const run_report& report) {
   const Instant now = steadyNow();
@@ -222,6 +179,15 @@
   }
   const Duration pause = rejected ? options.rejected_retry_delay : options.interrupted_retry_delay;
   state.onInterrupted(now, attempt.item, pause);
+  if (!report.engine_crashed) return;
+  const Duration delay = state.onEngineCrashed(now, attempt.item, now - attempt.call->startedAt(),
+                                               options.crash_delay);
+  LogEvent("batch", "engine_crashed")
+      .text("item", itemOf(*attempt.active, attempt.item).id.str())
+      .text("engine", attempt.call->engine().str())
+      .milliseconds("ran_ms", now - attempt.call->startedAt())
+      .number("crashes", state.progress(attempt.item).engine_crashes)
+      .milliseconds("held_ms", delay);
 }
 
 void item_runner::logAttempt(Instant now, const item_attempt& attempt, AttemptOutcome outcome,
@@ -239,8 +205,7 @@
       .milliseconds("longest_gap_ms", report.max_gap)
       .milliseconds("took_ms", now - attempt.call->startedAt());
   if (outcome == AttemptOutcome::kBroken) {
-    event.text("key", keyOf(*attempt.active, attempt.item).str())
-        .text("engine_ended", report.engine_crashed ? "yes" : "no");
+    event.text("engine_ended", report.engine_crashed ? "yes" : "no");
   }
 }
 
--- a/src/gateway/batch/item_runner.h
+++ b/src/gateway/batch/item_runner.h
@@ -17,7 +17,6 @@
 #include "gateway/batch/job_registry.h"
 #include "gateway/batch/length_estimator.h"
 #include "gateway/batch/run_reader.h"
-#include "gateway/suspects/suspect_tracker.h"
 
 namespace linenpier::batch {
 
@@ -35,7 +34,6 @@
     boost::asio::io_context& loop;
     const forward::engine_call_context& engines;
     forward::internal_requests& rewards;
-    suspects::suspect_tracker& suspects;
     job_registry& jobs;
     const engine_requirements_builder& engine_requirements;
     std::function<routing::ConfigurationPtr()> routes;
@@ -62,7 +60,6 @@
     ItemIndex item = 0;
     std::shared_ptr<forward::engine_call> call;
     ModelName model;  ///< Model of the item; empty if not specified.
-    suspects::sent_attempt sent;
   };
 
   std::vector<startable_item> startableItems();
@@ -70,14 +67,7 @@
   bool findNext(startable_item& job) const;
   /** @return whether other items of the job may start. */
   bool startItem(const active_job_ptr& active, ItemIndex item, const routing::Route& route);
-  /** Checks whether the item may be sent, or must wait because engines crashed while running it.
-   * @return the state of the request to record with the attempt; nothing if the item must wait.
-   */
-  std::optional<suspects::sent_attempt> admitItem(active_job& active, ItemIndex item);
   Task<void> runItem(item_attempt attempt);
-  /** Reports the outcome of an attempt to the detection of requests that crash engines. */
-  void reportToSuspectTracker(const item_attempt& attempt, forward::AttemptOutcome outcome,
-                              bool engine_crashed);
   void finishAttempt(const item_attempt& attempt, forward::AttemptOutcome outcome,
                      const run_report& report);
   /** Updates the state of the item after an attempt.
--- a/src/gateway/forward/attempt_admission.cpp
+++ b/src/gateway/forward/attempt_admission.cpp
@@ -8,12 +8,11 @@
   forwarded.admission = {};
   if (!this->suspects_.hasSuspects()) co_return attempt;
   const suspects::request_key key = keyOf(forwarded, *forwarded.request);
-  forwarded.admission = this->suspects_.admissionOf(key, suspects::RequestSource::kCaller);
+  forwarded.admission = this->suspects_.admissionOf(key);
   if (forwarded.admission.state == suspects::AdmissionState::kNotSuspect) co_return attempt;
   // A hedged attempt of a suspect request could crash a second engine.
   if (!exclusive) co_return std::nullopt;
-  forwarded.admission = co_await this->suspects_.beginIsolatedRun(
-      key, suspects::RequestSource::kCaller, forwarded.id);
+  forwarded.admission = co_await this->suspects_.beginIsolatedRun(key, forwarded.id);
   attempt.crashes = forwarded.admission.crashes;
   attempt.isolated = forwarded.admission.state == suspects::AdmissionState::kMayRunAlone;
   if (attempt.isolated || forwarded.admission.state == suspects::AdmissionState::kNotSuspect)
@@ -31,8 +30,7 @@
                                 bool engine_crashed) {
   if (engine_crashed) {
     this->suspects_.onEngineCrashed(attempt, keyOf(forwarded, call.request()), call.engine(),
-                                    call.startedAt(), suspects::RequestSource::kCaller,
-                                    forwarded.id);
+                                    call.startedAt(), forwarded.id);
   } else if (outcome != AttemptOutcome::kAnswered) {
     if (attempt.isolated) this->suspects_.onInconclusive(keyOf(forwarded, call.request()));
   } else if (this->suspects_.hasSuspects()) {
--- a/src/gateway/forward/forwarded_request.cpp
+++ b/src/gateway/forward/forwarded_request.cpp
@@ -48,7 +48,11 @@
 }
 
 const suspects::request_key& keyOf(forwarded_request& forwarded, const http::Request& message) {
-  if (!forwarded.key) forwarded.key = suspects::keyOf(forwarded.caller.tenant, message);
+  if (!forwarded.key) {
+    const TenantId& tenant = forwarded.caller.tenant;
+    forwarded.key = forwarded.internal ? suspects::rewardKeyOf(tenant, message)
+                                       : suspects::keyOf(tenant, message);
+  }
   return *forwarded.key;
 }
 
--- a/src/gateway/forward/local_replies.cpp
+++ b/src/gateway/forward/local_replies.cpp
@@ -50,8 +50,7 @@
     response.set(this->names_.retry_after, secondsText(this->options_.retry_after_closed));
   }
   if (forwarded.key) {
-    forwarded.admission =
-        this->suspects_.admissionOf(*forwarded.key, suspects::RequestSource::kCaller);
+    forwarded.admission = this->suspects_.admissionOf(*forwarded.key);
   }
   // Retry-After is also set on 502 and 504, since an earlier retry would be rejected. A suspect
   // that is running now may be cleared soon, so its caller may retry after the usual delay.
--- a/src/gateway/suspects/request_key.cpp
+++ b/src/gateway/suspects/request_key.cpp
@@ -7,6 +7,9 @@
 namespace linenpier::suspects {
 
 namespace {
+/** Distinguishes the keys of reward requests. */
+constexpr std::string_view kRewardPrefix = "reward-";
+
 /** Prefixes a part with its length, so that moving characters from one part to the next changes the
  * hash.
  */
@@ -33,4 +36,12 @@
   return keyOf(tenant, host, target, request.body());
 }
 
+request_key rewardKeyOf(const TenantId& tenant, const http::Request& request) {
+  return request_key(std::string(kRewardPrefix) + keyOf(tenant, request).str());
+}
+
+RequestSource sourceOf(const request_key& key) {
+  return key.str().starts_with(kRewardPrefix) ? RequestSource::kReward : RequestSource::kCaller;
+}
+
 }  // namespace linenpier::suspects
--- a/src/gateway/suspects/suspect_admission.h
+++ b/src/gateway/suspects/suspect_admission.h
@@ -13,24 +13,17 @@
 
 /** Limits for suspects. Crashes during concurrent attempts count once. */
 struct suspect_rules {
-  /** Number of crashes after which a caller's request is barred. */
-  int crash_threshold = 3;
-  /** Number of crashes after which an item of a batch job is barred. Not lower than
-   * `crash_threshold`, since the job cannot finish without the item.
+  /** Number of crashes after which a caller's request is barred. Reward requests are never barred.
    */
-  int item_crash_threshold = 5;
+  int crash_threshold = 3;
   /** Longest time from the sending of an attempt to a crash that counts. A request that crashes
    * engines crashes them when its execution starts.
    */
   Duration max_run_before_crash = std::chrono::seconds(3);
-  /** Delay before a caller's request may run again after its second crash. Long enough for crashed
-   * engines to restart, so that one request takes down at most two of them.
+  /** Delay before a request that is not barred may run again after its second and each later crash.
+   * Long enough for crashed engines to restart, so that one request takes down at most two of them.
    */
   Duration retry_backoff = std::chrono::seconds(5);
-  /** Delay before an item may run again after its second and each later crash. Shorter than 5 s,
-   * since an item that has had no engine for 5 s counts as lost.
-   */
-  Duration item_retry_interval = std::chrono::seconds(4);
   /** Duration after which an isolated run no longer blocks other runs of the request. */
   Duration isolated_run_timeout = std::chrono::seconds(3);
   /** Time until a suspect is removed, counted from its last crash or, if the suspect is barred,
@@ -66,9 +59,4 @@
   Duration since_last_crash{};  ///< Time since the last crash.
 };
 
-/** Origin of a request. The owner of a batch job retries an item until its result is stored; only
- * the caller retries a caller's request.
- */
-enum class RequestSource { kCaller, kItem };
-
 }  // namespace linenpier::suspects
--- a/src/gateway/suspects/suspect_registry.cpp
+++ b/src/gateway/suspects/suspect_registry.cpp
@@ -20,33 +20,31 @@
 
 }  // namespace
 
-bool suspect_registry::isBarred(int crashes, RequestSource source) const {
-  const bool item = source == RequestSource::kItem;
-  return crashes >= (item ? this->rules_.item_crash_threshold : this->rules_.crash_threshold);
+bool suspect_registry::isBarred(const request_key& key, int crashes) const {
+  return sourceOf(key) == RequestSource::kCaller && crashes >= this->rules_.crash_threshold;
 }
 
-Duration suspect_registry::retryDelay(int crashes, RequestSource source) const {
-  if (this->isBarred(crashes, source)) return this->barDuration(crashes);
-  if (crashes <= 1) return Duration::zero();
-  const bool item = source == RequestSource::kItem;
-  return item ? this->rules_.item_retry_interval : this->rules_.retry_backoff;
+Duration suspect_registry::retryDelay(const request_key& key, int crashes) const {
+  if (this->isBarred(key, crashes)) return this->barDuration(key, crashes);
+  return crashes <= 1 ? Duration::zero() : this->rules_.retry_backoff;
 }
 
-Duration suspect_registry::barDuration(int crashes) const {
-  if (crashes < this->rules_.crash_threshold) return Duration::zero();
+Duration suspect_registry::barDuration(const request_key& key, int crashes) const {
+  if (!this->isBarred(key, crashes)) return Duration::zero();
   const int doublings =
       std::min(crashes - this->rules_.crash_threshold, this->rules_.max_bar_doublings);
   return this->rules_.initial_bar * (1 << doublings);
 }
 
-Instant suspect_registry::expiresAt(const entry& suspect) const {
-  return suspect.last_crash_at + this->barDuration(suspect.crashes) + this->rules_.retention;
+Instant suspect_registry::expiresAt(const request_key& key, const entry& suspect) const {
+  return suspect.last_crash_at + this->barDuration(key, suspect.crashes) + this->rules_.retention;
 }
 
 std::size_t suspect_registry::barredCount(Instant now) const {
   return static_cast<std::size_t>(
       std::count_if(this->entries_.begin(), this->entries_.end(), [&](const auto& each) {
-        return now < each.second.last_crash_at + this->barDuration(each.second.crashes);
+        const auto& [key, suspect] = each;
+        return now < suspect.last_crash_at + this->barDuration(key, suspect.crashes);
       }));
 }
 
@@ -55,18 +53,17 @@
   return at == this->entries_.end() ? 0 : at->second.crashes;
 }
 
-suspect_admission suspect_registry::admissionOf(Instant now, const request_key& key,
-                                                RequestSource source) const {
+suspect_admission suspect_registry::admissionOf(Instant now, const request_key& key) const {
   suspect_admission admission;
   const auto at = this->entries_.find(key);
   if (at == this->entries_.end() || at->second.crashes == 0) return admission;
   const entry& known = at->second;
-  if (now >= this->expiresAt(known)) return admission;
+  if (now >= this->expiresAt(key, known)) return admission;
   admission.crashes = known.crashes;
   admission.since_last_crash = now - known.last_crash_at;
-  const Instant allowed_at = known.last_crash_at + this->retryDelay(known.crashes, source);
+  const Instant allowed_at = known.last_crash_at + this->retryDelay(key, known.crashes);
   if (now < allowed_at) {
-    const bool barred = this->isBarred(known.crashes, source);
+    const bool barred = this->isBarred(key, known.crashes);
     admission.state = barred ? AdmissionState::kBarred : AdmissionState::kBackingOff;
     admission.retry_after = allowed_at - now;
     return admission;
@@ -266,12 +263,13 @@
   std::vector<std::pair<request_key, Revision>> removable;
   for (auto at = this->entries_.begin(); at != this->entries_.end();) {
     const entry& each = at->second;
-    const bool old = now >= this->expiresAt(each);
+    const Instant expires_at = this->expiresAt(at->first, each);
+    const bool old = now >= expires_at;
     if (old && each.revision == 0) {
       at = this->entries_.erase(at);
       continue;
     }
-    const bool due = old && now >= this->expiresAt(each) + removal_delay;
+    const bool due = old && now >= expires_at + removal_delay;
     if (due && removable.size() < max_count) removable.emplace_back(at->first, each.revision);
     ++at;
   }
--- a/src/gateway/suspects/suspect_registry.h
+++ b/src/gateway/suspects/suspect_registry.h
@@ -33,7 +33,7 @@
   std::size_t barredCount(Instant now) const;
   const suspect_rules& rules() const { return this->rules_; }
 
-  suspect_admission admissionOf(Instant now, const request_key& key, RequestSource source) const;
+  suspect_admission admissionOf(Instant now, const request_key& key) const;
   /** @return the number of crashes of the request. Senders store it in `sent_attempt::crashes`. */
   int crashesOf(const request_key& key) const;
 
@@ -97,11 +97,11 @@
     bool written = false;   ///< Whether the stored row is up to date.
   };
 
-  bool isBarred(int crashes, RequestSource source) const;
+  bool isBarred(const request_key& key, int crashes) const;
   /** @return how long after its last crash a request must not run. */
-  Duration retryDelay(int crashes, RequestSource source) const;
-  Duration barDuration(int crashes) const;
-  Instant expiresAt(const entry& suspect) const;
+  Duration retryDelay(const request_key& key, int crashes) const;
+  Duration barDuration(const request_key& key, int crashes) const;
+  Instant expiresAt(const request_key& key, const entry& suspect) const;
   void addEngines(entry& into, const std::vector<EngineId>& engines) const;
   /** Evicts the suspect with the fewest crashes. */
   void evictOne();
--- a/src/gateway/suspects/suspect_service.cpp
+++ b/src/gateway/suspects/suspect_service.cpp
@@ -38,17 +38,15 @@
   spawn(this->deps_.loop, [this] { return this->sweepLoop(); });
 }
 
-suspect_admission suspect_service::admissionOf(const request_key& key, RequestSource source) const {
-  return this->registry_.admissionOf(steadyNow(), key, source);
+suspect_admission suspect_service::admissionOf(const request_key& key) const {
+  return this->registry_.admissionOf(steadyNow(), key);
 }
 
 // --- Admission -----------------------------------------------------------------------------------
 
-suspect_admission suspect_service::beginLocalIsolatedRun(const request_key& key,
-                                                         RequestSource source,
-                                                         const std::string& id) {
+suspect_admission suspect_service::beginLocally(const request_key& key, const std::string& id) {
   const Instant now = steadyNow();
-  const suspect_admission admission = this->registry_.admissionOf(now, key, source);
+  const suspect_admission admission = this->registry_.admissionOf(now, key);
   if (admission.state == AdmissionState::kMayRunAlone) {
     this->registry_.onIsolatedRun(now, key, this->self());
   } else if (admission.state != AdmissionState::kNotSuspect) {
@@ -57,11 +55,10 @@
   return admission;
 }
 
-Task<suspect_admission> suspect_service::beginIsolatedRun(request_key key, RequestSource source,
-                                                          std::string id) {
+Task<suspect_admission> suspect_service::beginIsolatedRun(request_key key, std::string id) {
   suspect_admission admission;
   for (int attempt = 0; attempt < kMaxClaimAttempts; ++attempt) {
-    admission = this->beginLocalIsolatedRun(key, source, id);
+    admission = this->beginLocally(key, id);
     // Without the store, the decision of this daemon is final.
     if (admission.state != AdmissionState::kMayRunAlone || !this->deps_.leases.storeHealthy())
       co_return admission;
@@ -70,7 +67,7 @@
     const bool own = this->registry_.isolatedBy(key) == this->self();
     if (outcome != WriteOutcome::kConflict || own) co_return admission;
   }
-  admission = this->admissionOf(key, source);
+  admission = this->admissionOf(key);
   if (admission.state == AdmissionState::kMayRunAlone) admission.state = AdmissionState::kRunning;
   this->onRefused(admission, key, id);
   co_return admission;
@@ -112,7 +109,7 @@
 // --- Attempt outcomes ----------------------------------------------------------------------------
 
 void suspect_service::onEngineCrashed(const sent_attempt& attempt, const request_key& key,
-                                      const EngineId& engine, Instant sent_at, RequestSource source,
+                                      const EngineId& engine, Instant sent_at,
                                       const std::string& id) {
   const Instant now = steadyNow();
   const Duration ran = now - sent_at;
@@ -121,9 +118,7 @@
   if (counts) {
     ++this->totals_.engine_crashes;
     this->registry_.onEngineCrashed(now, key, engine, attempt.crashes);
-    // Only the owner of a job runs its items, so other daemons need not know an item's first crash.
-    if (source == RequestSource::kCaller || this->registry_.crashesOf(key) > 1)
-      this->registry_.setShared(key);
+    this->registry_.setShared(key);
   }
   this->changed_.notifyAll();
   LogEvent("suspects", "engine_ended")
@@ -134,7 +129,7 @@
       .text("counts", counts ? "yes" : "ran_too_long")
       .number("known_when_sent", attempt.crashes)
       .number("ends", this->registry_.crashesOf(key))
-      .text("standing", toText(this->admissionOf(key, source).state));
+      .text("standing", toText(this->admissionOf(key).state));
 }
 
 void suspect_service::onAnswered(const request_key& key) {
@@ -163,6 +158,7 @@
   const int before = this->registry_.crashesOf(key);
   this->registry_.onRow(steadyNow(), this->clock(), key, row.revision, *record);
   const int crash_threshold = this->registry_.rules().crash_threshold;
+  if (sourceOf(key) != RequestSource::kCaller) return;
   if (before >= crash_threshold || this->registry_.crashesOf(key) < crash_threshold) return;
   LogEvent("suspects", "barred")
       .text("key", key.str())
--- a/src/gateway/suspects/suspect_service.h
+++ b/src/gateway/suspects/suspect_service.h
@@ -53,13 +53,10 @@
   void start();
 
   bool hasSuspects() const override { return !this->registry_.empty(); }
-  suspect_admission admissionOf(const request_key& key, RequestSource source) const override;
-  Task<suspect_admission> beginIsolatedRun(request_key key, RequestSource source,
-                                           std::string id) override;
-  suspect_admission beginLocalIsolatedRun(const request_key& key, RequestSource source,
-                                          const std::string& id) override;
+  suspect_admission admissionOf(const request_key& key) const override;
+  Task<suspect_admission> beginIsolatedRun(request_key key, std::string id) override;
   void onEngineCrashed(const sent_attempt& attempt, const request_key& key, const EngineId& engine,
-                       Instant sent_at, RequestSource source, const std::string& id) override;
+                       Instant sent_at, const std::string& id) override;
   void onAnswered(const request_key& key) override;
   void onInconclusive(const request_key& key) override;
 
@@ -80,6 +77,9 @@
   const suspect_totals& totals() const { return this->totals_; }
 
  private:
+  /** Begins an isolated run according to the suspects that this daemon knows. */
+  suspect_admission beginLocally(const request_key& key, const std::string& id);
+
   enum class WriteOutcome { kCommitted, kConflict, kNoResponse };
 
   Task<void> writeLoop();
--- a/src/gateway/suspects/suspect_tracker.h
+++ b/src/gateway/suspects/suspect_tracker.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /** @file
- * Interface for admission of suspects. All senders (unary requests, streams, batch items, reward
- * requests) ask for admission before each attempt and report its outcome.
+ * Interface for admission of suspects. All senders of callers' requests, streams and reward
+ * requests ask for admission before each attempt and report its outcome.
  */
 
 #include <string>
@@ -26,27 +26,20 @@
   /** @return whether there are any suspects. If not, callers can skip computing the request key. */
   virtual bool hasSuspects() const = 0;
   /** @return the admission of a request according to the suspects that this daemon knows. */
-  virtual suspect_admission admissionOf(const request_key& key, RequestSource source) const = 0;
+  virtual suspect_admission admissionOf(const request_key& key) const = 0;
   /** Claims the fleet-wide right to run a suspect. Writes the claim to the store if it is
    * reachable.
    * @param id request id for the log.
    * @return kMayRunAlone if the claim was granted; the end of the run must then be reported.
    *     kNotSuspect if the request is no longer a suspect.
    */
-  virtual Task<suspect_admission> beginIsolatedRun(request_key key, RequestSource source,
-                                                   std::string id) = 0;
-  /** Like `beginIsolatedRun`, but does not write a claim to the store. For requests that no other
-   * daemon sends: only the owner of a job sends its items.
-   */
-  virtual suspect_admission beginLocalIsolatedRun(const request_key& key, RequestSource source,
-                                                  const std::string& id) = 0;
+  virtual Task<suspect_admission> beginIsolatedRun(request_key key, std::string id) = 0;
 
   /** Records that the engine process crashed during an attempt.
    * @param id request id for the log.
    */
   virtual void onEngineCrashed(const sent_attempt& attempt, const request_key& key,
-                               const EngineId& engine, Instant sent_at, RequestSource source,
-                               const std::string& id) = 0;
+                               const EngineId& engine, Instant sent_at, const std::string& id) = 0;
   /** Clears a suspect whose request an engine completed, with any response status. */
   virtual void onAnswered(const request_key& key) = 0;
   /** Ends an isolated run without a result: one that was rejected, aborted or timed out. */
--- a/tests/gateway/suspects/request_key_test.cpp
+++ b/tests/gateway/suspects/request_key_test.cpp
@@ -44,3 +44,12 @@
   cr_assert_eq(tenantDigits("t", "a"), tenantDigits("t", "b"));
   cr_assert_neq(tenantDigits("t", "a"), tenantDigits("u", "a"));
 }
+
+// Guards against a caller's request that is barred for crashes under a reward request, or reverse.
+Test(request_key, a_reward_request_has_another_key_than_an_equal_request_of_a_caller) {
+  const http::Request request = makeRequest("/look/1", "a");
+  const suspects::request_key reward = suspects::rewardKeyOf(TenantId("t"), request);
+  cr_assert(reward != keyOf(TenantId("t"), request));
+  cr_assert(suspects::sourceOf(reward) == suspects::RequestSource::kReward);
+  cr_assert(suspects::sourceOf(keyOf(TenantId("t"), request)) == suspects::RequestSource::kCaller);
+}
