Bound what responses of peers may take in memory

What callers saw: bytes without end from one engine, such as an event without its empty line, took a gateway of 120 MB to 500 MB, so that it would be killed with all requests of others. Informational responses without end ended the process by a signal.

Cause: each reader of a body had a bound of its own, 64 MiB, also for bodies that are thrown away; an event, a chunk extension and trailer fields had none; and nothing bounded the sum over all calls.

Why it works: http::ResponseLimits bounds the bytes that cannot be parsed yet, a body, what is thrown away, and the sum of all bodies beyond the first 64 KiB of each, so that usual responses are read even while the sum is used up. An event has 64 KiB at most. Beyond a bound the connection is closed, a line names the bound, the engine counts as broken, and the request is repeated where it may be.

--- a/apps/linenpier_gateway.cpp
+++ b/apps/linenpier_gateway.cpp
@@ -42,10 +42,19 @@
   return path == nullptr ? std::string() : std::string(path);
 }
 
+/// The store is trusted and sends large pages, several at a time when jobs are taken over.
+http::ConnectionPoolOptions storeConnections() {
+  http::ConnectionPoolOptions options;
+  options.responses.max_body_bytes = 32 * 1024 * 1024;
+  options.responses.max_total_bytes = 48 * 1024 * 1024;
+  options.responses.uncounted_body_bytes = 2 * 1024 * 1024;
+  return options;
+}
+
 int run(const std::string& file, const gateway::GatewaySettings& settings) {
   logging::startEventLog({settings.id.str(), settings.log_enabled, settings.log_as_text});
   boost::asio::io_context loop(1);
-  http::ConnectionPool store_pool(loop, {});
+  http::ConnectionPool store_pool(loop, storeConnections());
   http::ConnectionPool engine_pool(loop, {});
   platform_adapter::Platform platform(store_pool, engine_pool, settings.store_address,
                                       settings.control_plane_address);
--- a/src/gateway/batch/run_reader.cpp
+++ b/src/gateway/batch/run_reader.cpp
@@ -71,8 +71,7 @@
   AttemptOutcome verdict = co_await call.start(limits);
   if (verdict != AttemptOutcome::kAnswered) co_return verdict;
   if (call.status() >= 300) {
-    std::string ignored;
-    co_return co_await call.readWhole(ignored, steadyNow() + options.timeouts.max_gap);
+    co_return co_await call.discardBody(steadyNow() + options.timeouts.max_gap);
   }
   read_context run{active, item, call, model, call.weightVersion(), started, steadyNow()};
   this->reportVersion(run);
--- a/src/gateway/forward/engine_call.cpp
+++ b/src/gateway/forward/engine_call.cpp
@@ -3,14 +3,14 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "common/event_log.h"
+
 namespace linenpier::forward {
 
 using engines::HealthOutcome;
 using http::ExchangeStatus;
 
 namespace {
-/** Maximum size of a response body. */
-constexpr std::size_t kMaxResponseBytes = 64 * 1024 * 1024;
 /** HTTP status "Misdirected Request": the request names another engine. */
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kServerError = 500;
@@ -98,21 +98,19 @@
   const AttemptOutcome outcome = this->checkHeader();
   if (outcome != AttemptOutcome::kNotExecuted) co_return outcome;
   // The connection can be reused only if the response was read to its end.
-  std::string ignored;
-  co_await this->exchange_->readAll(ignored, kMaxResponseBytes, limits.deadline);
+  const ExchangeStatus drained = co_await this->exchange_->discardBody(limits.deadline);
+  const bool misdirected = this->exchange_->status() == kMisdirected;
+  this->reportEnd(drained == ExchangeStatus::kOverLimit ? HealthOutcome::kBroken
+                  : misdirected                         ? HealthOutcome::kWrongEngine
+                                                        : HealthOutcome::kRejected);
   co_return outcome;
 }
 
 AttemptOutcome engine_call::checkHeader() {
   this->reportLoad();
-  if (this->exchange_->status() == kMisdirected) {
-    this->reportEnd(HealthOutcome::kWrongEngine);
-    return AttemptOutcome::kNotExecuted;
-  }
-  if (this->head().count(this->context_.names.not_executed) > 0) {
-    this->reportEnd(HealthOutcome::kRejected);
-    return AttemptOutcome::kNotExecuted;
-  }
+  const bool not_executed = this->exchange_->status() == kMisdirected ||
+                            this->head().count(this->context_.names.not_executed) > 0;
+  if (not_executed) return AttemptOutcome::kNotExecuted;
   // Without Not-Executed a refusal promises nothing, so it must not be forwarded.
   if (isRefusal(this->exchange_->status()) ||
       this->head().count(this->context_.names.signature) == 0) {
@@ -142,6 +140,7 @@
       this->reportEnd(HealthOutcome::kRejected);
       return AttemptOutcome::kUnreachable;
     case ExchangeStatus::kBroken:
+    case ExchangeStatus::kOverLimit:
       this->reportEnd(HealthOutcome::kBroken);
       this->exchange_->abort();
       return AttemptOutcome::kBroken;
@@ -158,12 +157,21 @@
 
 Task<AttemptOutcome> engine_call::readWhole(std::string& body, Instant deadline) {
   const auto self = this->shared_from_this();
-  const ExchangeStatus status =
-      co_await this->exchange_->readAll(body, kMaxResponseBytes, deadline);
-  if (status != ExchangeStatus::kOk) co_return this->reportExchangeEnd(status);
+  const ExchangeStatus status = co_await this->exchange_->readAll(body, deadline);
+  co_return this->onBodyRead(status);
+}
+
+Task<AttemptOutcome> engine_call::discardBody(Instant deadline) {
+  const auto self = this->shared_from_this();
+  const ExchangeStatus status = co_await this->exchange_->discardBody(deadline);
+  co_return this->onBodyRead(status);
+}
+
+AttemptOutcome engine_call::onBodyRead(ExchangeStatus status) {
+  if (status != ExchangeStatus::kOk) return this->reportExchangeEnd(status);
   this->reportEnd(this->exchange_->status() >= kServerError ? HealthOutcome::kBroken
                                                             : HealthOutcome::kSuccess);
-  co_return AttemptOutcome::kAnswered;
+  return AttemptOutcome::kAnswered;
 }
 
 Task<AttemptOutcome> engine_call::readEvents(event_parser& parser,
@@ -172,6 +180,12 @@
   std::string bytes;
   const ExchangeStatus status = co_await this->exchange_->readSome(bytes, deadline);
   events = parser.feed(bytes);
+  if (parser.overLimit()) {
+    logging::LogEvent("forward", "event_over_limit")
+        .text("engine", this->engine_.str())
+        .number("limit", static_cast<std::int64_t>(kMaxEventBytes));
+    co_return this->reportExchangeEnd(ExchangeStatus::kOverLimit);
+  }
   if (status != ExchangeStatus::kOk) co_return this->reportExchangeEnd(status);
   if (this->exchange_->complete()) this->reportEnd(HealthOutcome::kSuccess);
   co_return AttemptOutcome::kAnswered;
--- a/src/gateway/forward/engine_call.h
+++ b/src/gateway/forward/engine_call.h
@@ -23,7 +23,7 @@
   kAnswered,     ///< The engine responded. The body may not have been read yet.
   kNotExecuted,  ///< The engine rejected the request without executing it.
   kUnreachable,  ///< The connection failed, or the request was not sent.
-  kBroken,       ///< The connection was lost, or the response is malformed or unsigned.
+  kBroken,       ///< The connection was lost, or the response is malformed, unsigned or too large.
   kTimedOut,     ///< No data arrived before the deadline; the request may still be running.
   kAborted,      ///< The gateway aborted the attempt.
 };
@@ -66,6 +66,8 @@
   Task<AttemptOutcome> start(attempt_limits limits);
   /** Reads the rest of the response body. */
   Task<AttemptOutcome> readWhole(std::string& body, Instant deadline);
+  /** Reads the rest of a response body that is not needed. */
+  Task<AttemptOutcome> discardBody(Instant deadline);
   /** Reads more of an event stream.
    * @return kAnswered with the newly completed events, possibly none; `finished` tells whether the
    *     stream has ended.
@@ -91,6 +93,7 @@
 
  private:
   AttemptOutcome checkHeader();
+  AttemptOutcome onBodyRead(http::ExchangeStatus status);
   /** Maps the exchange status to an outcome and reports the outcome to the engine registry. */
   AttemptOutcome reportExchangeEnd(http::ExchangeStatus status);
   /** Reports the end of the attempt to the engine registry, at most once. */
--- a/src/gateway/forward/event_parser.cpp
+++ b/src/gateway/forward/event_parser.cpp
@@ -22,7 +22,9 @@
 std::vector<stream_event> event_parser::feed(std::string_view bytes) {
   std::vector<stream_event> events;
   for (const char byte : bytes) {
+    if (this->over_limit_) break;
     this->pending_.push_back(byte);
+    this->over_limit_ = this->pending_.size() > kMaxEventBytes;
     if (byte != '\n') continue;
     const std::size_t length = this->pending_.size() - this->line_start_;
     const bool empty = length == 1 || (length == 2 && this->pending_[this->line_start_] == '\r');
--- a/src/gateway/http/client_exchange.cpp
+++ b/src/gateway/http/client_exchange.cpp
@@ -7,6 +7,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstdlib>
+#include <limits>
+
+#include "common/event_log.h"
 
 namespace linenpier::http {
 
@@ -15,8 +18,8 @@
 namespace {
 
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
-constexpr std::size_t kMaxBodyBytes = 64 * 1024 * 1024;
 constexpr int kMaxStaleResponses = 3;
+constexpr std::size_t kMaxHeaderBytes = 8 * 1024;
 /// Longest suspension of the machine that is ignored. `machine_clock::suspended` is inexact, since
 /// it is the difference of two clocks that are read one after the other.
 constexpr Duration kSuspensionTolerance = std::chrono::milliseconds(50);
@@ -51,6 +54,8 @@
       return "withheld";
     case ExchangeStatus::kBroken:
       return "broken";
+    case ExchangeStatus::kOverLimit:
+      return "over limit";
     case ExchangeStatus::kTimedOut:
       return "timed out";
     case ExchangeStatus::kAborted:
@@ -62,6 +67,10 @@
 ClientExchange::ClientExchange(ConnectionPool& pool, Address peer, Request request)
     : pool_(pool), peer_(peer), request_(std::move(request)) {}
 
+ClientExchange::~ClientExchange() {
+  pool_.budget().release(reserved_bytes_);
+}
+
 Task<ExchangeStatus> ClientExchange::start(Instant connect_deadline, Instant deadline,
                                            std::optional<ExpectedEcho> echo,
                                            bool force_new_connection) {
@@ -89,7 +98,7 @@
       co_return ExchangeStatus::kOk;
     }
     stale_response_seen_ = true;
-    const ExchangeStatus skipped = co_await skipBody(deadline);
+    const ExchangeStatus skipped = co_await skipStaleBody(deadline);
     if (skipped != ExchangeStatus::kOk) co_return skipped;
   }
   abort();
@@ -105,9 +114,12 @@
 }
 
 Task<ExchangeStatus> ClientExchange::readHead(Instant deadline) {
-  do {
+  const int max_informational = pool_.responseLimits().max_informational;
+  for (int informational = 0; informational <= max_informational; ++informational) {
     parser_.emplace();
-    parser_->body_limit(kMaxBodyBytes);
+    // Bodies are limited where they are kept: the events of a stream are passed on one by one.
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser_->header_limit(kMaxHeaderBytes);
     if (request_.method() == beast_http::verb::head) parser_->skip(true);
     const auto connection = connection_;
     connection->expireAt(deadline);
@@ -115,15 +127,20 @@
     co_await beast_http::async_read_header(connection->stream, connection->buffer, *parser_,
                                            asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return toStatus(error);
-  } while (status() / 100 == 1);
-  co_return ExchangeStatus::kOk;
+    if (status() / 100 != 1) co_return ExchangeStatus::kOk;
+  }
+  co_return cutOff("informational", static_cast<std::size_t>(max_informational));
 }
 
-Task<ExchangeStatus> ClientExchange::skipBody(Instant deadline) {
+Task<ExchangeStatus> ClientExchange::skipStaleBody(Instant deadline) {
+  const std::size_t limit = pool_.responseLimits().max_discarded_bytes;
   std::string ignored;
+  std::size_t skipped = 0;
   while (!parser_->is_done()) {
     const ExchangeStatus status = co_await readBodyChunk(ignored, deadline);
     if (status != ExchangeStatus::kOk) co_return status;
+    skipped += ignored.size();
+    if (skipped > limit) co_return cutOff("discarded", limit);
     ignored.clear();
   }
   // If the end of the connection delimits the body, no further response can follow.
@@ -158,26 +175,61 @@
   co_return ExchangeStatus::kOk;
 }
 
-Task<ExchangeStatus> ClientExchange::readAll(std::string& out, std::size_t limit,
-                                             Instant deadline) {
+Task<ExchangeStatus> ClientExchange::readAll(std::string& out, Instant deadline) {
   const auto self = shared_from_this();
+  const ResponseLimits& limits = pool_.responseLimits();
   while (!complete_) {
     const ExchangeStatus status = co_await readSome(out, deadline);
     if (status != ExchangeStatus::kOk) co_return status;
-    if (out.size() > limit) {
-      abort();
-      co_return ExchangeStatus::kBroken;
-    }
+    if (out.size() > limits.max_body_bytes) co_return cutOff("body", limits.max_body_bytes);
+    if (!reserveBody(out.size())) co_return cutOff("all_bodies", limits.max_total_bytes);
+  }
+  co_return ExchangeStatus::kOk;
+}
+
+Task<ExchangeStatus> ClientExchange::discardBody(Instant deadline) {
+  const auto self = shared_from_this();
+  const std::size_t limit = pool_.responseLimits().max_discarded_bytes;
+  std::string ignored;
+  std::size_t discarded = 0;
+  while (!complete_) {
+    const ExchangeStatus status = co_await readSome(ignored, deadline);
+    if (status != ExchangeStatus::kOk) co_return status;
+    discarded += ignored.size();
+    if (discarded > limit) co_return cutOff("discarded", limit);
+    ignored.clear();
   }
   co_return ExchangeStatus::kOk;
 }
 
-ExchangeStatus ClientExchange::toStatus(const boost::system::error_code& error) const {
+bool ClientExchange::reserveBody(std::size_t body_bytes) {
+  const std::size_t uncounted = pool_.responseLimits().uncounted_body_bytes;
+  if (body_bytes <= uncounted + reserved_bytes_) return true;
+  const std::size_t more = body_bytes - uncounted - reserved_bytes_;
+  if (!pool_.budget().reserve(more)) return false;
+  reserved_bytes_ += more;
+  return true;
+}
+
+ExchangeStatus ClientExchange::toStatus(const boost::system::error_code& error) {
   if (aborted_) return ExchangeStatus::kAborted;
   if (error == boost::beast::error::timeout) return ExchangeStatus::kTimedOut;
+  const ResponseLimits& limits = pool_.responseLimits();
+  if (error == beast_http::error::buffer_overflow)
+    return cutOff("unparsed", limits.max_unparsed_bytes);
+  if (error == beast_http::error::header_limit) return cutOff("header", kMaxHeaderBytes);
   return ExchangeStatus::kBroken;
 }
 
+ExchangeStatus ClientExchange::cutOff(const char* bound, std::size_t limit) {
+  logging::LogEvent("http", "over_limit")
+      .text("peer", toString(peer_))
+      .text("bound", bound)
+      .number("limit", static_cast<std::int64_t>(limit));
+  abort();
+  return ExchangeStatus::kOverLimit;
+}
+
 void ClientExchange::finish() {
   complete_ = true;
   const ClientConnectionPtr connection = std::move(connection_);
@@ -206,7 +258,7 @@
   outcome.status = co_await exchange->start(connect_deadline, deadline, std::nullopt, false);
   outcome.sent = exchange->sent();
   if (outcome.status != ExchangeStatus::kOk) co_return outcome;
-  outcome.status = co_await exchange->readAll(outcome.response.body(), kMaxBodyBytes, deadline);
+  outcome.status = co_await exchange->readAll(outcome.response.body(), deadline);
   outcome.response.base() = exchange->head();
   // A response that was read after the machine was suspended may be out of date and does not show
   // that the peer is reachable now.
--- a/src/gateway/http/client_exchange.h
+++ b/src/gateway/http/client_exchange.h
@@ -19,6 +19,8 @@
   kNotConnected,  ///< The connection failed; nothing was sent.
   kWithheld,      ///< The `sendOnlyIf` condition was false; nothing was sent.
   kBroken,        ///< Lost connection or malformed response; the request may have been processed.
+  kOverLimit,     ///< The response exceeds a limit of `ResponseLimits`; the request may have been
+                  ///< processed.
   kTimedOut,      ///< The deadline passed; the request may have been processed.
   kAborted,       ///< `abort` was called.
 };
@@ -35,11 +37,17 @@
 /// respond before they have read the whole request body. An exchange must be owned by a shared_ptr
 /// and used on the event loop thread only.
 ///
+/// Invariant: what an exchange keeps in memory is limited by the pool's `ResponseLimits`, however
+/// much the peer sends.
+///
 /// Invariant: the connection returns to the pool only if the request was written and the response
 /// read completely, the buffer is empty and both sides allow keep-alive.
 class ClientExchange : public std::enable_shared_from_this<ClientExchange> {
  public:
   ClientExchange(ConnectionPool& pool, Address peer, Request request);
+  ~ClientExchange();
+  ClientExchange(const ClientExchange&) = delete;
+  ClientExchange& operator=(const ClientExchange&) = delete;
 
   /// Sets a condition that is checked after the connection was established. If the condition is
   /// false, the request is not sent.
@@ -51,8 +59,10 @@
   /// Appends a part of the body to `out`.
   /// @return kOk on success; `complete` then tells whether the response is complete.
   Task<ExchangeStatus> readSome(std::string& out, Instant deadline);
-  /// Reads the rest of the body, at most `limit` bytes.
-  Task<ExchangeStatus> readAll(std::string& out, std::size_t limit, Instant deadline);
+  /// Reads the rest of the body.
+  Task<ExchangeStatus> readAll(std::string& out, Instant deadline);
+  /// Reads the rest of the body without keeping it, so that the connection can be reused.
+  Task<ExchangeStatus> discardBody(Instant deadline);
 
   const Request& request() const { return request_; }
   const ResponseHead& head() const { return parser_->get().base(); }
@@ -68,9 +78,13 @@
 
   void beginWrite();
   Task<ExchangeStatus> readHead(Instant deadline);
-  Task<ExchangeStatus> skipBody(Instant deadline);
+  Task<ExchangeStatus> skipStaleBody(Instant deadline);
   Task<ExchangeStatus> readBodyChunk(std::string& out, Instant deadline);
-  ExchangeStatus toStatus(const boost::system::error_code& error) const;
+  ExchangeStatus toStatus(const boost::system::error_code& error);
+  /// Closes the connection of a response that exceeds a limit, and logs the limit.
+  ExchangeStatus cutOff(const char* bound, std::size_t limit);
+  /// Counts the kept body against the pool's budget. @return whether it may be kept.
+  bool reserveBody(std::size_t body_bytes);
   void finish();
 
   ConnectionPool& pool_;
@@ -80,6 +94,7 @@
   std::function<bool()> may_send_;
   ClientConnectionPtr connection_;  ///< Null before connecting and after the end of the exchange.
   std::optional<Parser> parser_;
+  std::size_t reserved_bytes_ = 0;  ///< Bytes that are reserved in the pool's budget.
   bool sent_ = false;
   bool write_done_ = false;
   bool complete_ = false;
--- a/src/gateway/http/connection_pool.cpp
+++ b/src/gateway/http/connection_pool.cpp
@@ -48,7 +48,8 @@
 }
 
 Task<ClientConnectionPtr> ConnectionPool::connect(Address peer, Instant deadline) {
-  auto connection = std::make_shared<ClientConnection>(loop_);
+  auto connection =
+      std::make_shared<ClientConnection>(loop_, options_.responses.max_unparsed_bytes);
   connection->peer = peer;
   const boost::system::error_code error = co_await open(connection, deadline);
   if (error) co_return nullptr;
@@ -74,7 +75,8 @@
 }
 
 Task<PeerState> ConnectionPool::openProbe(Address peer, Instant deadline) {
-  auto connection = std::make_shared<ClientConnection>(loop_);
+  auto connection =
+      std::make_shared<ClientConnection>(loop_, options_.responses.max_unparsed_bytes);
   connection->peer = peer;
   const boost::system::error_code error = co_await open(connection, deadline);
   if (error == asio::error::connection_refused) co_return PeerState::kRefusing;
--- a/src/gateway/http/connection_pool.h
+++ b/src/gateway/http/connection_pool.h
@@ -12,15 +12,17 @@
 #include "common/address.h"
 #include "common/task.h"
 #include "gateway/http/http_types.h"
+#include "gateway/http/response_limits.h"
 
 namespace linenpier::http {
 
 /// One outgoing connection; closed by its destructor.
 struct ClientConnection {
-  explicit ClientConnection(boost::asio::io_context& loop) : stream(loop) {}
+  ClientConnection(boost::asio::io_context& loop, std::size_t max_unparsed_bytes)
+      : stream(loop), buffer(max_unparsed_bytes) {}
 
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;  ///< Bytes received but not yet parsed.
+  boost::beast::flat_buffer buffer;  ///< Bytes received but not yet parsed; of limited size.
   Address peer;
   Instant usable_until{};  ///< Time at which the idle timeout ends.
   bool reused = false;     ///< Whether the connection was in the pool before.
@@ -42,13 +44,14 @@
   std::size_t max_idle_per_peer = 32;
   /// Idle timeout of a connection if the peer sends no Keep-Alive timeout.
   Duration idle_timeout = std::chrono::seconds(4);
+  ResponseLimits responses;
 };
 
 /// Pool of idle connections by peer; to be used on the event loop thread only.
 class ConnectionPool {
  public:
   ConnectionPool(boost::asio::io_context& loop, ConnectionPoolOptions options)
-      : loop_(loop), options_(options) {}
+      : loop_(loop), options_(options), budget_(options.responses.max_total_bytes) {}
 
   /// @return an idle connection without pending input, or nullptr.
   ClientConnectionPtr acquireIdle(Instant now, const Address& peer);
@@ -66,6 +69,9 @@
   void sweep(Instant now);
 
   Duration defaultIdleTimeout() const { return options_.idle_timeout; }
+  const ResponseLimits& responseLimits() const { return options_.responses; }
+  /// Memory of the bodies that are read from all peers of the pool.
+  ResponseBudget& budget() { return budget_; }
   boost::asio::io_context& loop() { return loop_; }
   std::uint64_t opened() const { return opened_; }
 
@@ -82,6 +88,7 @@
 
   boost::asio::io_context& loop_;
   ConnectionPoolOptions options_;
+  ResponseBudget budget_;
   /// Idle connections by peer, newest last.
   std::map<Address, std::vector<ClientConnectionPtr>> idle_;
   std::map<Address, std::shared_ptr<Probe>> probes_;
--- a/tests/gateway/forward/event_parser_test.cpp
+++ b/tests/gateway/forward/event_parser_test.cpp
@@ -35,3 +35,16 @@
   cr_assert_eq(events.size(), 1U);
   cr_assert_not(events[0].id.has_value());
 }
+
+// Guards against an event that is kept in memory until its empty line, which never comes.
+Test(event_parser, an_event_over_the_limit_ends_the_stream) {
+  forward::event_parser parser("Weight-Versions");
+  const std::string before = "id: 1\ndata: a\n\nid: 2\ndata: ";
+  cr_assert_eq(parser.feed(before).size(), 1U);
+  const std::string block(16 * 1024, 'x');
+  for (int i = 0; i < 4; ++i) parser.feed(block);
+  cr_assert(parser.overLimit());
+  const std::size_t kept = parser.incompleteEvent().size();
+  cr_assert(parser.feed("\n\n" + block).empty());
+  cr_assert_eq(parser.incompleteEvent().size(), kept);
+}
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -112,6 +113,85 @@
   co_return !error;
 }
 
+namespace {
+
+/// An endless response: its first bytes, and the bytes that are repeated.
+struct endless_response {
+  std::string begin;
+  std::string repeated;
+};
+
+constexpr std::size_t kBlockBytes = 64 * 1024;
+/// Ends an endless response that no caller closes.
+constexpr std::size_t kMaxEndlessBytes = 300 * 1024 * 1024;
+
+std::string chunkOf(const std::string& bytes) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+std::string repeat(const std::string& text) {
+  std::string block;
+  while (block.size() < kBlockBytes) block += text;
+  return block;
+}
+
+endless_response makeEndless(EndlessPart part, const std::string& id) {
+  const auto head = [](unsigned status, const std::string& request_id, const std::string& more) {
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nRequest-Id: " + request_id + "\r\n" +
+           more;
+  };
+  const std::string signature = "Response-Signature: s-" + id + "\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string bytes = repeat("x");
+  switch (part) {
+    case EndlessPart::kStatusLine:
+      return {"HTTP/1.1 200 ", bytes};
+    case EndlessPart::kHeaderField:
+      return {head(200, id, "X-Long: "), bytes};
+    case EndlessPart::kHeaderFields:
+      return {head(200, id, ""), repeat("X-More: y\r\n")};
+    case EndlessPart::kChunkExtension:
+      return {head(200, id, signature + chunked) + "5;", bytes};
+    case EndlessPart::kChunkedBody:
+      return {head(200, id, signature + chunked), chunkOf(bytes)};
+    case EndlessPart::kUnframedBody:
+      return {head(200, id, signature + "\r\n"), bytes};
+    case EndlessPart::kTrailer:
+      return {head(200, id, signature + chunked) + chunkOf("x") + "0\r\n", repeat("X-More: y\r\n")};
+    case EndlessPart::kEvent:
+      return {head(200, id, signature + "Content-Type: text/event-stream\r\n" + chunked) +
+                  chunkOf("id: 1\ndata: "),
+              chunkOf(bytes)};
+    case EndlessPart::kRejectionBody:
+      return {head(503, id, "Not-Executed: 1\r\n" + chunked), chunkOf(bytes)};
+    case EndlessPart::kFailureBody:
+      return {head(500, id, signature + chunked), chunkOf(bytes)};
+    case EndlessPart::kStaleBody:
+      return {head(200, "someone-else", signature + chunked), chunkOf(bytes)};
+    case EndlessPart::kInformational:
+      return {"", repeat("HTTP/1.1 100 Continue\r\n\r\n")};
+  }
+  return {};
+}
+
+}  // namespace
+
+Task<bool> StandinSampler::sendEndless(Connection& connection, std::string id) {
+  const endless_response response = makeEndless(endless_part_, id);
+  std::size_t sent = response.begin.size();
+  std::string begin = response.begin;
+  bool open = co_await write(connection, std::move(begin));
+  while (open && sent < kMaxEndlessBytes) {
+    std::string block = response.repeated;
+    sent += block.size();
+    open = co_await write(connection, std::move(block));
+  }
+  longest_endless_ = std::max(longest_endless_, sent);
+  co_return false;
+}
+
 Task<void> StandinSampler::serve(std::shared_ptr<Connection> connection) {
   for (;;) {
     boost::beast::http::request<boost::beast::http::string_body> request;
@@ -248,6 +328,8 @@
       break;
     case SamplerAct::kClose:
       co_return false;
+    case SamplerAct::kEndless:
+      co_return co_await sendEndless(connection, id);
     case SamplerAct::kSilent:
       while (!connection.clientDisconnected())
         co_await sleepFor(loop_, std::chrono::milliseconds(10));
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -36,6 +36,23 @@
   kShedTwice,  ///< As kShed; sends the response again in place of the connection's next response.
   kClose,      ///< Closes without a response.
   kSilent,     ///< Never responds.
+  kEndless,    ///< A response without end; see `EndlessPart`.
+};
+
+/// The part of a response that kEndless sends until the caller closes the connection.
+enum class EndlessPart {
+  kStatusLine,
+  kHeaderField,
+  kHeaderFields,
+  kChunkExtension,
+  kChunkedBody,
+  kUnframedBody,
+  kTrailer,
+  kEvent,          ///< An event of a stream.
+  kRejectionBody,  ///< The body of a 503 response that says that the request was not executed.
+  kFailureBody,    ///< The body of a signed 500 response.
+  kStaleBody,      ///< The body of a response to another request.
+  kInformational,  ///< Responses with status 100.
 };
 
 /// Protocol violations that test whether a checker detects them.
@@ -92,6 +109,11 @@
   void setViolation(SamplerViolation violation) { violation_ = violation; }
   /// Sets the status of kSignedRefusal.
   void setRefusalStatus(unsigned status) { refusal_status_ = status; }
+  /// Sets the endless part of kEndless.
+  void setEndlessPart(EndlessPart part) { endless_part_ = part; }
+  /// @return the largest number of bytes of an endless response that were sent before the caller
+  /// closed the connection.
+  std::size_t longestEndlessResponse() const { return longest_endless_; }
   void setFatal(FatalRequests fatal) { fatal_ = std::move(fatal); }
   /// Makes it keep its id on restarts; its entries and reports then contain its start time.
   void setKeepsId() { start_ = 1'700'000'000'000; }
@@ -124,6 +146,8 @@
   Task<bool> answer(Connection& connection, SamplerArrival arrival, SamplerAct act);
   Task<bool> stream(Connection& connection, const SamplerArrival& arrival, bool cut);
   Task<bool> write(Connection& connection, std::string bytes);
+  /// Sends an endless response until the caller closes the connection, or a limit of this stand-in.
+  Task<bool> sendEndless(Connection& connection, std::string id);
   std::string order(const std::string& body);
   std::string makeResponse(const std::string& id, unsigned status, const std::string& more,
                            const std::string& body) const;
@@ -138,6 +162,8 @@
   std::deque<SamplerAct> script_;
   SamplerViolation violation_ = SamplerViolation::kNone;
   unsigned refusal_status_ = 503;
+  EndlessPart endless_part_ = EndlessPart::kChunkedBody;
+  std::size_t longest_endless_ = 0;
   std::optional<Address> listed_address_;
   std::vector<SamplerArrival> arrivals_;
   std::vector<std::string> orders_;
