--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -7,12 +7,27 @@
 
 namespace {
 
+constexpr Duration kTimeBeforePhases = std::chrono::seconds(6);
 constexpr Duration kMinPhase = std::chrono::seconds(6);
 /// From the end of an overload phase to the end of the faults.
 constexpr Duration kPhaseMargin = std::chrono::milliseconds(2500);
 /// How much slower the store is under load.
 constexpr int kSlowdown = 60;
 
+/// Rows of jobs in the store.
+constexpr char kJobRows[] = "linenpier/job/";
+/// Time between events while a region is excluded, so that jobs take seconds.
+constexpr Duration kSlowEventInterval = std::chrono::milliseconds(70);
+/// Failed releases of jobs: more than an owner attempts while its region is excluded.
+constexpr std::size_t kFailedReleases = 100;
+/// Responses without end from an engine, some of them at one time.
+constexpr int kEndlessResponses = 12;
+/// Longest wait for an owner to append results.
+constexpr Duration kAppendWait = std::chrono::seconds(2);
+/// A split whose first service has no engine, as JSON fields of a route.
+constexpr char kEmptyServiceFirst[] = R"("trafficSplit":[{"service":"empty","weight":8},
+    {"service":"second","weight":1},{"service":"models","weight":1}])";
+
 Duration milliseconds(std::uint64_t count) {
   return std::chrono::milliseconds(count);
 }
@@ -20,12 +35,16 @@
 }  // namespace
 
 soak_faults::soak_faults(soak_world& world)
-    : world_(world), random_(world.options.seed), phase_random_(world.options.seed + 3) {}
+    : world_(world),
+      random_(world.options.seed),
+      phase_random_(world.options.seed + 3),
+      configuration_random_(world.options.seed + 4) {}
 
 void soak_faults::start() {
   this->end_ = steadyNow() + this->world_.options.length;
   spawn(this->world_.loop, [this] { return this->faultLoop(); });
   spawn(this->world_.loop, [this] { return this->phaseLoop(); });
+  spawn(this->world_.loop, [this] { return this->configurationLoop(); });
 }
 
 Task<void> soak_faults::faultLoop() {
@@ -131,15 +150,95 @@
   auto& engines =
       this->random_.below(2) == 0 ? this->world_.lookup_engines : this->world_.model_engines;
   auto& engine = engines.at(this->random_.below(engines.size()));
+  if (this->random_.below(3) == 0) {
+    this->sendWithoutEnd(*engine);
+    co_return;
+  }
   for (int i = 0; i < 3; ++i) {
     engine->script().push_back(acts[this->random_.below(std::size(acts))]);
   }
-  co_return;
+}
+
+void soak_faults::sendWithoutEnd(test::StandinSampler& engine) {
+  using test::EndlessPart;
+  const EndlessPart parts[] = {EndlessPart::kChunkExtension, EndlessPart::kChunkedBody,
+                               EndlessPart::kEvent,          EndlessPart::kRejectionBody,
+                               EndlessPart::kFailureBody,    EndlessPart::kTrailer};
+  engine.setEndlessPart(parts[this->random_.below(std::size(parts))]);
+  for (int i = 0; i < kEndlessResponses; ++i) engine.script().push_back(test::SamplerAct::kEndless);
+}
+
+// --- Changes of the configuration ---------------------------------------------------------------
+
+Task<void> soak_faults::configurationLoop() {
+  while (steadyNow() < this->end_) {
+    co_await sleepFor(this->world_.loop,
+                      milliseconds(300 + this->configuration_random_.below(1200)));
+    ++this->faults_;
+    this->splitRoute();
+    co_await this->excludeRegion();
+  }
+  // Jobs that are still open must be completed by the other services.
+  this->routing_ = {};
+  this->routing_.services = kEmptyServiceFirst;
+  this->world_.putConfiguration(this->routing_);
+}
+
+void soak_faults::splitRoute() {
+  const char* services[] = {R"("service":"models")", kEmptyServiceFirst,
+                            R"("trafficSplit":[{"service":"second","weight":10},
+                                               {"service":"models","weight":90}])",
+                            R"("trafficSplit":[{"service":"second","weight":1},
+                                               {"service":"empty","weight":1},
+                                               {"service":"models","weight":8}])"};
+  this->routing_.services = services[this->configuration_random_.below(std::size(services))];
+  this->world_.putConfiguration(this->routing_);
+}
+
+Task<void> soak_faults::excludeRegion() {
+  using test::StoreAct;
+  test::StandinStore& store = this->world_.store;
+  const Duration away = milliseconds(300 + this->configuration_random_.below(2500));
+  // Executed after the owner has resumed the job and appended results, but published none.
+  const Duration late = away + milliseconds(1000 + this->configuration_random_.below(1500));
+  const bool refuse = this->configuration_random_.below(2) == 0;
+  this->setEventInterval(kSlowEventInterval);
+  store.setScript({"results/", {StoreAct::kHangExecuteLate}, late, kJobRows});
+  const Instant latest = steadyNow() + kAppendWait;
+  while (store.actsLeft() > 0 && steadyNow() < latest)
+    co_await sleepFor(this->world_.loop, milliseconds(20));
+  const StoreAct act = refuse ? StoreAct::kRefuse : StoreAct::kHangExecuteLate;
+  const bool appended = store.actsLeft() == 0;
+  const std::string job = appended ? store.lastScriptedKey() : std::string();
+  store.setScript({kJobRows, std::deque<StoreAct>(kFailedReleases, act), late});
+  this->routing_.regions = this->regionsWithoutOwner(job.substr(0, job.find('/')));
+  this->world_.putConfiguration(this->routing_);
+  co_await sleepFor(this->world_.loop, away);
+  store.setScript({});
+  this->routing_.regions = job_routing{}.regions;
+  this->world_.putConfiguration(this->routing_);
+  co_await sleepFor(this->world_.loop, late - away);
+  this->setEventInterval(kEventInterval);
+}
+
+std::string soak_faults::regionsWithoutOwner(const std::string& job) {
+  const std::string row = this->world_.store.get("linenpier", "job/" + job).value_or("");
+  for (std::size_t i = 0; i < this->world_.gateways.size(); ++i) {
+    const bool owner = row.find("\"owner\":\"g" + std::to_string(i) + "#") != std::string::npos;
+    if (owner) return zoneOf(i) == "z" ? "\"far\"" : "\"near\"";
+  }
+  return this->configuration_random_.below(2) == 0 ? "\"near\"" : "\"far\"";
+}
+
+void soak_faults::setEventInterval(Duration interval) {
+  for (auto& each : this->world_.model_engines) each->setEventGap(interval);
 }
 
 // --- Overload phases ----------------------------------------------------------------------------
 
 Task<void> soak_faults::phaseLoop() {
+  // Some changes of the configuration meet a store that does as the script says.
+  co_await sleepFor(this->world_.loop, kTimeBeforePhases);
   for (;;) {
     co_await sleepFor(this->world_.loop, milliseconds(500 + this->phase_random_.below(1500)));
     const Duration drawn = milliseconds(10000 + this->phase_random_.below(8000));
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -25,6 +25,7 @@
   Task<void> injectProcessFault();
   Task<void> injectStoreFault();
   Task<void> injectEngineFault();
+  void sendWithoutEnd(test::StandinSampler& engine);
   Task<void> phaseLoop();
   test::StoreOverload drawOverload();
   /** Restarts each gateway with SIGTERM, one after the other. */
@@ -32,11 +33,25 @@
   /** Resets or refuses the store's connections of some gateways. */
   void disturbStoreLinks(Instant until);
   Task<void> disturbLink(fault_proxy* link, Instant until, bool refuse, std::uint64_t seed);
+  /** Changes where jobs may run and which services run them, in quick succession. */
+  Task<void> configurationLoop();
+  /** Excludes a region and allows it again, while an append of results is executed late and the
+   * owners' releases of jobs are refused or executed late.
+   */
+  Task<void> excludeRegion();
+  /** @return the regions, as JSON, where the owner of the job is not; any if it is not known. */
+  std::string regionsWithoutOwner(const std::string& job);
+  /** Sets the time between the events of a stream, at all model engines. */
+  void setEventInterval(Duration interval);
+  /** Splits the job route between services, one of which may have no engine. */
+  void splitRoute();
 
   soak_world& world_;
   // For faults only, so that calls do not change their sequence.
   Random random_;
   Random phase_random_;
+  Random configuration_random_;
+  job_routing routing_;
   Instant end_{};  ///< No fault starts later.
   std::size_t faults_ = 0;
 };
--- a/tests/soak/soak_jobs.cpp
+++ b/tests/soak/soak_jobs.cpp
@@ -12,6 +12,12 @@
 namespace {
 
 constexpr int kItems = 8;
+/// Enough items for several appends before the results are published.
+constexpr int kHeldBackItems = 40;
+/// Every how many jobs one has an item under which engines crash.
+constexpr int kUnluckyInterval = 12;
+/// Late writes are executed within this time.
+constexpr std::uint64_t kMaxReadDelayMs = 6000;
 constexpr int kMaxAttempts = 4;
 constexpr Duration kJobInterval = std::chrono::milliseconds(900);
 constexpr Duration kOverloadJobInterval = std::chrono::milliseconds(150);
@@ -37,7 +43,11 @@
   for (int step = 0; this->world_.traffic_enabled; ++step) {
     job each;
     each.id = "job-" + std::to_string(step);
-    for (int i = 0; i < kItems; ++i) each.items.push_back(each.id + "-" + std::to_string(i));
+    each.held_back = step % 2 == 0;
+    each.unlucky = step % kUnluckyInterval == kUnluckyInterval / 2;
+    if (each.unlucky) this->world_.beginUnluckyItem();
+    const int items = each.held_back ? kHeldBackItems : kItems;
+    for (int i = 0; i < items; ++i) each.items.push_back(each.id + "-" + std::to_string(i));
     this->world_.checker.onJobSent(each.id, each.items);
     ++this->world_.open_jobs;
     spawn(this->world_.loop, [this, each] { return this->runJob(each); });
@@ -58,6 +68,7 @@
     // Read again, possibly from another daemon: the results at each position must not change.
     if (valid) {
       co_await this->readAllResults(each, second);
+      if (each.held_back) co_await this->readAgain(each);
       co_await this->endJob(each.id);
     }
   }
@@ -70,11 +81,14 @@
     requests.push_back({{"id", each->items[i]},
                         {"path", "/jobs/" + std::to_string(i)},
                         {"headers", {{"Model", "m"}, {"Length-Hint", "100"}}},
-                        {"body", platform_adapter::encodeBase64("prompt")},
+                        {"body", platform_adapter::encodeBase64(
+                                     each->unlucky && i == 0 ? kUnluckyMark : "prompt")},
                         {"tokens", 200},
                         {"group", "g" + std::to_string(i / 2)}});
   }
-  const std::string body = json{{"model", "m"}, {"minVersion", 1}, {"requests", requests}}.dump();
+  json document = {{"model", "m"}, {"minVersion", 1}, {"requests", requests}};
+  if (each->held_back) document["desired"] = each->items.size() / 2;
+  const std::string body = document.dump();
   const int attempts = drawAttempts(this->world_.call_random);
   std::size_t gateway = this->world_.call_random.below(this->world_.gateways.size());
   for (int attempt = 0; attempt < attempts; ++attempt) {
@@ -133,6 +147,13 @@
   co_return true;
 }
 
+Task<void> soak_jobs::readAgain(job each) {
+  co_await sleepFor(this->world_.loop,
+                    std::chrono::milliseconds(this->world_.call_random.below(kMaxReadDelayMs)));
+  for (std::size_t gateway = 0; gateway < this->world_.gateways.size(); ++gateway)
+    co_await this->readAllResults(each, gateway);
+}
+
 Task<std::optional<std::size_t>> soak_jobs::readPage(job each, std::size_t position,
                                                      std::size_t gateway) {
   http::Request request =
--- a/tests/soak/soak_jobs.h
+++ b/tests/soak/soak_jobs.h
@@ -23,6 +23,8 @@
   struct job {
     std::string id;
     std::vector<std::string> items;
+    bool held_back = false;  ///< Results are stored before they are published.
+    bool unlucky = false;    ///< Engines crash several times while they run the first item.
     Instant accepted_at{};
   };
 
@@ -33,6 +35,8 @@
    */
   Task<bool> submitJob(job* each);
   Task<bool> readAllResults(job each, std::size_t gateway);
+  /** Reads the results again from all gateways after a while, when late writes are executed. */
+  Task<void> readAgain(job each);
   /** @return the next position to read; nothing if the page could not be read. */
   Task<std::optional<std::size_t>> readPage(job each, std::size_t position, std::size_t gateway);
   Task<void> endJob(std::string id);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -28,7 +28,7 @@
 
 void soak_run::start() {
   this->world_.makeEngines();
-  this->world_.putConfiguration();
+  this->world_.putConfiguration({});
   this->world_.makeGateways();
   this->world_.violateGuarantee();
   spawn(this->world_.loop, [this] { return this->run(); });
@@ -169,7 +169,8 @@
     for (const auto& engine : this->world_.model_engines) {
       std::uint64_t& version = published_versions[engine->id()];
       if (std::exchange(version, engine->version()) == engine->version()) continue;
-      this->world_.store.put("servers", engine->id(), engine->entry("models"));
+      const std::string service = engine->id().starts_with("model") ? "models" : "second";
+      this->world_.store.put("servers", engine->id(), engine->entry(service));
     }
   }
 }
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr int kEvents = 12;
-constexpr Duration kEventInterval = std::chrono::milliseconds(15);
 constexpr Duration kRestartDelay = std::chrono::milliseconds(600);
 /// The listening ports of gateways, engines and proxies, which all stop listening for a time. Below
 /// the range of outgoing connections, so that nobody else is given such a port in the meantime.
@@ -18,6 +17,9 @@
 constexpr unsigned kPorts = 20000;
 constexpr unsigned kPortsPerProcess = 100;
 
+/// Crashes under an unlucky item: more than those that bar a caller's request.
+constexpr int kUnluckyCrashes = 5;
+
 /// @return a port that is currently free. Runs with other process ids start at other ports.
 std::uint16_t unusedPort(boost::asio::io_context& loop) {
   using tcp = boost::asio::ip::tcp;
@@ -34,6 +36,10 @@
 
 }  // namespace
 
+std::string zoneOf(std::size_t number) {
+  return number % 2 == 0 ? "z" : "y";
+}
+
 soak_world::soak_world(boost::asio::io_context& event_loop, const soak_options& run_options,
                        std::ostream& output)
     : loop(event_loop),
@@ -51,50 +57,74 @@
 }
 
 void soak_world::makeEngines() {
-  const auto add = [this](auto& engines, const std::string& id, const std::string& service,
-                          int events) {
-    engines.push_back(
-        std::make_unique<test::StandinSampler>(this->loop, id, events, unusedPort(this->loop)));
-    test::StandinSampler& engine = *engines.back();
-    engine.setEventGap(kEventInterval);
-    this->engine_links.push_back(
-        std::make_unique<fault_proxy>(this->loop, engine.address(), unusedPort(this->loop)));
-    engine.setListedAddress(this->engine_links.back()->address());
-    engine.setFatal({.mark = kFatalMark, .down = kRestartDelay});
-    // Every other engine keeps its id when it restarts.
-    if (engines.size() % 2 == 0) engine.setKeepsId();
-    fault_proxy& link = *this->engine_links.back();
-    engine.onCrash([this, &link] {
-      link.stopListening();
-      this->checker.onEngineCrashed();
-    });
-    engine.onRestart([this, &engine, &link, service](const std::string& before) {
-      link.listenAgain();
-      if (before != engine.id()) this->store.remove("servers", before);
-      this->store.put("servers", engine.id(), engine.entry(service));
-    });
-    this->store.put("servers", id, engine.entry(service));
-  };
-  for (int i = 0; i < 2; ++i) add(this->lookup_engines, "desk-" + std::to_string(i), "desk", 0);
   for (int i = 0; i < 2; ++i)
-    add(this->model_engines, "model-" + std::to_string(i), "models", kEvents);
+    this->addEngine(this->lookup_engines, "desk-" + std::to_string(i), "desk", 0);
+  for (int i = 0; i < 2; ++i)
+    this->addEngine(this->model_engines, "model-" + std::to_string(i), "models", kEvents);
+  this->addEngine(this->model_engines, "second-0", "second", kEvents);
   this->unregistered_engine = std::make_unique<test::StandinSampler>(this->loop, "stray", 0);
 }
 
-void soak_world::putConfiguration() {
+void soak_world::addEngine(std::vector<std::unique_ptr<test::StandinSampler>>& engines,
+                           const std::string& id, const std::string& service, int events) {
+  const bool runs_items = events > 0;
+  engines.push_back(
+      std::make_unique<test::StandinSampler>(this->loop, id, events, unusedPort(this->loop)));
+  test::StandinSampler& engine = *engines.back();
+  engine.setEventGap(kEventInterval);
+  engine.setZone(zoneOf(engines.size()));
+  this->engine_links.push_back(
+      std::make_unique<fault_proxy>(this->loop, engine.address(), unusedPort(this->loop)));
+  engine.setListedAddress(this->engine_links.back()->address());
+  engine.setFatal({.mark = runs_items ? "" : kFatalMark, .down = kRestartDelay});
+  // Every other engine keeps its id when it restarts.
+  if (engines.size() % 2 == 0) engine.setKeepsId();
+  fault_proxy& link = *this->engine_links.back();
+  engine.onCrash([this, &link, runs_items] {
+    link.stopListening();
+    this->onEngineCrashed(runs_items);
+  });
+  engine.onRestart([this, &engine, &link, service](const std::string& before) {
+    link.listenAgain();
+    if (before != engine.id()) this->store.remove("servers", before);
+    this->store.put("servers", engine.id(), engine.entry(service));
+  });
+  this->store.put("servers", id, engine.entry(service));
+}
+
+void soak_world::onEngineCrashed(bool runs_items) {
+  if (!runs_items) {
+    this->checker.onEngineCrashed();
+    return;
+  }
+  if (--this->unlucky_crashes_left_ > 0) return;
+  for (auto& each : this->model_engines) each->setFatal({.down = kRestartDelay});
+}
+
+void soak_world::beginUnluckyItem() {
+  this->unlucky_crashes_left_ = kUnluckyCrashes;
+  for (auto& each : this->model_engines)
+    each->setFatal({.mark = kUnluckyMark, .down = kRestartDelay});
+}
+
+void soak_world::putConfiguration(const job_routing& jobs) {
+  const std::string engine =
+      R"("engine":{"slots":8,"kvCacheTokens":50000,"models":[{"name":"m"}]}})";
   this->store.put("op", "config",
-                  R"({"version":3,"routes":[
+                  "{\"version\":" + std::to_string(++this->configuration_version_) +
+                      R"(,"routes":[
         {"name":"look","host":"h.example","pathPrefix":"/look/","kind":"idempotent",
          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
         {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent",
          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
         {"name":"jobs","host":"h.example","pathPrefix":"/jobs/","kind":"rollout",
          "timeoutMs":5000,"targetLatencyMs":400,"targetFinishMs":7500,"maxQueueS":60,
-         "service":"models","maxAttempts":3,"resumable":true}],
-        "services":[{"name":"desk"},{"name":"models","engine":{"slots":8,
-         "kvCacheTokens":50000,"models":[{"name":"m"}]}}],
-        "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":3000,
-         "idleTimeoutMs":2000}})");
+         "maxAttempts":3,"resumable":true,"allowedRegions":[)" +
+                      jobs.regions + "]," + jobs.services + R"(}],
+        "services":[{"name":"desk"},{"name":"models",)" +
+                      engine + R"(,{"name":"second",)" + engine + R"(,{"name":"empty",)" + engine +
+                      R"(],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,
+         "headerTimeoutMs":3000,"idleTimeoutMs":2000}})");
 }
 
 void soak_world::makeGateways() {
@@ -112,11 +142,12 @@
         std::make_unique<fault_proxy>(this->loop, this->store.address(), unusedPort(this->loop));
     links.other_store =
         std::make_unique<fault_proxy>(this->loop, this->store.address(), unusedPort(this->loop));
-    links.fixed_settings =
-        "[daemon]\nid = \"g" + std::to_string(i) + "\"\nzone = \"z\"\n[listen]\nrequests = \"" +
-        toString(front) + "\"\nreadiness = \"" +
-        toString(Address{0x7f000001, unusedPort(this->loop)}) + "\"\npeers = \"" +
-        toString(Address{0x7f000001, peers[i]}) + "\"\n[peers]\nseeds = \"" + seeds + "\"\n";
+    links.fixed_settings = "[daemon]\nid = \"g" + std::to_string(i) + "\"\nzone = \"" + zoneOf(i) +
+                           "\"\n[zones]\nz = \"near\"\ny = \"far\"\n[listen]\nrequests = \"" +
+                           toString(front) + "\"\nreadiness = \"" +
+                           toString(Address{0x7f000001, unusedPort(this->loop)}) +
+                           "\"\npeers = \"" + toString(Address{0x7f000001, peers[i]}) +
+                           "\"\n[peers]\nseeds = \"" + seeds + "\"\n";
     this->gateways.push_back(std::move(links));
     this->writeSettings(i);
   }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -19,8 +19,12 @@
 
 namespace linenpier::soak {
 
+/** Time between the events of an item. */
+constexpr Duration kEventInterval = std::chrono::milliseconds(15);
 /** Body of the request that crashes the engines that run it. */
 constexpr char kFatalMark[] = "ends its engine";
+/** Mark in the body of a sound item under which engines crash several times, and then no more. */
+constexpr char kUnluckyMark[] = "unlucky";
 
 struct soak_options {
   std::uint64_t seed = 1;
@@ -42,13 +46,26 @@
   bool use_other_store = false;
 };
 
+/** @return the zone of a gateway or engine, by its number: "z" in region "near", "y" in "far". */
+std::string zoneOf(std::size_t number);
+
+/** The part of the operator's configuration that changes during a run. */
+struct job_routing {
+  std::string regions = "\"near\",\"far\"";  ///< Regions where jobs may be owned and run, as JSON.
+  /// Services of the job route, as JSON fields.
+  std::string services = "\"service\":\"models\"";
+};
+
 /** Shared by the clients, the trainer and the faults of a run. Loop thread only. */
 struct soak_world {
   soak_world(boost::asio::io_context& event_loop, const soak_options& run_options,
              std::ostream& output);
 
   void makeEngines();
-  void putConfiguration();
+  /** Puts the next version of the configuration. */
+  void putConfiguration(const job_routing& jobs);
+  /** Lets engines crash the next few times that they run an item with `kUnluckyMark`. */
+  void beginUnluckyItem();
   /** Makes the links of the gateways and writes their settings. */
   void makeGateways();
   void writeSettings(std::size_t gateway);
@@ -75,6 +92,14 @@
   bool traffic_enabled = true;
   bool faults_enabled = true;
   bool overloaded = false;  ///< An overload phase is under way.
+
+ private:
+  void addEngine(std::vector<std::unique_ptr<test::StandinSampler>>& engines, const std::string& id,
+                 const std::string& service, int events);
+  void onEngineCrashed(bool runs_items);
+
+  std::uint64_t configuration_version_ = 2;
+  int unlucky_crashes_left_ = 0;
 };
 
 }  // namespace linenpier::soak
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -68,6 +68,7 @@
 }
 
 void StandinSampler::crash() {
+  if (!acceptor_.is_open()) return;  // It has crashed already.
   const Address address = this->address();
   ++crashes_;
   boost::system::error_code ignored;
@@ -222,7 +223,10 @@
         act = script_.front();
         script_.pop_front();
       }
-      const bool shed = act == SamplerAct::kShed || act == SamplerAct::kShedTwice;
+      const bool endless_rejection =
+          act == SamplerAct::kEndless && endless_part_ == EndlessPart::kRejectionBody;
+      const bool shed =
+          act == SamplerAct::kShed || act == SamplerAct::kShedTwice || endless_rejection;
       arrival.ran = !shed && arrival.fields["target-instance"] == id_;
       arrival.at = steadyNow();
       arrival.version = version_;
--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -205,13 +205,16 @@
 StoreAct StandinStore::takeAct(const std::string& body) {
   if (script_.acts.empty()) return StoreAct::kAnswer;
   const json document = json::parse(body);
-  const bool matches =
-      std::any_of(document["put"].begin(), document["put"].end(), [this](const json& entry) {
-        const std::string key =
-            entry["table"].get<std::string>() + "/" + entry["key"].get<std::string>();
-        return key.starts_with(script_.prefix);
-      });
-  if (!matches) return StoreAct::kAnswer;
+  const auto find = [&document](const std::string& prefix) {
+    return std::find_if(document["put"].begin(), document["put"].end(), [&prefix](const json& row) {
+      const std::string key = row["table"].get<std::string>() + "/" + row["key"].get<std::string>();
+      return key.starts_with(prefix);
+    });
+  };
+  const auto matching = find(script_.prefix);
+  const bool excepted = !script_.except.empty() && find(script_.except) != document["put"].end();
+  if (matching == document["put"].end() || excepted) return StoreAct::kAnswer;
+  last_scripted_key_ = (*matching)["key"].get<std::string>();
   const StoreAct act = script_.acts.front();
   script_.acts.pop_front();
   return act;
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -57,6 +57,8 @@
   std::string prefix;
   std::deque<StoreAct> acts = {};
   Duration delay = std::chrono::milliseconds(400);  ///< Delay of writes that are executed late.
+  /// Writes that also put a row with this prefix are not affected; empty: all may be.
+  std::string except = {};
 };
 
 class StandinStore {
@@ -73,6 +75,8 @@
   std::uint64_t executedLate() const { return executed_late_; }
   /// @return the number of acts that no write has taken yet.
   std::size_t actsLeft() const { return script_.acts.size(); }
+  /// @return the key of the row for which the last write took an act.
+  const std::string& lastScriptedKey() const { return last_scripted_key_; }
 
   /// Writes like the platform or its operator.
   void put(const std::string& table, const std::string& key, const std::string& value);
@@ -124,6 +128,7 @@
   Signal change_signal_;
   StoreFaults faults_;
   WriteScript script_;
+  std::string last_scripted_key_;
   std::map<Key, Row> rows_;  ///< Includes removed rows, which are marked.
   std::map<std::string, std::string> objects_;
   std::map<std::string, int> feed_answers_;
