--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -44,7 +44,7 @@
 
 std::string StandinSampler::entry(const std::string& service, const std::string& state) const {
   json document = {{"service", service},
-                   {"address", toString(listed_address_.value_or(address()))},
+                   {"address", toString(listed_address_ ? *listed_address_ : address())},
                    {"zone", zone_},
                    {"slots", 8},
                    {"state", state},
