Eject an engine that refuses connections right after it broke responses

Cause: the first broken response ejects no engine, and for the next 500 ms all other failures were ignored as part of the same burst, including a refused connection. An item whose attempt could not connect has no pause, so it went to the same engine again at once. The backoff of 900 ms after a broken run does not begin while a shorter one after a rejection lasts, so the engine was picked again within the burst.

Why it works: a failure within a burst is still not counted twice, but it has its effect on an engine that is not ejected. An engine that breaks many responses at once is not ejected, as before.

Tests read a metric through the fixture.

--- a/src/gateway/engines/engine_health.cpp
+++ b/src/gateway/engines/engine_health.cpp
@@ -17,9 +17,11 @@
     return;
   }
   const bool same_burst = this->failures_ > 0 && now - this->failed_at_ < options.failure_burst;
-  if (same_burst) return;
-  this->failed_at_ = now;
-  ++this->failures_;
+  if (same_burst && this->isEjected(now)) return;
+  if (!same_burst) {
+    this->failed_at_ = now;
+    ++this->failures_;
+  }
   const Duration ejection = this->ejectionAfter(outcome, options);
   if (ejection > Duration::zero()) this->ejected_until_ = now + ejection;
 }
--- a/src/gateway/engines/engine_health.h
+++ b/src/gateway/engines/engine_health.h
@@ -34,8 +34,9 @@
    */
   Duration first_ejection = std::chrono::milliseconds(700);
   Duration max_ejection = std::chrono::seconds(6);
-  /** Time after a counted failure in which further failures are ignored: an engine that resets all
-   * its requests at once, as when it changes weights, has failed once.
+  /** Time after a counted failure in which further failures are not counted: an engine that resets
+   * all its requests at once, as when it changes weights, has failed once. They still eject an
+   * engine that the counted failure has not ejected, since it would be picked again at once.
    */
   Duration failure_burst = std::chrono::milliseconds(500);
 };
--- a/tests/gateway/engines/engine_health_test.cpp
+++ b/tests/gateway/engines/engine_health_test.cpp
@@ -70,3 +70,20 @@
   health.onAttemptEnded(kStart + 1s, HealthOutcome::kBroken, kOptions);
   expectEjection(health, kStart + 1s, 1400ms);
 }
+
+// Guards against an engine that is picked again and again while it is unreachable, because the
+// failure is ignored as part of a burst of broken responses.
+Test(engine_health, unreachable_engine_is_ejected_within_a_burst_of_broken_responses) {
+  engine_health health;
+  health.onAttemptEnded(kStart, HealthOutcome::kBroken, kOptions);
+  health.onAttemptEnded(kStart + 100ms, HealthOutcome::kUnreachable, kOptions);
+  cr_assert_eq(health.failures(), 1);
+  expectEjection(health, kStart + 100ms, 700ms);
+}
+
+Test(engine_health, burst_of_failures_ejects_once) {
+  engine_health health;
+  health.onAttemptEnded(kStart, HealthOutcome::kUnreachable, kOptions);
+  health.onAttemptEnded(kStart + 100ms, HealthOutcome::kUnreachable, kOptions);
+  expectEjection(health, kStart, 700ms);
+}
--- a/tests/gateway/service/usage_test.cpp
+++ b/tests/gateway/service/usage_test.cpp
@@ -68,11 +68,7 @@
 
 /// @return the number of requests that the gateway reports as counted too late.
 Task<std::uint64_t> lateTotal(GatewayFixture& fixture, std::size_t gateway) {
-  const std::string page = co_await fixture.metricsPage(gateway);
-  const std::string name = "\nlinenpier_usage_requests_late ";
-  const std::size_t at = page.find(name);
-  cr_assert_neq(at, std::string::npos);
-  co_return std::strtoull(page.c_str() + at + name.size(), nullptr, 10);
+  return fixture.metric(gateway, "linenpier_usage_requests_late");
 }
 
 }  // namespace
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -178,6 +178,14 @@
   co_return std::move(outcome.response.body());
 }
 
+Task<std::uint64_t> GatewayFixture::metric(std::size_t gateway, std::string name) {
+  const std::string page = co_await metricsPage(gateway);
+  const std::string line = "\n" + name + " ";
+  const std::size_t at = page.find(line);
+  cr_assert_neq(at, std::string::npos, "%s is missing", name.c_str());
+  co_return std::strtoull(page.c_str() + at + line.size(), nullptr, 10);
+}
+
 http::Request GatewayFixture::lookupRequest(const std::string& id, const std::string& path) const {
   http::Request request(boost::beast::http::verb::post, path, 11);
   request.set("Host", "h.example");
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -117,6 +117,8 @@
   Task<http::CallOutcome> call(std::size_t gateway, http::Request request);
   /// @return the response of the gateway's metrics endpoint.
   Task<std::string> metricsPage(std::size_t gateway);
+  /// @return the value of a metric without labels. Fails the test if there is none.
+  Task<std::uint64_t> metric(std::size_t gateway, std::string name);
   http::Request lookupRequest(const std::string& id, const std::string& path = "/look/1") const;
   /// @return a request that submits a job of `items` items.
   http::Request jobRequest(const std::string& id, int items) const;
