Let tests go on after a gateway has shut down

A gateway that has shut down stops its event loop, which the stand-ins and the client of the test share. The gateway had delivered the response: its log has request_ended with outcome answered, and stopped with cut_off 0.

What the test asserts and its time limit are as before.

--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -159,7 +159,12 @@
     finished = true;
     loop_.stop();
   });
-  loop_.run_for(kMaxTest);
+  // A gateway that has shut down stops the loop, which the other parts of the fixture share.
+  const Instant end = steadyNow() + kMaxTest;
+  while (!finished && steadyNow() < end) {
+    loop_.restart();
+    if (loop_.run_for(end - steadyNow()) == 0) break;
+  }
   cr_assert(finished, "the test timed out or failed within a task");
 }
 
