Close connections in time when a gateway stops without a store

Cause: the shutdown handed over jobs, locks and the lease before it closed the listener and idle connections. With a silent store each call takes 1.5 s and nothing bounds their sum, so connections stayed open until the process ended, and the wait for requests was skipped.

Why it works: the hand-over runs beside the shutdown.

--- a/src/gateway/service/gateway.cpp
+++ b/src/gateway/service/gateway.cpp
@@ -289,22 +289,27 @@
   LogEvent("gateway", "stopping")
       .number("connections", static_cast<std::int64_t>(request_server_.connections()));
   request_server_.beginDrain();
-  co_await batches_.handOver();
-  co_await rollouts_.handOver();
-  co_await usage_.handOver();
-  co_await scaling_.handOver();
-  co_await keeper_.stop();
-  while (steadyNow() < begun + kDeregistrationDelay) {
-    co_await sleepFor(loop_, kShutdownPollInterval);
-  }
+  // Not awaited here: an unavailable store must not delay the end of connections.
+  spawn(loop_, [this] { return handOver(); });
+  co_await sleepFor(loop_, kDeregistrationDelay);
   request_server_.shutDown();
-  while ((request_server_.activeRequests() > 0 || usage_.unsaved()) &&
+  while ((request_server_.activeRequests() > 0 || !handed_over_ || usage_.unsaved()) &&
          steadyNow() < begun + settings_.shutdown_timeout - kShutdownMargin) {
     co_await sleepFor(loop_, kShutdownPollInterval);
   }
   LogEvent("gateway", "stopped")
-      .number("cut_off", static_cast<std::int64_t>(request_server_.activeRequests()));
+      .number("cut_off", static_cast<std::int64_t>(request_server_.activeRequests()))
+      .text("handed_over", handed_over_ ? "yes" : "no");
   loop_.stop();
 }
 
+Task<void> Gateway::handOver() {
+  co_await batches_.handOver();
+  co_await rollouts_.handOver();
+  co_await usage_.handOver();
+  co_await scaling_.handOver();
+  co_await keeper_.stop();
+  handed_over_ = true;
+}
+
 }  // namespace linenpier::gateway
--- a/src/gateway/service/gateway.h
+++ b/src/gateway/service/gateway.h
@@ -73,6 +73,10 @@
   Task<std::optional<std::uint32_t>> queryEngineLoad(EngineId engine, Address address);
   Task<void> maintenanceLoop();
   Task<void> shutDown();
+  /** Hands over jobs and leader locks and gives up the lease. Without a store this takes longer than
+   * a shutdown may.
+   */
+  Task<void> handOver();
 
   boost::asio::io_context& loop_;
   GatewaySettings settings_;
@@ -107,6 +111,7 @@
   http::Server peer_server_;
   metrics_exporter metrics_exporter_;
   bool stopping_ = false;
+  bool handed_over_ = false;  ///< Whether `handOver` is complete.
 };
 
 }  // namespace linenpier::gateway
