Report dropped log lines only once while the log's queue is full

A gateway whose standard output is not read ended by a signal as soon as the queue of its log was full, with all requests that it was serving.

Cause: each line is followed by a check whether lines were dropped, which logs a line of its own. That line was dropped too, and checked in turn, until the stack was used up.

Why it works: a report is not followed by another one. If the report itself was dropped, the next line reports again, so that the count is complete once the queue has room.

--- a/src/common/event_log.cpp
+++ b/src/common/event_log.cpp
@@ -23,6 +23,7 @@
 
 std::atomic<std::uint64_t> dropped_lines{0};
 std::uint64_t reported_drops = 0;
+bool reporting_drops = false;
 EventLogOptions options;
 
 /// Drops and counts records that do not fit into the queue. Boost.Log requires these names.
@@ -79,10 +80,14 @@
 
 void reportDrops() {
   const std::uint64_t dropped = dropped_lines.load();
-  if (dropped == reported_drops) return;
-  const std::uint64_t new_count = dropped - reported_drops;
-  reported_drops = dropped;
-  LogEvent("log", "lines_dropped").number("count", static_cast<std::int64_t>(new_count));
+  // While the queue is full, the report is dropped too, and must not be followed by another one.
+  if (reporting_drops || dropped == reported_drops) return;
+  reporting_drops = true;
+  LogEvent("log", "lines_dropped")
+      .number("count", static_cast<std::int64_t>(dropped - reported_drops));
+  reporting_drops = false;
+  const bool written = dropped_lines.load() == dropped;
+  if (written) reported_drops = dropped;
 }
 
 }  // namespace
