--- a/src/gateway/batch/crash_delays.h
+++ b/src/gateway/batch/crash_delays.h
@@ -20,7 +20,7 @@
   Duration max_run_before_crash = std::chrono::seconds(3);
   /// Delay after the second consecutive crash; doubled for each further one.
   Duration initial = std::chrono::seconds(1);
-  /// Shorter than 5 s, since an item that has had no engine for 5 s counts as lost.
+  /// An item that waits for an engine must be started within 5 s.
   Duration max = std::chrono::seconds(4);
 
   bool operator==(const crash_delays&) const = default;
--- a/src/gateway/batch/job_store.h
+++ b/src/gateway/batch/job_store.h
@@ -8,8 +8,8 @@
  * - the job's row: its revision is the owner's fence, on which each update is conditional;
  * - checkpoints: text of unfinished items, in rows that are added under the fence;
  * - results: one row per position, written only under the fence. A write that does not publish
- *   leaves the fence valid, so a position never changes only because each run of the job has a
- * fence of its own, reads the results under it before it appends, and repeats an unanswered append
+ *   leaves the fence valid. A position never changes all the same: each run of the job has a fence
+ *   of its own, reads the results under it before it appends, and repeats an unanswered append
  *   unchanged. Readers see the number of results published in the job's row.
  */
 
--- a/src/gateway/scaling/scaling_service.h
+++ b/src/gateway/scaling/scaling_service.h
@@ -17,7 +17,6 @@
 #include "gateway/scaling/peak_demand.h"
 #include "gateway/scaling/scaling_policy.h"
 #include "gateway/scaling/scaling_port.h"
-#include "gateway/versions/load_demand.h"
 
 namespace linenpier::scaling {
 
--- a/src/gateway/service/gateway.h
+++ b/src/gateway/service/gateway.h
@@ -73,8 +73,8 @@
   Task<std::optional<std::uint32_t>> queryEngineLoad(EngineId engine, Address address);
   Task<void> maintenanceLoop();
   Task<void> shutDown();
-  /** Hands over jobs and leader locks and gives up the lease. Without a store this takes longer than
-   * a shutdown may.
+  /** Hands over jobs and leader locks and gives up the lease. Without a store this takes longer
+   * than a shutdown may.
    */
   Task<void> handOver();
 
--- a/tests/gateway/service/shutdown_test.cpp
+++ b/tests/gateway/service/shutdown_test.cpp
@@ -15,9 +15,8 @@
 /// Calls the request address of a gateway, which may have stopped listening.
 Task<http::ExchangeStatus> callAddress(GatewayFixture& fixture, http::ConnectionPool& pool,
                                        Address address) {
-  const http::CallOutcome outcome =
-      co_await http::call(pool, address, fixture.lookupRequest("after-stop"),
-                          steadyNow() + std::chrono::seconds(2));
+  const http::CallOutcome outcome = co_await http::call(
+      pool, address, fixture.lookupRequest("after-stop"), steadyNow() + std::chrono::seconds(2));
   co_return outcome.status;
 }
 
