--- a/tests/gateway/batch/crash_delays_test.cpp
+++ b/tests/gateway/batch/crash_delays_test.cpp
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-// Guards against an item that waits longer than it takes to count as lost.
+// Guards against a delay that exceeds the time within which an item must be started.
 Test(crash_delays, each_delay_is_shorter_than_the_time_after_which_an_item_counts_as_lost) {
   const batch::crash_delays delays;
   cr_assert(delays.after(1) == Duration::zero());
--- a/tests/gateway/service/crash_bursts_test.cpp
+++ b/tests/gateway/service/crash_bursts_test.cpp
@@ -12,7 +12,7 @@
 /// More crashes than those that bar a caller's request.
 constexpr int kItemCrashes = 5;
 constexpr int kRewardCrashes = 4;
-/// After its last crash, an item must run again before it counts as lost.
+/// Maximum time from the last crash until the item runs again.
 constexpr Duration kMaxItemWait = std::chrono::seconds(5);
 constexpr Duration kMaxRewardWait = std::chrono::seconds(6);
 
