Close connections after the shutdown whose stream began before it

Callers could lose a request to a planned stop: a connection on which a stream had begun before SIGTERM stayed open after idle connections were closed at 3.2 s. A request sent on it later was served, or cut off when the process ended at 7.1 s.

Cause: whether a connection is kept is written into the header of a response. The drain marks responses that begin after the signal, and the shutdown closes connections that are idle at that moment. A response that begins before the one and ends after the other meets neither, and its session waits for a request for the idle timeout of 15 s.

Evidence: the new test fails on the code before: "a connection stayed open after the shutdown", the second request is answered. It passes now.

Why it works: a session asks before each request whether its server has shut down, so that it does not matter when its last response began.

--- a/src/gateway/http/server.cpp
+++ b/src/gateway/http/server.cpp
@@ -49,6 +49,7 @@
 }
 
 void Server::shutDown() {
+  shut_down_ = true;
   boost::system::error_code ignored;
   acceptor_.close(ignored);
   const std::set<ServerSession*> sessions = sessions_;
--- a/src/gateway/http/server.h
+++ b/src/gateway/http/server.h
@@ -74,7 +74,8 @@
   void setLimits(const ServerLimits& limits) { limits_ = limits; }
   /// Disables keep-alive, so that each connection closes after its next response.
   void beginDrain();
-  /// Stops accepting connections and closes idle ones. Requests in progress continue.
+  /// Stops accepting connections and closes idle ones. Requests in progress continue; their
+  /// connections are closed after the response.
   void shutDown();
   std::size_t activeRequests() const { return active_requests_; }
   std::size_t connections() const { return sessions_.size(); }
@@ -91,6 +92,7 @@
   /// Number of requests whose first byte has arrived and whose response has not ended.
   std::size_t active_requests_ = 0;
   bool draining_ = false;
+  bool shut_down_ = false;
 };
 
 }  // namespace linenpier::http
--- a/src/gateway/http/server_session.cpp
+++ b/src/gateway/http/server_session.cpp
@@ -149,7 +149,8 @@
 
 Task<void> ServerSession::run() {
   const auto self = shared_from_this();
-  while (keep_alive_ && !closed_) {
+  // A stream that began before the drain has announced that the connection is kept.
+  while (keep_alive_ && !closed_ && !server_.shut_down_) {
     if (!co_await waitForRequest()) break;
     in_request_ = true;
     ++server_.active_requests_;
