Hand over work side by side and until the store has confirmed it

Trainers waited for a stopped gateway's lease to expire, and items were generated again: with the store silent around a stop, a job could stay with the stopped gateway although the store was back seconds before the process ended; with a slow store the last jobs, the leader locks and the lease did; a job whose takeover was answered after SIGTERM was neither run nor released.

Cause: the hand-over ran beside the closing of connections, but in itself it went through jobs, locks, usage, scaling and the lease in turn, tried each once, and listed the jobs once, at the signal. By reading, not run: a write that published results during the stop made the release of its job fail for good, as it used the revision from before.

A release of a lock without a response was written once, and a lock acquired during the stop was kept.

Why it works: each job, each lock and the lease is released by itself and repeated until the store has confirmed it. What is left is asked of the state, so that work that arrives during the stop counts too. The lease goes last, at the latest 1 s before the end, since others take over what its holder still has. The store is probed as long as anything is left.

--- a/src/gateway/batch/batch_service.cpp
+++ b/src/gateway/batch/batch_service.cpp
@@ -87,11 +87,11 @@
   return static_cast<std::size_t>(std::ceil(items));
 }
 
-Task<void> batch_service::handOver() {
+void batch_service::handOver(Instant until) {
   this->acceptance_.stop();
   this->reader_.stop();
   this->removal_.stop();
-  co_await this->ownership_.handOver();
+  this->ownership_.handOver(until);
 }
 
 }  // namespace linenpier::batch
--- a/src/gateway/batch/batch_service.h
+++ b/src/gateway/batch/batch_service.h
@@ -110,8 +110,10 @@
    *     when the jobs' steps end.
    */
   std::set<EngineId> criticalEngines() const { return this->runner_.criticalEngines(); }
-  /** Releases all owned jobs, so that other daemons can take them over at once. */
-  Task<void> handOver();
+  /** Starts to release all owned jobs, so that other daemons can take them over at once.
+   * `ownsOpenJobs` returns false when this is complete. @param until when this daemon ends.
+   */
+  void handOver(Instant until);
 
   const batch_counts& counts() const { return this->counts_; }
   std::size_t jobCount() const { return this->jobs_.size(); }
--- a/src/gateway/batch/checkpoint_writer.cpp
+++ b/src/gateway/batch/checkpoint_writer.cpp
@@ -19,12 +19,14 @@
   spawn(this->deps_.loop, [this, active] { return this->checkpointLoop(active); });
 }
 
-Task<void> checkpoint_writer::write(active_job_ptr active, Condition condition) {
+Task<bool> checkpoint_writer::write(active_job_ptr active, Condition condition) {
   // The outcome of the write in progress is unknown, so the next part must be full.
   if (active->checkpoint_in_progress) active->checkpointed.onWriteUnknown();
   const checkpoint_part part = active->checkpointed.next(active->run);
   const bool enough_new = part.events >= this->deps_.options.min_checkpoint_events;
-  if (part.texts.empty() || (condition == Condition::kEnoughNewEvents && !enough_new)) co_return;
+  if (part.texts.empty() || (condition == Condition::kEnoughNewEvents && !enough_new)) {
+    co_return true;
+  }
   checkpoint_write write;
   write.rows = toRows(part.texts, this->deps_.store.rowBytes());
   write.first_row = active->checkpoint_next_row;
@@ -52,6 +54,7 @@
       .text("part", part.full ? "whole" : "addition")
       .text("outcome", done ? "done" : "not_done")
       .milliseconds("took_ms", steadyNow() - start_time);
+  co_return done;
 }
 
 Task<void> checkpoint_writer::checkpointLoop(active_job_ptr active) {
--- a/src/gateway/batch/checkpoint_writer.h
+++ b/src/gateway/batch/checkpoint_writer.h
@@ -31,8 +31,10 @@
 
   /** Writes checkpoints until the job has stopped or all of its items are appended. */
   void start(const active_job_ptr& active);
-  /** Writes the changes since the last checkpoint, if the condition is met. */
-  Task<void> write(active_job_ptr active, Condition condition);
+  /** Writes the changes since the last checkpoint, if the condition is met.
+   * @return false if a write was necessary and is not known to be committed.
+   */
+  Task<bool> write(active_job_ptr active, Condition condition);
 
  private:
   Task<void> checkpointLoop(active_job_ptr active);
--- a/src/gateway/batch/job_ownership.cpp
+++ b/src/gateway/batch/job_ownership.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kResidencyWait = std::chrono::seconds(3);
 /// Minimum time between log entries about jobs that are waiting for an owner.
 constexpr Duration kWaitLogInterval = std::chrono::seconds(10);
+/// Time before the end of this daemon that is left for releasing jobs whose last checkpoint could
+/// not be written.
+constexpr Duration kReleaseTime = std::chrono::seconds(1);
 }  // namespace
 
 bool job_ownership::isOwn(const job_entry& job) const {
@@ -40,9 +43,9 @@
   } else if (!job.active && !job.transition_pending && !record.ended && !this->stopping_ &&
              this->isOwn(job)) {
     this->startResume(id, job);
-  } else if (this->stopping_ && !job.active && !record.ended && this->isOwn(job)) {
+  } else if (this->stopping_ && !record.ended && this->isOwn(job)) {
     // The job was assigned to this daemon before other daemons knew that it is shutting down.
-    spawn(this->deps_.loop, [this, id] { return this->handOverJob(id); });
+    this->startRelease(id, job);
   }
 }
 
@@ -68,8 +71,8 @@
   // Write a last checkpoint of the ended job, since later jobs may contain its incomplete groups.
   job.active->fence = job.revision;
   const active_job_ptr active = job.active;
-  spawn(this->deps_.loop, [this, active] {
-    return this->deps_.checkpoints.write(active, checkpoint_writer::Condition::kAnyChange);
+  spawn(this->deps_.loop, [this, active]() -> Task<void> {
+    co_await this->deps_.checkpoints.write(active, checkpoint_writer::Condition::kAnyChange);
   });
 }
 
@@ -83,7 +86,11 @@
 void job_ownership::checkOwner(Instant now, const JobId& id, job_entry& job) {
   if (!this->checkResidency(id, job)) return;
   this->releaseStopped(now, job);
-  if (job.record.ended || this->stopping_ || job.transition_pending) return;
+  if (job.record.ended || job.transition_pending) return;
+  if (this->stopping_) {
+    if (this->isOwn(job)) this->startRelease(id, job);
+    return;
+  }
   if (job.active && !job.active->stopped) return;
   if (this->isOwn(job)) {
     // This daemon's takeover was committed, but the response was lost: the row came from the feed.
@@ -251,12 +258,12 @@
   if (within_residency) {
     spawn(this->deps_.loop, [this, id] { return this->resume(id); });
   } else {
-    spawn(this->deps_.loop, [this, id] { return this->handOverForResidency(id); });
+    spawn(this->deps_.loop, [this, id] { return this->releaseForResidency(id); });
   }
   return false;
 }
 
-Task<void> job_ownership::handOverForResidency(JobId id) {
+Task<void> job_ownership::releaseForResidency(JobId id) {
   job_entry* known = this->deps_.jobs.find(id);
   if (known == nullptr) co_return;
   const std::optional<fleet::data_residency> residency = this->deps_.residency.of(known->record);
@@ -266,16 +273,7 @@
       .text("homes", namesOf(residency))
       .text("region", this->deps_.residency.ownRegion().str());
   ++this->deps_.counts.jobs_handed_over_for_residency;
-  co_await this->handOverJob(id);
-  job_entry* at = this->deps_.jobs.find(id);
-  const bool still_owned = at != nullptr && this->isOwn(*at);
-  if (still_owned) {
-    // The release of the job failed. `checkResidency` retries it, or resumes the job if the
-    // residency has changed back by then.
-    at->resume_when_in_residency = true;
-    co_await sleepFor(this->deps_.loop, this->deps_.options.store_retry_delay);
-  }
-  if (job_entry* job = this->deps_.jobs.find(id)) job->transition_pending = false;
+  co_await this->release(id, steadyNow());
 }
 
 void job_ownership::reportAwaitingOwner(Instant now, const JobId& id, job_entry& job) {
@@ -295,37 +293,66 @@
 
 // --- Handing over -------------------------------------------------------------------------------
 
-Task<void> job_ownership::handOver() {
+void job_ownership::handOver(Instant until) {
   this->stopping_ = true;
-  std::vector<JobId> owned;
-  for (auto& [id, job] : this->deps_.jobs.all()) {
-    if (!job.record.ended && this->isOwn(job)) owned.push_back(id);
-  }
-  for (const JobId& id : owned) {
-    co_await this->handOverJob(id);
-  }
+  this->ends_at_ = until;
+  this->checkOwners(steadyNow());
 }
 
-Task<void> job_ownership::handOverJob(JobId id) {
+void job_ownership::startRelease(const JobId& id, job_entry& job) {
+  if (job.transition_pending) return;
+  job.transition_pending = true;
+  spawn(this->deps_.loop, [this, id] { return this->release(id, this->ends_at_ - kReleaseTime); });
+}
+
+Task<void> job_ownership::release(JobId id, Instant save_until) {
   job_entry* at = this->deps_.jobs.find(id);
-  if (at == nullptr || !this->isOwn(*at)) co_return;
-  job_record record = at->record;
-  record.owner = LeaseId();
-  record.started = true;
-  const Revision fence = at->revision;
+  if (at == nullptr) co_return;
   const active_job_ptr active = at->active;
-  if (active && !active->stopped) {
+  if (this->isOwn(*at) && active && !active->stopped) {
     active->stop(steadyNow());
+    co_await this->saveText(id, active, save_until);
+  }
+  co_await this->clearOwner(id);
+  at = this->deps_.jobs.find(id);
+  if (at != nullptr && this->isOwn(*at)) {
+    // The release failed. `checkOwner` repeats it, or resumes the job if it was released for its
+    // residency and the residency has changed back by then.
+    at->resume_when_in_residency = true;
+    co_await sleepFor(this->deps_.loop, this->deps_.options.store_retry_delay);
+  }
+  if (job_entry* job = this->deps_.jobs.find(id)) job->transition_pending = false;
+}
+
+Task<void> job_ownership::saveText(JobId id, active_job_ptr active, Instant save_until) {
+  for (;;) {
     // This write is required even if another checkpoint write is in progress, because the
     // other write fails if the job is released before that write is committed.
-    co_await this->deps_.checkpoints.write(active, checkpoint_writer::Condition::kAnyChange);
+    const bool saved =
+        co_await this->deps_.checkpoints.write(active, checkpoint_writer::Condition::kAnyChange);
+    if (saved || steadyNow() >= save_until) co_return;
+    co_await sleepFor(this->deps_.loop, this->deps_.options.store_retry_delay);
+    job_entry* job = this->deps_.jobs.find(id);
+    if (job == nullptr || job->active != active || !this->isOwn(*job)) co_return;
+    // The job's row may have changed, for example by a write that published results.
+    job->adoptFence();
   }
-  const fenced_write_result answer = co_await this->deps_.store.putRecord(record, fence, {});
+}
+
+Task<void> job_ownership::clearOwner(JobId id) {
+  const job_entry* at = this->deps_.jobs.find(id);
+  if (at == nullptr || at->record.ended || !this->isOwn(*at)) co_return;
+  job_record record = at->record;
+  record.owner = LeaseId();
+  record.started = true;
+  const fenced_write_result answer = co_await this->deps_.store.putRecord(record, at->revision, {});
   LogEvent("batch", "handed_over")
       .text("batch", id.str())
       .text("outcome", answer.outcome == FencedWriteOutcome::kCommitted ? "done" : "not_done");
   if (answer.outcome == FencedWriteOutcome::kCommitted) {
     this->deps_.jobs.onRow(id, {table::jobKey(id), answer.revision, encodeRecord(record)});
+  } else if (answer.current) {
+    this->deps_.jobs.onRow(id, *answer.current);
   }
 }
 
--- a/src/gateway/batch/job_ownership.h
+++ b/src/gateway/batch/job_ownership.h
@@ -52,10 +52,12 @@
   void checkOwners(Instant now);
   /** @return whether this daemon owns jobs that have not ended. */
   bool ownsOpenJobs() const;
-  /** Releases all owned jobs, so that other daemons can take them over at once. No jobs are taken
-   * over afterwards.
+  /** Starts to release all owned jobs, so that other daemons can take them over at once. Jobs that
+   * this daemon comes to own later are released too. Repeats this until the store has confirmed it;
+   * `ownsOpenJobs` then returns false. No jobs are taken over or resumed afterwards.
+   * @param until when this daemon ends.
    */
-  Task<void> handOver();
+  void handOver(Instant until);
   /** @return the number of jobs that were waiting, at the last check, for a daemon within their
    *     residency to take them over.
    */
@@ -95,19 +97,28 @@
    * @return false if a release or resume was started.
    */
   bool checkResidency(const JobId& id, job_entry& job);
-  Task<void> handOverForResidency(JobId id);
+  Task<void> releaseForResidency(JobId id);
   /** Counts and logs a job that this daemon must not take over, if no other daemon has taken it
    * over for some time.
    */
   void reportAwaitingOwner(Instant now, const JobId& id, job_entry& job);
-  /** Releases an owned job after writing a checkpoint. */
-  Task<void> handOverJob(JobId id);
+  /** Starts to release an owned job because this daemon ends. */
+  void startRelease(const JobId& id, job_entry& job);
+  /** Tries once to release an owned job. @param save_until until when the write of its last
+   * checkpoint is repeated.
+   */
+  Task<void> release(JobId id, Instant save_until);
+  /** Writes the last checkpoint of a job that was stopped. */
+  Task<void> saveText(JobId id, active_job_ptr active, Instant save_until);
+  /** Writes the row of an owned job without an owner. */
+  Task<void> clearOwner(JobId id);
 
   dependencies deps_;
   std::size_t awaiting_owner_ = 0;
   /// Time from which a job that waits for an owner may be logged again.
   Instant next_wait_log_{};
   bool stopping_ = false;
+  Instant ends_at_{};  ///< When this daemon ends; set when it is stopping.
 };
 
 }  // namespace linenpier::batch
--- a/src/gateway/lease/leader_lock.cpp
+++ b/src/gateway/lease/leader_lock.cpp
@@ -14,6 +14,8 @@
 constexpr Duration kConfirmLead = std::chrono::milliseconds(60);
 /// Wait before the next confirmation if the store did not respond to the last one.
 constexpr Duration kConfirmBackoff = std::chrono::milliseconds(120);
+/// Wait before a failed release is repeated.
+constexpr Duration kReleaseBackoff = std::chrono::milliseconds(120);
 /// Time added to the published time of the leader's last action, because the estimate of the
 /// store's clock may be too low.
 constexpr std::int64_t kClockLagMs = 500;
@@ -93,6 +95,7 @@
       .number("revision", static_cast<std::int64_t>(this->revision_))
       .milliseconds("acts_in_ms", delay);
   this->on_change_(true);
+  if (this->stopping_) this->startRelease();
 }
 
 void leader_lock::onRowRemoved() {
@@ -101,6 +104,7 @@
 }
 
 void leader_lock::onTick(Instant now, bool row_known) {
+  if (this->stopping_) return;
   if (this->held()) {
     const Duration due_after = this->deps_.leases.times().renewal_interval - kConfirmLead;
     if (this->confirming_ || now - this->confirmed_at_ < due_after) return;
@@ -108,7 +112,7 @@
     spawn(this->deps_.loop, [this] { return this->confirm(); });
     return;
   }
-  if (!row_known || this->acquiring_ || this->stopping_) return;
+  if (!row_known || this->acquiring_) return;
   if (!this->deps_.leases.storeHealthy()) return;
   const bool vacant = this->revision_ == 0 || this->deps_.leases.expired(this->owner_);
   if (!vacant) return;
@@ -130,12 +134,7 @@
     this->confirmed_at_ = sent_at;
     this->deps_.keeper.onRenewed(sent_at);
   }
-  if (answer && !answer->committed) {
-    const auto row =
-        std::find_if(answer->conflicts.begin(), answer->conflicts.end(),
-                     [this](const table::Row& each) { return each.key == this->key_; });
-    if (row != answer->conflicts.end()) this->onRow(*row);
-  }
+  if (answer && !answer->committed) this->onConflict(*answer);
   if (!answer) {
     co_await sleepFor(this->deps_.loop, kConfirmBackoff);
   }
@@ -164,7 +163,7 @@
 Task<void> leader_lock::acquire() {
   const LeaseId from = this->owner_;
   const bool confirmed = co_await this->deps_.keeper.confirmNotRenewed(from);
-  if (!confirmed || this->owner_ != from) {
+  if (!confirmed || this->owner_ != from || this->stopping_) {
     this->acquiring_ = false;
     this->vacant_since_ = Instant{};
     co_return;
@@ -199,9 +198,32 @@
   }
 }
 
-Task<void> leader_lock::handOver() {
+void leader_lock::onConflict(const table::TransactionAnswer& answer) {
+  const auto row = std::find_if(answer.conflicts.begin(), answer.conflicts.end(),
+                                [this](const table::Row& each) { return each.key == this->key_; });
+  if (row != answer.conflicts.end()) this->onRow(*row);
+}
+
+void leader_lock::handOver() {
   this->stopping_ = true;
-  if (!this->held()) co_return;
+  this->startRelease();
+}
+
+void leader_lock::startRelease() {
+  if (this->releasing_) return;
+  this->releasing_ = true;
+  spawn(this->deps_.loop, [this] { return this->releaseLoop(); });
+}
+
+Task<void> leader_lock::releaseLoop() {
+  while (this->acquiring_ || this->held()) {
+    if (this->held()) co_await this->release();
+    if (this->acquiring_ || this->held()) co_await sleepFor(this->deps_.loop, kReleaseBackoff);
+  }
+  this->releasing_ = false;
+}
+
+Task<void> leader_lock::release() {
   table::Write write;
   write.transaction.checks.push_back(this->condition());
   const std::int64_t last_action_ms =
@@ -209,9 +231,19 @@
           ? this->previous_leader_action_ms_
           : this->deps_.keeper.storeClock(this->own_last_action_at_) + kClockLagMs;
   write.transaction.puts.push_back({this->key_, encodeLockRow({{}, last_action_ms})});
-  this->owner_ = LeaseId();
-  // If the store does not respond, another daemon takes over the lock as from a crashed leader.
-  co_await this->deps_.table.write(std::move(write));
+  const auto answer = co_await this->deps_.table.write(std::move(write));
+  LogEvent("lease", "right_released")
+      .text("right", this->name_)
+      .text("outcome", !answer             ? "no_answer"
+                       : answer->committed ? "done"
+                                           : "conflict");
+  if (!answer) co_return;
+  if (!answer->committed) {
+    this->onConflict(*answer);
+  } else if (answer->revision > this->revision_) {
+    this->revision_ = answer->revision;
+    this->owner_ = LeaseId();
+  }
 }
 
 }  // namespace linenpier::lease
--- a/src/gateway/lease/leader_lock.h
+++ b/src/gateway/lease/leader_lock.h
@@ -95,13 +95,23 @@
   table::Check condition() const { return {this->key_, this->revision_}; }
   /** Must be called before each call made under the lock. */
   void recordAction(Instant now) { this->own_last_action_at_ = now; }
-  /** Releases the lock, so that another daemon need not wait for the lease to expire. */
-  Task<void> handOver();
+  /** Starts to release the lock, so that another daemon need not wait for the lease to expire.
+   * Repeats this until the store has confirmed it; `held` then returns false. The lock is not
+   * acquired again.
+   */
+  void handOver();
 
  private:
   /** Renews the lease by a write conditional on the lock's row being unchanged. */
   Task<void> confirm();
   Task<void> acquire();
+  void startRelease();
+  /** Releases the lock, also if it is acquired by a write that is still in progress. */
+  Task<void> releaseLoop();
+  /** Tries once to release the lock. */
+  Task<void> release();
+  /** Handles a response that reports the lock's current row, because a check on it failed. */
+  void onConflict(const table::TransactionAnswer& answer);
   /** Handles the transition to being the leader, which is known from the response to the write or
    * from the feed: the response may be lost, or later than the feed.
    * @param before the row that was replaced; empty: the row was created.
@@ -128,6 +138,7 @@
   bool acquiring_ = false;
   bool confirming_ = false;
   bool stopping_ = false;
+  bool releasing_ = false;  ///< Whether `releaseLoop` runs.
   /// When the last committed confirmation was sent. The lock may have been lost between the sending
   /// and the response.
   Instant confirmed_at_{};
--- a/src/gateway/lease/lease_keeper.cpp
+++ b/src/gateway/lease/lease_keeper.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Wait before a failed renewal is retried: half of the renewal interval, so that the retry falls
-/// within the validity.
-constexpr Duration kRenewalBackoff = std::chrono::milliseconds(200);
+/// Wait before a failed renewal or removal is retried: half of the renewal interval, so that the
+/// retry of a renewal falls within the validity.
+constexpr Duration kRetryBackoff = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -54,22 +54,11 @@
 }
 
 Task<void> lease_keeper::run() {
-  while (!this->stopping_) {
-    const Duration interval = this->leases_.times().renewal_interval;
-    Duration pause = interval;
-    const Instant due = this->renewed_at_ + interval;
-    const Instant now = steadyNow();
-    const bool needed = this->needed_();
-    if (!needed && this->renewed_at_ != Instant{}) {
-      // All daemons read all rows, so a row that is not needed would slow down their reads.
-      if (co_await this->removeRow()) this->renewed_at_ = Instant{};
-    } else if (needed && now >= due) {
-      if (!co_await this->renew()) pause = kRenewalBackoff;
-    } else if (now < due) {
-      pause = due - now;
-    }
+  for (;;) {
+    const Duration pause = co_await this->update();
     const Instant wake_at = steadyNow() + pause;
-    co_await sleepFor(this->loop_, pause);
+    co_await this->wake_.waitFor(pause);
+    if (this->stopping_) continue;
     // A distant store delays each step of an item's run as a late timer does, so both lower the
     // capacity.
     const Duration excess_delay =
@@ -78,19 +67,35 @@
   }
 }
 
-Task<void> lease_keeper::stop() {
-  this->stopping_ = true;
-  if (this->renewed_at_ != Instant{}) {
-    // If this removal fails, other daemons remove the row (`lease_table::removable`).
-    co_await this->removeRow();
+Task<Duration> lease_keeper::update() {
+  const Duration interval = this->leases_.times().renewal_interval;
+  const Instant due = this->renewed_at_ + interval;
+  const Instant now = steadyNow();
+  if (this->stopping_ || !this->needed_()) {
+    // All daemons read all rows, so a row that is not needed would slow down their reads.
+    if (!this->hasRow()) co_return interval;
+    const bool removed = co_await this->removeRow();
+    co_return removed ? interval : kRetryBackoff;
   }
+  if (now < due) co_return due - now;
+  const bool renewed = co_await this->renew();
+  co_return renewed ? interval : kRetryBackoff;
+}
+
+void lease_keeper::stop() {
+  this->stopping_ = true;
+  this->wake_.notifyAll();
 }
 
 Task<bool> lease_keeper::removeRow() {
+  const Instant renewed_at = this->renewed_at_;
   table::Write write;
   write.removes.push_back(table::leaseKey(this->leases_.own()));
   const auto answer = co_await this->table_.write(std::move(write));
-  co_return answer.has_value() && answer->committed;
+  const bool removed = answer.has_value() && answer->committed;
+  // Another write may have renewed the lease in the meantime.
+  if (removed && this->renewed_at_ == renewed_at) this->renewed_at_ = Instant{};
+  co_return removed;
 }
 
 }  // namespace linenpier::lease
--- a/src/gateway/lease/lease_keeper.h
+++ b/src/gateway/lease/lease_keeper.h
@@ -20,7 +20,7 @@
  public:
   lease_keeper(boost::asio::io_context& loop, table::AsyncTable& table, lease_table& leases,
                owner_pool& pool)
-      : loop_(loop), table_(table), leases_(leases), pool_(pool) {}
+      : loop_(loop), table_(table), leases_(leases), pool_(pool), wake_(loop) {}
 
   /** @param needed returns whether this daemon needs a lease now. */
   void start(std::function<bool()> needed);
@@ -32,8 +32,12 @@
   void setAwaited(std::function<std::set<EngineId>()> awaited) {
     this->awaited_ = std::move(awaited);
   }
-  /** Stops renewing the lease and tries once to remove its row. */
-  Task<void> stop();
+  /** Stops renewing the lease, and starts to remove its row. Repeats this until the store has
+   * confirmed it; `hasRow` then returns false.
+   */
+  void stop();
+  /** @return whether the lease has a row in the store, as far as this daemon knows. */
+  bool hasRow() const { return this->renewed_at_ != Instant{}; }
 
   /** @return a put that renews the lease, to be added to any write. */
   table::Put renewal() const;
@@ -57,6 +61,10 @@
 
  private:
   Task<void> run();
+  /** Removes the lease's row if it has one and is not needed, or renews the lease if it is due.
+   * @return the time until the next call.
+   */
+  Task<Duration> update();
   /** Removes the lease's row. @return whether the removal was committed. */
   Task<bool> removeRow();
 
@@ -70,6 +78,7 @@
   Instant renewed_at_{};  ///< When the last committed renewal was sent; zero: the lease has no row.
   store_clock clock_;
   bool stopping_ = false;
+  Signal wake_;  ///< Notified by `stop`.
 };
 
 }  // namespace linenpier::lease
--- a/src/gateway/scaling/scaling_service.cpp
+++ b/src/gateway/scaling/scaling_service.cpp
@@ -277,9 +277,9 @@
   at->second.policy.onAnswer(steadyNow(), decision, answer);
 }
 
-Task<void> scaling_service::handOver() {
-  if (this->options_.mode == ScalingMode::kFixed) co_return;
-  co_await this->lock_.handOver();
+void scaling_service::handOver() {
+  if (this->options_.mode == ScalingMode::kFixed) return;
+  this->lock_.handOver();
 }
 
 }  // namespace linenpier::scaling
--- a/src/gateway/scaling/scaling_service.h
+++ b/src/gateway/scaling/scaling_service.h
@@ -55,7 +55,7 @@
   /** Records that the table of locks was read, after which a lock without a row is free. */
   void onTableRead() { this->table_read_ = true; }
   bool holdsLock() const { return this->lock_.held(); }
-  Task<void> handOver();
+  void handOver();
   const scaling_totals& totals() const { return this->totals_; }
   /** @return the last order for each group, by service; empty unless this daemon is the leader. */
   std::map<ServiceName, fleet::group_counts> ordered() const;
--- a/src/gateway/service/gateway.cpp
+++ b/src/gateway/service/gateway.cpp
@@ -18,6 +18,10 @@
 /** Part of the shutdown timeout that is reserved for process exit. */
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(900);
 constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(50);
+/** Part of the shutdown timeout in which the lease is released even if the gateway still owns work,
+ * so that others take it over without waiting for the lease to expire.
+ */
+constexpr Duration kLeaseReleaseTime = std::chrono::seconds(1);
 /** Bytes of a store row that are reserved for the key and the encoding. */
 constexpr std::size_t kRowOverheadBytes = 1024;
 constexpr unsigned kOk = 200;
@@ -121,7 +125,7 @@
            lease_poller_,
            coordination_feed_.watcher(),
            {&operator_feed_.watcher(), &engine_feed_.watcher(), &coordination_feed_.watcher()},
-           [this] { return ownsWork() && !stopping_; }}),
+           [this] { return stopping_ ? !handedOver() : ownsWork(); }}),
       peer_exchange_(
           {loop, engine_pool, platform.table(), leases_, operator_feed_, engine_feed_,
            closed_zones_, suspects_, coordination_feed_.watcher(),
@@ -257,8 +261,12 @@
 }
 
 bool Gateway::ownsWork() const {
-  return owner_pool_.isCandidate() || batches_.ownsOpenJobs() || rollouts_.holdsAny() ||
-         usage_.holdsLock() || scaling_.holdsLock();
+  return owner_pool_.isCandidate() || holdsWork();
+}
+
+bool Gateway::holdsWork() const {
+  return batches_.ownsOpenJobs() || rollouts_.holdsAny() || usage_.holdsLock() ||
+         scaling_.holdsLock();
 }
 
 Task<std::optional<std::uint32_t>> Gateway::queryEngineLoad(EngineId engine, Address address) {
@@ -289,27 +297,38 @@
   LogEvent("gateway", "stopping")
       .number("connections", static_cast<std::int64_t>(request_server_.connections()));
   request_server_.beginDrain();
-  // Not awaited here: an unavailable store must not delay the end of connections.
-  spawn(loop_, [this] { return handOver(); });
+  startHandOver(begun + settings_.shutdown_timeout - kShutdownMargin);
   co_await sleepFor(loop_, kDeregistrationDelay);
   request_server_.shutDown();
-  while ((request_server_.activeRequests() > 0 || !handed_over_ || usage_.unsaved()) &&
+  while ((request_server_.activeRequests() > 0 || !handedOver() || usage_.unsaved()) &&
          steadyNow() < begun + settings_.shutdown_timeout - kShutdownMargin) {
     co_await sleepFor(loop_, kShutdownPollInterval);
   }
   LogEvent("gateway", "stopped")
       .number("cut_off", static_cast<std::int64_t>(request_server_.activeRequests()))
-      .text("handed_over", handed_over_ ? "yes" : "no");
+      .text("handed_over", handedOver() ? "yes" : "no");
   loop_.stop();
 }
 
-Task<void> Gateway::handOver() {
-  co_await batches_.handOver();
-  co_await rollouts_.handOver();
-  co_await usage_.handOver();
-  co_await scaling_.handOver();
-  co_await keeper_.stop();
-  handed_over_ = true;
+void Gateway::startHandOver(Instant until) {
+  batches_.handOver(until);
+  rollouts_.handOver();
+  usage_.handOver();
+  scaling_.handOver();
+  spawn(loop_, [this, until] { return releaseLease(until); });
+}
+
+Task<void> Gateway::releaseLease(Instant until) {
+  // Others take over work whose owner has no lease, and its state may not be stored yet.
+  while (holdsWork() && steadyNow() < until - kLeaseReleaseTime) {
+    co_await sleepFor(loop_, kShutdownPollInterval);
+  }
+  lease_released_ = true;
+  keeper_.stop();
+}
+
+bool Gateway::handedOver() const {
+  return lease_released_ && !keeper_.hasRow() && !holdsWork();
 }
 
 }  // namespace linenpier::gateway
--- a/src/gateway/service/gateway.h
+++ b/src/gateway/service/gateway.h
@@ -68,15 +68,21 @@
   void updateColdSenders();
   /** @return whether this gateway owns jobs or leader locks, or is a candidate for owning them. */
   bool ownsWork() const;
+  /** @return whether this gateway owns jobs or leader locks. */
+  bool holdsWork() const;
   Task<void> handleReadiness(http::Request& request, http::ResponseWriter& writer);
   /** @return the number of requests that the engine reports, or nothing if it does not answer. */
   Task<std::optional<std::uint32_t>> queryEngineLoad(EngineId engine, Address address);
   Task<void> maintenanceLoop();
   Task<void> shutDown();
-  /** Hands over jobs and leader locks and gives up the lease. Without a store this takes longer
-   * than a shutdown may.
+  /** Starts to release the jobs, the leader locks and, once these are released, the lease. Nothing
+   * else waits for it, since it depends on the store.
+   * @param until when the process ends.
    */
-  Task<void> handOver();
+  void startHandOver(Instant until);
+  Task<void> releaseLease(Instant until);
+  /** @return whether the jobs, the leader locks and the lease are released. */
+  bool handedOver() const;
 
   boost::asio::io_context& loop_;
   GatewaySettings settings_;
@@ -111,7 +117,7 @@
   http::Server peer_server_;
   metrics_exporter metrics_exporter_;
   bool stopping_ = false;
-  bool handed_over_ = false;  ///< Whether `handOver` is complete.
+  bool lease_released_ = false;  ///< Whether the release of the lease has begun.
 };
 
 }  // namespace linenpier::gateway
--- a/src/gateway/usage/usage_reporter.cpp
+++ b/src/gateway/usage/usage_reporter.cpp
@@ -206,8 +206,4 @@
   co_await sleepFor(this->deps_.lock.loop, kRefusedBackoff);
 }
 
-Task<void> usage_reporter::handOver() {
-  co_await this->lock_.handOver();
-}
-
 }  // namespace linenpier::usage
--- a/src/gateway/usage/usage_reporter.h
+++ b/src/gateway/usage/usage_reporter.h
@@ -38,7 +38,7 @@
   /** Records that the table of locks was read, after which a lock without a row is free. */
   void onTableRead() { this->table_read_ = true; }
   bool holdsLock() const { return this->lock_.held(); }
-  Task<void> handOver();
+  void handOver() { this->lock_.handOver(); }
   /** @return the number of windows that the platform accepted from this daemon. */
   std::uint64_t reported() const { return this->total_reported_; }
 
--- a/src/gateway/usage/usage_service.h
+++ b/src/gateway/usage/usage_service.h
@@ -44,8 +44,8 @@
   /** Records that the table of locks was read, after which a lock without a row is free. */
   void onTableRead() { this->reporter_.onTableRead(); }
   bool holdsLock() const { return this->reporter_.holdsLock(); }
-  /** Releases the reporting lock. This daemon still writes its counts. */
-  Task<void> handOver() { return this->reporter_.handOver(); }
+  /** Starts to release the reporting lock. This daemon still writes its counts. */
+  void handOver() { this->reporter_.handOver(); }
   /** @return whether counts are waiting to be stored. */
   bool unsaved() const { return this->writer_.unsaved(); }
   usage_totals totals() const;
--- a/src/gateway/versions/rollout_service.cpp
+++ b/src/gateway/versions/rollout_service.cpp
@@ -138,11 +138,9 @@
       .text("outcome", toText(answer));
 }
 
-Task<void> rollout_service::handOver() {
+void rollout_service::handOver() {
   this->stopping_ = true;
-  for (auto& [service, leadership] : this->services_) {
-    co_await leadership->lock.handOver();
-  }
+  for (auto& [service, leadership] : this->services_) leadership->lock.handOver();
 }
 
 }  // namespace linenpier::versions
--- a/src/gateway/versions/rollout_service.h
+++ b/src/gateway/versions/rollout_service.h
@@ -59,7 +59,7 @@
   bool holdsAny() const { return this->locksHeld() > 0; }
   std::size_t locksHeld() const;
   /** Releases all locks. */
-  Task<void> handOver();
+  void handOver();
   const rollout_counts& counts() const { return this->counts_; }
 
  private:
--- a/tests/gateway/lease/leader_lock_test.cpp
+++ b/tests/gateway/lease/leader_lock_test.cpp
@@ -31,12 +31,14 @@
   explicit scripted_table(boost::asio::io_context& loop) : loop_(loop) {}
 
   std::deque<scripted_answer> answers;
+  std::size_t writes = 0;
   Revision revision = 5;  ///< Revision of the last write, committed or not.
 
   Task<CallResult<table::TransactionAnswer>> write(table::Write) override {
     table::TransactionAnswer answer;
     answer.committed = true;
     answer.revision = ++this->revision;
+    ++this->writes;
     scripted_answer scripted;
     if (!this->answers.empty()) {
       scripted = this->answers.front();
@@ -89,6 +91,7 @@
     this->lock.onTick(steadyNow(), true);
     this->run(std::chrono::milliseconds(20));
   }
+  void release() { this->lock.handOver(); }
   /// Asserts that the leader was notified once and that it waits for the handover pause.
   void assertWaitsForPause() {
     cr_assert(this->lock.held());
@@ -158,3 +161,29 @@
   cr_assert_not(fixture.lock.held());
   cr_assert(fixture.changes.empty());
 }
+
+// Guards against a lock that stays with a daemon that has ended, because the store did not respond
+// to its only attempt to release it.
+Test(leader_lock, a_release_without_a_response_is_repeated) {
+  Fixture fixture;
+  fixture.acquire();
+  cr_assert(fixture.lock.held());
+  const std::size_t before = fixture.rows.writes;
+  fixture.rows.answers = {{CallFailure::kAnswerLost}, {CallFailure::kUnavailable}};
+  fixture.release();
+  fixture.run(std::chrono::milliseconds(500));
+  cr_assert_eq(fixture.rows.writes - before, 3U, "%zu writes", fixture.rows.writes - before);
+  cr_assert_not(fixture.lock.held());
+}
+
+// Guards against a lock that a daemon acquires by a write that was in progress when it was told to
+// release the lock, and then keeps.
+Test(leader_lock, a_lock_acquired_after_the_release_began_is_released) {
+  Fixture fixture;
+  fixture.rows.answers = {{std::nullopt, std::chrono::milliseconds(60)}};
+  fixture.acquire();
+  fixture.release();
+  fixture.run(std::chrono::milliseconds(500));
+  cr_assert_not(fixture.lock.held());
+  cr_assert_eq(fixture.rows.writes, 2U, "%zu writes", fixture.rows.writes);
+}
--- a/tests/gateway/service/shutdown_test.cpp
+++ b/tests/gateway/service/shutdown_test.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// End-to-end tests of a planned stop while the store is unavailable.
+/// End-to-end tests of a planned stop while the store is unavailable or slow.
 
 #include "support/gateway_fixture.h"
 
@@ -11,6 +11,51 @@
 /// From the signal until connections are closed, and some time for the closing itself.
 constexpr Duration kConnectionsClosed = std::chrono::milliseconds(3600);
 constexpr int kJobs = 3;
+/// From the return of the store until the next owner could be at work; shorter than a lease lasts.
+constexpr Duration kHandOverTime = std::chrono::milliseconds(1000);
+constexpr Duration kEventGap = std::chrono::milliseconds(20);
+
+test::FixtureOptions longJobs() {
+  test::FixtureOptions options = test::twoGateways(450);
+  // With a window, the gateways also count usage and hold a lock for its reports.
+  options.usage = usage::usage_options{};
+  options.usage->window = std::chrono::seconds(2);
+  return options;
+}
+
+/// Submits jobs, which get the same owner. @return the owner's index.
+Task<std::size_t> submitJobs(GatewayFixture& fixture) {
+  for (std::size_t i = 0; i < 2; ++i) fixture.model(i).setEventGap(kEventGap);
+  for (int i = 0; i < kJobs; ++i) {
+    http::Request request = fixture.jobRequest("job-" + std::to_string(i), 2);
+    const auto accepted = co_await fixture.call(0, std::move(request));
+    cr_assert_eq(accepted.response.result_int(), 202U);
+  }
+  const std::string row = fixture.store().get("linenpier", "job/job-0").value_or("");
+  co_return row.find("\"owner\":\"d0#") != std::string::npos ? 0 : 1;
+}
+
+/// @return the rows of jobs, leader locks and leases that name the gateway, or nothing.
+std::string rowsNaming(GatewayFixture& fixture, std::size_t gateway) {
+  const std::string lease = "d" + std::to_string(gateway) + "#";
+  std::string found;
+  for (const std::string& key : fixture.store().keys("linenpier")) {
+    const std::string value = fixture.store().get("linenpier", key).value_or("");
+    if (value.find(lease) != std::string::npos) found += key + " ";
+  }
+  for (const std::string& key : fixture.store().keys("leases")) {
+    if (key.starts_with(lease)) found += key + " ";
+  }
+  return found;
+}
+
+/// Asserts that the store soon has no row that names the gateway.
+Task<void> assertHandedOver(GatewayFixture& fixture, std::size_t gateway, Duration limit) {
+  co_await fixture.waitFor([&fixture, gateway] { return rowsNaming(fixture, gateway).empty(); },
+                           limit);
+  const std::string rows = rowsNaming(fixture, gateway);
+  cr_assert(rows.empty(), "not handed over: %s", rows.c_str());
+}
 
 /// Calls the request address of a gateway, which may have stopped listening.
 Task<http::ExchangeStatus> callAddress(GatewayFixture& fixture, http::ConnectionPool& pool,
@@ -45,3 +90,43 @@
   cr_assert(on_kept == http::ExchangeStatus::kNotConnected, "%s", http::toText(on_kept));
   cr_assert(on_fresh == http::ExchangeStatus::kNotConnected, "%s", http::toText(on_fresh));
 }
+
+// Guards against jobs, locks and a lease that stay with a gateway that has stopped, because it
+// tried to hand them over once, one after the other, and the store was unavailable then.
+GATEWAY_TEST(shutdown, all_work_is_handed_over_once_the_store_is_back, longJobs()) {
+  const std::size_t owner = co_await submitJobs(fixture);
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(500));
+  fixture.store().faults().silent = true;
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(100));
+  fixture.gateway(owner).stop();
+  co_await sleepFor(fixture.loop(), std::chrono::seconds(4));
+  fixture.store().faults().silent = false;
+  co_await assertHandedOver(fixture, owner, kHandOverTime);
+}
+
+// Guards against a stop that takes as many calls of the store in turn as the gateway has jobs.
+GATEWAY_TEST(shutdown, jobs_are_handed_over_side_by_side_to_a_slow_store, longJobs()) {
+  const std::size_t owner = co_await submitJobs(fixture);
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(500));
+  fixture.store().faults().overload.latency = std::chrono::seconds(1);
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(100));
+  fixture.gateway(owner).stop();
+  // Some calls in turn: an open write, the checkpoint, the job's row and the lease's.
+  co_await assertHandedOver(fixture, owner, std::chrono::milliseconds(5500));
+}
+
+// Guards against a job that a stopping gateway takes over by a write that was in progress at the
+// signal, and then neither runs nor releases.
+GATEWAY_TEST(shutdown, a_job_whose_takeover_ends_during_the_stop_is_released, longJobs()) {
+  const std::size_t owner = co_await submitJobs(fixture);
+  const std::size_t other = 1 - owner;
+  test::WriteScript script{"linenpier/job/", {test::StoreAct::kAnswerLate}};
+  fixture.store().setScript(script);
+  fixture.cutFromStore(owner);
+  const bool begun = co_await fixture.waitFor(
+      [&fixture] { return fixture.store().actsLeft() == 0; }, std::chrono::seconds(8));
+  cr_assert(begun, "no takeover");
+  fixture.gateway(other).stop();
+  co_await sleepFor(fixture.loop(), script.delay);
+  co_await assertHandedOver(fixture, other, kHandOverTime);
+}
--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -247,6 +247,9 @@
       transactLater(body, script_.delay);
       co_await hang(writer);
       co_return;
+    case StoreAct::kAnswerLate:
+      co_await sleepFor(loop_, script_.delay);
+      break;
   }
   auto [status, answer] = transact(body);
   co_await reply(writer, status, std::move(answer));
@@ -313,6 +316,9 @@
     co_await reply(writer, 200, "<html>");
     co_return;
   }
+  if (faults_.overload.latency > Duration::zero()) {
+    co_await sleepFor(loop_, faults_.overload.latency);
+  }
   const bool write = request.target().starts_with("/linenpier/rows-tx");
   // The queue refuses a call before anything else can happen to it.
   if (write) {
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -24,6 +24,7 @@
   Duration min_late{};              ///< Minimum delay of the execution of a lost write.
   Duration max_late{};              ///< Maximum of that delay.
   std::uint64_t reset_percent = 0;  ///< Calls without any effect whose connection is reset.
+  Duration latency{};               ///< Delay of each call; calls do not wait for each other.
 };
 
 /// Active faults of the store.
@@ -49,6 +50,7 @@
   kBreakExecuteLate,  ///< Resets the connection and executes the write later.
   kGarble,            ///< Executes the write and responds with a body that is not JSON.
   kHangExecuteLate,   ///< Executes the write later and never responds.
+  kAnswerLate,        ///< Executes the write later and responds then.
 };
 
 /// Acts for the next writes that put a row whose "TABLE/KEY" starts with `prefix`. Other calls are
