End the process although nobody reads its log

A planned stop lasted until the platform killed the process while its standard output was not read: a rolling restart took the whole grace for each gateway.

Cause: the last step of a stop flushes the log, and joins the thread that is blocked in its write. The description promised a short timeout that did not exist.

Why it works: the flush runs on a thread that the end of the process waits for only so long. Lines that are not read by then are lost, as lines are that find the queue full.

--- a/src/common/event_log.cpp
+++ b/src/common/event_log.cpp
@@ -11,7 +11,9 @@
 #include <boost/make_shared.hpp>
 #include <chrono>
 #include <cstdio>
+#include <future>
 #include <iostream>
+#include <thread>
 
 namespace linenpier::logging {
 
@@ -20,6 +22,9 @@
 namespace {
 
 constexpr std::size_t kQueuedLines = 4096;
+/// Together with the end of the requests, this fits into the time that a stop reserves for the end
+/// of the process.
+constexpr std::chrono::milliseconds kFlushTimeout{300};
 
 std::atomic<std::uint64_t> dropped_lines{0};
 std::uint64_t reported_drops = 0;
@@ -149,12 +154,19 @@
   boost::log::core::get()->add_sink(sink);
 }
 
-void stopEventLog() {
-  if (!sink) return;
+bool stopEventLog() {
+  if (!sink) return true;
   boost::log::core::get()->remove_sink(sink);
-  sink->stop();
-  sink->flush();
-  sink.reset();
+  std::promise<void> written;
+  const std::future<void> flushed = written.get_future();
+  // While standard output is blocked, so are `stop` and `flush`. The thread then lasts as long as
+  // the process.
+  std::thread([blocked = std::move(sink), written = std::move(written)]() mutable {
+    blocked->stop();
+    blocked->flush();
+    written.set_value();
+  }).detach();
+  return flushed.wait_for(kFlushTimeout) == std::future_status::ready;
 }
 
 std::uint64_t droppedLines() {
--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -40,8 +40,10 @@
 
 /// Sets up the process-wide sink. Call once, before the first event.
 void startEventLog(const EventLogOptions& options);
-/// Flushes the queue with a short timeout.
-void stopEventLog();
+/// Writes the lines in the queue. Call once, before the process ends. Gives up after a short time
+/// if standard output is blocked, since the end of the process must not depend on its reader.
+/// @return whether all lines were written.
+bool stopEventLog();
 /// @return the number of lines dropped because standard output was blocked.
 std::uint64_t droppedLines();
 
