Receive signals from the first moment of the process

A change of the settings during the start of a gateway ended it: its requests had to wait until the platform started it again.

Cause: SIGHUP was handled once the gateway had read its settings, connected its parts and bound its addresses; until then its default action ends the process. A change of the file between its reading and the first look at its time was missed.

Why it works: the signals are the first object of the process. Those that come early are kept and delivered when the gateway runs. The state of the file is noted before it is read.

--- a/apps/linenpier_gateway.cpp
+++ b/apps/linenpier_gateway.cpp
@@ -3,7 +3,6 @@
 
 #include <docopt/docopt.h>
 
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -11,6 +10,7 @@
 #include "common/event_log.h"
 #include "common/random.h"
 #include "gateway/service/gateway.h"
+#include "gateway/service/process_signals.h"
 #include "gateway/service/settings_watcher.h"
 #include "platform.h"
 
@@ -51,42 +51,46 @@
   return options;
 }
 
-int run(const std::string& file, const gateway::GatewaySettings& settings) {
-  logging::startEventLog({settings.id.str(), settings.log_enabled, settings.log_as_text});
-  boost::asio::io_context loop(1);
+int check(const std::string& file) {
+  const auto settings = gateway::readGatewaySettings(file);
+  if (settings) return 0;
+  std::cerr << describe(settings.error()) << "\n";
+  return kExitBadSettings;
+}
+
+int run(boost::asio::io_context& loop, gateway::process_signals& signals, const std::string& file) {
+  std::function<void(const gateway::GatewaySettings&)> applySettings;
+  // Notes the state of the file before it is read, so that no change is missed.
+  gateway::settings_watcher settings_watcher(
+      loop, file, kSettingsPollInterval,
+      [&applySettings](const gateway::GatewaySettings& changed) { applySettings(changed); });
+  const auto settings = gateway::readGatewaySettings(file);
+  if (!settings) {
+    std::cerr << describe(settings.error()) << "\n";
+    return kExitBadSettings;
+  }
+  logging::startEventLog({settings->id.str(), settings->log_enabled, settings->log_as_text});
   http::ConnectionPool store_pool(loop, storeConnections());
   http::ConnectionPool engine_pool(loop, {});
-  platform_adapter::Platform platform(store_pool, engine_pool, settings.store_address,
-                                      settings.control_plane_address);
+  platform_adapter::Platform platform(store_pool, engine_pool, settings->store_address,
+                                      settings->control_plane_address);
   metrics::GatewayMetrics metrics;
   platform.store().setObserver([&metrics](const char* call, const char* result, Duration took) {
     metrics.onStoreCall(call, result, took);
   });
-  gateway::Gateway daemon(loop, settings, platform, engine_pool, metrics, Random::seedFromSystem());
+  gateway::Gateway daemon(loop, *settings, platform, engine_pool, metrics,
+                          Random::seedFromSystem());
   const Findings findings = daemon.start();
   if (!findings.empty()) {
     std::cerr << describe(findings) << "\n";
     return kExitCannotBind;
   }
-  boost::asio::signal_set stop_signals(loop, SIGTERM, SIGINT);
-  stop_signals.async_wait([&](const boost::system::error_code& error, int) {
-    if (!error) daemon.stop();
-  });
-  gateway::settings_watcher settings_watcher(
-      loop, file, kSettingsPollInterval, [&](const gateway::GatewaySettings& changed) {
-        platform.setAddresses(changed.store_address, changed.control_plane_address);
-        daemon.applySettings(changed);
-      });
-  settings_watcher.start();
-  boost::asio::signal_set reload_signal(loop, SIGHUP);
-  std::function<void()> awaitReload = [&] {
-    reload_signal.async_wait([&](const boost::system::error_code& error, int) {
-      if (error) return;
-      settings_watcher.reload();
-      awaitReload();
-    });
+  applySettings = [&](const gateway::GatewaySettings& changed) {
+    platform.setAddresses(changed.store_address, changed.control_plane_address);
+    daemon.applySettings(changed);
   };
-  awaitReload();
+  settings_watcher.start();
+  signals.start([&daemon] { daemon.stop(); }, [&settings_watcher] { settings_watcher.reload(); });
   loop.run();
   logging::stopEventLog();
   // Exits without running destructors: suspended tasks still refer to the objects of this function.
@@ -96,14 +100,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  boost::asio::io_context loop(1);
+  gateway::process_signals signals(loop);
   std::signal(SIGPIPE, SIG_IGN);
   auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "linenpier-gateway 0.1.0");
   const std::string file = settingsFile(arguments);
-  const auto settings = gateway::readGatewaySettings(file);
-  if (!settings) {
-    std::cerr << describe(settings.error()) << "\n";
-    return kExitBadSettings;
-  }
-  if (arguments["--check"].asBool()) return 0;
-  return run(file, *settings);
+  return arguments["--check"].asBool() ? check(file) : run(loop, signals, file);
 }
