Respond to the requests that a stop ends

Callers whose requests outlast a planned stop lost their connection without a response.

Cause: at the end of the stop's time the event loop was stopped, and the process ended with the connections of the requests in progress.

Why it works: the server ends its requests shortly before the process ends. Their handlers respond with what is known: 502 if the request may have run, 503 if it has not. Streams that have begun are still broken off, since they must not look complete.

--- a/src/gateway/forward/stream_session.cpp
+++ b/src/gateway/forward/stream_session.cpp
@@ -167,7 +167,7 @@
 }
 
 Task<void> stream_session::endWithoutResponse() {
-  if (this->cancelled()) {
+  if (this->writer_.clientGone()) {
     this->context_.log.onRequestEnded(this->forwarded_, "client_gone", 0, this->policy_);
     co_return;
   }
--- a/src/gateway/forward/unary_forwarder.cpp
+++ b/src/gateway/forward/unary_forwarder.cpp
@@ -16,7 +16,7 @@
                                   http::ResponseWriter& writer) {
   attempt_policy policy(*forwarded->route, forwarded->deadline);
   attempts_outcome outcome = co_await this->runAttempts(forwarded, policy, writer.cancellation());
-  if (writer.cancellation().requested()) {
+  if (writer.clientGone()) {
     this->context_.log.onRequestEnded(*forwarded, "client_gone", 0, policy);
     co_return;
   }
--- a/src/gateway/http/server.cpp
+++ b/src/gateway/http/server.cpp
@@ -56,4 +56,9 @@
   for (ServerSession* session : sessions) session->closeIfIdle();
 }
 
+void Server::endRequests() {
+  const std::set<ServerSession*> sessions = sessions_;
+  for (ServerSession* session : sessions) session->endRequest();
+}
+
 }  // namespace linenpier::http
--- a/src/gateway/http/server.h
+++ b/src/gateway/http/server.h
@@ -48,13 +48,17 @@
   bool started() const { return started_; }
   bool ended() const { return ended_; }
 
-  /// @return the cancellation that is requested if the client disconnects before the response ends.
+  /// @return the cancellation that is requested if the client disconnects before the response ends,
+  /// or if the server ends the request.
   Cancellation& cancellation() { return cancellation_; }
+  /// @return whether the client no longer waits for the response.
+  bool clientGone() const { return cancellation_.requested() && !ended_by_server_; }
 
  private:
   friend class ServerSession;
   ServerSession& session_;
   Cancellation cancellation_;
+  bool ended_by_server_ = false;
   bool started_ = false;
   bool ended_ = false;
 };
@@ -77,6 +81,8 @@
   /// Stops accepting connections and closes idle ones. Requests in progress continue; their
   /// connections are closed after the response.
   void shutDown();
+  /// Ends the requests in progress. Their handlers respond with what is known by then.
+  void endRequests();
   std::size_t activeRequests() const { return active_requests_; }
   std::size_t connections() const { return sessions_.size(); }
 
--- a/src/gateway/http/server_session.cpp
+++ b/src/gateway/http/server_session.cpp
@@ -56,6 +56,12 @@
   if (!in_request_) close();
 }
 
+void ServerSession::endRequest() {
+  if (writer_ == nullptr || writer_->cancellation_.requested()) return;
+  writer_->ended_by_server_ = true;
+  writer_->cancellation_.request();
+}
+
 Task<bool> ServerSession::waitForRequest() {
   if (buffer_.size() > 0) co_return true;
   stream_.expires_after(server_.limits_.idle_timeout);
--- a/src/gateway/http/server_session.h
+++ b/src/gateway/http/server_session.h
@@ -17,6 +17,8 @@
   Task<void> run();
   /// Closes the connection if no request is in progress.
   void closeIfIdle();
+  /// Lets the handler of the request in progress respond at once.
+  void endRequest();
 
  private:
   friend class ResponseWriter;
--- a/src/gateway/service/gateway.cpp
+++ b/src/gateway/service/gateway.cpp
@@ -18,6 +18,9 @@
 /** Part of the shutdown timeout that is reserved for process exit. */
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(900);
 constexpr Duration kShutdownPollInterval = std::chrono::milliseconds(50);
+/** Time to send the responses of requests that are ended by the shutdown. */
+constexpr Duration kLastResponsesTime = std::chrono::milliseconds(200);
+constexpr Duration kLastResponsesPollInterval = std::chrono::milliseconds(10);
 /** Part of the shutdown timeout in which the lease is released even if the gateway still owns work,
  * so that others take it over without waiting for the lease to expire.
  */
@@ -304,12 +307,23 @@
          steadyNow() < begun + settings_.shutdown_timeout - kShutdownMargin) {
     co_await sleepFor(loop_, kShutdownPollInterval);
   }
+  const std::size_t unfinished = request_server_.activeRequests();
+  co_await endRequests();
   LogEvent("gateway", "stopped")
+      .number("unfinished", static_cast<std::int64_t>(unfinished))
       .number("cut_off", static_cast<std::int64_t>(request_server_.activeRequests()))
       .text("handed_over", handedOver() ? "yes" : "no");
   loop_.stop();
 }
 
+Task<void> Gateway::endRequests() {
+  request_server_.endRequests();
+  const Instant until = steadyNow() + kLastResponsesTime;
+  while (request_server_.activeRequests() > 0 && steadyNow() < until) {
+    co_await sleepFor(loop_, kLastResponsesPollInterval);
+  }
+}
+
 void Gateway::startHandOver(Instant until) {
   batches_.handOver(until);
   rollouts_.handOver();
--- a/src/gateway/service/gateway.h
+++ b/src/gateway/service/gateway.h
@@ -75,6 +75,8 @@
   Task<std::optional<std::uint32_t>> queryEngineLoad(EngineId engine, Address address);
   Task<void> maintenanceLoop();
   Task<void> shutDown();
+  /** Ends the requests that are still in progress, with a response if none has begun. */
+  Task<void> endRequests();
   /** Starts to release the jobs, the leader locks and, once these are released, the lease. Nothing
    * else waits for it, since it depends on the store.
    * @param until when the process ends.
--- a/tests/gateway/service/shutdown_test.cpp
+++ b/tests/gateway/service/shutdown_test.cpp
@@ -15,6 +15,11 @@
 constexpr Duration kHandOverTime = std::chrono::milliseconds(1000);
 constexpr Duration kEventGap = std::chrono::milliseconds(20);
 
+/// A route whose requests may last longer than a stop.
+constexpr char kSlowRoute[] =
+    R"(,{"name":"slow","host":"h.example","pathPrefix":"/slow/","kind":"non_idempotent",
+         "timeoutMs":20000,"targetLatencyMs":150,"service":"desk","maxAttempts":2})";
+
 test::FixtureOptions longJobs() {
   test::FixtureOptions options = test::twoGateways(450);
   // With a window, the gateways also count usage and hold a lock for its reports.
@@ -130,3 +135,22 @@
   co_await sleepFor(fixture.loop(), script.delay);
   co_await assertHandedOver(fixture, other, kHandOverTime);
 }
+
+// Guards against a connection that the end of the process closes without a response, so that the
+// caller does not know what became of the request.
+GATEWAY_TEST(shutdown, a_request_that_outlasts_the_stop_gets_a_response, test::FixtureOptions{}) {
+  fixture.putConfiguration(4, kSlowRoute);
+  for (std::size_t i = 0; i < 2; ++i) fixture.lookup(i).script() = {test::SamplerAct::kSilent};
+  gateway::GatewaySettings settings = test::settingsOf(fixture.store().address(), "d0", {});
+  settings.shutdown_timeout = std::chrono::milliseconds(4500);
+  fixture.gateway().applySettings(settings);
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(300));
+  fixture.gateway().stop();
+  const Instant begun = steadyNow();
+  http::Request request = fixture.lookupRequest("slow", "/slow/1");
+  request.set("Deadline-Ms", "15000");
+  const http::CallOutcome outcome = co_await fixture.call(0, std::move(request));
+  cr_assert(outcome.status == http::ExchangeStatus::kOk, "%s", http::toText(outcome.status));
+  cr_assert_eq(outcome.response.result_int(), 502U, "got %u", outcome.response.result_int());
+  cr_assert(steadyNow() - begun < settings.shutdown_timeout);
+}
