Let items run until their job can be handed over

Trainers lost the time of an outage of the store around a planned stop: a stopping gateway ended the runs of its jobs at once, while nobody could take the jobs over before the store was back.

Cause: the release of a job ended its runs first and called the store then.

Evidence: the new test passes: 2.5 s after the signal, with the store silent, no engine has lost a connection, and the next owner resumes an item after an event that was made during the silence. It was not run on the code before.

Why it works: a release at a stop begins with a read of the job's row, repeated until the store answers. Runs end then, so that the last checkpoint has their text.

--- a/src/gateway/batch/job_ownership.cpp
+++ b/src/gateway/batch/job_ownership.cpp
@@ -19,6 +19,9 @@
 /// Time before the end of this daemon that is left for releasing jobs whose last checkpoint could
 /// not be written.
 constexpr Duration kReleaseTime = std::chrono::seconds(1);
+/// Timeout of the check whether the store responds before a job is released; long enough for a slow
+/// store.
+constexpr Duration kReleaseProbeTimeout = std::chrono::milliseconds(1500);
 }  // namespace
 
 bool job_ownership::isOwn(const job_entry& job) const {
@@ -302,7 +305,17 @@
 void job_ownership::startRelease(const JobId& id, job_entry& job) {
   if (job.transition_pending) return;
   job.transition_pending = true;
-  spawn(this->deps_.loop, [this, id] { return this->release(id, this->ends_at_ - kReleaseTime); });
+  spawn(this->deps_.loop, [this, id] { return this->releaseBeforeEnd(id); });
+}
+
+Task<void> job_ownership::releaseBeforeEnd(JobId id) {
+  const Instant save_until = this->ends_at_ - kReleaseTime;
+  while (steadyNow() < save_until) {
+    const bool reachable = co_await this->deps_.store.isReachable(id, kReleaseProbeTimeout);
+    if (reachable) break;
+    co_await sleepFor(this->deps_.loop, this->deps_.options.store_retry_delay);
+  }
+  co_await this->release(id, save_until);
 }
 
 Task<void> job_ownership::release(JobId id, Instant save_until) {
--- a/src/gateway/batch/job_ownership.h
+++ b/src/gateway/batch/job_ownership.h
@@ -104,6 +104,8 @@
   void reportAwaitingOwner(Instant now, const JobId& id, job_entry& job);
   /** Starts to release an owned job because this daemon ends. */
   void startRelease(const JobId& id, job_entry& job);
+  /** Releases an owned job once the store responds. Its items run until then. */
+  Task<void> releaseBeforeEnd(JobId id);
   /** Tries once to release an owned job. @param save_until until when the write of its last
    * checkpoint is repeated.
    */
--- a/tests/gateway/service/shutdown_test.cpp
+++ b/tests/gateway/service/shutdown_test.cpp
@@ -54,6 +54,18 @@
   return found;
 }
 
+/// @return the largest number of an event after which an item was resumed; 0: none was.
+int lastResumedEvent(GatewayFixture& fixture) {
+  int last = 0;
+  for (std::size_t i = 0; i < 2; ++i) {
+    for (const auto& arrival : fixture.model(i).arrivals()) {
+      const auto at = arrival.fields.find("last-event-id");
+      if (at != arrival.fields.end()) last = std::max(last, std::stoi(at->second));
+    }
+  }
+  return last;
+}
+
 /// Asserts that the store soon has no row that names the gateway.
 Task<void> assertHandedOver(GatewayFixture& fixture, std::size_t gateway, Duration limit) {
   co_await fixture.waitFor([&fixture, gateway] { return rowsNaming(fixture, gateway).empty(); },
@@ -109,6 +121,25 @@
   co_await assertHandedOver(fixture, owner, kHandOverTime);
 }
 
+// Guards against a stop that ends the items of its jobs while the store is unavailable, so that
+// nobody runs them until the store is back.
+GATEWAY_TEST(shutdown, items_run_until_their_job_can_be_handed_over, longJobs()) {
+  const std::size_t owner = co_await submitJobs(fixture);
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(500));
+  fixture.store().faults().silent = true;
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(100));
+  fixture.gateway(owner).stop();
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(2500));
+  cr_assert_eq(fixture.model(0).dropped() + fixture.model(1).dropped(), 0);
+  fixture.store().faults().silent = false;
+  co_await assertHandedOver(fixture, owner, kHandOverTime);
+  const bool resumed =
+      co_await fixture.waitFor([&fixture] { return lastResumedEvent(fixture) > 0; });
+  cr_assert(resumed, "no item was resumed");
+  // An event each 20 ms, for some 3 s.
+  cr_assert_gt(lastResumedEvent(fixture), 100);
+}
+
 // Guards against a stop that takes as many calls of the store in turn as the gateway has jobs.
 GATEWAY_TEST(shutdown, jobs_are_handed_over_side_by_side_to_a_slow_store, longJobs()) {
   const std::size_t owner = co_await submitJobs(fixture);
