Close a usage window before it is summed

Cause: the write of a window's first row requires only that the row is absent, which holds as well after the window was summed.

Why it works: the leader writes the number of the window it is about to sum before it reads the rows. A conflict shows the writer which windows are closed; their counts are late. Usual writes are earlier, and cost nothing more.

--- a/src/gateway/table/store_keys.h
+++ b/src/gateway/table/store_keys.h
@@ -43,6 +43,9 @@
 inline const std::string kScalingTable = "scaling";
 /// Key of the last report in the usage table.
 inline const std::string kUsageProgress = "progress";
+/// Table with the newest usage window that is closed. Not in the usage table, whose rows are
+/// removed.
+inline const std::string kUsageStateTable = "usage_state";
 /// Key of the offset of cluster time in the coordination table.
 inline const std::string kClusterTimeName = "clock";
 
@@ -79,6 +82,10 @@
 inline std::string usageKey(std::int64_t window, const LeaseId& lease) {
   return usageKeyPrefix(window) + lease.str();
 }
+/// @return the key of the row with the newest window to which no counts may be added.
+inline std::string closedUsageKey() {
+  return kUsageStateTable + "/closed";
+}
 /// @return the key, without the table, of one of a job's rows in the tables of results, checkpoints
 /// and bodies. Keys sort in numeric order.
 inline std::string numberedKey(const JobId& id, std::size_t number) {
--- a/src/gateway/usage/usage_reporter.cpp
+++ b/src/gateway/usage/usage_reporter.cpp
@@ -136,7 +136,19 @@
   co_return sum;
 }
 
+Task<bool> usage_reporter::closeWindow(window_number window) {
+  table::Write write;
+  write.transaction.checks.push_back(this->lock_.condition());
+  write.transaction.puts.push_back({table::closedUsageKey(), std::to_string(window)});
+  const auto answer = co_await this->deps_.lock.table.write(std::move(write));
+  const bool closed = answer && answer->committed;
+  if (!closed) LogEvent("usage", "window_not_closed").number("window", window);
+  co_return closed;
+}
+
 Task<void> usage_reporter::commitReport(window_number window) {
+  const bool closed = co_await this->closeWindow(window);
+  if (!closed) co_return;
   const auto sum = co_await this->sumWindow(window);
   if (!sum || !this->progress_ || !this->lock_.mayAct(steadyNow())) co_return;
   const std::string key = table::kUsageTable + "/" + table::kUsageProgress;
--- a/src/gateway/usage/usage_reporter.h
+++ b/src/gateway/usage/usage_reporter.h
@@ -57,7 +57,9 @@
   Task<bool> readProgress();
   /** @return whether the window's rows have had time to arrive, so that it can be summed. */
   bool due(Instant now, window_number window) const;
-  /** Sums a window, stores the report and sends it. */
+  /** Closes a window, after which no counts are added to it. @return whether it is closed. */
+  Task<bool> closeWindow(window_number window);
+  /** Closes and sums a window, stores the report and sends it. */
   Task<void> commitReport(window_number window);
   /** @return the sum of the window's rows; nothing if the store did not respond. */
   Task<std::optional<window_sum>> sumWindow(window_number window);
--- a/src/gateway/usage/usage_writer.cpp
+++ b/src/gateway/usage/usage_writer.cpp
@@ -1,6 +1,7 @@
 #include "gateway/usage/usage_writer.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "common/event_log.h"
 #include "gateway/table/store_keys.h"
@@ -47,7 +48,8 @@
   }
 }
 
-std::vector<usage_writer::written_window> usage_writer::addUnsaved(table::Write& write) {
+std::vector<usage_writer::written_window> usage_writer::addUnsaved(Instant now,
+                                                                   table::Write& write) {
   std::vector<window_number> unsaved = this->counter_.unsaved();
   if (unsaved.size() > kMaxWindowsAtOnce) unsaved.resize(kMaxWindowsAtOnce);
   std::vector<written_window> added;
@@ -58,9 +60,23 @@
     write.transaction.puts.push_back({key, encodeCounts(counts.counts)});
     added.push_back({window, counts.total});
   }
+  const bool check_closed = std::any_of(added.begin(), added.end(), [&](const auto& each) {
+    return this->mayBeClosed(now, each.window);
+  });
+  if (check_closed)
+    write.transaction.checks.push_back({table::closedUsageKey(), this->closed_revision_});
   return added;
 }
 
+bool usage_writer::mayBeClosed(Instant now, window_number window) const {
+  const auto windows = this->deps_.clock.usageWindows();
+  if (!windows) return true;
+  const std::int64_t store_ms = this->deps_.keeper.storeClock(now);
+  const Duration since_end = std::chrono::milliseconds(store_ms - windows->endOf(window));
+  // A write that is answered takes less than the other half.
+  return since_end >= this->options_.settle / 2;
+}
+
 bool usage_writer::addSample(Instant now, table::Write& write) {
   const std::int64_t store_ms = this->deps_.keeper.storeClock(now);
   const bool ever_sampled = this->sampled_at_ != Instant{};
@@ -76,7 +92,7 @@
   const Instant now = steadyNow();
   this->counter_.assign([this](Instant at) { return this->deps_.clock.windowAt(at); });
   table::Write write;
-  const std::vector<written_window> sent = this->addUnsaved(write);
+  const std::vector<written_window> sent = this->addUnsaved(now, write);
   const bool sampled = this->addSample(now, write);
   if (write.transaction.puts.empty()) co_return;
   const auto answer = co_await this->deps_.table.write(write);
@@ -100,9 +116,10 @@
 
 void usage_writer::onWritten(const std::vector<written_window>& written,
                              const table::TransactionAnswer& answer) {
+  const bool closed_changed = !answer.committed && this->readClosedWindow(answer);
   for (const written_window& each : written) {
     if (!answer.committed) {
-      this->onConflict(each, answer);
+      this->onConflict(each, answer, closed_changed);
       continue;
     }
     window_counts& counts = this->counter_.of(each.window);
@@ -111,23 +128,41 @@
   }
 }
 
-void usage_writer::onConflict(const written_window& written,
-                              const table::TransactionAnswer& answer) {
+void usage_writer::onConflict(const written_window& written, const table::TransactionAnswer& answer,
+                              bool closed_changed) {
   window_counts& counts = this->counter_.of(written.window);
   const std::string key = table::usageKey(written.window, this->deps_.leases.own());
   const auto row = std::find_if(answer.conflicts.begin(), answer.conflicts.end(),
                                 [&key](const table::Row& each) { return each.key == key; });
   const bool present = row != answer.conflicts.end();
-  if (!present && counts.revision > 0) {
-    // The row is missing because the window was summed and its rows were removed.
-    const std::uint64_t missed = counts.total - counts.stored;
-    this->total_late_ += missed;
-    counts.stored = counts.total;
-    LogEvent("usage", "counted_too_late")
-        .number("window", written.window)
-        .number("requests", static_cast<std::int64_t>(missed));
+  // Only rows whose check failed are sure to be reported.
+  const bool removed = !present && !closed_changed;
+  if (written.window <= this->closed_through_ || (removed && counts.revision > 0)) {
+    // The row cannot be summed any more, or it is missing because it was summed and removed.
+    this->onWindowMissed(written.window);
   }
-  counts.revision = present ? row->revision : 0;
+  if (present) counts.revision = row->revision;
+  if (removed) counts.revision = 0;
+}
+
+bool usage_writer::readClosedWindow(const table::TransactionAnswer& answer) {
+  const auto row =
+      std::find_if(answer.conflicts.begin(), answer.conflicts.end(),
+                   [](const table::Row& each) { return each.key == table::closedUsageKey(); });
+  if (row == answer.conflicts.end() || row->revision == this->closed_revision_) return false;
+  this->closed_revision_ = row->revision;
+  this->closed_through_ = std::strtoll(row->value.c_str(), nullptr, 10);
+  return true;
+}
+
+void usage_writer::onWindowMissed(window_number window) {
+  window_counts& counts = this->counter_.of(window);
+  const std::uint64_t missed = counts.total - counts.stored;
+  this->total_late_ += missed;
+  counts.stored = counts.total;
+  LogEvent("usage", "counted_too_late")
+      .number("window", window)
+      .number("requests", static_cast<std::int64_t>(missed));
 }
 
 }  // namespace linenpier::usage
--- a/src/gateway/usage/usage_writer.h
+++ b/src/gateway/usage/usage_writer.h
@@ -6,6 +6,10 @@
  * Every daemon keeps one row per window with the total counts of its incarnation. Rows are written
  * soon after a request was counted, so that a crash loses few counts. A daemon that cannot reach
  * the store writes through a peer. The same writes carry samples of the daemon's wall clock.
+ *
+ * The leader closes a window before it sums the window's rows. A write that may come later is
+ * conditional on the row that names the newest closed window, so that counts that are stored too
+ * late to be summed are known to be late.
  */
 
 #include <functional>
@@ -61,20 +65,32 @@
   Task<void> writeLoop();
   Task<void> writeCounts();
   /** Adds the rows of windows with unsaved counts to the write. */
-  std::vector<written_window> addUnsaved(table::Write& write);
+  std::vector<written_window> addUnsaved(Instant now, table::Write& write);
   /** Adds a sample of this daemon's wall clock to the write if one is due. @return whether
    * a sample was added.
    */
   bool addSample(Instant now, table::Write& write);
+  /** @return whether the leader may have closed the window. */
+  bool mayBeClosed(Instant now, window_number window) const;
   void onWritten(const std::vector<written_window>& written,
                  const table::TransactionAnswer& answer);
-  /** Handles a conflict: the store rejected the write because a row's revision has changed. */
-  void onConflict(const written_window& written, const table::TransactionAnswer& answer);
+  /** Handles a conflict: the store rejected the write because a row's revision has changed.
+   * @param closed_changed whether the row with the newest closed window has changed.
+   */
+  void onConflict(const written_window& written, const table::TransactionAnswer& answer,
+                  bool closed_changed);
+  /** Handles the row with the newest closed window in a conflict. @return whether it has changed.
+   */
+  bool readClosedWindow(const table::TransactionAnswer& answer);
+  /** Counts the unsaved requests of a window as late. */
+  void onWindowMissed(window_number window);
 
   dependencies deps_;
   usage_options options_;
   usage_counter counter_;
-  Signal counted_;  ///< Notified when a request was counted.
+  Signal counted_;                    ///< Notified when a request was counted.
+  window_number closed_through_ = 0;  ///< Newest window that is known to be closed.
+  Revision closed_revision_ = 0;      ///< Revision of the row with `closed_through_`; 0: no row.
   Instant sampled_at_{};
   std::uint64_t total_counted_ = 0;
   std::uint64_t total_dropped_ = 0;
