Bound the memory of the bodies of all requests

Cause: each body has a limit, but nothing bounded their sum, and each is copied for each attempt. The settings did not name the memory of the machine.

Why it works: a third of the memory, less what the gateway needs otherwise, is for bodies, since up to three copies of each may exist. A body that does not fit is refused with 503 before it is read, so that its request has not run. One body of the allowed size always fits, and bodies of up to 64 KB are always read.

--- a/src/gateway/http/connection_pool.h
+++ b/src/gateway/http/connection_pool.h
@@ -11,6 +11,7 @@
 
 #include "common/address.h"
 #include "common/task.h"
+#include "gateway/http/body_budget.h"
 #include "gateway/http/http_types.h"
 #include "gateway/http/response_limits.h"
 
@@ -71,7 +72,7 @@
   Duration defaultIdleTimeout() const { return options_.idle_timeout; }
   const ResponseLimits& responseLimits() const { return options_.responses; }
   /// Memory of the bodies that are read from all peers of the pool.
-  ResponseBudget& budget() { return budget_; }
+  BodyBudget& budget() { return budget_; }
   boost::asio::io_context& loop() { return loop_; }
   std::uint64_t opened() const { return opened_; }
 
@@ -88,7 +89,7 @@
 
   boost::asio::io_context& loop_;
   ConnectionPoolOptions options_;
-  ResponseBudget budget_;
+  BodyBudget budget_;
   /// Idle connections by peer, newest last.
   std::map<Address, std::vector<ClientConnectionPtr>> idle_;
   std::map<Address, std::shared_ptr<Probe>> probes_;
--- a/src/gateway/http/response_limits.h
+++ b/src/gateway/http/response_limits.h
@@ -28,23 +28,4 @@
   bool operator==(const ResponseLimits&) const = default;
 };
 
-/// Counts the bytes of all bodies that are being read. Invariant: not above the limit.
-class ResponseBudget {
- public:
-  explicit ResponseBudget(std::size_t limit) : limit_(limit) {}
-
-  /// @return false, without an effect, if the limit would be exceeded.
-  bool reserve(std::size_t bytes) {
-    if (bytes > limit_ - used_) return false;
-    used_ += bytes;
-    return true;
-  }
-  void release(std::size_t bytes) { used_ -= bytes; }
-  std::size_t used() const { return used_; }
-
- private:
-  std::size_t limit_;
-  std::size_t used_ = 0;
-};
-
 }  // namespace linenpier::http
--- a/src/gateway/http/server.cpp
+++ b/src/gateway/http/server.cpp
@@ -1,5 +1,7 @@
 #include "gateway/http/server.h"
 
+#include <algorithm>
+
 #include "gateway/http/server_session.h"
 
 namespace linenpier::http {
@@ -44,6 +46,20 @@
   return {endpoint.address().to_v4().to_uint(), endpoint.port()};
 }
 
+void Server::setLimits(const ServerLimits& limits) {
+  limits_ = limits;
+  updateBodyBudget();
+}
+
+void Server::setBodyMemory(std::size_t bytes) {
+  body_memory_ = bytes;
+  updateBodyBudget();
+}
+
+void Server::updateBodyBudget() {
+  body_budget_.setLimit(std::max<std::size_t>(body_memory_, limits_.max_body_bytes));
+}
+
 void Server::beginDrain() {
   draining_ = true;
 }
--- a/src/gateway/http/server.h
+++ b/src/gateway/http/server.h
@@ -7,12 +7,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <set>
 
 #include "common/address.h"
 #include "common/error.h"
 #include "common/task.h"
+#include "gateway/http/body_budget.h"
 #include "gateway/http/http_types.h"
 
 namespace linenpier::http {
@@ -75,7 +77,10 @@
   std::optional<Finding> listen(const Address& address);
   /// @return the bound address, with the port assigned by the system if port 0 was requested.
   Address address() const;
-  void setLimits(const ServerLimits& limits) { limits_ = limits; }
+  void setLimits(const ServerLimits& limits);
+  /// Sets how many bytes the bodies of all requests in progress may have together. A single request
+  /// may have a body of any allowed size. Requests with further large bodies are refused with 503.
+  void setBodyMemory(std::size_t bytes);
   /// Disables keep-alive, so that each connection closes after its next response.
   void beginDrain();
   /// Stops accepting connections and closes idle ones. Requests in progress continue; their
@@ -89,11 +94,15 @@
  private:
   friend class ServerSession;
   Task<void> acceptLoop();
+  void updateBodyBudget();
 
   boost::asio::io_context& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
   Handler handler_;
   ServerLimits limits_;
+  std::size_t body_memory_ = std::numeric_limits<std::size_t>::max();
+  /// Bodies of requests in progress, without the first `kUncountedBodyBytes` of each.
+  BodyBudget body_budget_{body_memory_};
   std::set<ServerSession*> sessions_;  ///< All open connections.
   /// Number of requests whose first byte has arrived and whose response has not ended.
   std::size_t active_requests_ = 0;
--- a/src/gateway/http/server_session.cpp
+++ b/src/gateway/http/server_session.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <boost/system/error_code.hpp>
 
 namespace linenpier::http {
 
@@ -18,6 +19,10 @@
 namespace {
 
 constexpr Duration kWriteTimeout = std::chrono::seconds(10);
+/// Size of a body that is always read, so that large bodies do not prevent usual requests.
+constexpr std::size_t kUncountedBodyBytes = 64 * 1024;
+/// Large bodies are read and answered within about this time.
+constexpr char kRetryAfterSeconds[] = "1";
 
 beast_http::status statusFor(const boost::system::error_code& error) {
   if (error == beast_http::error::header_limit) {
@@ -42,6 +47,7 @@
 }
 
 ServerSession::~ServerSession() {
+  releaseBody();
   server_.sessions_.erase(this);
 }
 
@@ -124,12 +130,13 @@
   }
   if (!error && !parser.is_done()) {
     const ReadTimeout limit(stream_, server_.limits_.body_timeout);
-    co_await beast_http::async_read(stream_, buffer_, parser,
-                                    asio::redirect_error(asio::use_awaitable, error));
+    error = co_await readBody(parser);
     timed_out = limit.expired();
   }
   if (!error) co_return true;
-  if (timed_out) {
+  if (error == boost::system::errc::not_enough_memory) {
+    co_await reject(beast_http::status::service_unavailable);
+  } else if (timed_out) {
     co_await reject(beast_http::status::request_timeout);
   } else if (isProtocolError(error)) {
     co_await reject(statusFor(error));
@@ -137,8 +144,37 @@
   co_return false;
 }
 
+Task<boost::system::error_code> ServerSession::readBody(Parser& parser) {
+  boost::system::error_code error;
+  const auto announced = parser.content_length();
+  if (announced && !reserveBody(*announced))
+    error = make_error_code(boost::system::errc::not_enough_memory);
+  while (!error && !parser.is_done()) {
+    co_await beast_http::async_read_some(stream_, buffer_, parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+    const bool reserved = reserveBody(parser.get().body().size());
+    if (!error && !reserved) error = make_error_code(boost::system::errc::not_enough_memory);
+  }
+  co_return error;
+}
+
+bool ServerSession::reserveBody(std::uint64_t body_bytes) {
+  if (body_bytes <= kUncountedBodyBytes + reserved_bytes_) return true;
+  const std::size_t more = body_bytes - kUncountedBodyBytes - reserved_bytes_;
+  if (!server_.body_budget_.reserve(more)) return false;
+  reserved_bytes_ += more;
+  return true;
+}
+
+void ServerSession::releaseBody() {
+  server_.body_budget_.release(reserved_bytes_);
+  reserved_bytes_ = 0;
+}
+
 Task<void> ServerSession::reject(beast_http::status status) {
   Response response(status, 11);
+  if (status == beast_http::status::service_unavailable)
+    response.set(beast_http::field::retry_after, kRetryAfterSeconds);
   keep_alive_ = false;
   co_await writeResponse(std::move(response));
   // Read the remaining input before closing; otherwise a TCP reset could discard the response.
@@ -173,6 +209,7 @@
       ++request_number_;
       if (!writer.ended()) keep_alive_ = false;
     }
+    releaseBody();
     --server_.active_requests_;
     in_request_ = false;
     if (!read) break;
--- a/src/gateway/http/server_session.h
+++ b/src/gateway/http/server_session.h
@@ -29,6 +29,11 @@
   Task<bool> waitForRequest();
   /// Reads a complete request. @return false if the connection must be closed.
   Task<bool> readRequest(Parser& parser);
+  /// Reads the body of a request whose header has been read.
+  Task<boost::system::error_code> readBody(Parser& parser);
+  /// Counts the memory of a body of this size. @return false if there is not enough.
+  bool reserveBody(std::uint64_t body_bytes);
+  void releaseBody();
   Task<void> reject(beast_http::status status);
   Task<bool> writeResponse(Response response);
   /// Requests cancellation if the client disconnects while its request is handled.
@@ -42,6 +47,7 @@
   boost::beast::flat_buffer buffer_;
   ResponseWriter* writer_ = nullptr;  ///< Response writer of the request in progress.
   std::uint64_t request_number_ = 0;  ///< Detects notifications for earlier requests.
+  std::size_t reserved_bytes_ = 0;    ///< Bytes of the body that are counted by the server.
   bool in_request_ = false;
   bool closed_ = false;
   bool keep_alive_ = true;
--- a/src/gateway/service/gateway.cpp
+++ b/src/gateway/service/gateway.cpp
@@ -25,6 +25,10 @@
  * so that others take it over without waiting for the lease to expire.
  */
 constexpr Duration kLeaseReleaseTime = std::chrono::seconds(1);
+/** Memory that the gateway needs without the bodies of requests. */
+constexpr std::size_t kBaseMemoryBytes = 40 * 1000 * 1000;
+/** Copies of a request's body: the request itself and two attempts. */
+constexpr std::size_t kBodyCopies = 3;
 /** Bytes of a store row that are reserved for the key and the encoding. */
 constexpr std::size_t kRowOverheadBytes = 1024;
 constexpr unsigned kOk = 200;
@@ -43,6 +47,11 @@
   return options;
 }
 
+/** @return the number of bytes that the bodies of all requests may have together. */
+std::size_t requestBodyMemory(std::size_t memory_bytes) {
+  return (std::max(memory_bytes, kBaseMemoryBytes) - kBaseMemoryBytes) / kBodyCopies;
+}
+
 std::vector<Address> seedPeersWithoutSelf(const GatewaySettings& settings) {
   std::vector<Address> others = settings.seed_peers;
   if (settings.peer_address) std::erase(others, *settings.peer_address);
@@ -155,6 +164,8 @@
       metrics_exporter_(metrics, {operator_feed_, engine_feed_, coordination_feed_, registry_,
                                   cold_engines_, engine_pool, request_server_, keeper_, batches_,
                                   rollouts_, scaling_, usage_, suspects_}) {
+  if (settings.memory_bytes)
+    request_server_.setBodyMemory(requestBodyMemory(*settings.memory_bytes));
   registry_.coldLimiter().onStart(steadyNow());
   registry_.coldLimiter().setLimitOptions(settings.cold);
   registry_.setHeartbeat(settings.engine_heartbeat);
--- a/src/gateway/service/gateway_settings.cpp
+++ b/src/gateway/service/gateway_settings.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 /// Time added to the platform's lock handover pause to allow for differences in clock rate.
+constexpr double kBytesPerMb = 1e6;
 constexpr Duration kHandoverMargin = std::chrono::milliseconds(100);
 /// Time added to job retention to allow for clock differences between readers, submitters and the
 /// store.
@@ -107,6 +108,8 @@
   reader.readNumber("machine.processor_share", processor_share, 0.001, 1024);
   reader.readNumber("machine.cores", cores, 0.001, 1024);
   reader.readNumber("machine.link_mbps", settings.machine.link_mbps, 0.001, 1e7);
+  double memory_mb = 0;
+  reader.readNumber("machine.memory_mb", memory_mb, 0, 1e7);
   reader.readNumber("stop.seconds", stop_seconds, 1, 3600);
   reader.readNumber("orders.pause_ms", order_pause_ms, 0, 600000);
   reader.readChoice("orders.tokens", tokens, {"checked", "unchecked"});
@@ -132,6 +135,7 @@
   settings.id = DaemonId(id);
   settings.zone = ZoneName(zone);
   settings.machine.processors = processor_share * cores;
+  if (memory_mb > 0) settings.memory_bytes = static_cast<std::size_t>(memory_mb * kBytesPerMb);
   settings.max_row_bytes = static_cast<std::size_t>(row_bytes);
   settings.shutdown_timeout = fromSeconds(stop_seconds);
   settings.handover = {fromSeconds(order_pause_ms / 1000) + kHandoverMargin, tokens == "checked"};
--- a/src/gateway/service/gateway_settings.h
+++ b/src/gateway/service/gateway_settings.h
@@ -39,6 +39,8 @@
   usage::usage_options usage;
   scaling::scaling_options scaling;
   lease::machine_limits machine;
+  /// Memory of the machine; absent: unknown, then request bodies are not limited by it.
+  std::optional<std::size_t> memory_bytes;
   /// Maximum size of the value of a store row.
   std::size_t max_row_bytes = 65536;
   /// Maximum time from the stop signal to process exit.
