Skip the bodies of responses in one function

ClientExchange::skipStaleBody and discardBody had the same loop and limit. Both now use skipBody; what follows the body differs and stays with the callers. The tests of endless responses (14) and of forwarding (14) pass unchanged.

--- a/src/gateway/http/client_exchange.cpp
+++ b/src/gateway/http/client_exchange.cpp
@@ -98,8 +98,10 @@
       co_return ExchangeStatus::kOk;
     }
     stale_response_seen_ = true;
-    const ExchangeStatus skipped = co_await skipStaleBody(deadline);
+    const ExchangeStatus skipped = co_await skipBody(deadline);
     if (skipped != ExchangeStatus::kOk) co_return skipped;
+    // If the end of the connection delimits the body, no further response can follow.
+    if (parser_->need_eof()) co_return ExchangeStatus::kBroken;
   }
   abort();
   co_return ExchangeStatus::kBroken;
@@ -132,7 +134,7 @@
   co_return cutOff("informational", static_cast<std::size_t>(max_informational));
 }
 
-Task<ExchangeStatus> ClientExchange::skipStaleBody(Instant deadline) {
+Task<ExchangeStatus> ClientExchange::skipBody(Instant deadline) {
   const std::size_t limit = pool_.responseLimits().max_discarded_bytes;
   std::string ignored;
   std::size_t skipped = 0;
@@ -143,8 +145,7 @@
     if (skipped > limit) co_return cutOff("discarded", limit);
     ignored.clear();
   }
-  // If the end of the connection delimits the body, no further response can follow.
-  co_return parser_->need_eof() ? ExchangeStatus::kBroken : ExchangeStatus::kOk;
+  co_return ExchangeStatus::kOk;
 }
 
 Task<ExchangeStatus> ClientExchange::readBodyChunk(std::string& out, Instant deadline) {
@@ -189,17 +190,10 @@
 
 Task<ExchangeStatus> ClientExchange::discardBody(Instant deadline) {
   const auto self = shared_from_this();
-  const std::size_t limit = pool_.responseLimits().max_discarded_bytes;
-  std::string ignored;
-  std::size_t discarded = 0;
-  while (!complete_) {
-    const ExchangeStatus status = co_await readSome(ignored, deadline);
-    if (status != ExchangeStatus::kOk) co_return status;
-    discarded += ignored.size();
-    if (discarded > limit) co_return cutOff("discarded", limit);
-    ignored.clear();
-  }
-  co_return ExchangeStatus::kOk;
+  if (complete_) co_return ExchangeStatus::kOk;
+  const ExchangeStatus status = co_await skipBody(deadline);
+  if (status == ExchangeStatus::kOk) finish();
+  co_return status;
 }
 
 bool ClientExchange::reserveBody(std::size_t body_bytes) {
--- a/src/gateway/http/client_exchange.h
+++ b/src/gateway/http/client_exchange.h
@@ -78,7 +78,8 @@
 
   void beginWrite();
   Task<ExchangeStatus> readHead(Instant deadline);
-  Task<ExchangeStatus> skipStaleBody(Instant deadline);
+  /// Reads the rest of the body of any response without keeping it.
+  Task<ExchangeStatus> skipBody(Instant deadline);
   Task<ExchangeStatus> readBodyChunk(std::string& out, Instant deadline);
   ExchangeStatus toStatus(const boost::system::error_code& error);
   /// Closes the connection of a response that exceeds a limit, and logs the limit.
