--- a/src/gateway/lease/leader_lock.cpp
+++ b/src/gateway/lease/leader_lock.cpp
@@ -217,8 +217,12 @@
 
 Task<void> leader_lock::releaseLoop() {
   while (this->acquiring_ || this->held()) {
-    if (this->held()) co_await this->release();
-    if (this->acquiring_ || this->held()) co_await sleepFor(this->deps_.loop, kReleaseBackoff);
+    if (this->held()) {
+      co_await this->release();
+    }
+    if (this->acquiring_ || this->held()) {
+      co_await sleepFor(this->deps_.loop, kReleaseBackoff);
+    }
   }
   this->releasing_ = false;
 }
