Let the soak stop gateways with connections in use

Clients now keep connections to each gateway, without a proxy in between, and use them until the process is gone, with streams that begin before a stop and with requests that outlast it. Stops come while the store is silent or the log is not read, with further signals, reloads and other stops during them.

--- a/tests/soak/soak_checker.cpp
+++ b/tests/soak/soak_checker.cpp
@@ -35,6 +35,10 @@
       return "named_engine";
     case Guarantee::kRecovers:
       return "served_again";
+    case Guarantee::kClosesInTime:
+      return "closes_in_time";
+    case Guarantee::kResponds:
+      return "responds";
   }
   return "unknown";
 }
@@ -73,6 +77,17 @@
   if (!matches) this->report(Guarantee::kMatchingResponse, request + " got \"" + body + "\"");
 }
 
+void soak_checker::onLateResponse(const std::string& request, std::size_t gateway,
+                                  double seconds_after_stop) {
+  this->report(Guarantee::kClosesInTime, request + ", sent " + std::to_string(seconds_after_stop) +
+                                             " s after the stop of g" + std::to_string(gateway) +
+                                             ", got a response");
+}
+
+void soak_checker::onConnectionEnded(const std::string& request, std::size_t gateway) {
+  this->ended_connections_[request] = gateway;
+}
+
 void soak_checker::onJobSent(const std::string& job, const std::vector<std::string>& items) {
   this->jobs_[job].items = items;
 }
@@ -136,6 +151,10 @@
 }
 
 void soak_checker::finish() {
+  for (const auto& [request, gateway] : this->ended_connections_) {
+    if (this->runsOf(request) > 0)
+      this->report(Guarantee::kResponds, request + " was cut off by g" + std::to_string(gateway));
+  }
   if (this->crashes_ > kMaxCrashes) {
     this->report(Guarantee::kFewCrashes, std::to_string(this->crashes_) + " engines ended");
   }
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -22,6 +22,8 @@
   kFewCrashes,             ///< A request that crashes engines crashes only a few of them.
   kRegisteredEnginesOnly,  ///< No request is sent to an address from a malformed entry.
   kRecovers,               ///< Requests are served again some time after the last fault.
+  kResponds,               ///< A request that was run gets a response unless a process is killed.
+  kClosesInTime,           ///< A stopping gateway accepts no request on connections from before.
 };
 
 const char* toText(Guarantee guarantee);
@@ -52,6 +54,11 @@
   void onResponse(const std::string& request, unsigned status, const std::string& signature,
                   const std::string& body);
 
+  /** A gateway responded on a connection from before it was told to stop. */
+  void onLateResponse(const std::string& request, std::size_t gateway, double seconds_after_stop);
+  /** The connection of a request ended without a response, although no process was killed. */
+  void onConnectionEnded(const std::string& request, std::size_t gateway);
+
   // Events at trainers.
   void onJobSent(const std::string& job, const std::vector<std::string>& items);
   void onJobAccepted(const std::string& job) { this->jobs_.at(job).accepted = true; }
@@ -98,6 +105,7 @@
   std::map<std::string, request> requests_;
   std::map<std::string, std::vector<std::uint64_t>> runs_;  ///< Versions, by request or item.
   std::map<std::string, job> jobs_;
+  std::map<std::string, std::size_t> ended_connections_;  ///< Gateways, by request.
   std::size_t crashes_ = 0;
   std::size_t items_ = 0;  ///< Number of distinct positions read.
   std::vector<std::string> violations_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -22,6 +22,13 @@
 constexpr std::size_t kFailedReleases = 100;
 /// Responses without end from an engine, some of them at one time.
 constexpr int kEndlessResponses = 12;
+/// Time between events during a stop: twelve of them last longer than the idle connections.
+constexpr Duration kStopEventInterval = std::chrono::milliseconds(350);
+constexpr Duration kTimeBeforeStop = std::chrono::milliseconds(600);
+/// For how long the store is silent around a stop: until about the end of the process.
+constexpr Duration kStopSilence = std::chrono::seconds(7);
+/// Longest duration of a stop with its faults.
+constexpr Duration kStopFault = std::chrono::seconds(8);
 /// Longest wait for an owner to append results.
 constexpr Duration kAppendWait = std::chrono::seconds(2);
 /// A split whose first service has no engine, as JSON fields of a route.
@@ -38,13 +45,15 @@
     : world_(world),
       random_(world.options.seed),
       phase_random_(world.options.seed + 3),
-      configuration_random_(world.options.seed + 4) {}
+      configuration_random_(world.options.seed + 4),
+      stop_random_(world.options.seed + 5) {}
 
 void soak_faults::start() {
   this->end_ = steadyNow() + this->world_.options.length;
   spawn(this->world_.loop, [this] { return this->faultLoop(); });
   spawn(this->world_.loop, [this] { return this->phaseLoop(); });
   spawn(this->world_.loop, [this] { return this->configurationLoop(); });
+  spawn(this->world_.loop, [this] { return this->stopLoop(); });
 }
 
 Task<void> soak_faults::faultLoop() {
@@ -90,28 +99,30 @@
 
 Task<void> soak_faults::injectProcessFault() {
   const std::size_t gateway = this->random_.below(this->world_.gateways.size());
-  const std::string index = std::to_string(gateway);
   switch (this->random_.below(4)) {
     case 0:
-      this->world_.print("signal KILL " + index);
+      this->world_.sendSignal("KILL", gateway);
       co_return;
     case 1:
-      this->world_.print("signal TERM " + index);
+      this->world_.sendSignal("TERM", gateway);
       co_return;
-    case 2: {
-      gateway_links& links = this->world_.gateways.at(gateway);
-      links.use_other_store = !links.use_other_store;
-      this->world_.writeSettings(gateway);
-      this->world_.print("signal HUP " + index);
+    case 2:
+      this->changeStore(gateway);
       co_return;
-    }
     default:
       break;
   }
-  this->world_.print("signal STOP " + index);
+  this->world_.sendSignal("STOP", gateway);
   const auto duration = std::chrono::milliseconds(500 + this->random_.below(3000));
   co_await sleepFor(this->world_.loop, duration);
-  this->world_.print("signal CONT " + index);
+  this->world_.sendSignal("CONT", gateway);
+}
+
+void soak_faults::changeStore(std::size_t gateway) {
+  gateway_links& links = this->world_.gateways.at(gateway);
+  links.use_other_store = !links.use_other_store;
+  this->world_.writeSettings(gateway);
+  this->world_.sendSignal("HUP", gateway);
 }
 
 Task<void> soak_faults::injectStoreFault() {
@@ -138,7 +149,7 @@
   const auto duration = std::chrono::milliseconds(500 + this->random_.below(2500));
   co_await sleepFor(this->world_.loop, duration);
   faults.refuse = false;
-  faults.silent = false;
+  faults.silent = steadyNow() < this->silent_until_;
   faults.hang_feeds = false;
 }
 
@@ -231,9 +242,58 @@
 }
 
 void soak_faults::setEventInterval(Duration interval) {
+  if (steadyNow() < this->slow_until_) interval = kStopEventInterval;
   for (auto& each : this->world_.model_engines) each->setEventGap(interval);
 }
 
+// --- Stops --------------------------------------------------------------------------------------
+
+Task<void> soak_faults::stopLoop() {
+  for (;;) {
+    co_await sleepFor(this->world_.loop, milliseconds(500 + this->stop_random_.below(2500)));
+    if (steadyNow() + kStopFault > this->end_) co_return;
+    ++this->faults_;
+    co_await this->injectStop();
+  }
+}
+
+Task<void> soak_faults::injectStop() {
+  test::StoreFaults& store = this->world_.store.faults();
+  const std::size_t gateway = this->stop_random_.below(this->world_.gateways.size());
+  const bool silent = this->stop_random_.below(4) > 0;
+  const bool log_blocked = this->stop_random_.below(2) == 0;
+  const std::string log = "log " + std::to_string(gateway);
+  if (log_blocked) this->world_.print(log + " blocked");
+  // Streams last longer than a stopping gateway keeps its idle connections.
+  this->slow_until_ = steadyNow() + kTimeBeforeStop + kStopSilence;
+  this->setEventInterval(kStopEventInterval);
+  co_await sleepFor(this->world_.loop, kTimeBeforeStop);
+  this->silent_until_ = steadyNow() + (silent ? kStopSilence : Duration::zero());
+  store.silent = silent;
+  co_await sleepFor(this->world_.loop, milliseconds(this->stop_random_.below(200)));
+  this->world_.sendSignal("TERM", gateway);
+  spawn(this->world_.loop, [this, gateway] { return this->repeatSignals(gateway); });
+  if (this->stop_random_.below(3) == 0) {
+    this->world_.sendSignal("TERM", this->stop_random_.below(this->world_.gateways.size()));
+  }
+  co_await sleepFor(this->world_.loop, kStopSilence);
+  store.silent = false;
+  this->setEventInterval(kEventInterval);
+  if (log_blocked) this->world_.print(log + " read");
+}
+
+Task<void> soak_faults::repeatSignals(std::size_t gateway) {
+  const std::uint64_t count = this->stop_random_.below(3);
+  for (std::uint64_t i = 0; i < count; ++i) {
+    co_await sleepFor(this->world_.loop, milliseconds(this->stop_random_.below(2000)));
+    if (this->stop_random_.below(2) == 0) {
+      this->world_.sendSignal("TERM", gateway);
+    } else {
+      this->changeStore(gateway);
+    }
+  }
+}
+
 // --- Overload phases ----------------------------------------------------------------------------
 
 Task<void> soak_faults::phaseLoop() {
@@ -276,7 +336,7 @@
   const Duration pause = (until - steadyNow()) / static_cast<int>(order.size() + 1);
   for (const std::size_t gateway : order) {
     co_await sleepFor(this->world_.loop, pause);
-    this->world_.print("signal TERM " + std::to_string(gateway));
+    this->world_.sendSignal("TERM", gateway);
   }
 }
 
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -23,11 +23,20 @@
   Task<void> faultLoop();
   Task<void> injectLinkFault();
   Task<void> injectProcessFault();
+  /** Connects the gateway to the other address of the store, and reloads its settings. */
+  void changeStore(std::size_t gateway);
   Task<void> injectStoreFault();
   Task<void> injectEngineFault();
   void sendWithoutEnd(test::StandinSampler& engine);
   Task<void> phaseLoop();
   test::StoreOverload drawOverload();
+  /** Stops gateways while the store is silent or their logs are not read, with streams under way
+   * and further signals during the stop.
+   */
+  Task<void> stopLoop();
+  Task<void> injectStop();
+  /** Sends some more signals to a gateway that is stopping. */
+  Task<void> repeatSignals(std::size_t gateway);
   /** Restarts each gateway with SIGTERM, one after the other. */
   Task<void> restartInTurn(Instant until);
   /** Resets or refuses the store's connections of some gateways. */
@@ -51,8 +60,11 @@
   Random random_;
   Random phase_random_;
   Random configuration_random_;
+  Random stop_random_;
   job_routing routing_;
-  Instant end_{};  ///< No fault starts later.
+  Instant end_{};           ///< No fault starts later.
+  Instant slow_until_{};    ///< Until when events are slow because of a stop.
+  Instant silent_until_{};  ///< Until when the store is silent because of a stop.
   std::size_t faults_ = 0;
 };
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -24,7 +24,11 @@
 }  // namespace
 
 soak_run::soak_run(boost::asio::io_context& loop, const soak_options& options, std::ostream& out)
-    : world_(loop, options, out), fatal_random_(options.seed + 2), jobs_(world_), faults_(world_) {}
+    : world_(loop, options, out),
+      fatal_random_(options.seed + 2),
+      jobs_(world_),
+      connections_(world_),
+      faults_(world_) {}
 
 void soak_run::start() {
   this->world_.makeEngines();
@@ -40,6 +44,7 @@
   spawn(this->world_.loop, [this] { return this->callLoop(); });
   spawn(this->world_.loop, [this] { return this->fatalLoop(); });
   this->jobs_.start();
+  this->connections_.start();
   spawn(this->world_.loop, [this] { return this->versionLoop(); });
   spawn(this->world_.loop, [this] { return this->engineEntryLoop(); });
   spawn(this->world_.loop, [this] { return this->malformedEntryLoop(); });
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -9,6 +9,7 @@
 #include <ostream>
 #include <string>
 
+#include "soak/soak_connections.h"
 #include "soak/soak_faults.h"
 #include "soak/soak_jobs.h"
 #include "soak/soak_world.h"
@@ -54,6 +55,7 @@
   soak_world world_;
   Random fatal_random_;  ///< Selects the gateways that get the fatal request.
   soak_jobs jobs_;
+  soak_connections connections_;
   soak_faults faults_;
   std::size_t succeeded_ = 0;  ///< Successful requests since the last reset of the counters.
   std::size_t sent_ = 0;
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int kEvents = 12;
+/// Longer than a stop goes on after idle connections are closed.
+constexpr Duration kSlowResponse = std::chrono::seconds(5);
 constexpr Duration kRestartDelay = std::chrono::milliseconds(600);
 /// The listening ports of gateways, engines and proxies, which all stop listening for a time. Below
 /// the range of outgoing connections, so that nobody else is given such a port in the meantime.
@@ -56,6 +58,15 @@
   this->out << line << std::endl;
 }
 
+void soak_world::sendSignal(const std::string& name, std::size_t gateway) {
+  gateway_links& links = this->gateways.at(gateway);
+  const Instant now = steadyNow();
+  if (name == "KILL") links.killed_at = now;
+  if (name == "TERM") links.stops.push_back(now);
+  if (name == "STOP") links.frozen_at = now;
+  this->print("signal " + name + " " + std::to_string(gateway));
+}
+
 void soak_world::makeEngines() {
   for (int i = 0; i < 2; ++i)
     this->addEngine(this->lookup_engines, "desk-" + std::to_string(i), "desk", 0);
@@ -73,6 +84,7 @@
   test::StandinSampler& engine = *engines.back();
   engine.setEventGap(kEventInterval);
   engine.setZone(zoneOf(engines.size()));
+  engine.setSlow("/slow/", kSlowResponse);
   this->engine_links.push_back(
       std::make_unique<fault_proxy>(this->loop, engine.address(), unusedPort(this->loop)));
   engine.setListedAddress(this->engine_links.back()->address());
@@ -117,6 +129,11 @@
          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
         {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent",
          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
+        {"name":"slow","host":"h.example","pathPrefix":"/slow/","kind":"non_idempotent",
+         "timeoutMs":9000,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
+        {"name":"talk","host":"h.example","pathPrefix":"/talk/","kind":"streaming",
+         "timeoutMs":6000,"targetLatencyMs":400,"service":"models","maxAttempts":3,
+         "resumable":true},
         {"name":"jobs","host":"h.example","pathPrefix":"/jobs/","kind":"rollout",
          "timeoutMs":5000,"targetLatencyMs":400,"targetFinishMs":7500,"maxQueueS":60,
          "maxAttempts":3,"resumable":true,"allowedRegions":[)" +
@@ -137,6 +154,7 @@
   for (std::size_t i = 0; i < this->options.gateways; ++i) {
     const Address front{0x7f000001, unusedPort(this->loop)};
     gateway_links links;
+    links.front_address = front;
     links.front = std::make_unique<fault_proxy>(this->loop, front, unusedPort(this->loop));
     links.store =
         std::make_unique<fault_proxy>(this->loop, this->store.address(), unusedPort(this->loop));
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -40,10 +40,14 @@
 /** Proxies on a gateway's links. */
 struct gateway_links {
   std::unique_ptr<fault_proxy> front;
+  Address front_address;  ///< The gateway's own address, without the proxy.
   std::unique_ptr<fault_proxy> store;
   std::unique_ptr<fault_proxy> other_store;  ///< Another address of the store.
   std::string fixed_settings;                ///< Settings that stay the same.
   bool use_other_store = false;
+  Instant killed_at{};         ///< When the process was last killed.
+  Instant frozen_at{};         ///< When the process was last suspended.
+  std::vector<Instant> stops;  ///< When the process was told to stop.
 };
 
 /** @return the zone of a gateway or engine, by its number: "z" in region "near", "y" in "far". */
@@ -74,6 +78,8 @@
   /** Passes the requests that the engines ran to the checker. */
   void recordRuns();
   void print(const std::string& line);
+  /** Lets `scripts/soak` send a signal, such as "TERM", to the process of a gateway. */
+  void sendSignal(const std::string& name, std::size_t gateway);
 
   boost::asio::io_context& loop;
   soak_options options;
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -288,6 +288,8 @@
   switch (act) {
     case SamplerAct::kAnswer:
       if (events_ > 0) co_return co_await stream(connection, arrival, false);
+      if (!slow_path_.empty() && arrival.target.starts_with(slow_path_))
+        co_await sleepFor(loop_, slow_delay_);
       bytes = makeResponse(id, 200, signature, body);
       break;
     case SamplerAct::kShed:
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -106,6 +106,11 @@
   /// While busy it refuses orders.
   void setBusy(bool busy) { busy_ = busy; }
   void setEventGap(Duration gap) { event_gap_ = gap; }
+  /// Delays the responses to requests whose path starts with `path`.
+  void setSlow(const std::string& path, Duration delay) {
+    slow_path_ = path;
+    slow_delay_ = delay;
+  }
   void setViolation(SamplerViolation violation) { violation_ = violation; }
   /// Sets the status of kSignedRefusal.
   void setRefusalStatus(unsigned status) { refusal_status_ = status; }
@@ -158,6 +163,8 @@
   int events_;
   std::string zone_ = "z";
   Duration event_gap_ = std::chrono::milliseconds(5);
+  std::string slow_path_;  ///< Empty: no response is delayed.
+  Duration slow_delay_{};
   Duration cold_for_{};
   std::deque<SamplerAct> script_;
   SamplerViolation violation_ = SamplerViolation::kNone;
