--- a/tests/soak/soak_checker_test.cpp
+++ b/tests/soak/soak_checker_test.cpp
@@ -79,8 +79,8 @@
   cr_assert(checker.violations().front().starts_with("once"));
 }
 
-// Guards against a check that overlooks a request that a stop cuts off, or that blames a gateway for
-// a request that it never sent to an engine.
+// Guards against a check that overlooks a request that a stop cuts off, or that blames a gateway
+// for a request that it never sent to an engine.
 Test(soak_checker, a_request_that_ran_must_get_a_response) {
   soak_checker checker(kEvents);
   checker.onSent("r", true);
