Review case 5: an item's path smuggles a request of another tenant

Found by reading itemRequest: path and headers of an item are written into the request to the sampler unchecked.

--- a/review/world2.py
+++ b/review/world2.py
@@ -72,7 +72,7 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-REASONS = {200: "OK", 202: "Accepted", 404: "Not Found", 409: "Conflict", 410: "Gone",
+REASONS = {200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone",
            412: "Precondition Failed", 421: "Misdirected Request", 429: "Too Many Requests",
            500: "Internal Server Error", 503: "Service Unavailable", 507: "Insufficient Storage"}
 
@@ -265,6 +265,7 @@
                       "state": "ready", "coldRemainingMs": 0, "seq": 0, "stage": "both"}
         self.model, self.text, self.slots = model, text, slots
         self.weights, self.orders, self.running = 1, 0, 0
+        self.ran = []  # (Request-Id, Tenant-Id) of each request that was run.
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, 0, limit=64 * 1024 * 1024)
@@ -292,8 +293,11 @@
             writer.close()
 
     async def answer(self, start, fields, body, writer):
-        method, target, _ = start.split()
         echo = {"Instance-Load": f"{self.running},0,{self.slots}"}
+        if not re.fullmatch(r"[A-Z]+ \S+ HTTP/1\.1", start):
+            self.record("sampler", self.name, "gets bytes that are no request:", repr(start))
+            return writer.write(response(400, dict(echo, **{"Not-Executed": "1"})))
+        method, target, _ = start.split()
         if "request-id" in fields:
             echo["Request-Id"] = fields["request-id"]
         if fields.get("target-instance", self.name) != self.name:
@@ -320,7 +324,9 @@
     async def run(self, target, fields, body, echo, writer):
         name = fields["request-id"]
         self.record("sampler", self.name, "runs", name, "from event",
-                    int(fields.get("last-event-id", 0)) + 1)
+                    int(fields.get("last-event-id", 0)) + 1,
+                    "for tenant " + fields["tenant-id"] if "tenant-id" in fields else "")
+        self.ran.append((name, fields.get("tenant-id")))
         await asyncio.sleep(self.step)
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked",
                 "Response-Signature: " + signature(name), f"Weight-Versions: {self.weights}"]
