--- a/review/world2.py
+++ b/review/world2.py
@@ -178,7 +178,7 @@
         return response(status, {"Content-Type": "application/json"}, json.dumps(document).encode())
 
     async def transact(self, document):
-        await asyncio.sleep(self.answer + self.tx)
+        await asyncio.sleep(self.tx)
         expected = document.get("expected", [])
         of = lambda row: (row["table"], row.get("part", ""), row["key"])
         if any(self.rows.get(of(row), (None, 0))[1] != row["ver"] for row in expected):
@@ -232,7 +232,7 @@
 
     async def object_call(self, method, path, asked, fields, body):
         kind, _, name = path.removeprefix("/linenpier/blob-").partition("/")
-        await asyncio.sleep(self.answer + self.blob)
+        await asyncio.sleep(self.blob)
         moved = len(body) if kind == "put" else len(self.blobs.get(name, b"")) if kind == "get" else 0
         async with self.blob_line:
             await asyncio.sleep(moved / self.blob_bytes_per_s)
