--- a/review/world2.py
+++ b/review/world2.py
@@ -394,19 +394,20 @@
           "statusS": 120, "cancelMs": 3000, "settleMs": 1000, "leaseMs": 3000,
           "fencingRequired": True}
 
+LIMITS = {"cpuShare": 0.5, "cores": 1, "memoryMb": 310, "linkMbps": 1000.0}
+
 
 class Gateway:
     """One process of the deploy file's role, with the settings that the platform fills in."""
 
-    def __init__(self, record, folder, store, node, zone, seeds=(), bounds=None):
+    def __init__(self, record, folder, store, node, zone, seeds=(), limits=None):
         self.record, self.node, self.process = record, node, None
         self.front, self.ready, self.control = free_port(), free_port(), free_port()
         fields = {"node": node, "zone": zone, "zones": {zone: "region-1"}, "ip": HOST,
                   "listen": {"front": f"{HOST}:{self.front}", "ready": f"{HOST}:{self.ready}",
                              "control": f"{HOST}:{self.control}"},
                   "seeds": list(seeds), "heartbeatMs": 1200,
-                  "limits": {"cpuShare": 0.5, "cores": 1, "memoryMb": 310, "linkMbps": 1000.0},
-                  "bounds": dict(BOUNDS, **(bounds or {})),
+                  "limits": dict(LIMITS, **(limits or {})), "bounds": BOUNDS,
                   "provider": {"address": f"{HOST}:{store.address[1]}", "row_bytes": 65536}}
         with open(os.path.join(ROOT, "deploy", "gateway.toml.template"), encoding="utf-8") as file:
             text = fill(file.read(), fields)
