HTTP client: a status outside 100 to 599 is no response

What callers saw: an engine in trouble answered with status 000, and the caller got `HTTP/1.1 000` with the engine's signature as an answer; so with 099, 600 and 999.

Cause: the parser of the HTTP library accepts any three digits, and no code of ours asked whether HTTP defines the status. What followed differed from reader to reader: 000 is below 300, so that a stream and the run of an item were read from it; a store's write with it counted as rejected, a report of usage as refused and an order as rejected, though all of them may have been executed; a `Not-Executed` beside it was believed and the caller got a 503.

Change: `ClientExchange::readHead`, through which all responses are read, rejects such a status like any other malformed response: the connection is closed, `http.malformed` names the problem, the call is broken and its outcome unknown.

Why it works: every reader gets a response from `readHead` or none; what is no response is the case that all of them already treat as "may have run".

--- a/src/gateway/http/client_exchange.cpp
+++ b/src/gateway/http/client_exchange.cpp
@@ -36,6 +36,12 @@
   return std::max<Duration>(seconds - kIdleTimeoutMargin, Duration::zero());
 }
 
+/// The parser accepts any three digits. @return whether HTTP defines the class of the status
+/// (RFC 9110, 15).
+bool isDefinedStatus(unsigned status) {
+  return status >= 100 && status <= 599;
+}
+
 /// Closes the connection immediately, even during a write.
 void close(ClientConnection& connection) {
   boost::system::error_code ignored;
@@ -129,6 +135,7 @@
     co_await beast_http::async_read_header(connection->stream, connection->buffer, *parser_,
                                            asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return toStatus(error);
+    if (!isDefinedStatus(status())) co_return rejectMalformed("status");
     if (status() / 100 != 1) co_return ExchangeStatus::kOk;
   }
   co_return cutOff("informational", static_cast<std::size_t>(max_informational));
@@ -224,6 +231,12 @@
   return ExchangeStatus::kOverLimit;
 }
 
+ExchangeStatus ClientExchange::rejectMalformed(const char* problem) {
+  logging::LogEvent("http", "malformed").text("peer", toString(peer_)).text("problem", problem);
+  abort();
+  return ExchangeStatus::kBroken;
+}
+
 void ClientExchange::finish() {
   complete_ = true;
   const ClientConnectionPtr connection = std::move(connection_);
--- a/src/gateway/http/client_exchange.h
+++ b/src/gateway/http/client_exchange.h
@@ -40,6 +40,9 @@
 /// Invariant: what an exchange keeps in memory is limited by the pool's `ResponseLimits`, however
 /// much the peer sends.
 ///
+/// Invariant: a response that was read is valid HTTP. Nothing in any other one is relied on, such
+/// as a field that says that the request was not executed.
+///
 /// Invariant: the connection returns to the pool only if the request was written and the response
 /// read completely, the buffer is empty and both sides allow keep-alive.
 class ClientExchange : public std::enable_shared_from_this<ClientExchange> {
@@ -84,6 +87,8 @@
   ExchangeStatus toStatus(const boost::system::error_code& error);
   /// Closes the connection of a response that exceeds a limit, and logs the limit.
   ExchangeStatus cutOff(const char* bound, std::size_t limit);
+  /// Closes the connection of a response that is not valid HTTP, and logs what is wrong with it.
+  ExchangeStatus rejectMalformed(const char* problem);
   /// Counts the kept body against the pool's budget. @return whether it may be kept.
   bool reserveBody(std::size_t body_bytes);
   void finish();
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -332,6 +332,10 @@
     case SamplerAct::kUnsigned:
       bytes = makeResponse(id, 200, "", body);
       break;
+    case SamplerAct::kRaw:
+      bytes = raw_response_(id);
+      keep_open = false;
+      break;
     case SamplerAct::kClose:
       co_return false;
     case SamplerAct::kEndless:
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -37,6 +37,7 @@
   kClose,      ///< Closes without a response.
   kSilent,     ///< Never responds.
   kEndless,    ///< A response without end; see `EndlessPart`.
+  kRaw,        ///< The bytes of `setRawResponse`; then closes the connection.
 };
 
 /// The part of a response that kEndless sends until the caller closes the connection.
@@ -116,6 +117,10 @@
   void setRefusalStatus(unsigned status) { refusal_status_ = status; }
   /// Sets the endless part of kEndless.
   void setEndlessPart(EndlessPart part) { endless_part_ = part; }
+  /// Sets the bytes of kRaw, by the id of the request.
+  void setRawResponse(std::function<std::string(const std::string& id)> response) {
+    raw_response_ = std::move(response);
+  }
   /// @return the largest number of bytes of an endless response that were sent before the caller
   /// closed the connection.
   std::size_t longestEndlessResponse() const { return longest_endless_; }
@@ -171,6 +176,7 @@
   unsigned refusal_status_ = 503;
   EndlessPart endless_part_ = EndlessPart::kChunkedBody;
   std::size_t longest_endless_ = 0;
+  std::function<std::string(const std::string&)> raw_response_;
   std::optional<Address> listed_address_;
   std::vector<SamplerArrival> arrivals_;
   std::vector<std::string> orders_;
