HTTP client: a body that a reset cuts during the upload is not complete

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a whole 200, with a Content-Length of the part.

Cause: an exchange writes and reads at the same time. The kernel reports a reset once, to whichever operation comes first. If that is the write, the read then sees the end of the connection like an end in order, and for a body without a length this end means that the body is complete. The error of the write only decided whether the connection could be used again.

Change: the exchange keeps how the write ended. Where the end of the connection delimits a body, it is complete only if the write did not fail and, while the write is still under way, if the connection is still open towards the peer (a reset closes both directions, an end in order one). Otherwise the call is broken, with a log line.

Evidence, x86-64: `broken_responses::a_body_without_length_cut_by_a_reset_of_the_upload_is_not_forwarded` sends eight uploads of 12 MB, half of them answered with 500; on the code before, 8 of 8 came through as whole answers; with the change none. The test beside it, an engine that ends such an answer in order and goes on reading, passes before and after: 4 of 4 answers whole. `endless_responses` (14) and `forwarding` (14) pass.

Why it works: with a write that ended well the read gets the error itself; with a failed write the end is not trusted; with a pending one the socket tells which end it was. All readers of responses get their bodies through `readBodyChunk`, those that only discard them too.

--- a/src/gateway/http/client_exchange.cpp
+++ b/src/gateway/http/client_exchange.cpp
@@ -1,5 +1,7 @@
 #include "gateway/http/client_exchange.h"
 
+#include <poll.h>
+
 #include <array>
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
@@ -42,6 +44,14 @@
   return status >= 100 && status <= 599;
 }
 
+/// @return whether the direction to the peer is open. A reset closes both directions, an end in
+/// order only the one from the peer.
+bool canSend(ClientConnection& connection) {
+  pollfd socket{connection.stream.socket().native_handle(), 0, 0};
+  const int ready = ::poll(&socket, 1, 0);
+  return ready == 0 || (ready > 0 && (socket.revents & (POLLHUP | POLLERR)) == 0);
+}
+
 /// Closes the connection immediately, even during a write.
 void close(ClientConnection& connection) {
   boost::system::error_code ignored;
@@ -115,10 +125,11 @@
 
 void ClientExchange::beginWrite() {
   sent_ = true;
-  beast_http::async_write(
-      connection_->stream, request_,
-      [self = shared_from_this(), connection = connection_](
-          const boost::system::error_code& error, std::size_t) { self->write_done_ = !error; });
+  beast_http::async_write(connection_->stream, request_,
+                          [self = shared_from_this(), connection = connection_](
+                              const boost::system::error_code& error, std::size_t) {
+                            self->write_state_ = error ? WriteState::kFailed : WriteState::kDone;
+                          });
 }
 
 Task<ExchangeStatus> ClientExchange::readHead(Instant deadline) {
@@ -169,7 +180,10 @@
                                        asio::redirect_error(asio::use_awaitable, error));
   out.resize(before + kReadChunkBytes - parser_->get().body().size);
   if (error == beast_http::error::need_buffer) error = {};
-  co_return error ? toStatus(error) : ExchangeStatus::kOk;
+  if (error) co_return toStatus(error);
+  const bool ended_by_close = parser_->is_done() && parser_->need_eof();
+  if (ended_by_close && !endedInOrder(*connection)) co_return rejectMalformed("reset");
+  co_return ExchangeStatus::kOk;
 }
 
 Task<ExchangeStatus> ClientExchange::readSome(std::string& out, Instant deadline) {
@@ -222,6 +236,18 @@
   return ExchangeStatus::kBroken;
 }
 
+bool ClientExchange::endedInOrder(ClientConnection& connection) const {
+  switch (write_state_) {
+    case WriteState::kDone:
+      return true;
+    case WriteState::kFailed:
+      return false;
+    case WriteState::kPending:
+      return canSend(connection);
+  }
+  return false;
+}
+
 ExchangeStatus ClientExchange::cutOff(const char* bound, std::size_t limit) {
   logging::LogEvent("http", "over_limit")
       .text("peer", toString(peer_))
@@ -241,8 +267,9 @@
   complete_ = true;
   const ClientConnectionPtr connection = std::move(connection_);
   if (!connection) return;
-  const bool reusable = write_done_ && !stale_response_seen_ && parser_->keep_alive() &&
-                        !parser_->need_eof() && connection->buffer.size() == 0;
+  const bool reusable = write_state_ == WriteState::kDone && !stale_response_seen_ &&
+                        parser_->keep_alive() && !parser_->need_eof() &&
+                        connection->buffer.size() == 0;
   if (reusable) {
     pool_.release(steadyNow(), connection, idleTimeout(head(), pool_.defaultIdleTimeout()));
   } else {
--- a/src/gateway/http/client_exchange.h
+++ b/src/gateway/http/client_exchange.h
@@ -43,6 +43,9 @@
 /// Invariant: a response that was read is valid HTTP. Nothing in any other one is relied on, such
 /// as a field that says that the request was not executed.
 ///
+/// Invariant: a body that the end of its connection delimits is complete only if the peer ended the
+/// connection in order.
+///
 /// Invariant: the connection returns to the pool only if the request was written and the response
 /// read completely, the buffer is empty and both sides allow keep-alive.
 class ClientExchange : public std::enable_shared_from_this<ClientExchange> {
@@ -79,12 +82,17 @@
  private:
   using Parser = beast_http::response_parser<beast_http::buffer_body>;
 
+  enum class WriteState { kPending, kDone, kFailed };
+
   void beginWrite();
   Task<ExchangeStatus> readHead(Instant deadline);
   /// Reads the rest of the body of any response without keeping it.
   Task<ExchangeStatus> skipBody(Instant deadline);
   Task<ExchangeStatus> readBodyChunk(std::string& out, Instant deadline);
   ExchangeStatus toStatus(const boost::system::error_code& error);
+  /// @return whether the peer has ended the connection in order, after a read has seen its end. If
+  /// the peer resets it during the write, the write gets the error, and a read then sees an end.
+  bool endedInOrder(ClientConnection& connection) const;
   /// Closes the connection of a response that exceeds a limit, and logs the limit.
   ExchangeStatus cutOff(const char* bound, std::size_t limit);
   /// Closes the connection of a response that is not valid HTTP, and logs what is wrong with it.
@@ -102,7 +110,7 @@
   std::optional<Parser> parser_;
   std::size_t reserved_bytes_ = 0;  ///< Bytes that are reserved in the pool's budget.
   bool sent_ = false;
-  bool write_done_ = false;
+  WriteState write_state_ = WriteState::kPending;
   bool complete_ = false;
   bool aborted_ = false;
   bool stale_response_seen_ = false;  ///< If true, the connection must not be reused.
--- a/tests/gateway/service/broken_responses_test.cpp
+++ b/tests/gateway/service/broken_responses_test.cpp
@@ -25,6 +25,26 @@
   return options;
 }
 
+/// Larger than what the buffers of a connection hold, so that the engine responds during the
+/// upload.
+constexpr std::size_t kUploadBytes = 12 * 1024 * 1024;
+constexpr int kUploads = 4;
+
+test::FixtureOptions largeUploads() {
+  test::FixtureOptions options = oneEngine();
+  options.max_body_bytes = 2 * kUploadBytes;
+  return options;
+}
+
+http::Request uploadRequest(GatewayFixture& fixture, const std::string& id,
+                            const std::string& path) {
+  http::Request request = fixture.lookupRequest(id, path);
+  request.set("Deadline-Ms", "5000");
+  request.body().assign(kUploadBytes, 'u');
+  request.prepare_payload();
+  return request;
+}
+
 /// @return a response whose header consists of these lines and a request id, a signature and a
 /// length; `more` follows the signature.
 std::string rawResponse(const std::string& status_line, const std::string& id,
@@ -131,3 +151,35 @@
   cr_expect_eq(results.find("terminated"), std::string::npos, "%s", results.c_str());
   cr_expect_gt(fixture.model(0).arrivals().size(), 0U);
 }
+
+// Guards against the reset of an upload that makes a part of a body look like a whole one: the
+// write gets the connection's error, and the read then sees an end in order.
+GATEWAY_TEST(broken_responses, a_body_without_length_cut_by_a_reset_of_the_upload_is_not_forwarded,
+             largeUploads()) {
+  for (const unsigned status : {200U, 500U}) {
+    fixture.lookup(0).setUploadAct(test::UploadAct::kReset, status);
+    for (int i = 0; i < kUploads; ++i) {
+      http::Request request = uploadRequest(fixture, "u" + std::to_string(i), "/once/1");
+      const auto outcome = co_await fixture.call(0, std::move(request));
+      cr_expect(outcome.status == http::ExchangeStatus::kOk, "%s", http::toText(outcome.status));
+      cr_expect_eq(outcome.response.result_int(), 502U, "upload %d to an engine that sends %u: %u",
+                   i, status, outcome.response.result_int());
+      // Until the engine is used again.
+      co_await sleepFor(fixture.loop(), std::chrono::milliseconds(900));
+    }
+  }
+  cr_expect_eq(fixture.lookup(0).arrivals().size(), 2U * kUploads);
+}
+
+// Guards against losing a response that a sound engine sends before it has read the whole upload.
+GATEWAY_TEST(broken_responses, a_body_without_length_that_ends_in_order_during_the_upload_is_whole,
+             largeUploads()) {
+  fixture.lookup(0).setUploadAct(test::UploadAct::kEnd);
+  for (int i = 0; i < kUploads; ++i) {
+    const std::string id = "u" + std::to_string(i);
+    const auto outcome = co_await fixture.call(0, uploadRequest(fixture, id, "/once/1"));
+    cr_expect_eq(outcome.response.result_int(), 200U, "got %u", outcome.response.result_int());
+    cr_expect_eq(outcome.response.body(), "answer");
+    cr_expect_eq(http::fieldText(outcome.response, "Response-Signature"), "s-" + id);
+  }
+}
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -118,8 +118,9 @@
                      "kvCacheTokens":50000,"models":[{"name":"m"}]})" +
           (options_.scaling_bounds.empty() ? "" : ",\"scaling\":" + options_.scaling_bounds) + "}" +
           options_.more_services + R"(],
-                     "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":300,
-                     "idleTimeoutMs":2000})" +
+                     "limits":{"maxHeaderBytes":4096,"headerTimeoutMs":300,"idleTimeoutMs":2000,
+                     "maxBodyBytes":)" +
+          std::to_string(options_.max_body_bytes) + "}" +
           (options_.tenants.empty() ? "" : ",\"tenants\":" + options_.tenants) + "}");
 }
 
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -55,8 +55,9 @@
   std::string more_services;                ///< Additional services, as JSON; empty: none.
   /// Services of the job route, as JSON fields.
   std::string job_services = R"("service":"models")";
-  std::string job_fields;     ///< Additional fields of the job route.
-  std::string reward_fields;  ///< Additional fields of the reward route.
+  std::string job_fields;                ///< Additional fields of the job route.
+  std::string reward_fields;             ///< Additional fields of the reward route.
+  std::size_t max_body_bytes = 100'000;  ///< Largest request body that the configuration allows.
 };
 
 /// @return options for two gateways and samplers whose streams have `events` events.
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "support/listen_again.h"
@@ -123,6 +124,8 @@
 };
 
 constexpr std::size_t kBlockBytes = 64 * 1024;
+/// Time in which the caller fills the buffers of its connection.
+constexpr Duration kTimeBeforeReset = std::chrono::milliseconds(50);
 /// Ends an endless response that no caller closes.
 constexpr std::size_t kMaxEndlessBytes = 300 * 1024 * 1024;
 
@@ -193,21 +196,74 @@
   co_return false;
 }
 
+SamplerAct StandinSampler::takeAct() {
+  if (script_.empty()) return SamplerAct::kAnswer;
+  const SamplerAct act = script_.front();
+  script_.pop_front();
+  return act;
+}
+
+namespace {
+
+SamplerArrival makeArrival(const http::Request& request) {
+  SamplerArrival arrival;
+  arrival.method = std::string(request.method_string());
+  arrival.target = std::string(request.target());
+  arrival.body = request.body();
+  for (const auto& field : request) {
+    arrival.fields[boost::to_lower_copy(std::string(field.name_string()))] =
+        std::string(field.value());
+  }
+  return arrival;
+}
+
+}  // namespace
+
+Task<void> StandinSampler::answerDuringUpload(Connection& connection, SamplerArrival arrival) {
+  const std::string id = arrival.fields["request-id"];
+  arrival.ran = true;
+  arrival.at = steadyNow();
+  arrivals_.push_back(std::move(arrival));
+  std::string bytes = "HTTP/1.1 " + std::to_string(upload_status_) +
+                      " Status\r\nRequest-Id: " + id + "\r\nResponse-Signature: s-" + id +
+                      "\r\n\r\nanswer";
+  co_await write(connection, std::move(bytes));
+  boost::system::error_code error;
+  if (upload_act_ == UploadAct::kReset) {
+    co_await sleepFor(loop_, kTimeBeforeReset);
+    connection.socket.set_option(asio::socket_base::linger(true, 0), error);
+    connection.socket.close(error);
+    co_return;
+  }
+  connection.socket.shutdown(tcp::socket::shutdown_send, error);
+  while (!error) {
+    connection.buffer.clear();
+    co_await connection.socket.async_read_some(connection.buffer.prepare(kBlockBytes),
+                                               asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
 Task<void> StandinSampler::serve(std::shared_ptr<Connection> connection) {
   for (;;) {
-    boost::beast::http::request<boost::beast::http::string_body> request;
+    boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     boost::system::error_code error;
-    co_await boost::beast::http::async_read(connection->socket, connection->buffer, request,
-                                            asio::redirect_error(asio::use_awaitable, error));
+    co_await boost::beast::http::async_read_header(
+        connection->socket, connection->buffer, parser,
+        asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return;
-    SamplerArrival arrival;
-    arrival.method = std::string(request.method_string());
-    arrival.target = std::string(request.target());
-    arrival.body = request.body();
-    for (const auto& field : request) {
-      arrival.fields[boost::to_lower_copy(std::string(field.name_string()))] =
-          std::string(field.value());
+    const bool uploading =
+        parser.content_length_remaining().value_or(0) > connection->buffer.size();
+    if (uploading && upload_act_ != UploadAct::kRead) {
+      co_await answerDuringUpload(*connection, makeArrival(parser.get()));
+      co_return;
+    }
+    if (!parser.is_done()) {
+      co_await boost::beast::http::async_read(connection->socket, connection->buffer, parser,
+                                              asio::redirect_error(asio::use_awaitable, error));
     }
+    if (error) co_return;
+    SamplerArrival arrival = makeArrival(parser.get());
     bool keep_open = true;
     if (arrival.target == "/linenpier/order") {
       std::string answer_text = order(arrival.body);
@@ -218,11 +274,7 @@
       std::string text = makeResponse("", 200, "", report.dump());
       keep_open = co_await write(*connection, std::move(text));
     } else {
-      SamplerAct act = SamplerAct::kAnswer;
-      if (!script_.empty()) {
-        act = script_.front();
-        script_.pop_front();
-      }
+      const SamplerAct act = takeAct();
       const bool endless_rejection =
           act == SamplerAct::kEndless && endless_part_ == EndlessPart::kRejectionBody;
       const bool shed =
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -40,6 +40,13 @@
   kRaw,        ///< The bytes of `setRawResponse`; then closes the connection.
 };
 
+/// How the sampler handles a request whose body has not arrived with its header.
+enum class UploadAct {
+  kRead,   ///< Reads the body, then acts according to the script.
+  kReset,  ///< Responds without a length, reads nothing, and resets the connection.
+  kEnd,    ///< Responds without a length, ends the connection in order, and reads the body.
+};
+
 /// The part of a response that kEndless sends until the caller closes the connection.
 enum class EndlessPart {
   kStatusLine,
@@ -121,6 +128,11 @@
   void setRawResponse(std::function<std::string(const std::string& id)> response) {
     raw_response_ = std::move(response);
   }
+  /// @param status the status of responses that are sent during an upload.
+  void setUploadAct(UploadAct act, unsigned status = 200) {
+    upload_act_ = act;
+    upload_status_ = status;
+  }
   /// @return the largest number of bytes of an endless response that were sent before the caller
   /// closed the connection.
   std::size_t longestEndlessResponse() const { return longest_endless_; }
@@ -154,6 +166,10 @@
   Task<void> executeFatal(Connection& connection);
   Task<void> serve(std::shared_ptr<Connection> connection);
   Task<bool> answer(Connection& connection, SamplerArrival arrival, SamplerAct act);
+  /// Responds to a request whose body is still arriving, and ends the connection.
+  Task<void> answerDuringUpload(Connection& connection, SamplerArrival arrival);
+  /// @return the next act of the script, which is removed from it.
+  SamplerAct takeAct();
   Task<bool> stream(Connection& connection, const SamplerArrival& arrival, bool cut);
   Task<bool> write(Connection& connection, std::string bytes);
   /// Sends an endless response until the caller closes the connection, or a limit of this stand-in.
@@ -177,6 +193,8 @@
   EndlessPart endless_part_ = EndlessPart::kChunkedBody;
   std::size_t longest_endless_ = 0;
   std::function<std::string(const std::string&)> raw_response_;
+  UploadAct upload_act_ = UploadAct::kRead;
+  unsigned upload_status_ = 200;
   std::optional<Address> listed_address_;
   std::vector<SamplerArrival> arrivals_;
   std::vector<std::string> orders_;
