HTTP client: a header line that does not begin with a field name is malformed

What callers saw: an answer in whose header the name of a field begins with a blank or a tab. The line was joined to the field before it: the caller got a 200 whose Response-Signature was `s-r X-Odd: v`, and after ` Content-Length: 6` a 200 signed `s-r Content-Length: 6` whose body was everything that came until the end of the connection, so not the engine's body.

Cause: the parser of the HTTP library accepts obsolete line folding, which HTTP allows a recipient to reject (RFC 9112, 5.2), and which no header of a sound engine has.

Change: the exchange receives the header whole, checks that each line begins with a token and a colon, and only then hands it to the parser, whose limits hold as before. A line that does not is `http.malformed problem=field_name`, and the call is broken.

Why it works: a folded line is the only way left in which a line of a header can become a part of another field, and it cannot begin with a token character.

--- a/src/gateway/http/client_exchange.cpp
+++ b/src/gateway/http/client_exchange.cpp
@@ -5,13 +5,17 @@
 #include <array>
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstdlib>
 #include <limits>
+#include <string_view>
+#include <tl/expected.hpp>
 
 #include "common/event_log.h"
+#include "gateway/http/field_lines.h"
 
 namespace linenpier::http {
 
@@ -52,6 +56,33 @@
   return ready == 0 || (ready > 0 && (socket.revents & (POLLHUP | POLLERR)) == 0);
 }
 
+/// @return the bytes that were received but not yet parsed.
+std::string_view received(const ClientConnection& connection) {
+  const auto bytes = connection.buffer.data();
+  return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
+/// Receives a whole header into the connection's buffer. @return the size of the header.
+Task<tl::expected<std::size_t, boost::system::error_code>> receiveHeader(
+    ClientConnectionPtr connection) {
+  constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+  std::size_t searched = 0;
+  for (;;) {
+    const std::string_view bytes = received(*connection);
+    const std::size_t end = bytes.find(kHeaderEnd, searched);
+    if (end != std::string_view::npos) co_return end + kHeaderEnd.size();
+    if (bytes.size() >= kMaxHeaderBytes)
+      co_return tl::make_unexpected(make_error_code(beast_http::error::header_limit));
+    searched = bytes.size() - std::min(bytes.size(), kHeaderEnd.size() - 1);
+    boost::system::error_code error;
+    const std::size_t count = co_await connection->stream.async_read_some(
+        connection->buffer.prepare(boost::beast::read_size(connection->buffer, kReadChunkBytes)),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return tl::make_unexpected(error);
+    connection->buffer.commit(count);
+  }
+}
+
 /// Closes the connection immediately, even during a write.
 void close(ClientConnection& connection) {
   boost::system::error_code ignored;
@@ -142,16 +173,25 @@
     if (request_.method() == beast_http::verb::head) parser_->skip(true);
     const auto connection = connection_;
     connection->expireAt(deadline);
-    boost::system::error_code error;
-    co_await beast_http::async_read_header(connection->stream, connection->buffer, *parser_,
-                                           asio::redirect_error(asio::use_awaitable, error));
-    if (error) co_return toStatus(error);
-    if (!isDefinedStatus(status())) co_return rejectMalformed("status");
+    const auto header_bytes = co_await receiveHeader(connection);
+    if (!header_bytes) co_return toStatus(header_bytes.error());
+    const ExchangeStatus parsed = parseHeader(*connection, *header_bytes);
+    if (parsed != ExchangeStatus::kOk) co_return parsed;
     if (status() / 100 != 1) co_return ExchangeStatus::kOk;
   }
   co_return cutOff("informational", static_cast<std::size_t>(max_informational));
 }
 
+ExchangeStatus ClientExchange::parseHeader(ClientConnection& connection, std::size_t header_bytes) {
+  // The parser would append a line that begins with a blank to the field before it.
+  if (!hasValidFieldNames(received(connection).substr(0, header_bytes)))
+    return rejectMalformed("field_name");
+  boost::system::error_code error;
+  connection.buffer.consume(parser_->put(connection.buffer.data(), error));
+  if (error) return toStatus(error);
+  return isDefinedStatus(status()) ? ExchangeStatus::kOk : rejectMalformed("status");
+}
+
 Task<ExchangeStatus> ClientExchange::skipBody(Instant deadline) {
   const std::size_t limit = pool_.responseLimits().max_discarded_bytes;
   std::string ignored;
--- a/src/gateway/http/client_exchange.h
+++ b/src/gateway/http/client_exchange.h
@@ -86,6 +86,8 @@
 
   void beginWrite();
   Task<ExchangeStatus> readHead(Instant deadline);
+  /// Parses the header at the beginning of the connection's buffer.
+  ExchangeStatus parseHeader(ClientConnection& connection, std::size_t header_bytes);
   /// Reads the rest of the body of any response without keeping it.
   Task<ExchangeStatus> skipBody(Instant deadline);
   Task<ExchangeStatus> readBodyChunk(std::string& out, Instant deadline);
--- a/tests/gateway/http/client_exchange_test.cpp
+++ b/tests/gateway/http/client_exchange_test.cpp
@@ -47,6 +47,11 @@
   return status_line + "\r\nContent-Length: 2\r\n\r\n{}";
 }
 
+/// @return a response with these lines before the field that gives its length.
+std::string withLines(const std::string& lines) {
+  return "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 2\r\n\r\n{}";
+}
+
 void expectBroken(const std::string& bytes, const std::string& what) {
   const http::CallOutcome outcome = callServer(bytes);
   cr_expect(outcome.status == ExchangeStatus::kBroken, "%s: %s, status %u", what.c_str(),
@@ -79,3 +84,35 @@
   expectBroken("HTTP/1.1 100 Continue\r\n\r\n" + withStatusLine("HTTP/1.1 000 Status"),
                "000 after 100");
 }
+
+// Guards against a field whose name is no token and that passes as a field.
+Test(client_exchange, a_field_name_that_is_no_token_is_broken) {
+  for (const char* name :
+       {"X Blank", "X\tTab", "X\x01", "X\x1f", "X\x7f", "X\xe9", "X(", "X@", ""}) {
+    expectBroken(withLines(std::string(name) + ": v\r\n"), std::string("name ") + name);
+  }
+  expectBroken(withLines(std::string("X\0Y: v\r\n", 8)), "name with NUL");
+  expectBroken(withLines("X-Blank : v\r\n"), "blank before the colon");
+  expectBroken("HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+               "blank before the colon of a length");
+  expectBroken(withLines("no colon\r\n"), "no colon");
+}
+
+// Guards against a line whose name begins with a blank: it would change the field before it, such
+// as a signature, and hide the field that it names, such as a length.
+Test(client_exchange, a_line_that_begins_with_a_blank_is_broken) {
+  expectBroken(withLines("X-Signature: s\r\n X-Odd: v\r\n"), "blank");
+  expectBroken(withLines("X-Signature: s\r\n\tX-Odd: v\r\n"), "tab");
+  expectBroken(withLines("X-Signature: s\r\n \r\n"), "blanks only");
+  expectBroken(withLines(" X-Odd: v\r\n"), "first line");
+  expectBroken("HTTP/1.1 200 OK\r\nX-Signature: s\r\n Content-Length: 2\r\n\r\n{}", "length");
+}
+
+// Guards against a valid response that is rejected.
+Test(client_exchange, valid_fields_are_read) {
+  const http::CallOutcome outcome =
+      callServer(withLines("X-Empty:\r\nX-Text: a: b \x80 \t c\r\n!#$%&'*+-.^_`|~09az: token\r\n"));
+  cr_expect(outcome.status == ExchangeStatus::kOk, "%s", http::toText(outcome.status));
+  cr_expect_eq(http::fieldText(outcome.response, "!#$%&'*+-.^_`|~09az"), "token");
+  cr_expect_eq(http::fieldText(outcome.response, "X-Text"), "a: b \x80 \t c");
+}
--- a/tests/gateway/service/broken_responses_test.cpp
+++ b/tests/gateway/service/broken_responses_test.cpp
@@ -183,3 +183,28 @@
     cr_expect_eq(http::fieldText(outcome.response, "Response-Signature"), "s-" + id);
   }
 }
+
+// Guards against a response in whose header the name of a field holds a blank or a control byte.
+GATEWAY_TEST(broken_responses, a_field_name_with_a_blank_or_control_byte_is_not_forwarded,
+             oneEngine()) {
+  const std::string lines[] = {"X Odd: v\r\n", "X\x01Odd: v\r\n", "X-Odd : v\r\n", " X-Odd: v\r\n",
+                               "\tX-Odd: v\r\n"};
+  for (const std::string& line : lines) {
+    sendRaw(fixture.lookup(0),
+            [&line](const std::string& id) { return rawResponse("HTTP/1.1 200 OK", id, line); });
+    co_await assertBadGateway(fixture, "/once/1", line);
+    // Until the engine is used again.
+    co_await sleepFor(fixture.loop(), std::chrono::milliseconds(900));
+  }
+}
+
+// Guards against a length that is taken for a part of the signature before it, so that what follows
+// the body on the connection is taken for a part of the body.
+GATEWAY_TEST(broken_responses, a_length_after_a_blank_does_not_change_signature_and_body,
+             oneEngine()) {
+  sendRaw(fixture.lookup(0), [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s-" + id +
+           "\r\n Content-Length: 6\r\n\r\nanswerbytes of another response";
+  });
+  co_await assertBadGateway(fixture, "/once/1", "length after a blank");
+}
