HTTP client: an exchange that is aborted between two responses ends

Cause: an abort closes the connection, but a read whose bytes had arrived before still ends well. The exchange went on to the next response, after an informational or a surplus one, without asking whether it had been aborted, and its connection was gone.

Change: after each read the exchange asks whether it was aborted, as the declaration of `abort` says (pending calls return kAborted), and touches nothing any more.

Evidence, x86-64: `client_exchange::an_abort_between_two_responses_ends_the_exchange` sends an informational response that takes two reads and aborts 0 to 8 turns of the loop later; on the code before it is ended by a signal, with the change it passes.

Why it works: aborts happen only while the exchange waits, and each wait is now followed by the question.

--- a/src/gateway/http/client_exchange.cpp
+++ b/src/gateway/http/client_exchange.cpp
@@ -174,6 +174,7 @@
     const auto connection = connection_;
     connection->expireAt(deadline);
     const auto header_bytes = co_await receiveHeader(connection);
+    if (aborted_) co_return ExchangeStatus::kAborted;
     if (!header_bytes) co_return toStatus(header_bytes.error());
     const ExchangeStatus parsed = parseHeader(*connection, *header_bytes);
     if (parsed != ExchangeStatus::kOk) co_return parsed;
@@ -219,6 +220,7 @@
   co_await beast_http::async_read_some(connection->stream, connection->buffer, *parser_,
                                        asio::redirect_error(asio::use_awaitable, error));
   out.resize(before + kReadChunkBytes - parser_->get().body().size);
+  if (aborted_) co_return ExchangeStatus::kAborted;
   if (error == beast_http::error::need_buffer) error = {};
   if (error) co_return toStatus(error);
   const bool ended_by_close = parser_->is_done() && parser_->need_eof();
--- a/tests/gateway/http/client_exchange_test.cpp
+++ b/tests/gateway/http/client_exchange_test.cpp
@@ -4,6 +4,8 @@
 
 #include "gateway/http/client_exchange.h"
 
+#include <boost/asio/post.hpp>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -116,3 +118,58 @@
   cr_expect_eq(http::fieldText(outcome.response, "!#$%&'*+-.^_`|~09az"), "token");
   cr_expect_eq(http::fieldText(outcome.response, "X-Text"), "a: b \x80 \t c");
 }
+
+namespace {
+
+/// Larger than the first read of a header, so that a second read finds the rest already received.
+constexpr std::size_t kLongLine = 1500;
+/// Runs of the event loop between the arrival of a response and the abort.
+constexpr int kMaxDelay = 8;
+
+/// Posts `action` behind the handlers that are queued now, `times` times in turn.
+void postBehind(boost::asio::io_context& loop, int times, std::function<void()> action) {
+  boost::asio::post(loop, [&loop, times, action = std::move(action)] {
+    if (times == 0) return action();
+    postBehind(loop, times - 1, action);
+  });
+}
+
+/// Aborts an exchange soon after an informational response has arrived. @return how it ended.
+ExchangeStatus abortAfterInformational(int delay) {
+  using tcp = boost::asio::ip::tcp;
+  boost::asio::io_context loop{1};
+  tcp::acceptor acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0});
+  http::ConnectionPool pool(loop, {});
+  http::Request request(boost::beast::http::verb::get, "/", 11);
+  const Address address{0x7f000001, acceptor.local_endpoint().port()};
+  const auto exchange = std::make_shared<http::ClientExchange>(pool, address, std::move(request));
+  std::optional<ExchangeStatus> status;
+  spawn(loop, [&]() -> Task<void> {
+    const Instant deadline = steadyNow() + kCallTimeout;
+    status = co_await exchange->start(deadline, deadline, std::nullopt, true);
+    loop.stop();
+  });
+  tcp::socket socket(loop);
+  spawn(loop, [&]() -> Task<void> {
+    co_await acceptor.async_accept(socket, boost::asio::use_awaitable);
+    co_await socket.async_wait(tcp::socket::wait_read, boost::asio::use_awaitable);
+    const std::string response =
+        "HTTP/1.1 100 Continue\r\nX-Long: " + std::string(kLongLine, 'x') + "\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(response));
+    postBehind(loop, delay, [exchange] { exchange->abort(); });
+  });
+  loop.run_for(kMaxTest);
+  cr_assert(status.has_value(), "the exchange has not ended");
+  return *status;
+}
+
+}  // namespace
+
+// Guards against an exchange that goes on with a closed connection when it is aborted between two
+// responses, and ends the process.
+Test(client_exchange, an_abort_between_two_responses_ends_the_exchange) {
+  for (int delay = 0; delay <= kMaxDelay; ++delay) {
+    const ExchangeStatus status = abortAfterInformational(delay);
+    cr_expect(status == ExchangeStatus::kAborted, "delay %d: %s", delay, http::toText(status));
+  }
+}
