Forwarding: Not-Executed in a response that is cut is not believed

What callers saw: an engine began a refusal (503, 429 or 421 with Not-Executed) and the connection ended before its body did. The caller of a request that may not be repeated got a 503, which promises that the request has not run and never will; a cut answer does not say so. A request could also be sent to another engine, and run twice.

Cause: the outcome was decided by the header; the rest was only read so that the connection could be used again, and how that ended did not matter but for the engine's health.

Change: the outcome is kNotExecuted only if the response was read to its end. Otherwise the attempt ended as any other whose response was lost: it may have run.

Evidence, x86-64: `broken_responses::not_executed_in_a_response_that_is_cut_is_not_believed` (three statuses, cut within a length and within a chunk): on the code before 6 of 6 got a 503, now 6 of 6 the gateway's 502. `endless_responses` (14), `forwarding` (14), `refusals` (7) and `streams` (2) pass.

Why it works: a refusal is passed on or acted upon only through this outcome.

--- a/src/gateway/forward/engine_call.cpp
+++ b/src/gateway/forward/engine_call.cpp
@@ -97,12 +97,11 @@
   if (status != ExchangeStatus::kOk) co_return this->reportExchangeEnd(status);
   const AttemptOutcome outcome = this->checkHeader();
   if (outcome != AttemptOutcome::kNotExecuted) co_return outcome;
-  // The connection can be reused only if the response was read to its end.
+  // A response that is cut does not tell what the engine did.
   const ExchangeStatus drained = co_await this->exchange_->discardBody(limits.deadline);
+  if (drained != ExchangeStatus::kOk) co_return this->reportExchangeEnd(drained);
   const bool misdirected = this->exchange_->status() == kMisdirected;
-  this->reportEnd(drained == ExchangeStatus::kOverLimit ? HealthOutcome::kBroken
-                  : misdirected                         ? HealthOutcome::kWrongEngine
-                                                        : HealthOutcome::kRejected);
+  this->reportEnd(misdirected ? HealthOutcome::kWrongEngine : HealthOutcome::kRejected);
   co_return outcome;
 }
 
--- a/tests/gateway/service/broken_responses_test.cpp
+++ b/tests/gateway/service/broken_responses_test.cpp
@@ -208,3 +208,22 @@
   });
   co_await assertBadGateway(fixture, "/once/1", "length after a blank");
 }
+
+// Guards against a refusal that is not true: a response that is cut does not tell what was
+// executed.
+GATEWAY_TEST(broken_responses, not_executed_in_a_response_that_is_cut_is_not_believed,
+             oneEngine()) {
+  const std::string framings[] = {"Content-Length: 20\r\n\r\ncut",
+                                  "Transfer-Encoding: chunked\r\n\r\n14\r\ncut"};
+  for (const std::string status : {"503", "429", "421"}) {
+    for (const std::string& framing : framings) {
+      sendRaw(fixture.lookup(0), [&](const std::string& id) {
+        return "HTTP/1.1 " + status + " Status\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\n" +
+               framing;
+      });
+      co_await assertBadGateway(fixture, "/once/1", status + " with " + framing);
+      // Until the engine is used again.
+      co_await sleepFor(fixture.loop(), std::chrono::milliseconds(900));
+    }
+  }
+}
