HTTP client: a transfer coding other than chunked is malformed

What callers saw: an engine answered with `Transfer-Encoding: gzip` without chunks, and the caller got the coded bytes as a plain body.

Cause: the parser removes chunks and no other coding, and the field that names the coding belongs to the connection, so that it is not passed on. Nothing asked whether a coding was left.

Change: a response with a transfer coding other than a single `chunked` is `http.malformed problem=transfer_coding`, and the call is broken.

Evidence, x86-64: `client_exchange::a_transfer_coding_other_than_chunked_is_broken` (gzip; gzip, chunked; both in two fields; and `Chunked`, which is read): on the code before the first three were read as responses. `broken_responses`, `endless_responses` and `forwarding` pass with the change.

Why it works: the check stands where the header is parsed, before any reader gets a body.

--- a/src/gateway/http/client_exchange.cpp
+++ b/src/gateway/http/client_exchange.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 
 #include <array>
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/read_size.hpp>
@@ -48,6 +49,12 @@
   return status >= 100 && status <= 599;
 }
 
+/// @return whether the body is decoded whole: the parser removes chunks and no other coding.
+bool isTransferCodingKnown(const Fields& fields) {
+  const auto [first, end] = fields.equal_range(beast_http::field::transfer_encoding);
+  return first == end || (std::next(first) == end && boost::iequals(first->value(), "chunked"));
+}
+
 /// @return whether the direction to the peer is open. A reset closes both directions, an end in
 /// order only the one from the peer.
 bool canSend(ClientConnection& connection) {
@@ -190,7 +197,9 @@
   boost::system::error_code error;
   connection.buffer.consume(parser_->put(connection.buffer.data(), error));
   if (error) return toStatus(error);
-  return isDefinedStatus(status()) ? ExchangeStatus::kOk : rejectMalformed("status");
+  if (!isDefinedStatus(status())) return rejectMalformed("status");
+  if (!isTransferCodingKnown(head())) return rejectMalformed("transfer_coding");
+  return ExchangeStatus::kOk;
 }
 
 Task<ExchangeStatus> ClientExchange::skipBody(Instant deadline) {
--- a/tests/gateway/http/client_exchange_test.cpp
+++ b/tests/gateway/http/client_exchange_test.cpp
@@ -173,3 +173,19 @@
     cr_expect(status == ExchangeStatus::kAborted, "delay %d: %s", delay, http::toText(status));
   }
 }
+
+// Guards against a body that is passed on in a coding that it no longer names: fields that frame
+// the body are not passed on.
+Test(client_exchange, a_transfer_coding_other_than_chunked_is_broken) {
+  const std::string chunks = "2\r\n{}\r\n0\r\n\r\n";
+  expectBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n{}", "gzip");
+  expectBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+               "gzip, chunked");
+  expectBroken(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+      "gzip and chunked in two fields");
+  const http::CallOutcome outcome =
+      callServer("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n" + chunks);
+  cr_expect(outcome.status == ExchangeStatus::kOk, "%s", http::toText(outcome.status));
+  cr_expect_eq(outcome.response.body(), "{}");
+}
