Forwarding: a content coding that the caller did not request is not passed on

What callers saw: an engine answered with `Content-Encoding: gzip` though the request had not asked for a coding, and the caller got it as a success.

Cause: nothing compared the response's codings with what the request accepts.

Change: `engine_call::checkHeader` takes a response with a coding that its request does not accept for a broken one, as an unsigned one, with the line `forward.unrequested_coding`. A caller that names the coding in Accept-Encoding gets it as before.

Evidence, x86-64: `broken_responses::a_content_coding_is_forwarded_only_if_requested`: on the code before a request without Accept-Encoding and one with `gzip;q=0` got the coded 200, now the gateway's 502; one that asks for gzip gets it before and after. `forwarding` (14) and `streams` (2) pass.

Why it works: requests, streams and items all pass this check before their body is read.

--- a/src/gateway/forward/engine_call.cpp
+++ b/src/gateway/forward/engine_call.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "common/event_log.h"
+#include "gateway/forward/content_coding.h"
 
 namespace linenpier::forward {
 
@@ -117,6 +118,12 @@
     this->reportEnd(HealthOutcome::kBroken);
     return AttemptOutcome::kBroken;
   }
+  if (!acceptsCodings(this->request(), this->head())) {
+    logging::LogEvent("forward", "unrequested_coding")
+        .text("engine", this->engine_.str())
+        .text("coding", http::fieldText(this->head(), "Content-Encoding"));
+    return this->reportExchangeEnd(ExchangeStatus::kBroken);
+  }
   return AttemptOutcome::kAnswered;
 }
 
--- a/tests/gateway/service/broken_responses_test.cpp
+++ b/tests/gateway/service/broken_responses_test.cpp
@@ -227,3 +227,23 @@
     }
   }
 }
+
+// Guards against a body in a coding for which the caller did not ask.
+GATEWAY_TEST(broken_responses, a_content_coding_is_forwarded_only_if_requested, oneEngine()) {
+  sendRaw(fixture.lookup(0), [](const std::string& id) {
+    return rawResponse("HTTP/1.1 200 OK", id, "Content-Encoding: gzip\r\n");
+  });
+  co_await assertBadGateway(fixture, "/once/1", "gzip");
+  // Until the engine is used again.
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(900));
+  http::Request refusing = fixture.lookupRequest("refusing", "/once/1");
+  refusing.set("Accept-Encoding", "identity, gzip;q=0");
+  const auto refused = co_await fixture.call(0, std::move(refusing));
+  cr_expect_eq(refused.response.result_int(), 502U, "got %u", refused.response.result_int());
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(900));
+  http::Request asking = fixture.lookupRequest("asking", "/once/1");
+  asking.set("Accept-Encoding", "br, GZip;q=0.5");
+  const auto outcome = co_await fixture.call(0, std::move(asking));
+  cr_expect_eq(outcome.response.result_int(), 200U, "got %u", outcome.response.result_int());
+  cr_expect_eq(http::fieldText(outcome.response, "Content-Encoding"), "gzip");
+}
