--- a/tests/gateway/service/entries_test.cpp
+++ b/tests/gateway/service/entries_test.cpp
@@ -1,6 +1,8 @@
 /// @file
 /// End-to-end tests of malformed engine entries and of engines that restart with the same id.
 
+#include <nlohmann/json.hpp>
+
 #include "support/gateway_fixture.h"
 
 using namespace linenpier;
@@ -22,6 +24,45 @@
   co_return answered;
 }
 
+/// @return the entry with another value of a member, as JSON text.
+std::string withMember(const std::string& entry, const std::string& key, const std::string& value) {
+  nlohmann::json document = nlohmann::json::parse(entry);
+  document.erase(key);
+  const std::string rest = document.dump();
+  return rest.substr(0, rest.size() - 1) + ",\"" + key + "\":" + value + "}";
+}
+
+std::string repeated(const std::string& text, int count) {
+  std::string all;
+  for (int i = 0; i < count; ++i) all += text;
+  return all;
+}
+
+/// @return variants of an entry with one member that is very deeply nested, too large or out of
+/// range. Those that are valid name an address that refuses connections.
+std::vector<std::string> oddEntries(const std::string& listed) {
+  const std::string entry = withMember(listed, "address", R"("127.0.0.1:1")");
+  constexpr int kDepth = 20000;
+  const std::string lists = repeated("[", kDepth) + repeated("]", kDepth);
+  const std::string objects = repeated("{\"a\":", kDepth / 4) + "1" + repeated("}", kDepth / 4);
+  return {withMember(entry, "models", lists),
+          withMember(entry, "more", objects),
+          lists,
+          repeated("[", kDepth),
+          withMember(entry, "slots", "99999999999999999999999999"),
+          withMember(entry, "slots", "18446744073709551615"),
+          withMember(entry, "slots", "-9223372036854775808"),
+          withMember(entry, "born", "1e400"),
+          withMember(entry, "coldRemainingMs", "1e308"),
+          withMember(entry, "leaves_ms", "-1e308"),
+          withMember(entry, "models", R"([{"name":"m","version":18446744073709551615}])"),
+          withMember(entry, "address", R"("127.0.0.1:65536")"),
+          withMember(entry, "address", R"("127.0.0.1:99999999999999999999")"),
+          withMember(entry, "address", R"("127.0.0.1:-1")"),
+          withMember(entry, "address", R"("127.0.0.1:")"),
+          withMember(entry, "address", R"("999.0.0.1:80")")};
+}
+
 }  // namespace
 
 GATEWAY_TEST(entries, an_engine_with_a_malformed_entry_gets_no_requests_and_others_serve,
@@ -42,6 +83,33 @@
   cr_assert_gt(fixture.lookup(0).arrivals().size(), before);
 }
 
+// Guards against an entry of another writer that ends the process, or after which the gateway no
+// longer follows the engines.
+GATEWAY_TEST(entries, odd_entries_do_not_end_the_process_and_engines_are_followed,
+             test::FixtureOptions{}) {
+  int number = 0;
+  for (const std::string& odd : oddEntries(fixture.lookup(0).entry("desk"))) {
+    fixture.store().put("servers", "odd-" + std::to_string(number++), odd);
+  }
+  co_await sleepFor(fixture.loop(), kFeedDelay);
+  for (std::size_t round = 0; round < 4; ++round) {
+    test::StandinSampler& listed = fixture.lookup(round % 2);
+    fixture.store().remove("servers", fixture.lookup(1 - round % 2).id());
+    fixture.store().put("servers", listed.id(), listed.entry("desk"));
+    co_await sleepFor(fixture.loop(), kFeedDelay);
+    const std::size_t before = listed.arrivals().size();
+    const std::string prefix = "round-" + std::to_string(round) + "-";
+    const int answered = co_await sendLookups(fixture, prefix);
+    cr_expect_eq(answered, 20, "round %zu: %d of 20", round, answered);
+    cr_expect_eq(listed.arrivals().size(), before + 20);
+  }
+  // A gateway that starts reads all entries at once.
+  fixture.addGateway("late");
+  cr_assert(co_await fixture.waitReady(1));
+  const auto outcome = co_await fixture.call(1, fixture.lookupRequest("at-the-late-one"));
+  cr_expect_eq(outcome.response.result_int(), 200U, "got %u", outcome.response.result_int());
+}
+
 GATEWAY_TEST(entries, an_engine_that_restarts_with_the_same_id_loads_the_requested_version,
              test::FixtureOptions{}) {
   auto& engine = fixture.model(0);
