Test requests that come late in a planned stop: the gateway holds

Operators of other systems reported that in a planned stop requests that came late in the grace were taken, passed on, and cut with no answer at its end. shutdown::requests_that_come_late_in_a_stop_get_a_response sends requests that may not be repeated each 100 ms through the whole stop of 6.5 s, on kept and on new connections, with work of 3 s.

--- a/tests/gateway/service/shutdown_test.cpp
+++ b/tests/gateway/service/shutdown_test.cpp
@@ -1,6 +1,8 @@
 /// @file
 /// End-to-end tests of a planned stop while the store is unavailable or slow.
 
+#include <map>
+
 #include "support/gateway_fixture.h"
 
 using namespace linenpier;
@@ -82,6 +84,19 @@
   co_return outcome.status;
 }
 
+using outcomes_by_id = std::map<std::string, http::CallOutcome>;
+
+/// Sends a request that may not be repeated and whose engine takes seconds.
+/// @param pool kept connections; null: the request is sent on a connection of its own.
+Task<void> callSlowRoute(GatewayFixture& fixture, http::ConnectionPool* pool, Address address,
+                         std::string id, outcomes_by_id& outcomes) {
+  http::ConnectionPool own(fixture.loop(), {});
+  http::Request request = fixture.lookupRequest(id, "/slow/1");
+  request.set("Deadline-Ms", "15000");
+  outcomes[id] = co_await http::call(pool != nullptr ? *pool : own, address, std::move(request),
+                                     steadyNow() + std::chrono::seconds(10));
+}
+
 }  // namespace
 
 // Guards against a stopping gateway that keeps its connections open while it hands its jobs over to
@@ -185,3 +200,43 @@
   cr_assert_eq(outcome.response.result_int(), 502U, "got %u", outcome.response.result_int());
   cr_assert(steadyNow() - begun < settings.shutdown_timeout);
 }
+
+// Guards against requests that come late in a stop, are forwarded, and are cut off at its end.
+GATEWAY_TEST(shutdown, requests_that_come_late_in_a_stop_get_a_response, test::FixtureOptions{}) {
+  fixture.putConfiguration(4, kSlowRoute);
+  for (std::size_t i = 0; i < 2; ++i) fixture.lookup(i).setSlow("/slow/", std::chrono::seconds(3));
+  gateway::GatewaySettings settings = test::settingsOf(fixture.store().address(), "d0", {});
+  settings.shutdown_timeout = std::chrono::milliseconds(6500);
+  fixture.gateway().applySettings(settings);
+  co_await sleepFor(fixture.loop(), std::chrono::milliseconds(300));
+  const Address address = fixture.gateway().requestAddress();
+  http::ConnectionPool kept(fixture.loop(), {});
+  cr_assert(co_await callAddress(fixture, kept, address) == http::ExchangeStatus::kOk);
+  outcomes_by_id outcomes;
+  std::size_t sent = 0;
+  fixture.gateway().stop();
+  const Instant end = steadyNow() + settings.shutdown_timeout;
+  for (; steadyNow() < end; ++sent) {
+    const std::string id = "late-" + std::to_string(sent);
+    http::ConnectionPool* pool = sent % 2 == 0 ? &kept : nullptr;
+    spawn(fixture.loop(), [&fixture, &outcomes, pool, id, address] {
+      return callSlowRoute(fixture, pool, address, id, outcomes);
+    });
+    co_await sleepFor(fixture.loop(), std::chrono::milliseconds(100));
+  }
+  const bool all_ended =
+      co_await fixture.waitFor([&outcomes, sent] { return outcomes.size() == sent; });
+  cr_assert(all_ended, "%zu of %zu requests have ended", outcomes.size(), sent);
+  std::size_t answered = 0;
+  for (std::size_t i = 0; i < 2; ++i) {
+    for (const auto& arrival : fixture.lookup(i).arrivals()) {
+      const auto at = outcomes.find(arrival.fields.at("request-id"));
+      if (at == outcomes.end()) continue;
+      const http::ExchangeStatus status = at->second.status;
+      cr_expect(status == http::ExchangeStatus::kOk, "%s was forwarded and got no response: %s",
+                at->first.c_str(), http::toText(status));
+      if (at->second.response.result_int() == 200U) ++answered;
+    }
+  }
+  cr_expect_gt(answered, 5U, "only %zu requests were answered during the stop", answered);
+}
