linenpierd: a response that is malformed or cut is not relied on

What callers saw: linenpierd reads responses by another library, which accepts what the gateway's does not. A 200 with `Content-Length : 2`, or with the length on a folded line, gave a body that went on to the end of the connection; two lengths and a transfer coding that nobody removes passed; a 429 or 503 that was malformed or cut counted as a promise that an engine had not begun a request.

Cause: the clients asked for the status only.

Change: `isValid` asks for a status of HTTP, names that are tokens, one length at most and no coding but chunks; `classify` and the engine client rely on no other response. A refusal counts only if it was read to its end.

Why it works: all clients of linenpierd get their responses through these two places. A line without a colon is dropped by the library and can't be seen here.

--- a/src/daemon/clients/http_call.cpp
+++ b/src/daemon/clients/http_call.cpp
@@ -1,12 +1,17 @@
 #include "daemon/clients/http_call.h"
 
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
 #include <cctype>
 
+#include "common/http_syntax.h"
+
 namespace linenpier::platform {
 
 namespace {
 
 constexpr int kConflictStatus = 409;
+constexpr char kChunked[] = "chunked";
 
 CallFailure failureOfStatus(int status) {
   if (status == 429) return CallFailure::kRateLimited;
@@ -61,11 +66,25 @@
   }
 }
 
+bool isValid(const httplib::Response& response) {
+  const bool names_valid = std::all_of(response.headers.begin(), response.headers.end(),
+                                       [](const auto& field) { return isToken(field.first); });
+  const std::string coding = response.get_header_value("Transfer-Encoding");
+  const bool coding_known = !response.has_header("Transfer-Encoding") ||
+                            (boost::iequals(coding, kChunked) &&
+                             response.get_header_value_count("Transfer-Encoding") == 1);
+  return names_valid && coding_known && response.get_header_value_count("Content-Length") <= 1 &&
+         isDefinedStatus(static_cast<unsigned>(response.status));
+}
+
 CallResult<httplib::Response> classify(httplib::Result result) {
   if (!result) {
     return tl::make_unexpected(
         CallError{failureOf(result.error()), httplib::to_string(result.error())});
   }
+  if (!isValid(*result)) {
+    return tl::make_unexpected(CallError{CallFailure::kBadAnswer, "not valid HTTP"});
+  }
   const int status = result->status;
   if ((status >= 200 && status < 300) || status == kConflictStatus) return *result;
   return tl::make_unexpected(
--- a/src/daemon/clients/http_call.h
+++ b/src/daemon/clients/http_call.h
@@ -34,7 +34,11 @@
 /// @return a client for one call, with its timeouts set. Clients are not shared between threads.
 httplib::Client makeClient(const ServiceUrl& url, const CallTimeouts& timeouts);
 
-/// Classifies an outcome. @return the response if its status is 2xx or 409.
+/// @return whether the response is valid HTTP and its body was delimited and decoded as its header
+/// says. The library does not check this. Nothing in any other response can be relied on.
+bool isValid(const httplib::Response& response);
+
+/// Classifies an outcome. @return the response if it is valid and its status is 2xx or 409.
 CallResult<httplib::Response> classify(httplib::Result result);
 CallFailure failureOf(httplib::Error error);
 
--- a/src/daemon/clients/http_engine_client.cpp
+++ b/src/daemon/clients/http_engine_client.cpp
@@ -87,8 +87,8 @@
   call.headers = {{"X-Caller", caller_}, {"Content-Type", "application/json"}};
   call.body = body.dump();
   call.response_handler = [&status](const httplib::Response& response) {
-    status = response.status;
-    return true;
+    if (isValid(response)) status = response.status;
+    return status != 0;
   };
   call.content_receiver = [&](const char* data, std::size_t length, std::uint64_t, std::uint64_t) {
     return status != 200 || follower.onBytes({data, length});
@@ -97,7 +97,8 @@
   if (follower.mismatched()) return StreamEnd::kMismatched;
   if (follower.cancelled()) return StreamEnd::kCancelled;
   if (follower.complete()) return StreamEnd::kComplete;
-  const bool refused = status == 429 || (status >= 400 && status <= 499) || status == 503;
+  // A response that is cut does not tell what the engine did.
+  const bool refused = result && ((status >= 400 && status <= 499) || status == 503);
   if (refused) return StreamEnd::kNotStarted;
   if (!result && failureOf(result.error()) == CallFailure::kUnreachable) {
     return StreamEnd::kNotStarted;
--- a/src/gateway/http/client_exchange.cpp
+++ b/src/gateway/http/client_exchange.cpp
@@ -16,6 +16,7 @@
 #include <tl/expected.hpp>
 
 #include "common/event_log.h"
+#include "common/http_syntax.h"
 #include "gateway/http/field_lines.h"
 
 namespace linenpier::http {
@@ -43,12 +44,6 @@
   return std::max<Duration>(seconds - kIdleTimeoutMargin, Duration::zero());
 }
 
-/// The parser accepts any three digits. @return whether HTTP defines the class of the status
-/// (RFC 9110, 15).
-bool isDefinedStatus(unsigned status) {
-  return status >= 100 && status <= 599;
-}
-
 /// @return whether the body is decoded whole: the parser removes chunks and no other coding.
 bool isTransferCodingKnown(const Fields& fields) {
   const auto [first, end] = fields.equal_range(beast_http::field::transfer_encoding);
@@ -197,6 +192,7 @@
   boost::system::error_code error;
   connection.buffer.consume(parser_->put(connection.buffer.data(), error));
   if (error) return toStatus(error);
+  // The parser accepts any three digits.
   if (!isDefinedStatus(status())) return rejectMalformed("status");
   if (!isTransferCodingKnown(head())) return rejectMalformed("transfer_coding");
   return ExchangeStatus::kOk;
--- a/src/gateway/http/field_lines.cpp
+++ b/src/gateway/http/field_lines.cpp
@@ -2,24 +2,18 @@
 
 #include <algorithm>
 
+#include "common/http_syntax.h"
+
 namespace linenpier::http {
 
 namespace {
 
 constexpr std::string_view kLineEnd = "\r\n";
 
-bool isTokenCharacter(char character) {
-  const bool alphanumeric = (character >= '0' && character <= '9') ||
-                            (character >= 'A' && character <= 'Z') ||
-                            (character >= 'a' && character <= 'z');
-  constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
-  return alphanumeric || kTokenPunctuation.find(character) != std::string_view::npos;
-}
-
 bool beginsWithName(std::string_view line) {
   const std::string_view name = line.substr(0, line.find(':'));
   const bool has_colon = name.size() < line.size();
-  return has_colon && !name.empty() && std::all_of(name.begin(), name.end(), isTokenCharacter);
+  return has_colon && isToken(name);
 }
 
 /// Removes the first line with its end. @return the line.
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -14,22 +14,31 @@
 
 namespace linenpier::test {
 
-/// Reads the header of a request, sends its bytes and ends the connection in order. Must outlive
-/// the loop's run.
+/// How a raw server ends a connection after it has sent its bytes.
+enum class ConnectionEnd {
+  kInOrder,  ///< Reads the rest of the request.
+  kReset,    ///< Reads nothing more.
+};
+
+/// Reads the header of a request, sends its bytes and ends the connection. Must outlive the loop's
+/// run.
 class raw_server {
  public:
-  raw_server(boost::asio::io_context& loop, std::string response)
+  raw_server(boost::asio::io_context& loop, std::string response,
+             ConnectionEnd end = ConnectionEnd::kInOrder)
       : loop_(loop),
         acceptor_(loop, {boost::asio::ip::address_v4::loopback(), 0}),
-        response_(std::move(response)) {
+        response_(std::move(response)),
+        end_(end) {
     spawn(this->loop_, [this] { return this->acceptLoop(); });
   }
 
   Address address() const { return {0x7f000001, this->acceptor_.local_endpoint().port()}; }
-  /// Sets what is sent on subsequent connections.
-  void setResponse(std::string response) { this->response_ = std::move(response); }
 
  private:
+  /// Time in which the caller fills the buffers of its connection.
+  static constexpr Duration kTimeBeforeReset = std::chrono::milliseconds(50);
+
   using socket_ptr = std::shared_ptr<boost::asio::ip::tcp::socket>;
 
   Task<void> acceptLoop() {
@@ -52,6 +61,12 @@
     co_await boost::asio::async_write(
         *socket, boost::asio::buffer(response),
         boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    if (this->end_ == ConnectionEnd::kReset) {
+      co_await sleepFor(this->loop_, kTimeBeforeReset);
+      socket->set_option(boost::asio::socket_base::linger(true, 0), error);
+      socket->close(error);
+      co_return;
+    }
     socket->shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
     // Closing with unread input would reset the connection.
     while (!error) {
@@ -63,7 +78,8 @@
 
   boost::asio::io_context& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  std::string response_;
+  const std::string response_;
+  const ConnectionEnd end_;
 };
 
 }  // namespace linenpier::test
