linenpierd: a body without end is cut

What callers saw: nothing yet; other operators reported that bytes without end, in a header or a body, made the machine that had called keep them all and run out of memory.

Cause: the library keeps a body of any length, and nothing asked for a bound.

Change: all calls are sent by `sendBounded`, which ends a call whose body exceeds 32 MB; a stream ignores the body of another status up to the same bound.

Evidence, x86-64: `daemon_http_call::a_body_without_end_is_cut` failed on the code before (all three calls had a value and the memory of the process grew by 1,229,632 KB, with a bound on memory in place of the one on what the server could send) and passes.

Why it works: the library hands the body over as it arrives, and stops when told to.

--- a/src/daemon/clients/http_call.cpp
+++ b/src/daemon/clients/http_call.cpp
@@ -66,6 +66,37 @@
   }
 }
 
+httplib::Result sendBounded(httplib::Client& client, httplib::Request request) {
+  std::string body;
+  request.content_receiver = [&body](const char* data, std::size_t length, std::uint64_t,
+                                     std::uint64_t) {
+    if (body.size() + length > kMaxBodyBytes) return false;
+    body.append(data, length);
+    return true;
+  };
+  httplib::Result result = client.send(request);
+  if (result) result->body = std::move(body);
+  return result;
+}
+
+httplib::Request withoutBody(const std::string& method, const std::string& path,
+                             httplib::Headers headers) {
+  httplib::Request request;
+  request.method = method;
+  request.path = path;
+  request.headers = std::move(headers);
+  return request;
+}
+
+httplib::Request makeRequest(const std::string& method, const std::string& path,
+                             httplib::Headers headers, std::string body,
+                             const std::string& content_type) {
+  httplib::Request request = withoutBody(method, path, std::move(headers));
+  request.set_header("Content-Type", content_type);
+  request.body = std::move(body);
+  return request;
+}
+
 bool isValid(const httplib::Response& response) {
   const bool names_valid = std::all_of(response.headers.begin(), response.headers.end(),
                                        [](const auto& field) { return isToken(field.first); });
@@ -110,21 +141,26 @@
     : url_(serviceUrl(address)), headers_{{"X-Caller", caller}} {}
 
 CallResult<httplib::Response> PlatformService::get(const std::string& path) const {
-  return classify(makeClient(url_, {}).Get(path, headers_));
+  return call(withoutBody("GET", path, headers_));
 }
 
 CallResult<httplib::Response> PlatformService::put(const std::string& path,
                                                    const std::string& body) const {
-  return classify(makeClient(url_, {}).Put(path, headers_, body, "application/octet-stream"));
+  return call(makeRequest("PUT", path, headers_, body, "application/octet-stream"));
 }
 
 CallResult<httplib::Response> PlatformService::post(const std::string& path,
                                                     const std::string& json) const {
-  return classify(makeClient(url_, {}).Post(path, headers_, json, "application/json"));
+  return call(makeRequest("POST", path, headers_, json, "application/json"));
 }
 
 CallResult<httplib::Response> PlatformService::remove(const std::string& path) const {
-  return classify(makeClient(url_, {}).Delete(path, headers_));
+  return call(withoutBody("DELETE", path, headers_));
+}
+
+CallResult<httplib::Response> PlatformService::call(httplib::Request request) const {
+  httplib::Client client = makeClient(url_, {});
+  return classify(sendBounded(client, std::move(request)));
 }
 
 }  // namespace linenpier::platform
--- a/src/daemon/clients/http_call.h
+++ b/src/daemon/clients/http_call.h
@@ -34,6 +34,18 @@
 /// @return a client for one call, with its timeouts set. Clients are not shared between threads.
 httplib::Client makeClient(const ServiceUrl& url, const CallTimeouts& timeouts);
 
+/// Most bytes of a body that a client keeps. The largest bodies are specifications of steps.
+constexpr std::size_t kMaxBodyBytes = 32 * 1024 * 1024;
+
+/// Sends a request and reads the response. The call fails if the body exceeds `kMaxBodyBytes`.
+httplib::Result sendBounded(httplib::Client& client, httplib::Request request);
+
+httplib::Request withoutBody(const std::string& method, const std::string& path,
+                             httplib::Headers headers);
+httplib::Request makeRequest(const std::string& method, const std::string& path,
+                             httplib::Headers headers, std::string body,
+                             const std::string& content_type);
+
 /// @return whether the response is valid HTTP and its body was delimited and decoded as its header
 /// says. The library does not check this. Nothing in any other response can be relied on.
 bool isValid(const httplib::Response& response);
@@ -71,6 +83,8 @@
   CallResult<httplib::Response> remove(const std::string& path) const;
 
  private:
+  CallResult<httplib::Response> call(httplib::Request request) const;
+
   ServiceUrl url_;
   httplib::Headers headers_;
 };
--- a/src/daemon/clients/http_engine_client.cpp
+++ b/src/daemon/clients/http_engine_client.cpp
@@ -90,8 +90,11 @@
     if (isValid(response)) status = response.status;
     return status != 0;
   };
+  std::size_t ignored = 0;
   call.content_receiver = [&](const char* data, std::size_t length, std::uint64_t, std::uint64_t) {
-    return status != 200 || follower.onBytes({data, length});
+    if (status == 200) return follower.onBytes({data, length});
+    ignored += length;
+    return ignored <= kMaxBodyBytes;
   };
   const httplib::Result result = client.send(call);
   if (follower.mismatched()) return StreamEnd::kMismatched;
@@ -109,14 +112,16 @@
 void HttpEngineClient::cancel(const std::string& url, const AttemptId& attempt) {
   const ServiceUrl service = parseServiceUrl(url);
   auto client = makeClient(service, kControlTimeouts);
-  client.Post(service.path + "/abort", {{"X-Caller", caller_}},
-              json{{"request_id", attempt.str()}}.dump(), "application/json");
+  const json body = {{"request_id", attempt.str()}};
+  sendBounded(client, makeRequest("POST", service.path + "/abort", {{"X-Caller", caller_}},
+                                  body.dump(), "application/json"));
 }
 
 CallResult<wire::EngineReport> HttpEngineClient::load(const std::string& url) {
   const ServiceUrl service = parseServiceUrl(url);
   auto client = makeClient(service, kControlTimeouts);
-  const auto response = classify(client.Get(service.path + "/load", {{"X-Caller", caller_}}));
+  const auto response = classify(
+      sendBounded(client, withoutBody("GET", service.path + "/load", {{"X-Caller", caller_}})));
   return parseAnswer<wire::EngineReport>(response, [](const json& answer) {
     wire::EngineReport report;
     report.engine = EngineId(answer.at("engine").get<std::string>());
@@ -138,8 +143,9 @@
                      {"token", order.token},
                      {"model", order.model.str()},
                      {"version", order.version}};
-  const auto response = classify(client.Post(service.path + "/orders", {{"X-Caller", caller_}},
-                                             body.dump(), "application/json"));
+  const auto response = classify(
+      sendBounded(client, makeRequest("POST", service.path + "/orders", {{"X-Caller", caller_}},
+                                      body.dump(), "application/json")));
   if (!response) return tl::make_unexpected(response.error());
   return response->status == 409 ? OrderOutcome::kFenced : OrderOutcome::kDone;
 }
--- a/tests/daemon/clients/http_call_test.cpp
+++ b/tests/daemon/clients/http_call_test.cpp
@@ -30,6 +30,7 @@
     thread_.join();
   }
   Address address() const { return server_.address(); }
+  std::size_t longestResponse() const { return server_.longestResponse(); }
 
  private:
   boost::asio::io_context loop_{1};
@@ -40,6 +41,21 @@
 /// Larger than what the buffers of a connection hold.
 constexpr std::size_t kUploadBytes = 12 * 1024 * 1024;
 
+/// Bytes that a server may send before the client closes the connection: the largest body, and what
+/// socket buffers hold.
+constexpr std::size_t kMaxSentBytes = platform::kMaxBodyBytes + 16 * 1024 * 1024;
+
+/// Asserts that calls to a server that sends on after these bytes are cut.
+void expectCut(const std::string& bytes) {
+  const ServerThread server(bytes, test::ConnectionEnd::kNever);
+  cr_expect_not(PlatformService(server.address(), "d").get("/x").has_value());
+  cr_expect_not(PlatformService(server.address(), "d").post("/x", "{}").has_value());
+  platform::HttpEngineClient client("d");
+  cr_expect_not(client.load("http://" + toString(server.address())).has_value());
+  cr_expect_leq(server.longestResponse(), kMaxSentBytes, "%zu KB were sent",
+                server.longestResponse() / 1024);
+}
+
 /// Asserts that a call to a server that sends these bytes has an unknown outcome.
 void expectUnknown(const std::string& bytes, const std::string& what) {
   const ServerThread server(bytes);
@@ -112,3 +128,13 @@
   cr_expect(response.error().failure == CallFailure::kAnswerLost, "%s",
             response.error().detail.c_str());
 }
+
+// Guards against a daemon that runs out of memory, because it keeps a body until its end.
+Test(daemon_http_call, a_body_without_end_is_cut) {
+  expectCut("HTTP/1.1 200 OK\r\n\r\n");
+}
+
+// Guards against the same in a header.
+Test(daemon_http_call, a_header_without_end_is_cut) {
+  expectCut("HTTP/1.1 200 OK\r\nX-Long: ");
+}
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -3,6 +3,8 @@
 /// @file
 /// A server that sends the same bytes on each connection, whatever the request is. Test code.
 
+#include <algorithm>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
@@ -18,6 +20,7 @@
 enum class ConnectionEnd {
   kInOrder,  ///< Reads the rest of the request.
   kReset,    ///< Reads nothing more.
+  kNever,    ///< Sends on until the caller closes the connection.
 };
 
 /// Reads the header of a request, sends its bytes and ends the connection. Must outlive the loop's
@@ -34,11 +37,18 @@
   }
 
   Address address() const { return {0x7f000001, this->acceptor_.local_endpoint().port()}; }
+  /// @return the most bytes of a response without end that were sent before the caller closed the
+  /// connection. May be called from any thread.
+  std::size_t longestResponse() const { return this->longest_response_; }
 
  private:
   /// Time in which the caller fills the buffers of its connection.
   static constexpr Duration kTimeBeforeReset = std::chrono::milliseconds(50);
 
+  static constexpr std::size_t kBlockBytes = 64 * 1024;
+  /// Ends what no caller closes.
+  static constexpr std::size_t kMaxBytes = 300 * 1024 * 1024;
+
   using socket_ptr = std::shared_ptr<boost::asio::ip::tcp::socket>;
 
   Task<void> acceptLoop() {
@@ -61,6 +71,7 @@
     co_await boost::asio::async_write(
         *socket, boost::asio::buffer(response),
         boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    if (this->end_ == ConnectionEnd::kNever) co_return co_await this->sendOn(socket);
     if (this->end_ == ConnectionEnd::kReset) {
       co_await sleepFor(this->loop_, kTimeBeforeReset);
       socket->set_option(boost::asio::socket_base::linger(true, 0), error);
@@ -76,10 +87,22 @@
     }
   }
 
+  Task<void> sendOn(socket_ptr socket) {
+    const std::string block(kBlockBytes, 'x');
+    boost::system::error_code error;
+    for (std::size_t sent = 0; !error && sent < kMaxBytes;) {
+      sent += co_await boost::asio::async_write(
+          *socket, boost::asio::buffer(block),
+          boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      this->longest_response_ = std::max(this->longest_response_.load(), sent);
+    }
+  }
+
   boost::asio::io_context& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
   const std::string response_;
   const ConnectionEnd end_;
+  std::atomic<std::size_t> longest_response_ = 0;
 };
 
 }  // namespace linenpier::test
