Soak: engines send responses that are not valid HTTP, and reset uploads

The soak's engines never sent a status that HTTP does not define, a malformed header, a transfer coding, a refusal that is cut, or a response during an upload, and no client sent an upload: the faults that callers met could not come about.

The clients that keep their connections send uploads of 6 MB now and then. The proxies pass a reset on as a reset (before, as an end in order) and have small buffers, so that a gateway is still writing when the reset comes. The gateways get the memory that `scripts/soak` checks in their settings, as on their platform.

--- a/tests/gateway/service/broken_responses_test.cpp
+++ b/tests/gateway/service/broken_responses_test.cpp
@@ -179,7 +179,7 @@
     const std::string id = "u" + std::to_string(i);
     const auto outcome = co_await fixture.call(0, uploadRequest(fixture, id, "/once/1"));
     cr_expect_eq(outcome.response.result_int(), 200U, "got %u", outcome.response.result_int());
-    cr_expect_eq(outcome.response.body(), "answer");
+    cr_expect_eq(outcome.response.body(), "answer to " + id);
     cr_expect_eq(http::fieldText(outcome.response, "Response-Signature"), "s-" + id);
   }
 }
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -13,6 +13,8 @@
 namespace {
 constexpr Duration kBlockPollInterval = std::chrono::milliseconds(10);
 constexpr Duration kChunkDelay = std::chrono::milliseconds(150);
+/// Small, so that a sender waits while the receiver behind the proxy reads nothing.
+constexpr int kBufferBytes = 64 * 1024;
 }  // namespace
 
 const char* toText(LinkMode mode) {
@@ -53,6 +55,8 @@
       acceptor_(loop, tcp::endpoint(asio::ip::address_v4::loopback(), port)),
       target_(target),
       address_{0x7f000001, acceptor_.local_endpoint().port()} {
+  boost::system::error_code ignored;
+  this->acceptor_.set_option(asio::socket_base::receive_buffer_size(kBufferBytes), ignored);
   spawn(this->loop_, [this] { return this->acceptLoop(); });
 }
 
@@ -96,6 +100,8 @@
   this->links_.insert(link);
   const tcp::endpoint target(asio::ip::address_v4(this->target_.ip), this->target_.port);
   boost::system::error_code error;
+  link->target.open(tcp::v4(), error);
+  link->target.set_option(asio::socket_base::send_buffer_size(kBufferBytes), error);
   co_await link->target.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
     // The target is down: reset the client's connection.
@@ -119,12 +125,15 @@
     while (this->isBlocked(responses) && link->client.is_open()) {
       co_await sleepFor(this->loop_, kBlockPollInterval);
     }
+    // A reset must not look like an end in order to the other side.
+    if (error && error != asio::error::eof) link->reset();
     if (error) break;
     if (this->mode_ == LinkMode::kDelay) {
       co_await sleepFor(this->loop_, kChunkDelay);
     }
     co_await asio::async_write(to, asio::buffer(buffer.data(), count),
                                asio::redirect_error(asio::use_awaitable, error));
+    if (error) link->reset();
     if (error) break;
   }
   link->close();
--- a/tests/soak/soak_connections.cpp
+++ b/tests/soak/soak_connections.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kGracePeriod = std::chrono::seconds(9);
 /// Every how many requests, on average, one is slow.
 constexpr std::uint64_t kSlowInterval = 6;
+/// Every how many of the others, on average, one is an upload.
+constexpr std::uint64_t kUploadInterval = 6;
 /// Every how many requests, on average, one is for a stream.
 constexpr std::uint64_t kStreamInterval = 3;
 
@@ -48,12 +50,18 @@
       co_await this->sendStream(each, "stream-" + id);
       continue;
     }
-    const bool slow = each->random.below(kSlowInterval) == 0;
-    const http::ExchangeStatus status = co_await this->sendOnce(each, "kept-" + id, slow);
+    const RequestKind kind = this->drawKind(each);
+    const http::ExchangeStatus status = co_await this->sendOnce(each, "kept-" + id, kind);
     if (status != http::ExchangeStatus::kOk) co_await sleepFor(this->world_.loop, kReconnectDelay);
   }
 }
 
+soak_connections::RequestKind soak_connections::drawKind(client* each) const {
+  if (each->random.below(kSlowInterval) == 0) return RequestKind::kSlow;
+  if (each->random.below(kUploadInterval) == 0) return RequestKind::kUpload;
+  return RequestKind::kUsual;
+}
+
 Task<http::CallOutcome> soak_connections::call(client* each, http::Request request,
                                                Duration timeout) {
   const Address front = this->world_.gateways.at(each->gateway).front_address;
@@ -65,11 +73,14 @@
   co_return outcome;
 }
 
-Task<http::ExchangeStatus> soak_connections::sendOnce(client* each, std::string id, bool slow) {
+Task<http::ExchangeStatus> soak_connections::sendOnce(client* each, std::string id,
+                                                      RequestKind kind) {
+  const bool slow = kind == RequestKind::kSlow;
   http::Request request = makeRequest(boost::beast::http::verb::post, slow ? "/slow/1" : "/once/1");
   request.set("Request-Id", id);
   request.set("Deadline-Ms", slow ? "9000" : "1000");
   request.body() = "body of " + id;
+  if (kind == RequestKind::kUpload) request.body().resize(kUploadBytes, 'u');
   request.prepare_payload();
   this->world_.checker.onSent(id, true);
   const Instant sent_at = steadyNow();
--- a/tests/soak/soak_connections.h
+++ b/tests/soak/soak_connections.h
@@ -35,8 +35,15 @@
   Task<void> run(client* each);
   /** Sends a request on the client's connection, and opens one if necessary. */
   Task<http::CallOutcome> call(client* each, http::Request request, Duration timeout);
-  /** Sends a request that must run at most once. @param slow whether the engine takes long. */
-  Task<http::ExchangeStatus> sendOnce(client* each, std::string id, bool slow);
+  /** A kind of request that must run at most once. */
+  enum class RequestKind {
+    kUsual,
+    kSlow,    ///< The engine takes long.
+    kUpload,  ///< The body is large.
+  };
+  RequestKind drawKind(client* each) const;
+  /** Sends a request that must run at most once. */
+  Task<http::ExchangeStatus> sendOnce(client* each, std::string id, RequestKind kind);
   /** Checks that the gateway had not been stopping for long when the request was sent. */
   void checkStops(const client& each, const std::string& id, Instant sent_at);
   /** Requests a stream, so that the connection is kept by a response that may begin before a stop
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -28,7 +28,8 @@
       fatal_random_(options.seed + 2),
       jobs_(world_),
       connections_(world_),
-      faults_(world_) {}
+      faults_(world_),
+      responses_(world_) {}
 
 void soak_run::start() {
   this->world_.makeEngines();
@@ -49,6 +50,7 @@
   spawn(this->world_.loop, [this] { return this->engineEntryLoop(); });
   spawn(this->world_.loop, [this] { return this->malformedEntryLoop(); });
   this->faults_.start();
+  this->responses_.start();
   co_await sleepFor(this->world_.loop, this->world_.options.length);
   this->world_.faults_enabled = false;
   co_await sleepFor(this->world_.loop, kMaxFaultDuration);
@@ -70,11 +72,11 @@
   this->world_.print("soak: seed " + std::to_string(this->world_.options.seed) + ", " +
                      std::to_string(this->world_.checker.requests()) + " requests, " +
                      std::to_string(this->world_.checker.items()) + " items, " +
-                     std::to_string(this->faults_.count()) + " faults, " +
-                     std::to_string(this->world_.checker.crashes()) + " engines ended, " +
-                     std::to_string(this->world_.store.rateLimited()) + " writes rate-limited, " +
-                     std::to_string(this->world_.store.executedLate()) + " late, " +
-                     std::to_string(this->violations()) + " violations");
+                     std::to_string(this->faults_.count() + this->responses_.count()) +
+                     " faults, " + std::to_string(this->world_.checker.crashes()) +
+                     " engines ended, " + std::to_string(this->world_.store.rateLimited()) +
+                     " writes rate-limited, " + std::to_string(this->world_.store.executedLate()) +
+                     " late, " + std::to_string(this->violations()) + " violations");
   this->world_.loop.stop();
 }
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -12,6 +12,7 @@
 #include "soak/soak_connections.h"
 #include "soak/soak_faults.h"
 #include "soak/soak_jobs.h"
+#include "soak/soak_responses.h"
 #include "soak/soak_world.h"
 
 namespace linenpier::soak {
@@ -57,6 +58,7 @@
   soak_jobs jobs_;
   soak_connections connections_;
   soak_faults faults_;
+  soak_responses responses_;
   std::size_t succeeded_ = 0;  ///< Successful requests since the last reset of the counters.
   std::size_t sent_ = 0;
 };
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -19,6 +19,9 @@
 constexpr unsigned kPorts = 20000;
 constexpr unsigned kPortsPerProcess = 100;
 
+/// Memory of a gateway's machine; `scripts/soak` checks it.
+constexpr int kMemoryMb = 88;
+
 /// Crashes under an unlucky item: more than those that bar a caller's request.
 constexpr int kUnluckyCrashes = 5;
 
@@ -122,9 +125,10 @@
 void soak_world::putConfiguration(const job_routing& jobs) {
   const std::string engine =
       R"("engine":{"slots":8,"kvCacheTokens":50000,"models":[{"name":"m"}]}})";
-  this->store.put("op", "config",
-                  "{\"version\":" + std::to_string(++this->configuration_version_) +
-                      R"(,"routes":[
+  this->store.put(
+      "op", "config",
+      "{\"version\":" + std::to_string(++this->configuration_version_) +
+          R"(,"routes":[
         {"name":"look","host":"h.example","pathPrefix":"/look/","kind":"idempotent",
          "timeoutMs":1200,"targetLatencyMs":150,"service":"desk","maxAttempts":2},
         {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent",
@@ -137,11 +141,12 @@
         {"name":"jobs","host":"h.example","pathPrefix":"/jobs/","kind":"rollout",
          "timeoutMs":5000,"targetLatencyMs":400,"targetFinishMs":7500,"maxQueueS":60,
          "maxAttempts":3,"resumable":true,"allowedRegions":[)" +
-                      jobs.regions + "]," + jobs.services + R"(}],
+          jobs.regions + "]," + jobs.services + R"(}],
         "services":[{"name":"desk"},{"name":"models",)" +
-                      engine + R"(,{"name":"second",)" + engine + R"(,{"name":"empty",)" + engine +
-                      R"(],"limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,
-         "headerTimeoutMs":3000,"idleTimeoutMs":2000}})");
+          engine + R"(,{"name":"second",)" + engine + R"(,{"name":"empty",)" + engine +
+          R"(],"limits":{"maxHeaderBytes":4096,"headerTimeoutMs":3000,"idleTimeoutMs":2000,
+         "maxBodyBytes":)" +
+          std::to_string(2 * kUploadBytes) + "}}");
 }
 
 void soak_world::makeGateways() {
@@ -160,12 +165,12 @@
         std::make_unique<fault_proxy>(this->loop, this->store.address(), unusedPort(this->loop));
     links.other_store =
         std::make_unique<fault_proxy>(this->loop, this->store.address(), unusedPort(this->loop));
-    links.fixed_settings = "[daemon]\nid = \"g" + std::to_string(i) + "\"\nzone = \"" + zoneOf(i) +
-                           "\"\n[zones]\nz = \"near\"\ny = \"far\"\n[listen]\nrequests = \"" +
-                           toString(front) + "\"\nreadiness = \"" +
-                           toString(Address{0x7f000001, unusedPort(this->loop)}) +
-                           "\"\npeers = \"" + toString(Address{0x7f000001, peers[i]}) +
-                           "\"\n[peers]\nseeds = \"" + seeds + "\"\n";
+    links.fixed_settings =
+        "[daemon]\nid = \"g" + std::to_string(i) + "\"\nzone = \"" + zoneOf(i) +
+        "\"\n[zones]\nz = \"near\"\ny = \"far\"\n[listen]\nrequests = \"" + toString(front) +
+        "\"\nreadiness = \"" + toString(Address{0x7f000001, unusedPort(this->loop)}) +
+        "\"\npeers = \"" + toString(Address{0x7f000001, peers[i]}) + "\"\n[peers]\nseeds = \"" +
+        seeds + "\"\n[machine]\nmemory_mb = " + std::to_string(kMemoryMb) + "\n";
     this->gateways.push_back(std::move(links));
     this->writeSettings(i);
   }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -26,6 +26,9 @@
 /** Mark in the body of a sound item under which engines crash several times, and then no more. */
 constexpr char kUnluckyMark[] = "unlucky";
 
+/** Size of an upload: larger than what the buffers between a gateway and an engine hold. */
+constexpr std::size_t kUploadBytes = 6 * 1024 * 1024;
+
 struct soak_options {
   std::uint64_t seed = 1;
   Duration length = std::chrono::seconds(20);  ///< Duration of the fault phase.
--- a/tests/support/standin_sampler.cpp
+++ b/tests/support/standin_sampler.cpp
@@ -224,12 +224,14 @@
   arrival.ran = true;
   arrival.at = steadyNow();
   arrivals_.push_back(std::move(arrival));
+  const bool reset = upload_act_ == UploadAct::kReset;
+  const std::string body = "answer to " + id;
   std::string bytes = "HTTP/1.1 " + std::to_string(upload_status_) +
                       " Status\r\nRequest-Id: " + id + "\r\nResponse-Signature: s-" + id +
-                      "\r\n\r\nanswer";
+                      "\r\n\r\n" + body.substr(0, reset ? body.size() / 2 : body.size());
   co_await write(connection, std::move(bytes));
   boost::system::error_code error;
-  if (upload_act_ == UploadAct::kReset) {
+  if (reset) {
     co_await sleepFor(loop_, kTimeBeforeReset);
     connection.socket.set_option(asio::socket_base::linger(true, 0), error);
     connection.socket.close(error);
--- a/tests/support/standin_sampler.h
+++ b/tests/support/standin_sampler.h
@@ -43,7 +43,7 @@
 /// How the sampler handles a request whose body has not arrived with its header.
 enum class UploadAct {
   kRead,   ///< Reads the body, then acts according to the script.
-  kReset,  ///< Responds without a length, reads nothing, and resets the connection.
+  kReset,  ///< Responds without a length with a part of the body, and resets the connection.
   kEnd,    ///< Responds without a length, ends the connection in order, and reads the body.
 };
 
