HTTP client: the fields of a trailer are not those of the header

What callers saw: after a chunked body an engine sent a trailer with a second Response-Signature and another field. The caller got both as if they stood in the header.

Cause: the parser adds the fields of a trailer to its own, and the header is copied to the caller after the body was read. HTTP forbids to merge them unless the field allows it (RFC 9110, 6.5.1).

Change: the exchange keeps the header as it was parsed before the body; `head()` returns that.

Evidence, x86-64: `broken_responses::the_fields_of_a_trailer_are_not_forwarded` failed on the code before (two signatures, X-Odd passed on) and passes.

Why it works: whatever comes after the header cannot change what `head()` returns.

--- a/src/gateway/http/client_exchange.cpp
+++ b/src/gateway/http/client_exchange.cpp
@@ -194,6 +194,8 @@
   if (error) return toStatus(error);
   // The parser accepts any three digits.
   if (!isDefinedStatus(status())) return rejectMalformed("status");
+  // The parser adds the fields of a trailer to its own.
+  head_ = parser_->get().base();
   if (!isTransferCodingKnown(head())) return rejectMalformed("transfer_coding");
   return ExchangeStatus::kOk;
 }
--- a/src/gateway/http/client_exchange.h
+++ b/src/gateway/http/client_exchange.h
@@ -71,7 +71,8 @@
   Task<ExchangeStatus> discardBody(Instant deadline);
 
   const Request& request() const { return request_; }
-  const ResponseHead& head() const { return parser_->get().base(); }
+  /// @return the header, without the fields of a trailer.
+  const ResponseHead& head() const { return head_; }
   unsigned status() const { return parser_->get().result_int(); }
   bool complete() const { return complete_; }
   /// @return whether any part of the request may have reached the peer.
@@ -110,6 +111,7 @@
   std::function<bool()> may_send_;
   ClientConnectionPtr connection_;  ///< Null before connecting and after the end of the exchange.
   std::optional<Parser> parser_;
+  ResponseHead head_;
   std::size_t reserved_bytes_ = 0;  ///< Bytes that are reserved in the pool's budget.
   bool sent_ = false;
   WriteState write_state_ = WriteState::kPending;
--- a/tests/gateway/service/broken_responses_test.cpp
+++ b/tests/gateway/service/broken_responses_test.cpp
@@ -247,3 +247,18 @@
   cr_expect_eq(outcome.response.result_int(), 200U, "got %u", outcome.response.result_int());
   cr_expect_eq(http::fieldText(outcome.response, "Content-Encoding"), "gzip");
 }
+
+// Guards against a trailer that adds fields to the header, such as a second signature.
+GATEWAY_TEST(broken_responses, the_fields_of_a_trailer_are_not_forwarded, oneEngine()) {
+  sendRaw(fixture.lookup(0), [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Signature: s-" + id +
+           "\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n"
+           "Response-Signature: another\r\nX-Odd: v\r\n\r\n";
+  });
+  const auto outcome = co_await fixture.call(0, fixture.lookupRequest("r", "/once/1"));
+  cr_expect_eq(outcome.response.result_int(), 200U, "got %u", outcome.response.result_int());
+  cr_expect_eq(outcome.response.body(), "answer");
+  cr_expect_eq(outcome.response.count("Response-Signature"), 1U);
+  cr_expect_eq(http::fieldText(outcome.response, "Response-Signature"), "s-r");
+  cr_expect_eq(outcome.response.count("X-Odd"), 0U);
+}
