--- a/tests/platform/platform_clients_test.cpp
+++ b/tests/platform/platform_clients_test.cpp
@@ -89,7 +89,7 @@
 
 }  // namespace
 
-// Guards against a store call with an unknown outcome that counts as refused or as answered.
+// Guards against a store call with an unknown outcome that is taken for a rejected or answered one.
 Test(platform_clients, a_store_response_with_status_000_leaves_the_outcome_unknown) {
   Fixture fixture(withStatus000(R"({"ver":1,"now_ms":1,"rows":[]})"));
   fixture.run(checkStore);
@@ -101,7 +101,7 @@
   fixture.run(checkOrders);
 }
 
-// Guards against a report with an unknown outcome that counts as refused.
+// Guards against a report with an unknown outcome that is taken for a rejected one.
 Test(platform_clients, a_control_plane_response_with_status_000_leaves_the_outcome_unknown) {
   Fixture fixture(withStatus000("{}"));
   fixture.run(checkControlPlane);
